--- /dev/null
+++ b/scripts/environment.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Makes .venv from the locked requirements, unless it is there and current.
+set -eu
+cd "$(dirname "$0")/.."
+stamp=.venv/requirements.stamp
+if ! cmp -s requirements.lock "$stamp" 2>/dev/null; then
+    python3.11 -m venv .venv
+    .venv/bin/pip install --quiet --require-hashes -r requirements.lock
+    .venv/bin/pip install --quiet --no-deps --no-build-isolation -e .
+    cp requirements.lock "$stamp"
+fi
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Formatter, linter, type checker and tests, on a fresh machine too.
+set -eu
+cd "$(dirname "$0")/.."
+sh scripts/environment.sh
+echo "formatter"; .venv/bin/ruff format --check --quiet .
+echo "linter"; .venv/bin/ruff check --quiet .
+.venv/bin/flake8 trefoilspool tests scripts
+echo "types"; .venv/bin/mypy
+echo "tests"; .venv/bin/pytest -p no:cacheprovider "$@"
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,252 @@
+"""Starts stand-ins and hosts as processes on loopback."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from trefoilspool.client import CallResult, KindCall, call_kind
+from trefoilspool.operator import Operator, load_tree_file
+from trefoilspool.platforms.http import HttpLog, call
+
+WAIT_S = 60
+POLL_S = 0.02
+ADDRESS = '127.0.0.1'
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def free_port() -> int:
+    with socket.create_server((ADDRESS, 0)) as probe:
+        return int(probe.getsockname()[1])
+
+
+def wait_until(check: Callable[[], Any], what: str) -> Any:
+    give_up = time.monotonic() + WAIT_S
+    while time.monotonic() < give_up:
+        found = check()
+        if found:
+            return found
+        time.sleep(POLL_S)
+    raise AssertionError(f'waited {WAIT_S} s for {what}')
+
+
+class Cluster:
+    """Processes of one test; all are ended by ``close``."""
+
+    def __init__(
+        self,
+        hosts: int = 3,
+        tree: str = 'cabrera',
+        engines: int = 1,
+        services: int = 1,
+        **flags: Any,
+    ) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.ports: dict[str, int] = {}
+        self.commands: dict[str, list[str]] = {}
+        self.flags = flags
+        cells = {
+            'cabrera': ('assistant', 'orders'),
+            'laagrivarav': ('helper', 'registration'),
+        }[tree]
+        self.endpoints = [
+            self.endpoint(f'engine{number}', 'engine', cells[0])
+            for number in range(engines)
+        ] + [
+            self.endpoint(f'service{number}', 'service', cells[1])
+            for number in range(services)
+        ]
+        self.hosts = [self.host_entry(f'h{one}') for one in range(hosts)]
+        self.start('log', 'standin', 'log', **flags.get('log', {}))
+        self.start_roster()
+        for entry in self.hosts:
+            self.start_host(entry['name'])
+        self.wait_port('log')
+        self.operator = Operator(HttpLog(self.url('log')))
+        self.operator.publish(
+            load_tree_file(str(ROOT / 'examples' / f'{tree}.toml')),
+            'test',
+        )
+        self.wait_ready()
+
+    def endpoint(self, name: str, kind: str, cell: str) -> dict[str, Any]:
+        self.start(name, 'standin', kind, name=name, **self.flags.get(kind, {}))
+        return {
+            'name': name,
+            'data_centre': 'dc1',
+            'url': self.url(name),
+            'cell': cell,
+            'generation': 1,
+            'slots': 32,
+            'state': 'live',
+            'checks_fencing': True,
+        }
+
+    def host_entry(self, name: str) -> dict[str, Any]:
+        self.ports[name] = free_port()
+        return {
+            'name': name,
+            'data_centre': 'dc1',
+            'address': ADDRESS,
+            'http_port': self.ports[name],
+            'peer_port': free_port(),
+            'state': 'live',
+        }
+
+    def start_roster(self) -> None:
+        path = pathlib.Path(self.folder.name) / 'roster.json'
+        path.write_text(json.dumps(self.roster()))
+        self.start('roster', 'standin', 'roster', file=str(path), lag_s=0.2)
+
+    def roster(self) -> dict[str, Any]:
+        return {'hosts': self.hosts, 'endpoints': self.endpoints}
+
+    def publish_roster(self) -> None:
+        call(self.url('roster'), 'PUT', '/roster', json.dumps(self.roster()))
+
+    def start(self, key: str, *command: str, **flags: Any) -> None:
+        self.ports.setdefault(key, free_port())
+        words = [sys.executable, '-m', 'trefoilspool', *command]
+        words += ['--port', str(self.ports[key])]
+        words += [
+            f'--{name.replace("_", "-")}={setting}'
+            for name, setting in flags.items()
+        ]
+        self.commands[key] = words
+        self.spawn(key)
+
+    def spawn(self, key: str) -> None:
+        with self.log_path(key).open('ab') as log:
+            self.processes[key] = subprocess.Popen(
+                self.commands[key],
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+                env={**os.environ, 'TREFOILSPOOL_LOG_LEVEL': 'DEBUG'},
+            )
+
+    def start_host(self, name: str) -> None:
+        entry = next(one for one in self.hosts if one['name'] == name)
+        flags = {
+            'name': name,
+            'peer_port': entry['peer_port'],
+            'log_url': self.url('log'),
+            'roster_url': self.url('roster'),
+            'ticket_secret': 'test-secret-of-16-chars',
+            'log_share': 50,
+            **self.flags.get('host', {}),
+        }
+        self.start(name, 'host', **flags)
+
+    def log_path(self, key: str) -> pathlib.Path:
+        return pathlib.Path(self.folder.name) / f'{key}.log'
+
+    def lines(self, key: str) -> list[dict[str, Any]]:
+        found = []
+        for line in self.log_path(key).read_text().splitlines():
+            with contextlib.suppress(ValueError):
+                found.append(json.loads(line))
+        return found
+
+    def decisions(self, name: str) -> list[dict[str, Any]]:
+        return sorted(
+            (
+                line
+                for entry in self.hosts
+                for line in self.lines(entry['name'])
+                if line.get('decision') == name
+            ),
+            key=lambda line: line['time'],
+        )
+
+    def url(self, key: str) -> str:
+        return f'http://{ADDRESS}:{self.ports[key]}'
+
+    def get(self, key: str, path: str) -> Any:
+        return json.loads(call(self.url(key), 'GET', path, timeout=5)[1])
+
+    def status(self, key: str) -> Any:
+        with contextlib.suppress(Exception):
+            return self.get(key, '/v1/status')
+        return {}
+
+    def ready(self, key: str) -> bool:
+        with contextlib.suppress(Exception):
+            return call(self.url(key), 'GET', '/readyz')[0] == 200
+        return False
+
+    def wait_port(self, key: str) -> None:
+        def answers() -> bool:
+            with contextlib.suppress(Exception):
+                call(self.url(key), 'GET', '/healthz')
+                return True
+            return False
+
+        wait_until(answers, f'{key} to answer')
+
+    def live(self, key: str) -> list[str]:
+        hosts = self.status(key).get('hosts', {})
+        return sorted(name for name, one in hosts.items() if one == 'live')
+
+    def wait_ready(self, names: list[str] | None = None) -> None:
+        names = names or [entry['name'] for entry in self.hosts]
+        for endpoint in self.endpoints:
+            self.wait_port(endpoint['name'])
+        wait_until(
+            lambda: all(self.live(name) == sorted(names) for name in names),
+            f'{names} to be ready and see each other',
+        )
+
+    def home(self, cell: str) -> str:
+        return str(self.status(self.hosts[0]['name'])['homes'][cell])
+
+    def fault(self, key: str, **faults: float) -> None:
+        call(self.url(key), 'POST', '/faults', json.dumps(faults))
+
+    def journal(self, key: str) -> list[dict[str, Any]]:
+        return list(self.get(key, '/journal'))
+
+    def call(
+        self,
+        host: str,
+        kind: KindCall,
+        token: str = 'token-montevideo',
+        timeout_s: float | None = None,
+    ) -> CallResult:
+        address = (ADDRESS, self.ports[host])
+        return call_kind(address, token, kind, timeout_s)
+
+    def signal(self, key: str, number: int) -> None:
+        self.processes[key].send_signal(number)
+
+    def kill(self, key: str) -> None:
+        self.signal(key, signal.SIGKILL)
+        self.processes[key].wait()
+
+    def close(self) -> None:
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.folder.cleanup()
+
+
+@contextlib.contextmanager
+def cluster(**options: Any) -> Iterator[Cluster]:
+    made = Cluster.__new__(Cluster)
+    made.processes = {}
+    try:
+        made.__init__(**options)  # type: ignore[misc]
+        yield made
+    finally:
+        made.close()
--- /dev/null
+++ b/trefoilspool/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line with ``python -m trefoilspool``."""
+
+from trefoilspool.cmdline import main
+
+main()
--- /dev/null
+++ b/trefoilspool/client.py
@@ -0,0 +1,99 @@
+"""A small caller, for the quickstart and the load tool."""
+
+import http.client
+import json
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+__all__ = ['CallResult', 'KindCall', 'call_kind', 'post']
+
+TIMEOUT_S = 120.0
+
+
+class KindCall(NamedTuple):
+    """A request of one kind."""
+
+    path: str
+    kind: str
+    body: Mapping[str, object]
+    key: str = ''
+
+
+class CallResult(NamedTuple):
+    """What a caller was told."""
+
+    status: int
+    outcome: str
+    request_id: str
+    tokens: int
+    text: str
+
+
+def post(
+    address: tuple[str, int],
+    path: str,
+    body: Mapping[str, object],
+    headers: Mapping[str, str],
+) -> tuple[http.client.HTTPConnection, http.client.HTTPResponse]:
+    """Send a request and return the open answer."""
+    link = http.client.HTTPConnection(*address, timeout=TIMEOUT_S)
+    link.request(
+        'POST',
+        path,
+        json.dumps(body),
+        {
+            'Content-Type': 'application/json',
+            **headers,
+        },
+    )
+    return link, link.getresponse()
+
+
+def call_kind(
+    address: tuple[str, int],
+    token: str,
+    call: KindCall,
+    timeout_s: float | None = None,
+) -> CallResult:
+    """Send a request, read its whole answer and return the outcome."""
+    headers = {
+        'Authorization': f'Bearer {token}',
+        'X-Request-Kind': call.kind,
+    }
+    if call.key:
+        headers['Idempotency-Key'] = call.key
+    if timeout_s is not None:
+        headers['X-Request-Timeout'] = str(timeout_s)
+    link, answer = post(address, call.path, call.body, headers)
+    outcome = answer.headers.get('X-Request-Outcome', '')
+    request_id = answer.headers.get('X-Request-Id', '')
+    raw = answer.read().decode()
+    link.close()
+    if answer.headers.get('Content-Type') != 'text/event-stream':
+        return CallResult(answer.status, outcome, request_id, 0, raw)
+    texts = []
+    for event, payload in parse_events(raw):
+        if event == 'outcome':
+            outcome = json.loads(payload)['outcome']
+        elif payload != '[DONE]':
+            choice = json.loads(payload)['choices'][0]
+            texts.append(
+                choice.get('text') or choice.get('delta', {})['content'],
+            )
+    return CallResult(
+        answer.status,
+        outcome,
+        request_id,
+        len(texts),
+        ''.join(texts),
+    )
+
+
+def parse_events(raw: str) -> Iterator[tuple[str, str]]:
+    """Yield the name and payload of each server-sent event."""
+    for block in raw.split('\n\n'):
+        fields = dict(
+            line.split(': ', 1) for line in block.splitlines() if line
+        )
+        if 'data' in fields:
+            yield fields.get('event', 'message'), fields['data']
--- /dev/null
+++ b/trefoilspool/cmdline.py
@@ -0,0 +1,170 @@
+"""The command line."""
+
+import contextlib
+import os
+import sys
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import fire
+import logbook
+
+from trefoilspool.errors import (
+    OptionError,
+    SettingsError,
+    TrefoilspoolError,
+)
+from trefoilspool.operator import Operator, check_changes, load_tree_file
+from trefoilspool.options import HostOptions, StandinOptions, load_options
+from trefoilspool.platforms.http import HttpLog
+from trefoilspool.smoke import try_kinds
+from trefoilspool.telemetry import JsonHandler
+
+__all__ = ['main']
+
+EXIT_USAGE = 2
+EXIT_FAILED = 1
+
+
+@contextlib.contextmanager
+def logging(name: str, level: str) -> Iterator[None]:
+    """Write structured logs to standard error."""
+    handler = JsonHandler(name, level)
+    with handler.applicationbound():
+        yield
+
+
+class SettingsCommands:
+    """Read and edit the settings tree."""
+
+    def check(self, file: str) -> str:
+        """Check a tree file; nothing is changed."""
+        changes = load_tree_file(file)
+        return f'{file}: {len(changes)} nodes, all values are allowed'
+
+    def set(
+        self,
+        file: str = '',
+        path: str = '',
+        key: str = '',
+        setting: Any = None,
+        yes: bool = False,
+        author: str = '',
+        log_url: str = '',
+    ) -> str:
+        """Show what an edit changes, ask, and publish it.
+
+        Give ``--file`` with a tree file, or ``--path``, ``--key`` and
+        ``--setting`` for one value.
+        """
+        operator = make_operator(log_url)
+        changes = {path: {key: setting}} if path else load_tree_file(file)
+        check_changes(changes)
+        previewed = operator.preview(changes)
+        base = operator.fold.next - 1
+        for change in previewed:
+            sys.stdout.write(
+                f'{change.path} {change.key}: {change.before!r} -> '
+                f'{change.after!r} ({len(change.kinds)} kinds)\n',
+            )
+        if not (yes or confirmed()):
+            return 'nothing was changed'
+        verdict = operator.publish(changes, author, base)
+        return f'accepted at offset {verdict.offset}'
+
+    def show(self, log_url: str = '') -> str:
+        """Show the tree in force at the log's end."""
+        tree = make_operator(log_url).tree()
+        lines = [f'version {tree.version}']
+        for path in sorted(tree.nodes):
+            settings = tree.nodes[path]
+            stated = ' '.join(f'{key}={settings[key]!r}' for key in settings)
+            lines.append(f'{path} {stated}')
+        return '\n'.join(lines)
+
+    def explain(self, path: str, log_url: str = '') -> str:
+        """Show the values in force at a path and where each comes from."""
+        tree = make_operator(log_url).tree()
+        stated = tree.explain(path)
+        lines = []
+        for key, setting in tree.settings(path).model_dump().items():
+            origin = stated[key][1] if key in stated else 'default'
+            lines.append(f'{key} = {setting!r}  ({origin})')
+        return '\n'.join(lines)
+
+    def history(self, log_url: str = '') -> str:
+        """Show who changed what, and which edits lost a race."""
+        return '\n'.join(
+            f'{one.offset} {one.author} {one.edit} '
+            f'{one.conflict and f"conflict at {one.conflict}" or "accepted"}'
+            for one in make_operator(log_url).history()
+        )
+
+
+def confirmed() -> bool:
+    """Ask on the terminal whether to publish."""
+    sys.stdout.write('Publish? [y/N] ')
+    sys.stdout.flush()
+    return sys.stdin.readline().strip().lower() == 'y'
+
+
+def make_operator(log_url: str) -> Operator:
+    """Return an operator on the log of a flag or the environment."""
+    url = log_url or os.environ.get('TREFOILSPOOL_LOG_URL', '')
+    if not url:
+        raise OptionError('log-url', url, 'the log service URL')
+    return Operator(HttpLog(url))
+
+
+class Commands:
+    """Request scheduler for unlike model engines and plain services."""
+
+    def __init__(self) -> None:
+        self.settings = SettingsCommands()
+
+    def host(self, **flags: Any) -> None:
+        """Run the daemon of a host.
+
+        Each flag can be given as a TREFOILSPOOL_ variable; see
+        docs/operators/options.md.
+        """
+        from trefoilspool.host import serve
+
+        options = load_options(HostOptions, flags)
+        with logging(options.name, options.log_level):
+            serve(options)
+
+    def standin(self, kind: str, **flags: Any) -> None:
+        """Run a stand-in: log, roster, engine, service or weights."""
+        from trefoilspool.standins import STANDINS
+
+        if kind not in STANDINS:
+            raise OptionError('kind', kind, f'one of {", ".join(STANDINS)}')
+        options = load_options(StandinOptions, flags)
+        with logging(options.name, options.log_level):
+            STANDINS[kind](options).serve()
+
+    def smoke(self, hosts: Any, token: str) -> str:
+        """Send one request of every kind and print each outcome."""
+        ports = [int(port) for port in str(hosts).strip('()').split(',')]
+        operator = make_operator('')
+        return try_kinds(operator.tree(), token, ports)
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run a command; exit with 2 on wrong settings, 1 on failure."""
+    run_guarded(lambda: fire.Fire(Commands(), argv, 'trefoilspool'))
+
+
+def run_guarded(step: Callable[[], object]) -> None:
+    """Turn typed errors into one line and an exit status."""
+    try:
+        step()
+    except (OptionError, SettingsError) as error:
+        sys.stderr.write(f'trefoilspool: {error}\n')
+        sys.exit(EXIT_USAGE)
+    except TrefoilspoolError as error:
+        sys.stderr.write(f'trefoilspool: {error}\n')
+        sys.exit(EXIT_FAILED)
+    except KeyboardInterrupt:
+        logbook.Logger('cmdline').info('interrupted')
--- /dev/null
+++ b/trefoilspool/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to endpoints, one a module."""
--- /dev/null
+++ b/trefoilspool/errors.py
@@ -0,0 +1,300 @@
+"""Typed errors: one class a failure."""
+
+from collections.abc import Mapping
+from typing import ClassVar
+
+from trefoilspool.outcome import Outcome
+
+__all__ = [
+    'BadBodyError',
+    'BadTimeoutError',
+    'BodyTooLargeError',
+    'CallerGoneError',
+    'ClaimHeldError',
+    'DeadlineError',
+    'EndpointFailedError',
+    'ConnectFailedError',
+    'EndpointError',
+    'EndpointRefusedError',
+    'ForbiddenServiceError',
+    'SendFailedError',
+    'StreamCutError',
+    'HeaderTooLargeError',
+    'InterruptedRequestError',
+    'LogError',
+    'LogLostAnswerError',
+    'LogOutageError',
+    'LogRejectedError',
+    'MayHaveRunError',
+    'NotReadyError',
+    'OptionError',
+    'OverloadedError',
+    'Problem',
+    'SettingsError',
+    'SettingsConflictError',
+    'TicketError',
+    'TrefoilspoolError',
+    'TrimmedError',
+    'UnauthorizedError',
+    'UnknownKindError',
+    'UnknownPathError',
+    'ClaimsUnavailableError',
+]
+
+
+class TrefoilspoolError(Exception):
+    """Base of every error raised by this package."""
+
+
+class OptionError(TrefoilspoolError):
+    """A process setting has a value that is not allowed.
+
+    Parameters
+    ----------
+    option : str
+        Name of the flag.
+    bad : object
+        The rejected value.
+    allowed : str
+        What the option accepts.
+    """
+
+    def __init__(self, option: str, bad: object, allowed: str) -> None:
+        super().__init__(f'--{option}: {bad!r} is not allowed; use {allowed}')
+        self.option = option
+
+
+class SettingsError(TrefoilspoolError):
+    """An edit names a path, key or value that the schema rejects."""
+
+    def __init__(self, path: str, key: str, bad: object, allowed: str) -> None:
+        super().__init__(
+            f'{path}: {key} = {bad!r} is not allowed; use {allowed}',
+        )
+        self.path = path
+        self.key = key
+
+
+class SettingsConflictError(TrefoilspoolError):
+    """Another accepted edit changed the same values first."""
+
+    def __init__(self, path: str, key: str) -> None:
+        super().__init__(
+            f'{path}: {key} was changed by another edit since the base',
+        )
+        self.path = path
+        self.key = key
+
+
+class LogError(TrefoilspoolError):
+    """Base of the failures of the log service."""
+
+
+class LogOutageError(LogError):
+    """The log service did not take the request, so nothing was appended."""
+
+
+class LogLostAnswerError(LogError):
+    """The append may have taken effect; only a read can tell."""
+
+
+class LogRejectedError(LogError):
+    """The log service refused the append, so nothing was appended."""
+
+
+class TrimmedError(LogError):
+    """The offset asked for is older than the first one kept.
+
+    Parameters
+    ----------
+    first : int
+        The first offset that the stream still holds.
+    """
+
+    def __init__(self, first: int) -> None:
+        super().__init__(f'records before offset {first} are trimmed')
+        self.first = first
+
+
+class EndpointError(TrefoilspoolError):
+    """Base of the failures between a host and an endpoint."""
+
+
+class ConnectFailedError(EndpointError):
+    """No connection was made, so nothing was sent."""
+
+
+class SendFailedError(EndpointError):
+    """The request was sent, in part or whole, and no answer came."""
+
+
+class StreamCutError(EndpointError):
+    """The answer ended before it was whole."""
+
+
+class Problem(TrefoilspoolError):
+    """A final answer to a caller, sent as ``application/problem+json``.
+
+    Parameters
+    ----------
+    detail : str
+        What was wrong, with names and values.
+    retry_after : float or None
+        Seconds after which the caller may try again.
+    """
+
+    status: ClassVar[int] = 500
+    slug: ClassVar[str] = 'internal'
+    outcome: ClassVar[Outcome] = Outcome.not_run
+
+    def __init__(self, detail: str, retry_after: float | None = None) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.retry_after = retry_after
+
+    def document(self) -> Mapping[str, object]:
+        """Return the members of the problem document."""
+        return {
+            'type': f'urn:trefoilspool:problem:{self.slug}',
+            'title': self.slug.replace('_', ' '),
+            'status': self.status,
+            'detail': self.detail,
+            'outcome': self.outcome.value,
+        }
+
+
+class UnauthorizedError(Problem):
+    """The bearer token is missing or unknown."""
+
+    status = 401
+    slug = 'unauthorized'
+
+
+class ForbiddenServiceError(Problem):
+    """The workspace has no such service or model."""
+
+    status = 403
+    slug = 'service_not_allowed'
+
+
+class UnknownPathError(Problem):
+    """No resource has this path."""
+
+    status = 404
+    slug = 'unknown_path'
+
+
+class UnknownKindError(Problem):
+    """The workspace has no such kind of request."""
+
+    status = 400
+    slug = 'unknown_kind'
+
+
+class BadBodyError(Problem):
+    """The body is not a JSON object of the expected shape."""
+
+    status = 400
+    slug = 'malformed_body'
+
+
+class BodyTooLargeError(Problem):
+    """The body exceeds the kind's limit."""
+
+    status = 413
+    slug = 'body_too_large'
+
+
+class HeaderTooLargeError(Problem):
+    """A header value exceeds its limit."""
+
+    status = 431
+    slug = 'header_too_large'
+
+
+class BadTimeoutError(Problem):
+    """``X-Request-Timeout`` is not a positive number of seconds."""
+
+    status = 400
+    slug = 'bad_timeout'
+
+
+class TicketError(Problem):
+    """The ticket is not one that this system signed."""
+
+    status = 400
+    slug = 'bad_ticket'
+
+
+class OverloadedError(Problem):
+    """The request was shed because of load."""
+
+    status = 503
+    slug = 'overloaded'
+
+
+class DeadlineError(Problem):
+    """The request cannot finish before its deadline."""
+
+    status = 504
+    slug = 'deadline'
+
+
+class NotReadyError(Problem):
+    """The host is starting, leaving or cut off."""
+
+    status = 503
+    slug = 'not_ready'
+
+
+class ClaimsUnavailableError(Problem):
+    """A keyed request could not be claimed, since the log is out."""
+
+    status = 503
+    slug = 'claims_unavailable'
+
+
+class ClaimHeldError(Problem):
+    """The key's first request is still in progress."""
+
+    status = 409
+    slug = 'in_progress'
+    outcome = Outcome.may_have_run
+
+
+class MayHaveRunError(Problem):
+    """The request was sent, and its result is unknown."""
+
+    status = 502
+    slug = 'may_have_run'
+    outcome = Outcome.may_have_run
+
+
+class EndpointRefusedError(Problem):
+    """Every endpoint refused the connection, so nothing ran."""
+
+    status = 503
+    slug = 'endpoint_refused'
+
+
+class EndpointFailedError(Problem):
+    """The endpoint answered with an error."""
+
+    status = 502
+    slug = 'endpoint_failed'
+    outcome = Outcome.failed
+
+
+class CallerGoneError(Problem):
+    """The caller hung up before the request was dispatched."""
+
+    status = 499
+    slug = 'caller_gone'
+
+
+class InterruptedRequestError(Problem):
+    """The request was cancelled while it ran and will not run again."""
+
+    status = 503
+    slug = 'interrupted'
+    outcome = Outcome.interrupted
--- /dev/null
+++ b/trefoilspool/filter.py
@@ -0,0 +1,135 @@
+"""The base class of request filters and the messages between them."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterator, Mapping
+from typing import Generic, NamedTuple, TypeVar
+
+from returns.result import Result
+
+from trefoilspool import events
+from trefoilspool.broker import Permit
+from trefoilspool.endpoint import EndpointStream
+from trefoilspool.errors import Problem
+from trefoilspool.ledger import Claim
+from trefoilspool.outcome import Outcome
+from trefoilspool.tree import KindPlace, Tree
+
+__all__ = [
+    'Answer',
+    'Arrival',
+    'Caller',
+    'ClaimedJob',
+    'Filter',
+    'Final',
+    'Job',
+    'OpenAnswer',
+    'PermittedJob',
+    'Progress',
+]
+
+MessageT = TypeVar('MessageT')
+NextT = TypeVar('NextT')
+
+
+class Arrival(NamedTuple):
+    """A request as it came in.
+
+    Attributes
+    ----------
+    headers : mapping
+        Values by lower-case name.
+    gone : callable
+        Tells whether the caller has hung up.
+    """
+
+    number: int
+    request_id: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    arrived: float
+    gone: Callable[[], bool]
+
+
+class Caller(NamedTuple):
+    """An arrival with its workspace."""
+
+    arrival: Arrival
+    workspace: str
+    tree: Tree
+
+
+class Progress:
+    """What has happened to a request; owned by the request's thread.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether a byte may have reached an endpoint.
+    relayed : int
+        Tokens that the caller has.
+    """
+
+    def __init__(self) -> None:
+        self.sent = False
+        self.attempts = 0
+        self.relayed = 0
+        self.first_token_s = 0.0
+        self.outcome: Outcome | None = None
+        self.endpoint = ''
+
+
+class Job(NamedTuple):
+    """A request whose kind, tier and deadline are known."""
+
+    arrival: Arrival
+    workspace: str
+    place: KindPlace
+    ask: events.Ask
+    body: Mapping[str, object]
+    streams: bool
+    once: bool
+    progress: Progress
+
+
+class ClaimedJob(NamedTuple):
+    """A job that may be dispatched as far as its key is concerned."""
+
+    job: Job
+    claim: Claim | None
+    ticket: str
+    claimed_at: float
+
+
+class OpenAnswer(NamedTuple):
+    """An endpoint's answer whose head has been read."""
+
+    claimed: ClaimedJob
+    permit: Permit
+    stream: EndpointStream
+
+
+class PermittedJob(NamedTuple):
+    """A claimed job with the right to go to one endpoint."""
+
+    claimed: ClaimedJob
+    permit: Permit
+
+
+class Answer(NamedTuple):
+    """What the caller gets; ``chunks`` ends the request when exhausted."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    chunks: Iterator[bytes]
+
+
+Final = Problem | Answer
+
+
+class Filter(ABC, Generic[MessageT, NextT]):
+    """One step of a request's way."""
+
+    @abstractmethod
+    def apply(self, message: MessageT) -> 'Result[NextT, Final]':
+        """Return the next step's message or the caller's final answer."""
--- /dev/null
+++ b/trefoilspool/filters/authenticate.py
@@ -0,0 +1,49 @@
+"""The filter that finds the caller's workspace."""
+
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from trefoilspool.errors import (
+    HeaderTooLargeError,
+    UnauthorizedError,
+)
+from trefoilspool.filter import Arrival, Caller, Filter, Final
+from trefoilspool.tree import Tree
+
+__all__ = ['Authenticate']
+
+SCHEME = 'Bearer '
+MAX_HEADER_CHARS = 4096
+
+
+class Authenticate(Filter[Arrival, Caller]):
+    """Looks up the bearer token's hash in the settings tree.
+
+    Parameters
+    ----------
+    tree : callable
+        Returns the tree in force.
+    """
+
+    def __init__(self, tree: Callable[[], Tree]) -> None:
+        self.tree = tree
+
+    def apply(self, message: Arrival) -> Result[Caller, Final]:
+        """Return the caller, or 401."""
+        for name, header in message.headers.items():
+            if len(header) > MAX_HEADER_CHARS:
+                return Failure(
+                    HeaderTooLargeError(
+                        f'{name} has {len(header)} characters; '
+                        f'at most {MAX_HEADER_CHARS} are taken',
+                    )
+                )
+        credentials = message.headers.get('authorization', '')
+        if not credentials.startswith(SCHEME):
+            return Failure(UnauthorizedError('a bearer token is required'))
+        tree = self.tree()
+        workspace = tree.workspace_of(credentials.removeprefix(SCHEME))
+        if workspace is None:
+            return Failure(UnauthorizedError('the bearer token is unknown'))
+        return Success(Caller(message, workspace, tree))
--- /dev/null
+++ b/trefoilspool/filters/relay.py
@@ -0,0 +1,336 @@
+"""The filter that passes an answer on to its caller."""
+
+import json
+import time
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from trefoilspool import events
+from trefoilspool.attempts import Attempts
+from trefoilspool.broker import BrokerTask, Seen
+from trefoilspool.endpoint import Token
+from trefoilspool.errors import (
+    DeadlineError,
+    EndpointError,
+    InterruptedRequestError,
+    MayHaveRunError,
+    Problem,
+    StreamCutError,
+)
+from trefoilspool.filter import (
+    Answer,
+    ClaimedJob,
+    Filter,
+    Final,
+    OpenAnswer,
+)
+from trefoilspool.outcome import Outcome
+from trefoilspool.watch import Unwatch, WatchTask
+
+__all__ = ['Relay']
+
+TELL_S = 0.25
+STREAM_HEADERS = (
+    ('Content-Type', 'text/event-stream'),
+    ('Cache-Control', 'no-store'),
+)
+
+
+class Reading:
+    """What was measured while one attempt's answer was read."""
+
+    def __init__(self) -> None:
+        self.started = time.monotonic()
+        self.first = 0.0
+        self.tokens = 0
+        self.told_at = self.started
+        self.told_tokens = 0
+
+
+class Relay(Filter[OpenAnswer, Answer]):
+    """Relays tokens in order, resuming a cut stream where it stopped.
+
+    Parameters
+    ----------
+    attempts : Attempts
+        Opens further attempts.
+    broker : BrokerTask
+        Takes permits back and hears of speeds.
+    watch : WatchTask
+        Watches attempts.
+    """
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        broker: BrokerTask,
+        watch: WatchTask,
+    ) -> None:
+        self.attempts = attempts
+        self.broker = broker
+        self.watch = watch
+
+    def apply(self, message: OpenAnswer) -> Result[Answer, Final]:
+        """Return the answer as soon as its first part is here."""
+        job = message.claimed.job
+        if job.place.settings.target != 'model':
+            return self.relay_whole(message)
+        try:
+            if job.streams:
+                return Success(self.relay_stream(message))
+            return Success(self.gather(message))
+        except Problem as problem:
+            return Failure(problem)
+
+    def relay_whole(self, opened: OpenAnswer) -> Result[Answer, Final]:
+        """Read a plain service's answer whole."""
+        reading = Reading()
+        stream = opened.stream
+        ending = events.Ending.broken
+        try:
+            body = stream.body()
+            ending = events.Ending.completed
+        except EndpointError as error:
+            return Failure(MayHaveRunError(str(error)))
+        finally:
+            self.end(opened, reading, ending)
+        job = opened.claimed.job
+        job.progress.outcome = Outcome.completed
+        headers = (
+            ('Content-Type', 'application/json'),
+            ('X-Request-Outcome', Outcome.completed.value),
+        )
+        return Success(Answer(stream.status, headers, iter((body,))))
+
+    def relay_stream(self, opened: OpenAnswer) -> Answer:
+        """Return a streaming answer whose first token has arrived."""
+        tokens = self.tokens(opened)
+        first = next(tokens, None)
+        return Answer(
+            HTTPStatus.OK,
+            STREAM_HEADERS,
+            stream_events(
+                opened.claimed,
+                first,
+                tokens,
+            ),
+        )
+
+    def gather(self, opened: OpenAnswer) -> Answer:
+        """Return a whole answer for a caller who does not stream."""
+        job = opened.claimed.job
+        texts = [text_of(token) for token in self.tokens(opened)]
+        body = whole_body(job.arrival.path, job.place.settings.cell, texts)
+        headers = (
+            ('Content-Type', 'application/json'),
+            ('X-Request-Outcome', Outcome.completed.value),
+        )
+        return Answer(
+            HTTPStatus.OK, headers, iter((json.dumps(body).encode(),))
+        )
+
+    def tokens(self, opened: OpenAnswer) -> Iterator[Token]:
+        """Yield each token once and in order, over as many attempts as due.
+
+        Raises
+        ------
+        Problem
+            When the answer cannot be made whole.
+        """
+        progress = opened.claimed.job.progress
+        while True:
+            try:
+                yield from self.read_attempt(opened)
+            except StreamCutError as error:
+                opened = self.resume(opened, error)
+                continue
+            progress.outcome = Outcome.completed
+            return
+
+    def read_attempt(self, opened: OpenAnswer) -> Iterator[Token]:
+        """Yield one attempt's tokens, dropping any that the caller has."""
+        reading = Reading()
+        progress = opened.claimed.job.progress
+        ending = events.Ending.cancelled
+        check_attempt(opened)
+        try:
+            for token in opened.stream.tokens():
+                self.measure(opened, reading)
+                if token.place < progress.relayed:
+                    continue
+                if token.place > progress.relayed:
+                    raise StreamCutError(
+                        f'token {progress.relayed} is missing',
+                    )
+                progress.relayed += 1
+                yield token
+            ending = events.Ending.completed
+        except StreamCutError:
+            ending = cut_ending(opened)
+            raise
+        finally:
+            self.end(opened, reading, ending)
+
+    def measure(self, opened: OpenAnswer, reading: Reading) -> None:
+        """Count a token and tell the broker of the speed now and then."""
+        now = time.monotonic()
+        if not reading.tokens:
+            arrival = opened.claimed.job.arrival
+            progress = opened.claimed.job.progress
+            reading.first = now
+            reading.told_at = now
+            progress.first_token_s = progress.first_token_s or (
+                now - arrival.arrived
+            )
+        reading.tokens += 1
+        if now - reading.told_at >= TELL_S:
+            self.tell(opened, reading, now)
+
+    def tell(self, opened: OpenAnswer, reading: Reading, now: float) -> None:
+        """Report the tokens since the last report."""
+        self.broker.post(
+            Seen(
+                opened.permit.endpoint,
+                reading.tokens - reading.told_tokens,
+                now - reading.told_at,
+            )
+        )
+        reading.told_at = now
+        reading.told_tokens = reading.tokens
+
+    def end(
+        self,
+        opened: OpenAnswer,
+        reading: Reading,
+        ending: events.Ending,
+    ) -> None:
+        """Close an attempt and give its permit back."""
+        opened.stream.close()
+        ask = opened.permit.ask
+        self.watch.post(Unwatch(ask.request.number))
+        now = time.monotonic()
+        first = reading.first or now
+        self.broker.post(
+            events.Release(
+                ask.request,
+                ending,
+                first - reading.started,
+                ask.prompt_tokens,
+                opened.stream.cached_tokens,
+                reading.tokens,
+                now - first,
+            )
+        )
+
+    def resume(self, opened: OpenAnswer, error: StreamCutError) -> OpenAnswer:
+        """Open another attempt from the token at which the last stopped."""
+        problem = cut_problem(opened, error)
+        claimed = opened.claimed
+        if not self.attempts.may_follow(claimed, problem):
+            raise problem
+        found = self.attempts.open(claimed)
+        if isinstance(found, Success):
+            opened = found.unwrap()
+            return opened
+        failure = found.failure()
+        raise failure if isinstance(failure, Problem) else problem
+
+
+class Shape(NamedTuple):
+    """Where the text is in the chunks of a path."""
+
+    kind: str
+    chat: bool
+
+
+SHAPES = {
+    '/v1/chat/completions': Shape('chat.completion', chat=True),
+    '/v1/completions': Shape('text_completion', chat=False),
+}
+
+
+def check_attempt(opened: OpenAnswer) -> None:
+    """Refuse an answer that belongs to another attempt or request."""
+    job = opened.claimed.job
+    expected = f'{job.arrival.request_id}/{job.progress.attempts}'
+    if opened.stream.attempt != expected:
+        opened.stream.close()
+        raise StreamCutError(
+            f'the answer is for attempt {opened.stream.attempt}',
+        )
+
+
+def cut_ending(opened: OpenAnswer) -> events.Ending:
+    """Return how a cut attempt ended for the scheduler."""
+    job = opened.claimed.job
+    late = time.monotonic() >= job.ask.deadline
+    if opened.permit.revoked or late or job.arrival.gone():
+        return events.Ending.cancelled
+    return events.Ending.broken
+
+
+def cut_problem(opened: OpenAnswer, error: StreamCutError) -> Problem:
+    """Return what became of a request whose answer was cut."""
+    job = opened.claimed.job
+    if opened.permit.revoked:
+        return InterruptedRequestError(
+            'cancelled for a request of a higher tier',
+            1,
+        )
+    if time.monotonic() >= job.ask.deadline:
+        problem: Problem = DeadlineError('the deadline passed in mid-answer')
+        problem.outcome = Outcome.interrupted  # type: ignore[misc]
+        return problem
+    return MayHaveRunError(str(error))
+
+
+def text_of(token: Token) -> str:
+    """Return the text of a chunk."""
+    choice = json.loads(token.payload)['choices'][0]
+    if 'text' in choice:
+        return str(choice['text'])
+    return str(choice.get('delta', {}).get('content', ''))
+
+
+def whole_body(path: str, model: str, texts: list[str]) -> dict[str, object]:
+    """Return the body of an answer that is not streamed."""
+    text = ''.join(texts)
+    choice: dict[str, object] = {'index': 0, 'finish_reason': 'stop'}
+    shape = SHAPES[path]
+    if shape.chat:
+        choice['message'] = {'role': 'assistant', 'content': text}
+    else:
+        choice['text'] = text
+    return {
+        'object': shape.kind,
+        'model': model,
+        'choices': [choice],
+        'usage': {'completion_tokens': len(texts)},
+    }
+
+
+def stream_events(
+    claimed: ClaimedJob,
+    first: Token | None,
+    tokens: Iterator[Token],
+) -> Iterator[bytes]:
+    """Yield server-sent events; the last one is the outcome."""
+    try:
+        if first is not None:
+            yield format_token(first)
+            for token in tokens:
+                yield format_token(token)
+        yield b'data: [DONE]\n\n'
+        document: dict[str, object] = {'outcome': Outcome.completed.value}
+    except Problem as problem:
+        claimed.job.progress.outcome = problem.outcome
+        document = dict(problem.document())
+    yield f'event: outcome\ndata: {json.dumps(document)}\n\n'.encode()
+
+
+def format_token(token: Token) -> bytes:
+    """Return a token's event."""
+    return f'id: {token.place}\ndata: {token.payload}\n\n'.encode()
--- /dev/null
+++ b/trefoilspool/health.py
@@ -0,0 +1,107 @@
+"""Detection of stragglers from an endpoint's own past."""
+
+import math
+from collections.abc import Mapping
+from enum import Enum, auto
+
+from trefoilspool.learning import bounded_average
+
+__all__ = ['Health', 'HealthState', 'Signal']
+
+SLOW_RATIO = 2.5
+BASELINE_GAIN = 0.05
+BASELINE_FLOOR_S = 0.002
+PROBE_WAIT_S = 2.0
+FAILURES_TO_EJECT = 3
+
+
+class HealthState(Enum):
+    """Whether an endpoint gets new work."""
+
+    healthy = auto()
+    suspect = auto()
+    ejected = auto()
+    probing = auto()
+
+
+class Signal(Enum):
+    """What was observed."""
+
+    normal = auto()
+    slow = auto()
+    failed = auto()
+    waited = auto()
+
+
+TRANSITIONS: Mapping[tuple[HealthState, Signal], HealthState] = {
+    (HealthState.healthy, Signal.slow): HealthState.suspect,
+    (HealthState.suspect, Signal.slow): HealthState.ejected,
+    (HealthState.suspect, Signal.normal): HealthState.healthy,
+    (HealthState.ejected, Signal.waited): HealthState.probing,
+    (HealthState.ejected, Signal.normal): HealthState.healthy,
+    (HealthState.probing, Signal.slow): HealthState.ejected,
+    (HealthState.probing, Signal.normal): HealthState.healthy,
+    (HealthState.healthy, Signal.failed): HealthState.ejected,
+    (HealthState.suspect, Signal.failed): HealthState.ejected,
+    (HealthState.probing, Signal.failed): HealthState.ejected,
+}
+
+
+class Health:
+    """State of one endpoint."""
+
+    def __init__(self) -> None:
+        self.state = HealthState.healthy
+        self.since = 0.0
+        self.baseline = 0.0
+        self.failures = 0
+
+    def signal(self, signal: Signal, now: float) -> None:
+        """Move by the transition table."""
+        state = TRANSITIONS.get((self.state, signal))
+        if state is not None:
+            self.state = state
+            self.since = now
+        elif self.state is HealthState.ejected:
+            self.since = now
+
+    def observe_gap(self, gap: float, now: float) -> None:
+        """Compare a measured gap, in seconds, with the endpoint's past."""
+        gap = max(gap, BASELINE_FLOOR_S)
+        if not self.baseline:
+            self.baseline = gap
+        if gap > self.baseline * SLOW_RATIO:
+            self.signal(Signal.slow, now)
+            return
+        self.baseline = bounded_average(self.baseline, gap, BASELINE_GAIN)
+        self.signal(Signal.normal, now)
+
+    def observe_failure(self, now: float) -> None:
+        """Count a failed request; several in a row eject the endpoint."""
+        self.failures += 1
+        if self.failures >= FAILURES_TO_EJECT:
+            self.signal(Signal.failed, now)
+
+    def observe_success(self) -> None:
+        """Forget earlier failures."""
+        self.failures = 0
+
+    def probe_due(self, now: float) -> bool:
+        """Tell whether an ejected endpoint may be tried again."""
+        if self.state is HealthState.ejected:
+            if now - self.since >= PROBE_WAIT_S:
+                self.signal(Signal.waited, now)
+        return self.state is HealthState.probing
+
+    @property
+    def score_factor(self) -> float:
+        """Return the factor on predicted times, infinite when ejected."""
+        return SCORE_FACTORS[self.state]
+
+
+SCORE_FACTORS: Mapping[HealthState, float] = {
+    HealthState.healthy: 1,
+    HealthState.suspect: 3,
+    HealthState.ejected: math.inf,
+    HealthState.probing: 3,
+}
--- /dev/null
+++ b/trefoilspool/host.py
@@ -0,0 +1,436 @@
+"""The daemon that runs on every host."""
+
+import secrets
+import signal
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from http import HTTPStatus
+from types import FrameType
+
+import logbook
+import waitress
+
+from trefoilspool.attempts import Attempts
+from trefoilspool.broker import BrokerTask, FromHome
+from trefoilspool.claims import ClaimTask
+from trefoilspool.endpoints.http import HttpEndpoint
+from trefoilspool.errors import UnauthorizedError
+from trefoilspool.filter import Answer
+from trefoilspool.filters.authenticate import SCHEME, Authenticate
+from trefoilspool.filters.claim import ClaimFilter
+from trefoilspool.filters.classify import Classify
+from trefoilspool.filters.dispatch import Dispatch
+from trefoilspool.filters.relay import Relay
+from trefoilspool.filters.schedule import Schedule
+from trefoilspool.filters.settle import Settle
+from trefoilspool.link import Item, LinkTask, ReceiverTask
+from trefoilspool.membership import Beat, HostState, View, home_of
+from trefoilspool.options import HostOptions
+from trefoilspool.pipeline import Filters, Pipeline
+from trefoilspool.platforms.http import HttpHostList, HttpLog
+from trefoilspool.queries import QueryTask
+from trefoilspool.results import ResultStore
+from trefoilspool.retries import RetryBudget
+from trefoilspool.roster import Heard, Leave, ReportTask, RosterTask
+from trefoilspool.scheduler import FIELD_HANDLERS, FromEntry, SchedulerTask
+from trefoilspool.settingstask import (
+    PeerOffset,
+    PeerSnapshot,
+    SettingsTask,
+    SnapshotWanted,
+)
+from trefoilspool.task import Stop, Task, TaskGroup
+from trefoilspool.telemetry import Metrics
+from trefoilspool.tickets import TicketBook
+from trefoilspool.watch import WatchTask
+from trefoilspool.web import Environ, WebApp, json_answer, request_headers
+from trefoilspool.wire.gen.peer import ttypes
+
+__all__ = ['Host', 'serve']
+
+NS_PER_US = 1000
+INCARNATION_BITS = 4
+TASK_THREADS = 256
+CALL_THREADS = 32
+SPARE_THREADS = 16  # for health checks and refusals when all streams run
+MAX_BODY_BYTES = 64_000_000
+MAX_HEADERS_BYTES = 65_536
+BACKLOG = 512
+LOOKAHEAD = 1  # lets waitress notice that a caller has hung up
+DRAIN_POLL_S = 0.05
+NOT_READY_FIRST_S = 2.0  # time for the balancer to see /readyz fail
+MAX_CONNECTIONS = 4096
+CHANNEL_TIMEOUT_S = 3600
+
+logger = logbook.Logger('host')
+
+
+class Host:
+    """The tasks and filters of one host.
+
+    Parameters
+    ----------
+    options : HostOptions
+        Process settings.
+    """
+
+    def __init__(self, options: HostOptions) -> None:
+        self.options = options
+        self.name = options.name
+        # Later incarnations of a name are larger, so that heartbeats of an
+        # earlier one are recognised.
+        self.incarnation = (
+            time.time_ns() // NS_PER_US << INCARNATION_BITS
+        ) + secrets.randbits(INCARNATION_BITS)
+        self.view: View | None = None
+        self.draining = False
+        self.metrics = Metrics()
+        self.results = ResultStore()
+        self.endpoints: dict[str, HttpEndpoint] = {}
+        self.links: dict[tuple[str, int], LinkTask] = {}
+        self.group = TaskGroup(TASK_THREADS)
+        self.calls = ThreadPoolExecutor(CALL_THREADS, 'call')
+        self.tickets = TicketBook(
+            options.ticket_secret,
+            self.name,
+            self.incarnation,
+        )
+        self.build_tasks()
+        self.pipeline = self.build_pipeline()
+
+    def build_tasks(self) -> None:
+        """Create the tasks, without starting them."""
+        log = HttpLog(self.options.log_url)
+        self.settings = SettingsTask(log, self.send, self.writes_snapshots)
+        self.claims = ClaimTask(
+            log,
+            self.name,
+            self.incarnation,
+            self.calls,
+            self.options.log_share,
+        )
+        self.broker = BrokerTask(self.name, self.send)
+        self.scheduler = SchedulerTask(self.name, self.send)
+        self.queries = QueryTask(self.results, self.send)
+        self.watch = WatchTask()
+        self.reports = ReportTask(self.scheduler.post, self.calls)
+        self.roster = RosterTask(
+            self.name,
+            self.incarnation,
+            HttpHostList(self.options.roster_url),
+            self.publish,
+            self.send_beat,
+            self.is_loaded,
+            lambda: self.settings.version,
+        )
+
+    def build_pipeline(self) -> Pipeline:
+        """Create the filters."""
+        attempts = Attempts(
+            Schedule(self.broker),
+            Dispatch(self.endpoints.get, self.broker, self.watch),
+            RetryBudget(),
+        )
+        filters = Filters(
+            Authenticate(lambda: self.settings.tree),
+            Classify(self.name),
+            ClaimFilter(
+                self.claims,
+                self.tickets,
+                self.results,
+                self.queries,
+                lambda: self.view,
+            ),
+            attempts,
+            Relay(attempts, self.broker, self.watch),
+            Settle(self.claims, self.results, self.metrics),
+        )
+        return Pipeline(
+            self.name,
+            filters,
+            self.takes_requests,
+            self.options.max_streams,
+        )
+
+    def start(self) -> None:
+        """Start the tasks; frames are taken from here on."""
+        listener = socket.create_server(
+            (self.options.address, self.options.peer_port),
+            backlog=BACKLOG,
+        )
+        self.group.start(ReceiverTask(listener, self.deliver))
+        for task in self.tasks():
+            self.group.start(task)
+
+    def tasks(self) -> Iterator[Task]:
+        """Yield the tasks that need no socket of this host."""
+        yield from (self.settings, self.claims, self.broker, self.scheduler)
+        yield from (self.queries, self.watch, self.reports, self.roster)
+
+    def is_loaded(self) -> bool:
+        """Tell whether settings and claims have been read."""
+        return self.settings.fresh and not self.draining
+
+    def is_ready(self) -> bool:
+        """Tell the balancer whether to send requests here."""
+        return self.is_loaded() and bool(self.view and self.view.homes)
+
+    def takes_requests(self) -> bool:
+        """Tell whether a request that came all the same is served."""
+        return self.settings.fresh
+
+    def writes_snapshots(self) -> bool:
+        """Tell whether this host appends snapshots of the settings."""
+        homes = self.view.homes if self.view else ()
+        return home_of('settings snapshot', homes) == self.name
+
+    def send(self, host: str, field: str, element: object) -> None:
+        """Send a list item to a host, which may be this one."""
+        if host == self.name:
+            self.deliver_field(host, field, (element,))
+            return
+        entry = self.view.hosts.get(host) if self.view else None
+        link = (
+            self.links.get((entry.address, entry.peer_port)) if entry else None
+        )
+        if link is not None:
+            link.post(wire_item(field, element))
+
+    def send_beat(self, beat: Beat) -> None:
+        """Send a heartbeat to all peers."""
+        frame = ttypes.Beat(
+            beat.incarnation,
+            int(beat.state),
+            beat.settings_offset,
+            0,
+        )
+        for link in list(self.links.values()):
+            link.post(Item('beat', frame))
+
+    def publish(self, view: View) -> None:
+        """Put a new view in force; called by the roster task only."""
+        self.update_links(view)
+        for entry in view.endpoints:
+            known = self.endpoints.get(entry.name)
+            fresh = HttpEndpoint(entry.url)
+            same = known is not None and (
+                (known.host, known.port) == (fresh.host, fresh.port)
+            )
+            if not same:
+                self.endpoints[entry.name] = fresh
+        self.view = view
+        for task in (self.broker, self.scheduler, self.reports):
+            task.post(view)
+
+    def update_links(self, view: View) -> None:
+        """Keep one link to each listed peer."""
+        wanted = {
+            (entry.address, entry.peer_port)
+            for entry in view.hosts.values()
+            if entry.name != self.name
+        }
+        for address in set(self.links) - wanted:
+            self.links.pop(address).post(Stop())
+        for address in wanted - set(self.links):
+            link = LinkTask(self.name, address)
+            self.links[address] = link
+            self.group.start(link)
+
+    def deliver(self, frame: ttypes.Frame) -> None:
+        """Pass a received frame to the tasks."""
+        sender = frame.sender
+        if frame.beat is not None:
+            self.deliver_beat(sender, frame.beat)
+        if frame.settings_from is not None:
+            self.settings.post(SnapshotWanted(sender, frame.settings_from))
+        for field in LIST_FIELDS:
+            elements = getattr(frame, field)
+            if elements:
+                self.deliver_field(sender, field, tuple(elements))
+
+    def deliver_beat(self, sender: str, wire: ttypes.Beat) -> None:
+        """Pass on a heartbeat."""
+        beat = Beat(
+            wire.incarnation,
+            HostState(wire.state),
+            wire.settings_offset,
+        )
+        self.roster.post(Heard(sender, beat))
+        self.settings.post(PeerOffset(sender, beat.settings_offset))
+
+    def deliver_field(
+        self,
+        sender: str,
+        field: str,
+        elements: tuple[object, ...],
+    ) -> None:
+        """Pass a list of one kind to the task that owns it."""
+        if field in FIELD_HANDLERS:
+            self.scheduler.post(FromEntry(sender, field, elements))
+            return
+        if field in HOME_FIELDS:
+            self.broker.post(FromHome(sender, field, elements))
+            return
+        for element in elements:
+            ELEMENT_HANDLERS[field](self, sender, element)
+
+    def on_settings_record(
+        self,
+        sender: str,
+        record: ttypes.SettingsRecord,
+    ) -> None:
+        """Take a peer's settings tree."""
+        self.settings.post(PeerSnapshot(sender, record.body.decode()))
+
+    def on_claim_query(self, sender: str, query: ttypes.ClaimQuery) -> None:
+        """Answer a peer that asks for a result."""
+        self.queries.answer(sender, query)
+
+    def on_claim_answer(self, sender: str, answer: ttypes.ClaimAnswer) -> None:
+        """Take a peer's answer."""
+        self.queries.post(answer)
+
+    def web_app(self) -> WebApp:
+        """Return the WSGI application."""
+        return WebApp(
+            {
+                ('GET', '/healthz'): self.page_health,
+                ('GET', '/readyz'): self.page_ready,
+                ('GET', '/metrics'): self.page_metrics,
+                ('GET', '/v1/status'): self.page_status,
+                ('POST', '/v1/tickets'): self.page_ticket,
+            },
+            self.pipeline.handle,
+        )
+
+    def page_health(self, environ: Environ) -> Answer:
+        """Tell that the process runs."""
+        return json_answer(HTTPStatus.OK, {'status': 'ok'})
+
+    def page_ready(self, environ: Environ) -> Answer:
+        """Tell whether the balancer should send requests here."""
+        ready = self.is_ready()
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return json_answer(status, {'ready': ready})
+
+    def page_metrics(self, environ: Environ) -> Answer:
+        """Return the metrics."""
+        body = self.metrics.render().encode()
+        return Answer(
+            HTTPStatus.OK, (('Content-Type', 'text/plain'),), iter((body,))
+        )
+
+    def page_status(self, environ: Environ) -> Answer:
+        """Return what this host sees of the system."""
+        view = self.view
+        states = view.states if view else {}
+        return json_answer(
+            HTTPStatus.OK,
+            {
+                'host': self.name,
+                'incarnation': self.incarnation,
+                'settings_version': self.settings.version,
+                'open_requests': self.pipeline.open,
+                'hosts': {name: state.name for name, state in states.items()},
+                'homes': {
+                    entry.cell: home_of(entry.cell, view.homes)
+                    for entry in view.endpoints
+                }
+                if view
+                else {},
+            },
+        )
+
+    def page_ticket(self, environ: Environ) -> Answer:
+        """Issue a ticket to a known workspace."""
+        credentials = request_headers(environ).get('authorization', '')
+        token = credentials.removeprefix(SCHEME)
+        workspace = self.settings.tree.workspace_of(token)
+        if workspace is None:
+            raise UnauthorizedError('the bearer token is unknown')
+        return json_answer(
+            HTTPStatus.CREATED, {'ticket': self.tickets.issue(workspace)}
+        )
+
+    def drain(self) -> None:
+        """Leave: fail /readyz, hand cells over, finish what is open."""
+        self.draining = True
+        self.roster.post(Leave())
+        started = time.monotonic()
+        give_up = started + self.options.drain_s
+        time.sleep(NOT_READY_FIRST_S)
+        while self.pipeline.open and time.monotonic() < give_up:
+            time.sleep(DRAIN_POLL_S)
+        logger.info('drained with {} open requests', self.pipeline.open)
+
+    def stop(self) -> None:
+        """Stop the tasks."""
+        self.group.stop()
+        self.calls.shutdown(wait=False, cancel_futures=True)
+
+
+LIST_FIELDS = (
+    'asks',
+    'grants',
+    'refusals',
+    'releases',
+    'withdrawals',
+    'revocations',
+    'held',
+    'paces',
+    'claim_queries',
+    'claim_answers',
+    'settings_records',
+)
+HOME_FIELDS = frozenset(('grants', 'refusals', 'revocations'))
+
+ELEMENT_HANDLERS: Mapping[str, Callable[..., None]] = {
+    'settings_records': Host.on_settings_record,
+    'claim_queries': Host.on_claim_query,
+    'claim_answers': Host.on_claim_answer,
+}
+
+
+def wire_item(field: str, element: object) -> Item:
+    """Return the item of a frame; a tree travels as a record."""
+    if isinstance(element, str):
+        element = ttypes.SettingsRecord(-1, element.encode())
+    return Item(field, element)
+
+
+def serve(options: HostOptions) -> None:
+    """Run a host until SIGTERM or SIGINT, then drain and return."""
+    host = Host(options)
+    host.start()
+    server = waitress.create_server(
+        host.web_app(),
+        host=options.address,
+        port=options.port,
+        threads=options.max_streams + SPARE_THREADS,
+        send_bytes=1,
+        channel_request_lookahead=LOOKAHEAD,
+        max_request_body_size=MAX_BODY_BYTES,
+        max_request_header_size=MAX_HEADERS_BYTES,
+        connection_limit=MAX_CONNECTIONS,
+        channel_timeout=CHANNEL_TIMEOUT_S,
+        backlog=BACKLOG,
+        clear_untrusted_proxy_headers=True,
+        ident='trefoilspool',
+    )
+    stopping = threading.Event()
+
+    def on_signal(number: int, frame: FrameType | None) -> None:
+        stopping.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, on_signal)
+    runner = threading.Thread(target=server.run, daemon=True)
+    runner.start()
+    logger.info('host {} listens on port {}', host.name, options.port)
+    stopping.wait()
+    host.drain()
+    server.close()
+    host.stop()
--- /dev/null
+++ b/trefoilspool/options.py
@@ -0,0 +1,130 @@
+"""Process settings, read from flags and ``TREFOILSPOOL_`` variables."""
+
+from collections.abc import Mapping
+from typing import TypeVar
+
+from pydantic import Field, ValidationError
+from pydantic_settings import BaseSettings, SettingsConfigDict
+
+from trefoilspool.errors import OptionError
+
+__all__ = ['HostOptions', 'StandinOptions', 'load_options']
+
+MAX_PORT = 65535
+
+
+class ProcessOptions(BaseSettings):
+    """Options that every process takes."""
+
+    model_config = SettingsConfigDict(
+        env_prefix='TREFOILSPOOL_',
+        extra='forbid',
+    )
+
+    address: str = Field('127.0.0.1', description='IP address to listen on')
+    port: int = Field(0, ge=0, le=MAX_PORT, description='HTTP port')
+    log_level: str = Field(
+        'INFO',
+        pattern='^(DEBUG|INFO|WARNING|ERROR)$',
+        description='lowest level that is logged',
+    )
+
+
+class HostOptions(ProcessOptions):
+    """Options of ``trefoilspool host``."""
+
+    name: str = Field(pattern='^[A-Za-z0-9._-]+$', description='host name')
+    data_centre: str = Field('dc1', description='data centre of the host')
+    peer_port: int = Field(0, ge=0, le=MAX_PORT, description='frames port')
+    log_url: str = Field(pattern='^http://', description='log service URL')
+    roster_url: str = Field(pattern='^http://', description='host list URL')
+    ticket_secret: str = Field(
+        min_length=16,
+        description='key that signs tickets, the same on all hosts',
+    )
+    max_streams: int = Field(200, ge=1, le=4000, description='open requests')
+    log_share: float = Field(
+        10,
+        gt=0,
+        le=1000,
+        description='appends a second for this host',
+    )
+    drain_s: float = Field(
+        600,
+        ge=0,
+        description='seconds given to requests at shutdown',
+    )
+
+
+class StandinOptions(ProcessOptions):
+    """Options of ``trefoilspool standin``."""
+
+    name: str = Field('standin', description='name of the stand-in')
+    rate: float = Field(
+        300,
+        gt=0,
+        description='appends or weight megabytes a second',
+    )
+    retention: int = Field(
+        100_000,
+        ge=1,
+        description='records kept in a stream',
+    )
+    lag_s: float = Field(0.5, ge=0, description='age of lists and reports')
+    file: str = Field('', description='JSON file of hosts and endpoints')
+    gap_ms: float = Field(
+        5,
+        gt=0,
+        description='milliseconds between tokens when idle',
+    )
+    prefill_rate: float = Field(
+        20_000,
+        gt=0,
+        description='prompt tokens a second',
+    )
+    slots: int = Field(64, ge=1, description='largest batch')
+    cache_blocks: int = Field(4096, ge=0, description='prefix blocks kept')
+    checks_fencing: bool = Field(
+        default=True,
+        description='whether old fencing numbers are refused',
+    )
+
+
+OptionsT = TypeVar('OptionsT', bound=ProcessOptions)
+
+
+def load_options(
+    kind: type[OptionsT],
+    flags: Mapping[str, object],
+) -> OptionsT:
+    """Check flags and environment variables.
+
+    Parameters
+    ----------
+    kind : type
+        The options class to fill.
+    flags : mapping
+        Values from the command line, which go before the environment.
+
+    Returns
+    -------
+    OptionsT
+        The checked options.
+
+    Raises
+    ------
+    OptionError
+        When a value is missing, unknown or out of range.
+    """
+    try:
+        return kind(**flags)  # type: ignore[arg-type]
+    except ValidationError as error:
+        first = error.errors()[0]
+        name = str(first['loc'][0])
+        field = kind.model_fields.get(name)
+        about = field.description if field else 'a known option'
+        raise OptionError(
+            name.replace('_', '-'),
+            first.get('input'),
+            f'{about} ({first["msg"]})',
+        ) from None
--- /dev/null
+++ b/trefoilspool/outcome.py
@@ -0,0 +1,29 @@
+"""The closed set of outcomes that a caller can be told."""
+
+from enum import StrEnum
+
+__all__ = ['Outcome']
+
+
+class Outcome(StrEnum):
+    """What became of a request.
+
+    Attributes
+    ----------
+    completed
+        The whole answer was delivered.
+    not_run
+        No byte of the request reached an endpoint.
+    failed
+        The endpoint answered with an error.
+    may_have_run
+        The request was sent and its result is unknown.
+    interrupted
+        The request was cancelled after dispatch and will not be run again.
+    """
+
+    completed = 'completed'
+    not_run = 'not_run'
+    failed = 'failed'
+    may_have_run = 'may_have_run'
+    interrupted = 'interrupted'
--- /dev/null
+++ b/trefoilspool/pipeline.py
@@ -0,0 +1,150 @@
+"""The way of a request through the filters."""
+
+import secrets
+import threading
+import time
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from returns.result import Failure, Success
+
+from trefoilspool.attempts import Attempts
+from trefoilspool.errors import NotReadyError, OverloadedError
+from trefoilspool.events import ATTEMPT_NUMBERS
+from trefoilspool.filter import (
+    Answer,
+    Arrival,
+    ClaimedJob,
+    Final,
+    Job,
+)
+from trefoilspool.filters.authenticate import Authenticate
+from trefoilspool.filters.claim import ClaimFilter
+from trefoilspool.filters.classify import Classify
+from trefoilspool.filters.relay import Relay
+from trefoilspool.filters.settle import Settle
+
+__all__ = ['Filters', 'Pipeline']
+
+NUMBER_BITS = 52
+RETRY_S = 1.0
+
+
+class Filters(NamedTuple):
+    """The filters of a request, in order."""
+
+    authenticate: Authenticate
+    classify: Classify
+    claim: ClaimFilter
+    attempts: Attempts
+    relay: Relay
+    settle: Settle
+
+
+class Pipeline:
+    """Passes requests through the filters and counts the open ones.
+
+    Parameters
+    ----------
+    host : str
+        This host's name, which starts every request id.
+    filters : Filters
+        The steps.
+    ready : callable
+        Tells whether this host takes requests.
+    max_open : int
+        Open requests beyond which new ones are refused.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        filters: Filters,
+        ready: Callable[[], bool],
+        max_open: int,
+    ) -> None:
+        self.host = host
+        self.filters = filters
+        self.ready = ready
+        self.max_open = max_open
+        self.lock = threading.Lock()
+        self.open = 0
+
+    def handle(
+        self,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        gone: Callable[[], bool],
+    ) -> Answer:
+        """Return the answer to a request; it runs while chunks are taken."""
+        number = secrets.randbits(NUMBER_BITS) * ATTEMPT_NUMBERS
+        arrival = Arrival(
+            number,
+            f'{self.host}-{number // ATTEMPT_NUMBERS:x}',
+            path,
+            headers,
+            body,
+            time.monotonic(),
+            gone,
+        )
+        with self.lock:
+            self.open += 1
+        return self.run(arrival)
+
+    def run(self, arrival: Arrival) -> Answer:
+        """Apply the filters and settle whatever comes out."""
+        filters = self.filters
+        if not self.ready():
+            return self.end(
+                arrival,
+                None,
+                None,
+                NotReadyError(
+                    f'host {self.host} is not ready',
+                    RETRY_S,
+                ),
+            )
+        known = filters.authenticate.apply(arrival).bind(
+            filters.classify.apply,
+        )
+        if not isinstance(known, Success):
+            return self.end(arrival, None, None, known.failure())
+        job = known.unwrap()
+        if self.open > self.max_open:
+            return self.end(
+                arrival,
+                job,
+                None,
+                OverloadedError(
+                    f'host {self.host} has {self.max_open} open requests',
+                    RETRY_S,
+                ),
+            )
+        held = filters.claim.apply(job)
+        if not isinstance(held, Success):
+            return self.end(arrival, job, None, held.failure())
+        claimed = held.unwrap()
+        found = filters.attempts.apply(claimed).bind(filters.relay.apply)
+        if isinstance(found, Failure):
+            return self.end(arrival, job, claimed, found.failure())
+        return self.end(arrival, job, claimed, found.unwrap())
+
+    def end(
+        self,
+        arrival: Arrival,
+        job: Job | None,
+        claimed: ClaimedJob | None,
+        final: Final,
+    ) -> Answer:
+        """Settle, and count the request as closed after its last chunk."""
+        answer = self.filters.settle.finish(arrival, job, claimed, final)
+        return answer._replace(chunks=self.counted(answer))
+
+    def counted(self, answer: Answer):  # type: ignore[no-untyped-def]
+        """Yield the chunks, then count the request as closed."""
+        try:
+            yield from answer.chunks
+        finally:
+            with self.lock:
+                self.open -= 1
--- /dev/null
+++ b/trefoilspool/platforms/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform, one a module."""
--- /dev/null
+++ b/trefoilspool/queries.py
@@ -0,0 +1,107 @@
+"""The task that asks other hosts for results of once-only requests."""
+
+import time
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import NamedTuple
+
+from trefoilspool.results import ResultState, ResultStore, StoredResult
+from trefoilspool.task import Task
+from trefoilspool.wire.gen.peer import ttypes
+
+__all__ = ['AskHolder', 'QueryTask']
+
+TICK_S = 0.1
+TIMEOUT_S = 1.0
+SEPARATOR = b'\n'
+
+
+class AskHolder(NamedTuple):
+    """Ask a key's holder; the future gets None if it does not answer."""
+
+    host: str
+    key: str
+    future: 'Future[StoredResult | None]'
+
+
+class Pending(NamedTuple):
+    """A query without an answer."""
+
+    future: 'Future[StoredResult | None]'
+    expires: float
+
+
+class QueryTask(Task):
+    """Sends queries, matches answers and answers other hosts' queries.
+
+    Parameters
+    ----------
+    results : ResultStore
+        Results of this host.
+    send : callable
+        Sends a list item to a host: host, frame field, element.
+    """
+
+    def __init__(
+        self,
+        results: ResultStore,
+        send: Callable[[str, str, object], None],
+    ) -> None:
+        super().__init__(TICK_S)
+        self.results = results
+        self.send = send
+        self.pending: dict[int, Pending] = {}
+        self.last = 0
+
+    def handle(self, message: object) -> None:
+        """Send a query or take an answer."""
+        if isinstance(message, AskHolder):
+            self.last += 1
+            expires = time.monotonic() + TIMEOUT_S
+            self.pending[self.last] = Pending(message.future, expires)
+            self.send(
+                message.host,
+                'claim_queries',
+                ttypes.ClaimQuery(
+                    self.last,
+                    message.key.encode(),
+                ),
+            )
+        elif isinstance(message, ttypes.ClaimAnswer):
+            pending = self.pending.pop(message.query, None)
+            if pending is not None:
+                pending.future.set_result(from_wire(message))
+
+    def tick(self) -> None:
+        """Give up on queries whose holder is silent."""
+        now = time.monotonic()
+        for query, pending in list(self.pending.items()):
+            if now >= pending.expires:
+                del self.pending[query]
+                pending.future.set_result(None)
+
+    def answer(self, host: str, query: ttypes.ClaimQuery) -> None:
+        """Answer another host's query; called by the receiver."""
+        stored = self.results.get(query.key.decode())
+        body = stored.outcome.encode() + SEPARATOR + stored.body
+        self.send(
+            host,
+            'claim_answers',
+            ttypes.ClaimAnswer(
+                query.query,
+                int(stored.state),
+                stored.status,
+                body,
+            ),
+        )
+
+
+def from_wire(answer: ttypes.ClaimAnswer) -> StoredResult:
+    """Return the result that an answer carries."""
+    outcome, _, body = answer.body.partition(SEPARATOR)
+    return StoredResult(
+        ResultState(answer.state),
+        answer.status,
+        outcome.decode(),
+        body,
+    )
--- /dev/null
+++ b/trefoilspool/roster.py
@@ -0,0 +1,169 @@
+"""The tasks that keep the membership view and read load reports."""
+
+import time
+from collections.abc import Callable
+from concurrent.futures import Executor
+from typing import NamedTuple
+
+import logbook
+
+from trefoilspool import events
+from trefoilspool.endpoints.http import HttpEndpoint
+from trefoilspool.errors import EndpointError, LogError
+from trefoilspool.membership import Beat, HostState, Membership, View
+from trefoilspool.platform import EndpointEntry, HostList
+from trefoilspool.scheduler import Reports
+from trefoilspool.task import Task
+
+__all__ = ['Heard', 'Leave', 'ReportTask', 'RosterTask']
+
+BEAT_S = 0.5
+LIST_S = 1.0
+REPORT_S = 0.5
+
+logger = logbook.Logger('roster')
+
+
+class Heard(NamedTuple):
+    """A peer's heartbeat."""
+
+    host: str
+    beat: Beat
+
+
+class Leave(NamedTuple):
+    """Tell that this host is shutting down."""
+
+
+class RosterTask(Task):
+    """Reads the platform's list and exchanges heartbeats.
+
+    Parameters
+    ----------
+    host, incarnation : str, int
+        This host.
+    listing : HostList
+        The platform's list.
+    publish : callable
+        Called with each new view.
+    beat : callable
+        Sends a heartbeat to all peers.
+    ready : callable
+        Tells whether this host can serve.
+    version : callable
+        Returns the settings version in force.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        listing: HostList,
+        publish: Callable[[View], None],
+        beat: Callable[[Beat], None],
+        ready: Callable[[], bool],
+        version: Callable[[], int],
+    ) -> None:
+        super().__init__(BEAT_S)
+        self.host = host
+        self.incarnation = incarnation
+        self.listing = listing
+        self.publish = publish
+        self.beat = beat
+        self.ready = ready
+        self.version = version
+        self.membership = Membership(host)
+        self.leaving = False
+        self.listed_at = -LIST_S
+        self.last: View | None = None
+
+    def handle(self, message: object) -> None:
+        """Take a heartbeat, or start leaving."""
+        if isinstance(message, Heard):
+            now = time.monotonic()
+            self.membership.on_beat(message.host, message.beat, now)
+        elif isinstance(message, Leave):
+            self.leaving = True
+            self.tick()
+
+    def tick(self) -> None:
+        """Read the list when due, send a heartbeat, publish the view."""
+        now = time.monotonic()
+        if now - self.listed_at >= LIST_S:
+            self.listed_at = now
+            self.read_list()
+        beat = Beat(self.incarnation, self.own_state(), self.version())
+        self.membership.on_beat(self.host, beat, time.monotonic())
+        self.beat(beat)
+        view = self.membership.view(time.monotonic())
+        if view != self.last:
+            self.last = view
+            self.publish(view)
+
+    def own_state(self) -> HostState:
+        """Return the state that this host announces."""
+        if self.leaving:
+            return HostState.leaving
+        return HostState.live if self.ready() else HostState.joining
+
+    def read_list(self) -> None:
+        """Read the platform's list; keep the last one through an outage."""
+        try:
+            self.membership.on_list(self.listing.fetch())
+        except LogError as error:
+            logger.debug('host list not read: {}', error)
+
+
+class ReportTask(Task):
+    """Reads the load reports of endpoints that this host schedules.
+
+    Parameters
+    ----------
+    publish : callable
+        Called with the reports.
+    executor : Executor
+        Runs the blocking reads.
+    """
+
+    def __init__(
+        self,
+        publish: Callable[[Reports], None],
+        executor: Executor,
+    ) -> None:
+        super().__init__(REPORT_S)
+        self.publish = publish
+        self.executor = executor
+        self.endpoints: tuple[EndpointEntry, ...] = ()
+
+    def handle(self, message: object) -> None:
+        """Take a view."""
+        if isinstance(message, View):
+            self.endpoints = message.endpoints
+
+    def tick(self) -> None:
+        """Read all reports."""
+        reports = []
+        leaving = set()
+        loads = self.executor.map(read_load, self.endpoints)
+        for entry, load in zip(self.endpoints, loads, strict=True):
+            if load is None:
+                continue
+            reports.append(
+                events.LoadReport(
+                    entry.name,
+                    load.running,
+                    load.waiting,
+                    REPORT_S,
+                )
+            )
+            if load.leaving:
+                leaving.add(entry.name)
+        self.publish(Reports(tuple(reports), frozenset(leaving)))
+
+
+def read_load(entry: EndpointEntry):  # type: ignore[no-untyped-def]
+    """Return an endpoint's load, or None if it does not answer."""
+    try:
+        return HttpEndpoint(entry.url).load()
+    except EndpointError:
+        return None
--- /dev/null
+++ b/trefoilspool/scheduler.py
@@ -0,0 +1,309 @@
+"""The task that schedules the cells whose home is this host."""
+
+import time
+from collections import defaultdict
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+from trefoilspool import events
+from trefoilspool.cell import Cell
+from trefoilspool.membership import HostState, View, home_of
+from trefoilspool.task import Task
+from trefoilspool.telemetry import log_decision
+from trefoilspool.wire import convert
+from trefoilspool.wire.gen.peer import ttypes
+
+__all__ = ['FromEntry', 'Reports', 'SchedulerTask']
+
+TICK_S = 0.02
+COLLECT_S = 1.0
+MS_PER_S = 1000
+LOSERS_LOGGED = 3
+
+
+class FromEntry(NamedTuple):
+    """A frame field that an entry host sent."""
+
+    entry: str
+    field: str
+    elements: tuple[Any, ...]
+
+
+class Reports(NamedTuple):
+    """Load reports, and which endpoints say that they leave."""
+
+    reports: tuple[events.LoadReport, ...]
+    leaving: frozenset[str]
+
+
+class SchedulerTask(Task):
+    """Owns the cells.
+
+    Parameters
+    ----------
+    host : str
+        This host.
+    send : callable
+        Sends a list item to a host: host, frame field, element.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        send: Callable[[str, str, object], None],
+    ) -> None:
+        super().__init__(TICK_S)
+        self.host = host
+        self.send = send
+        self.cells: dict[str, Cell] = {}
+        self.view: View | None = None
+        self.leaving: frozenset[str] = frozenset()
+        self.homed: frozenset[str] = frozenset()
+        self.cell_of_request: dict[events.RequestKey, str] = {}
+
+    def handle(self, message: object) -> None:
+        """Handle frames of entries, views and reports."""
+        if isinstance(message, FromEntry):
+            FIELD_HANDLERS[message.field](self, message)
+        elif isinstance(message, View):
+            self.on_view(message)
+        elif isinstance(message, Reports):
+            self.on_reports(message)
+
+    def tick(self) -> None:
+        """Pass time to the cells."""
+        for name in list(self.cells):
+            self.feed(name, events.Tick())
+
+    def on_view(self, view: View) -> None:
+        """Take a view: endpoints, homes and lost entry hosts."""
+        before = self.view
+        self.view = view
+        names = {entry.cell for entry in view.endpoints}
+        homed = frozenset(
+            name for name in names if home_of(name, view.homes) == self.host
+        )
+        for name in homed - self.homed:
+            self.open_cell(name)
+        self.homed = homed
+        self.update_endpoints()
+        if before is not None:
+            self.drop_lost_entries(before, view)
+
+    def drop_lost_entries(self, before: View, view: View) -> None:
+        """Free what entry hosts held that are gone or were restarted."""
+        for entry, state in view.states.items():
+            known = before.incarnations.get(entry)
+            restarted = known not in {None, view.incarnations.get(entry)}
+            gone = state is HostState.gone
+            newly_gone = gone and before.states.get(entry) is not state
+            if restarted or newly_gone:
+                for name in list(self.cells):
+                    self.feed(name, events.EntryGone(entry))
+
+    def open_cell(self, name: str) -> None:
+        """Start a cell anew, keeping what was learned about speeds."""
+        old = self.cells.get(name)
+        cell = Cell()
+        self.cells[name] = cell
+        if old is not None:
+            cell.lengths = old.lengths
+        until = time.monotonic() + COLLECT_S
+        log_decision('home', '', cell=name, home=self.host)
+        self.feed(name, events.Collect(until))
+
+    def update_endpoints(self) -> None:
+        """Tell each cell which endpoints it has and which leave."""
+        if self.view is None:
+            return
+        known = [one for one in self.view.endpoints if one.cell in self.cells]
+        for entry in known:
+            usable = entry.state == 'live' and entry.name not in self.leaving
+            self.feed(
+                entry.cell,
+                events.EndpointSeen(
+                    entry.name,
+                    entry.generation,
+                    entry.slots,
+                    usable,
+                ),
+            )
+        self.drop_unlisted({listed.name for listed in known})
+
+    def drop_unlisted(self, listed: set[str]) -> None:
+        """Stop using endpoints that are no longer listed."""
+        for name, cell in self.cells.items():
+            for endpoint in list(cell.endpoints.values()):
+                if endpoint.usable and endpoint.name not in listed:
+                    self.feed(
+                        name,
+                        events.EndpointSeen(
+                            endpoint.name,
+                            endpoint.generation,
+                            endpoint.rates.slots,
+                            usable=False,
+                        ),
+                    )
+
+    def on_reports(self, message: Reports) -> None:
+        """Take the endpoints' own reports."""
+        if message.leaving != self.leaving:
+            self.leaving = message.leaving
+            self.update_endpoints()
+        for report in message.reports:
+            for name, cell in self.cells.items():
+                if report.endpoint in cell.endpoints:
+                    self.feed(name, report)
+
+    def cell(self, name: str) -> Cell:
+        """Return a cell, opening it if this host does not have it yet."""
+        if name not in self.cells:
+            self.open_cell(name)
+            self.update_endpoints()
+        return self.cells[name]
+
+    def feed(self, name: str, event: events.Event) -> None:
+        """Pass an event to a cell and send out its decisions."""
+        cell = self.cells[name]
+        for decision in cell.handle(event, time.monotonic()):
+            DECISION_SENDERS[type(decision)](self, name, decision)
+
+    def on_asks(self, message: FromEntry) -> None:
+        """Take asks."""
+        now = time.monotonic()
+        for wire in message.elements:
+            ask = convert.ask_from_wire(wire, message.entry, now)
+            self.cell(ask.cell)
+            self.cell_of_request[ask.request] = ask.cell
+            self.feed(ask.cell, ask)
+
+    def on_held(self, message: FromEntry) -> None:
+        """Take permits that an entry holds from another home."""
+        now = time.monotonic()
+        for held in message.elements:
+            ask = convert.ask_from_wire(
+                held.ask,
+                message.entry,
+                now,
+            )
+            self.cell(ask.cell)
+            self.cell_of_request[ask.request] = ask.cell
+            endpoint = held.endpoint
+            self.feed(ask.cell, events.Held(ask, endpoint))
+
+    def on_releases(self, message: FromEntry) -> None:
+        """Take releases."""
+        for wire in message.elements:
+            release = convert.release_from_wire(wire, message.entry)
+            name = self.cell_of_request.pop(release.request, None)
+            if name is not None:
+                self.feed(name, release)
+
+    def on_withdrawals(self, message: FromEntry) -> None:
+        """Take withdrawals."""
+        for number in message.elements:
+            request = events.RequestKey(
+                message.entry,
+                number,
+            )
+            name = self.cell_of_request.pop(request, None)
+            if name is not None:
+                self.feed(name, events.Withdraw(request))
+
+    def on_paces(self, message: FromEntry) -> None:
+        """Take measured speeds."""
+        for wire in message.elements:
+            pace = events.Pace(
+                wire.endpoint,
+                wire.streams,
+                wire.tokens,
+                wire.elapsed_ms / MS_PER_S,
+            )
+            for name, cell in self.cells.items():
+                if pace.endpoint in cell.endpoints:
+                    self.feed(name, pace)
+
+    def send_grant(self, cell: str, grant: events.Grant) -> None:
+        """Send a permit to its entry host."""
+        log_decision(
+            'grant',
+            grant.request.request_id,
+            cell=cell,
+            endpoint=grant.endpoint,
+            predicted_s=round(grant.score, 3),
+            losers=[
+                [name, round(score, 3)]
+                for name, score in sorted(
+                    grant.losers,
+                    key=lambda loser: loser[1],
+                )[:LOSERS_LOGGED]
+            ],
+        )
+        left = grant.expiry - time.monotonic()
+        self.send(
+            grant.request.entry,
+            'grants',
+            ttypes.Grant(
+                grant.request.number,
+                grant.endpoint,
+                int(left * MS_PER_S),
+            ),
+        )
+
+    def send_refusal(self, cell: str, refusal: events.Refuse) -> None:
+        """Send a refusal to its entry host."""
+        self.cell_of_request.pop(refusal.request, None)
+        log_decision(
+            'refuse',
+            refusal.request.request_id,
+            cell=cell,
+            reason=refusal.reason.name,
+            retry_after_s=round(refusal.retry_after, 1),
+            running=self.running_tiers(cell),
+        )
+        self.send(
+            refusal.request.entry,
+            'refusals',
+            ttypes.Refusal(
+                refusal.request.number,
+                int(refusal.reason),
+                int(refusal.retry_after * MS_PER_S),
+            ),
+        )
+
+    def send_revocation(self, cell: str, revoke: events.Revoke) -> None:
+        """Send a revocation to its entry host."""
+        log_decision(
+            'revoke',
+            revoke.request.request_id,
+            cell=cell,
+            endpoint=revoke.endpoint,
+            cause=revoke.cause.request_id,
+        )
+        self.send(
+            revoke.request.entry,
+            'revocations',
+            revoke.request.number,
+        )
+
+    def running_tiers(self, cell: str) -> dict[int, int]:
+        """Count the cell's running requests by tier."""
+        counts: dict[int, int] = defaultdict(int)
+        for permit in self.cells[cell].permits.values():
+            counts[permit.ask.tier] += 1
+        return dict(counts)
+
+
+FIELD_HANDLERS: Mapping[str, Callable[..., None]] = {
+    'asks': SchedulerTask.on_asks,
+    'held': SchedulerTask.on_held,
+    'releases': SchedulerTask.on_releases,
+    'withdrawals': SchedulerTask.on_withdrawals,
+    'paces': SchedulerTask.on_paces,
+}
+
+DECISION_SENDERS: Mapping[type, Callable[..., None]] = {
+    events.Grant: SchedulerTask.send_grant,
+    events.Refuse: SchedulerTask.send_refusal,
+    events.Revoke: SchedulerTask.send_revocation,
+}
--- /dev/null
+++ b/trefoilspool/task.py
@@ -0,0 +1,104 @@
+"""Tasks that own their state and talk by messages."""
+
+import queue
+import time
+from abc import ABC, abstractmethod
+from concurrent.futures import Future, ThreadPoolExecutor
+
+import logbook
+
+__all__ = ['Stop', 'Task', 'TaskGroup']
+
+logger = logbook.Logger('task')
+
+
+class Stop:
+    """Message that ends a task."""
+
+
+class Task(ABC):
+    """A loop on one thread that handles messages and a periodic tick.
+
+    Parameters
+    ----------
+    period_s : float
+        Seconds between ticks.
+    """
+
+    def __init__(self, period_s: float) -> None:
+        self.period_s = period_s
+        self.inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
+
+    def post(self, message: object) -> None:
+        """Queue a message; never blocks."""
+        self.inbox.put(message)
+
+    @abstractmethod
+    def handle(self, message: object) -> None:
+        """Handle one message on the task's thread."""
+
+    def tick(self) -> None:
+        """Run periodic work on the task's thread."""
+
+    def batch_end(self) -> None:
+        """Run after the inbox has been emptied once."""
+
+    def run(self) -> None:
+        """Handle messages until a ``Stop`` arrives."""
+        due = time.monotonic()
+        while True:
+            wait = max(0, due - time.monotonic())
+            if not self.drain(wait):
+                return
+            if time.monotonic() >= due:
+                self.guard(self.tick)
+                due = time.monotonic() + self.period_s
+
+    def drain(self, wait_s: float) -> bool:
+        """Handle what is queued; return False after a ``Stop``."""
+        try:
+            message = self.inbox.get(timeout=wait_s)
+        except queue.Empty:
+            return True
+        while True:
+            if isinstance(message, Stop):
+                return False
+            self.guard(self.handle, message)
+            try:
+                message = self.inbox.get_nowait()
+            except queue.Empty:
+                break
+        self.guard(self.batch_end)
+        return True
+
+    def guard(self, step, *arguments) -> None:  # type: ignore[no-untyped-def]
+        """Run one step; log an unexpected error and keep the task alive."""
+        try:
+            step(*arguments)
+        except Exception:
+            logger.exception('{} failed in {}', type(self).__name__, step)
+
+
+class TaskGroup:
+    """Runs tasks on threads of one executor.
+
+    Parameters
+    ----------
+    limit : int
+        The most tasks that can run at once.
+    """
+
+    def __init__(self, limit: int = 512) -> None:
+        self.executor = ThreadPoolExecutor(limit, 'task')
+        self.tasks: list[Task] = []
+
+    def start(self, task: Task) -> 'Future[None]':
+        """Run a task on a thread of its own."""
+        self.tasks.append(task)
+        return self.executor.submit(task.run)
+
+    def stop(self) -> None:
+        """Stop all tasks and wait for their threads."""
+        for task in self.tasks:
+            task.post(Stop())
+        self.executor.shutdown(wait=True, cancel_futures=True)
--- /dev/null
+++ b/trefoilspool/tree.py
@@ -0,0 +1,117 @@
+"""The settings tree: nodes, inheritance and lookups."""
+
+import hashlib
+from collections.abc import Iterator, Mapping
+from functools import cached_property
+from typing import NamedTuple
+
+from pydantic import ValidationError
+
+from trefoilspool.schema import LEVELS, Settings
+
+__all__ = ['KindPlace', 'Tree', 'ancestors']
+
+ROOT = '/'
+NodeValues = Mapping[str, object]
+
+
+class KindPlace(NamedTuple):
+    """Where a kind of request stands, and the values in force there."""
+
+    path: str
+    workspace: str
+    service: str
+    tier: str
+    kind: str
+    settings: Settings
+
+
+def ancestors(path: str) -> Iterator[str]:
+    """Yield the paths from the root down to ``path``."""
+    yield ROOT
+    if path == ROOT:
+        return
+    names = path.strip('/').split('/')
+    for depth in range(1, len(names) + 1):
+        yield '/'.join(['', *names[:depth]])
+
+
+class Tree:
+    """An immutable settings tree.
+
+    Parameters
+    ----------
+    nodes : mapping
+        Path to the values that the node itself states.
+    version : int
+        Log offset of the last record folded in, -1 for none.
+    """
+
+    def __init__(
+        self,
+        nodes: Mapping[str, NodeValues],
+        version: int = -1,
+    ) -> None:
+        self.nodes = nodes
+        self.version = version
+
+    def explain(self, path: str) -> dict[str, tuple[object, str]]:
+        """Return each key in force at ``path`` with the path it comes from."""
+        found: dict[str, tuple[object, str]] = {}
+        for ancestor in ancestors(path):
+            for key, setting in self.nodes.get(ancestor, {}).items():
+                if valid(key, setting):
+                    found[key] = (setting, ancestor)
+        return found
+
+    def settings(self, path: str) -> Settings:
+        """Return the values in force at ``path``."""
+        stated = {
+            key: setting for key, (setting, _) in self.explain(path).items()
+        }
+        return Settings.model_validate(stated)
+
+    @cached_property
+    def workspaces(self) -> Mapping[str, str]:
+        """Map the hash of a bearer token to its workspace."""
+        owners = {}
+        for path in self.nodes:
+            if path.count('/') == 1 and path != ROOT:
+                for token_hash in self.settings(path).token_hashes:
+                    owners[token_hash] = path[1:]
+        return owners
+
+    @cached_property
+    def kinds(self) -> Mapping[tuple[str, str], KindPlace]:
+        """Map a workspace and a kind's name to the kind's place."""
+        places: dict[tuple[str, str], KindPlace] = {}
+        for path in sorted(self.nodes):
+            names = path.strip('/').split('/')
+            if len(names) == len(LEVELS) - 1:
+                workspace, service, tier, kind = names
+                places.setdefault(
+                    (workspace, kind),
+                    KindPlace(
+                        path,
+                        workspace,
+                        service,
+                        tier,
+                        kind,
+                        self.settings(path),
+                    ),
+                )
+        return places
+
+    def workspace_of(self, token: str) -> str | None:
+        """Return the workspace that owns a bearer token."""
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        return self.workspaces.get(digest)
+
+
+def valid(key: str, setting: object) -> bool:
+    """Tell whether this version of the program can use a value."""
+    try:
+        Settings.model_validate({key: setting})
+    except ValidationError:
+        return False
+    return key in Settings.model_fields
--- /dev/null
+++ b/trefoilspool/web.py
@@ -0,0 +1,113 @@
+"""The WSGI application of a host."""
+
+import json
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from trefoilspool.errors import Problem, UnknownPathError
+from trefoilspool.filter import Answer
+from trefoilspool.filters.settle import problem_answer
+
+__all__ = ['Page', 'WebApp', 'reason']
+
+Environ = Mapping[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+Page = Callable[[Environ], Answer]
+
+REASONS = {
+    200: 'OK',
+    201: 'Created',
+    400: 'Bad Request',
+    401: 'Unauthorized',
+    403: 'Forbidden',
+    404: 'Not Found',
+    409: 'Conflict',
+    413: 'Content Too Large',
+    431: 'Request Header Fields Too Large',
+    499: 'Client Closed Request',
+    502: 'Bad Gateway',
+    503: 'Service Unavailable',
+    504: 'Gateway Timeout',
+}
+HEADER_PREFIX = 'HTTP_'
+
+
+def reason(status: int) -> str:
+    """Return a status line's code and phrase."""
+    return f'{status} {REASONS.get(status, "Other")}'
+
+
+def request_headers(environ: Environ) -> dict[str, str]:
+    """Return a request's headers by lower-case name."""
+    headers = {
+        name.removeprefix(HEADER_PREFIX).replace('_', '-').lower(): header
+        for name, header in environ.items()
+        if name.startswith(HEADER_PREFIX)
+    }
+    headers['content-type'] = environ.get('CONTENT_TYPE', '')
+    return headers
+
+
+class WebApp:
+    """Routes requests to pages and all others to the pipeline.
+
+    Parameters
+    ----------
+    pages : mapping
+        Method and path to a page.
+    default : callable
+        Handles path, headers, body and hang-up check of a POST.
+    """
+
+    def __init__(
+        self,
+        pages: Mapping[tuple[str, str], Page],
+        default: Callable[..., Answer],
+    ) -> None:
+        self.pages = pages
+        self.default = default
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        answer = self.answer(environ)
+        headers = [(name, str(header)) for name, header in answer.headers]
+        start_response(reason(answer.status), headers)
+        return answer.chunks
+
+    def answer(self, environ: Environ) -> Answer:
+        """Find the page and call it."""
+        method = environ['REQUEST_METHOD']
+        path = environ['PATH_INFO']
+        page = self.pages.get((method, path))
+        try:
+            if page is not None:
+                return page(environ)
+            if method != 'POST':
+                raise UnknownPathError(f'{method} {path} is not a resource')
+        except Problem as problem:
+            return problem_answer(problem)
+        return self.default(
+            path,
+            request_headers(environ),
+            environ['wsgi.input'].read(),
+            environ.get('waitress.client_disconnected', connected),
+        )
+
+
+def connected() -> bool:
+    """Tell that the caller has not hung up, where the server can't say."""
+    return False
+
+
+def json_answer(status: int, document: object) -> Answer:
+    """Return an answer with a JSON body."""
+    body = json.dumps(document).encode()
+    return Answer(
+        status,
+        (('Content-Type', 'application/json'),),
+        iter((body,)),
+    )
--- /dev/null
+++ b/trefoilspool/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Frames between hosts, in thrift."""
