--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,96 @@
+"""Settings in force on every host, under faults of the log."""
+
+from collections.abc import Iterator
+
+import pytest
+from cluster import Cluster, cluster, wait_until
+
+HOSTS = ('h0', 'h1', 'h2')
+
+
+@pytest.fixture
+def system() -> Iterator[Cluster]:
+    with cluster(hosts=3, engines=0, services=0) as made:
+        yield made
+
+
+def versions(system: Cluster) -> list[int]:
+    return [system.status(host).get('settings_version', -2) for host in HOSTS]
+
+
+class Sampler:
+    """Polls every host's version and sees that none goes back."""
+
+    def __init__(self, system: Cluster) -> None:
+        self.system = system
+        self.last = [-1] * len(HOSTS)
+
+    def reached(self, version: int) -> bool:
+        now = versions(self.system)
+        answered = [
+            (new, old)
+            for new, old in zip(now, self.last, strict=True)
+            if new != -2
+        ]
+        assert all(new >= old for new, old in answered), (now, self.last)
+        self.last = [
+            max(new, old) for new, old in zip(now, self.last, strict=True)
+        ]
+        return all(new >= version for new in now)
+
+
+class TestInForce:
+    def test_each_edit_reaches_every_host(self, system: Cluster) -> None:
+        sampler = Sampler(system)
+        for number in range(5):
+            edit = {'/': {'timeout_s': 10 + number}}
+            offset = system.operator.publish(edit, 'test').offset
+            wait_until(lambda: sampler.reached(offset), f'version {offset}')
+
+    def test_outage_and_new_host(self, system: Cluster) -> None:
+        sampler = Sampler(system)
+        offset = system.operator.publish(
+            {'/': {'timeout_s': 7}},
+            'test',
+        ).offset
+        wait_until(lambda: sampler.reached(offset), 'the edit')
+        system.fault('log', down=1)
+        system.kill('h2')
+        system.spawn('h2')
+        wait_until(lambda: system.ready('h2'), 'a tree from the peers')
+        assert sampler.reached(offset)
+        system.fault('log', down=0)
+        offset = system.operator.publish(
+            {'/': {'timeout_s': 8}},
+            'test',
+        ).offset
+        wait_until(lambda: sampler.reached(offset), 'the next edit')
+
+    def test_cut_from_the_log_alone(self, system: Cluster) -> None:
+        system.kill('h1')
+        words = system.commands['h1']
+        system.commands['h1'] = [
+            '--log-url=http://127.0.0.1:9'
+            if word.startswith('--log-url')
+            else word
+            for word in words
+        ]
+        system.spawn('h1')
+        wait_until(lambda: system.ready('h1'), 'a tree from the peers')
+        sampler = Sampler(system)
+        offset = system.operator.publish(
+            {'/': {'timeout_s': 9}},
+            'test',
+        ).offset
+        wait_until(lambda: sampler.reached(offset), 'the edit by way of peers')
+
+    def test_cut_from_everything(self, system: Cluster) -> None:
+        system.fault('log', down=1)
+        for host in ('h1', 'h2'):
+            system.kill(host)
+        wait_until(
+            lambda: not system.ready('h0'),
+            'a lone host to stop serving',
+        )
+        system.fault('log', down=0)
+        wait_until(lambda: system.ready('h0'), 'the host to serve again')
--- a/trefoilspool/cell.py
+++ b/trefoilspool/cell.py
@@ -6,6 +6,7 @@
 
 import heapq
 import math
+from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 from typing import NamedTuple
 
@@ -75,6 +76,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.queues = [FairQueue() for _ in range(TIERS)]
         self.permits: dict[events.RequestKey, Permit] = {}
+        self.running: Counter[int] = Counter()
         self.revoking: dict[events.RequestKey, events.RequestKey] = {}
         self.urgent: list[tuple[float, int, events.Ask]] = []
         self.asked_at: dict[events.RequestKey, float] = {}
@@ -197,6 +199,7 @@
         """Record a permit."""
         permit = Permit(ask, endpoint, self.now, cached)
         self.permits[ask.request] = permit
+        self.running[ask.tier] += 1
         if endpoint in self.endpoints:
             self.endpoints[endpoint].permits[ask.request] = permit
 
@@ -204,6 +207,8 @@
         """Remove a permit."""
         permit = self.permits.pop(request, None)
         self.revoking.pop(request, None)
+        if permit:
+            self.running[permit.ask.tier] -= 1
         if permit and permit.endpoint in self.endpoints:
             self.endpoints[permit.endpoint].permits.pop(request, None)
         return permit
@@ -306,6 +311,7 @@
         self.decisions.append(
             events.Grant(
                 ask.request,
+                ask.tier,
                 winner.endpoint,
                 self.now + PERMIT_TERM_S,
                 winner.finish,
@@ -349,6 +355,8 @@
         bool
             Whether a permit is being revoked for this request.
         """
+        if not any(self.running[tier] for tier in range(ask.tier + 1, TIERS)):
+            return False
         if ask.request in self.revoking.values():
             return True
         victim = min(
@@ -399,7 +407,12 @@
         """Answer a request with a refusal and when to come back."""
         self.drop_waiting(ask.request)
         self.decisions.append(
-            events.Refuse(ask.request, reason, self.retry_after(ask)),
+            events.Refuse(
+                ask.request,
+                ask.tier,
+                reason,
+                self.retry_after(ask),
+            ),
         )
 
     def retry_after(self, ask: events.Ask) -> float:
--- a/trefoilspool/events.py
+++ b/trefoilspool/events.py
@@ -188,6 +188,7 @@
     """A permit; ``losers`` are the other candidates with their scores."""
 
     request: RequestKey
+    tier: int
     endpoint: str
     expiry: float
     score: float
@@ -198,6 +199,7 @@
     """A final refusal, with when to come back in seconds."""
 
     request: RequestKey
+    tier: int
     reason: Reason
     retry_after: float
 
--- a/trefoilspool/fairqueue.py
+++ b/trefoilspool/fairqueue.py
@@ -65,15 +65,21 @@
         found: list[tuple[float, str]] = []
         asks: list[Ask] = []
         while self.order and len(asks) < limit:
-            tag, workspace = heapq.heappop(self.order)
-            ask = self.clean_head(workspace)
+            entry = heapq.heappop(self.order)
+            ask = self.head(*entry)
             if ask is not None:
-                found.append((tag, workspace))
+                found.append(entry)
                 asks.append(ask)
-        for entry in found:
-            heapq.heappush(self.order, entry)
+        for kept in found:
+            heapq.heappush(self.order, kept)
         return asks
 
+    def head(self, tag: float, workspace: str) -> Ask | None:
+        """Return a workspace's first ask, None if the entry is stale."""
+        if workspace not in self.heaps or tag != self.tags[workspace]:
+            return None
+        return self.clean_head(workspace)
+
     def take(self, ask: Ask) -> None:
         """Remove a head that was granted and charge its workspace."""
         del self.live[ask.request]
@@ -81,8 +87,6 @@
         self.virtual = max(self.virtual, tag)
         served = tag + ask_cost(ask) / ask.weight
         self.tags[ask.workspace] = served
-        self.order.remove((tag, ask.workspace))
-        heapq.heapify(self.order)
         if self.clean_head(ask.workspace) is not None:
             heapq.heappush(self.order, (served, ask.workspace))
 
--- a/trefoilspool/scheduler.py
+++ b/trefoilspool/scheduler.py
@@ -1,7 +1,6 @@
 """The task that schedules the cells whose home is this host."""
 
 import time
-from collections import defaultdict
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
@@ -229,6 +228,7 @@
             'grant',
             grant.request.request_id,
             cell=cell,
+            tier=grant.tier,
             endpoint=grant.endpoint,
             predicted_s=round(grant.score, 3),
             losers=[
@@ -257,9 +257,14 @@
             'refuse',
             refusal.request.request_id,
             cell=cell,
+            tier=refusal.tier,
             reason=refusal.reason.name,
             retry_after_s=round(refusal.retry_after, 1),
-            running=self.running_tiers(cell),
+            running={
+                tier: count
+                for tier, count in self.cells[cell].running.items()
+                if count
+            },
         )
         self.send(
             refusal.request.entry,
@@ -286,13 +291,6 @@
             revoke.request.number,
         )
 
-    def running_tiers(self, cell: str) -> dict[int, int]:
-        """Count the cell's running requests by tier."""
-        counts: dict[int, int] = defaultdict(int)
-        for permit in self.cells[cell].permits.values():
-            counts[permit.ask.tier] += 1
-        return dict(counts)
-
 
 FIELD_HANDLERS: Mapping[str, Callable[..., None]] = {
     'asks': SchedulerTask.on_asks,
--- a/trefoilspool/standins/engine.py
+++ b/trefoilspool/standins/engine.py
@@ -23,6 +23,7 @@
 __all__ = ['EngineStandin', 'token_text']
 
 HTTP_OK = 200
+HTTP_NOT_FOUND = 404
 HTTP_LEAVING = 503
 IDLE_S = 0.002
 SLOWEST = 0.001  # of the full speed
@@ -164,6 +165,8 @@
         }
         if request.path in pages:
             return json_reply(pages[request.path]())
+        if request.method != 'POST':
+            return json_reply({'error': 'no such path'}, HTTP_NOT_FOUND)
         if self.faults['leaving']:
             reply = json_reply({'error': 'leaving'}, HTTP_LEAVING)
             reply.headers = {'X-Request-Outcome': 'not_run'}
--- a/trefoilspool/standins/service.py
+++ b/trefoilspool/standins/service.py
@@ -11,6 +11,7 @@
 __all__ = ['ServiceStandin']
 
 HTTP_ERROR = 500
+HTTP_NOT_FOUND = 404
 HTTP_LEAVING = 503
 
 
@@ -44,6 +45,8 @@
         }
         if request.path in pages:
             return json_reply(pages[request.path]())
+        if request.method != 'POST':
+            return json_reply({'error': 'no such path'}, HTTP_NOT_FOUND)
         if self.faults['leaving']:
             reply = json_reply({'error': 'leaving'}, HTTP_LEAVING)
             reply.headers = {'X-Request-Outcome': 'not_run'}
