--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,143 @@
+"""Whole answers: cut, repeated, misdirected and concurrent streams."""
+
+import http.client
+import json
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from cluster import ADDRESS, Cluster, cluster, wait_until
+
+from trefoilspool.client import KindCall
+from trefoilspool.standins.engine import answer_tokens, token_text
+
+CHAT = '/v1/chat/completions'
+STOCK_TOKENS = 200
+PROPOSAL_TOKENS = 800
+LONG_PROMPT = 'long'
+
+
+@pytest.fixture(scope='module')
+def system() -> Iterator[Cluster]:
+    with cluster(hosts=2, engines=2, services=0) as made:
+        yield made
+
+
+@pytest.fixture(autouse=True)
+def healthy(system: Cluster) -> Iterator[None]:
+    yield
+    for engine in ('engine0', 'engine1'):
+        system.fault(engine, cut_after=0, repeat=0, wrong_attempt=0, speed=1)
+
+
+def stock(text: str, stream: bool = True, kind: str = 'stock') -> KindCall:
+    body = {'messages': [{'role': 'user', 'content': text}], 'stream': stream}
+    return KindCall(CHAT, kind, body)
+
+
+def expected(text: str, allowed: int = STOCK_TOKENS) -> str:
+    prompt = f'user: {text}'
+    count = answer_tokens(prompt, allowed)
+    return ''.join(token_text(prompt, index) for index in range(count))
+
+
+def attempts(system: Cluster, request_id: str) -> int:
+    return sum(
+        entry['request'] == request_id
+        for engine in ('engine0', 'engine1')
+        for entry in system.journal(engine)
+    )
+
+
+class TestWholeAnswers:
+    def test_many_at_once_get_their_own(self, system: Cluster) -> None:
+        texts = [f'question {number // 2}' for number in range(40)]
+        with ThreadPoolExecutor(16) as pool:
+            told = list(
+                pool.map(
+                    lambda text: system.call('h0', stock(text)),
+                    texts,
+                )
+            )
+        for text, one in zip(texts, told, strict=True):
+            assert (one.outcome, one.text) == ('completed', expected(text))
+
+    def test_cut_stream_is_resumed(self, system: Cluster) -> None:
+        system.fault('engine0', cut_after=10)
+        for number in range(6):
+            text = f'cut {number}'
+            told = system.call('h1', stock(text, stream=number % 2 == 0))
+            if told.outcome == 'completed' and number % 2 == 0:
+                assert told.text == expected(text)
+            elif told.outcome == 'completed':
+                choice = json.loads(told.text)['choices'][0]
+                assert choice['message']['content'] == expected(text)
+            else:
+                assert told.outcome == 'may_have_run'
+                assert expected(text).startswith(
+                    told.text if number % 2 == 0 else '',
+                )
+
+    def test_repeated_tokens_are_dropped(self, system: Cluster) -> None:
+        for engine in ('engine0', 'engine1'):
+            system.fault(engine, repeat=1)
+        told = system.call('h0', stock('twice'))
+        assert (told.outcome, told.text) == ('completed', expected('twice'))
+
+    def test_answer_of_another_attempt_is_not_passed_on(
+        self,
+        system: Cluster,
+    ) -> None:
+        for engine in ('engine0', 'engine1'):
+            system.fault(engine, wrong_attempt=1)
+        told = system.call('h0', stock('other'))
+        assert told.outcome != 'completed'
+        assert 'w' not in told.text.split('detail')[0].split('{')[0]
+
+    def test_once_only_is_never_sent_again(self, system: Cluster) -> None:
+        for engine in ('engine0', 'engine1'):
+            system.fault(engine, cut_after=1)
+        told = system.call('h0', stock('tag', kind='tag'))
+        assert told.outcome in {'may_have_run', 'completed'}
+        assert attempts(system, told.request_id) == 1
+
+    def test_hang_up_cancels_at_the_engine(self, system: Cluster) -> None:
+        link = http.client.HTTPConnection(ADDRESS, system.ports['h0'])
+        link.request(
+            'POST',
+            CHAT,
+            json.dumps(
+                stock(LONG_PROMPT, kind='proposal').body,
+            ),
+            {
+                'Authorization': 'Bearer token-montevideo',
+                'X-Request-Kind': 'proposal',
+            },
+        )
+        answer = link.getresponse()
+        answer.readline()
+        request_id = answer.headers['X-Request-Id']
+        answer.close()
+        link.close()
+
+        def ended() -> bool:
+            return any(
+                entry['request'] == request_id and entry['end'] == 'cancelled'
+                for engine in ('engine0', 'engine1')
+                for entry in system.journal(engine)
+            )
+
+        wait_until(ended, 'the engine to cancel')
+
+    def test_deadline_ends_the_answer_at_once(self, system: Cluster) -> None:
+        for engine in ('engine0', 'engine1'):
+            system.fault(engine, speed=0.05)
+        told = system.call(
+            'h0',
+            stock('slow', kind='proposal'),
+            timeout_s=2,
+        )
+        assert told.outcome in {'interrupted', 'not_run'}
+        assert expected('slow', PROPOSAL_TOKENS).startswith(
+            told.text if told.outcome == 'interrupted' else '',
+        )
