--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -1,7 +1,7 @@
 """Whole answers: cut, repeated, misdirected and concurrent streams."""
 
-import http.client
 import json
+import socket
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
@@ -101,33 +101,47 @@
         assert told.outcome in {'may_have_run', 'completed'}
         assert attempts(system, told.request_id) == 1
 
-    def test_hang_up_cancels_at_the_engine(self, system: Cluster) -> None:
-        link = http.client.HTTPConnection(ADDRESS, system.ports['h0'])
-        link.request(
-            'POST',
-            CHAT,
-            json.dumps(
-                stock(LONG_PROMPT, kind='proposal').body,
-            ),
-            {
-                'Authorization': 'Bearer token-montevideo',
-                'X-Request-Kind': 'proposal',
-            },
+    def open_call(self, system: Cluster, text: str) -> socket.socket:
+        """Send a request and return its connection before any answer."""
+        body = json.dumps(stock(text, kind='proposal').body)
+        connection = socket.create_connection((ADDRESS, system.ports['h0']))
+        connection.sendall(
+            f'POST {CHAT} HTTP/1.1\r\nHost: x\r\n'
+            'Authorization: Bearer token-montevideo\r\n'
+            'X-Request-Kind: proposal\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n{body}'.encode(),
+        )
+        return connection
+
+    def journal_end(self, system: Cluster, text: str) -> str:
+        """Return how the engines' journals say that a prompt ended."""
+        ends = [
+            entry['end']
+            for engine in ('engine0', 'engine1')
+            for entry in system.journal(engine)
+            if text in entry['prompt']
+        ]
+        return ends[0] if ends else ''
+
+    @pytest.mark.parametrize('speed', [1, 0.005])
+    def test_hang_up_cancels_at_the_engine(
+        self,
+        system: Cluster,
+        speed: float,
+    ) -> None:
+        """A caller leaves in mid-stream, or before the first token."""
+        for engine in ('engine0', 'engine1'):
+            system.fault(engine, speed=speed)
+        text = f'hang up at {speed}'
+        connection = self.open_call(system, text)
+        if speed == 1:
+            connection.recv(1)
+        wait_until(lambda: self.journal_end(system, text), 'the dispatch')
+        connection.close()
+        wait_until(
+            lambda: self.journal_end(system, text) == 'cancelled',
+            'the engine to cancel',
         )
-        answer = link.getresponse()
-        answer.readline()
-        request_id = answer.headers['X-Request-Id']
-        answer.close()
-        link.close()
-
-        def ended() -> bool:
-            return any(
-                entry['request'] == request_id and entry['end'] == 'cancelled'
-                for engine in ('engine0', 'engine1')
-                for entry in system.journal(engine)
-            )
-
-        wait_until(ended, 'the engine to cancel')
 
     def test_deadline_ends_the_answer_at_once(self, system: Cluster) -> None:
         for engine in ('engine0', 'engine1'):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -12,13 +12,18 @@
 
 CHAT = '/v1/chat/completions'
 LIMIT_S = 3  # after which a leaving endpoint gets no new work
-CALLS = 40
+AFTER_GRACE_S = 1  # a host without open requests would be gone by then
 HOSTS = ('h0', 'h1', 'h2')
 
 
 @pytest.fixture
 def system() -> Iterator[Cluster]:
-    with cluster(hosts=3, engines=2, services=2) as made:
+    with cluster(
+        hosts=3,
+        engines=2,
+        services=2,
+        host={'grace_s': 0.3},
+    ) as made:
         yield made
 
 
@@ -107,6 +112,12 @@
             len(system.journal(engine)) for engine in ('engine0', 'engine1')
         )
 
+    def left(self, system: Cluster, host: str, leavers: list[str]) -> bool:
+        seen = system.status(host).get('hosts', {})
+        return host in leavers or all(
+            seen.get(name) == 'leaving' for name in leavers
+        )
+
     def check(self, system: Cluster, leavers: list[str]) -> None:
         with ThreadPoolExecutor(16) as pool:
             calls = self.open_streams(system, pool, list(HOSTS))
@@ -117,6 +128,11 @@
                     lambda host=host: not system.ready(host),
                     f'{host} to fail /readyz',
                 )
+            wait_until(
+                lambda: all(self.left(system, host, leavers) for host in HOSTS),
+                'the others to see them leave',
+            )
+            time.sleep(AFTER_GRACE_S)
             for engine in ('engine0', 'engine1'):
                 system.fault(engine, speed=4)
             told = [one.result() for one in calls]
--- a/trefoilspool/cmdline.py
+++ b/trefoilspool/cmdline.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import pathlib
 import sys
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -17,8 +18,17 @@
 from trefoilspool.operator import Operator, check_changes, load_tree_file
 from trefoilspool.options import HostOptions, StandinOptions, load_options
 from trefoilspool.platforms.http import HttpLog
+from trefoilspool.replaycommand import (
+    check_policy,
+    json_text,
+    replay_file,
+    table,
+    write_plot,
+)
 from trefoilspool.smoke import try_kinds
 from trefoilspool.telemetry import JsonHandler
+from trefoilspool.trace import save_trace
+from trefoilspool.workload import SCENARIOS, make_trace
 
 __all__ = ['main']
 
@@ -144,6 +154,33 @@
         with logging(options.name, options.log_level):
             STANDINS[kind](options).serve()
 
+    def replay(
+        self,
+        trace: str,
+        policy: str = 'tiered',
+        against: str = '',
+        as_json: bool = False,
+        plot: str = '',
+    ) -> str:
+        """Replay a trace; --against takes policies to compare with."""
+        names = [policy, *filter(None, str(against).split(','))]
+        summaries = {
+            name: replay_file(trace, name)[1]
+            for name in map(check_policy, names)
+        }
+        if plot:
+            write_plot(plot, summaries)
+        return json_text(summaries) if as_json else table(summaries)
+
+    def trace(self, scenario: str, file: str, seed: int = 7) -> str:
+        """Make a scenario's trace from a seed."""
+        if scenario not in SCENARIOS:
+            known = ', '.join(SCENARIOS)
+            raise OptionError('scenario', scenario, f'one of {known}')
+        made = make_trace(scenario, seed)
+        save_trace(pathlib.Path(file), made)
+        return f'{file}: {len(made.requests)} requests'
+
     def smoke(self, hosts: Any, token: str) -> str:
         """Send one request of every kind and print each outcome."""
         ports = [int(port) for port in str(hosts).strip('()').split(',')]
--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -33,6 +33,7 @@
     'SettingsError',
     'SettingsConflictError',
     'TicketError',
+    'TraceError',
     'TrefoilspoolError',
     'TrimmedError',
     'UnauthorizedError',
@@ -86,6 +87,10 @@
         self.key = key
 
 
+class TraceError(TrefoilspoolError):
+    """A file is not a trace of the expected schema."""
+
+
 class LogError(TrefoilspoolError):
     """Base of the failures of the log service."""
 
--- a/trefoilspool/host.py
+++ b/trefoilspool/host.py
@@ -61,7 +61,6 @@
 BACKLOG = 512
 LOOKAHEAD = 1  # lets waitress notice that a caller has hung up
 DRAIN_POLL_S = 0.05
-NOT_READY_FIRST_S = 2.0  # time for the balancer to see /readyz fail
 MAX_CONNECTIONS = 4096
 CHANNEL_TIMEOUT_S = 3600
 
@@ -361,7 +360,7 @@
         self.roster.post(Leave())
         started = time.monotonic()
         give_up = started + self.options.drain_s
-        time.sleep(NOT_READY_FIRST_S)
+        time.sleep(self.options.grace_s)
         while self.pipeline.open and time.monotonic() < give_up:
             time.sleep(DRAIN_POLL_S)
         logger.info('drained with {} open requests', self.pipeline.open)
--- a/trefoilspool/options.py
+++ b/trefoilspool/options.py
@@ -49,6 +49,11 @@
         le=1000,
         description='appends a second for this host',
     )
+    grace_s: float = Field(
+        2,
+        ge=0,
+        description='seconds between failing /readyz and closing the port',
+    )
     drain_s: float = Field(
         600,
         ge=0,
--- /dev/null
+++ b/trefoilspool/replay.py
@@ -0,0 +1,472 @@
+"""Replay of a trace through the scheduling core and modelled engines.
+
+A replay has its own clock, so that the same trace, seed and policy give the
+same result, byte for byte.
+"""
+
+import heapq
+from collections import Counter, deque
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+import xxhash
+
+from trefoilspool import events
+from trefoilspool.cell import Cell
+from trefoilspool.enginemodel import EngineModel, Sequence
+from trefoilspool.ladder import BLOCK_TOKENS
+from trefoilspool.policies import POLICIES
+from trefoilspool.retries import RetryBudget
+from trefoilspool.trace import FaultEvent, RequestEvent, Trace
+
+__all__ = ['GrantSeen', 'Replay', 'ReplayRecord', 'Served']
+
+TICK_S = 0.05
+PACE_S = 0.5
+COLLECT_S = 1.0
+RETRY_SHARE = 0.1
+STORM_WAIT_S = 0.5
+SETTLE_S = 5.0
+CELL = 'cell'
+ENTRY = 'entry'
+NUMBERS = events.ATTEMPT_NUMBERS
+
+
+class Served(NamedTuple):
+    """What became of one request; times are seconds, NaN-free."""
+
+    request: RequestEvent
+    outcome: str
+    first_token_s: float
+    gap_s: float
+    attempts: int
+
+
+class GrantSeen(NamedTuple):
+    """A permit that the cell gave."""
+
+    at: float
+    endpoint: str
+    tier: int
+
+
+class LateReport(NamedTuple):
+    """Loads by engine at a time, told later."""
+
+    at: float
+    loads: Mapping[str, int]
+
+
+class Step(NamedTuple):
+    """A step that is due at a time; equal times keep their order."""
+
+    when: float
+    order: int
+    step: Callable[..., None]
+    arguments: tuple[object, ...]
+
+
+class ReplayRecord:
+    """All that a replay measured."""
+
+    def __init__(self) -> None:
+        self.served: list[Served] = []
+        self.grants: list[GrantSeen] = []
+        self.waste: Counter[str] = Counter()
+        self.prefill = 0
+        self.dispatched = 0
+        self.asked = 0
+        self.inversions = 0
+        self.revoked = 0
+
+
+class Live:
+    """A request that has no final answer yet."""
+
+    def __init__(self, request: RequestEvent, at: float) -> None:
+        self.request = request
+        self.arrived = at
+        self.deadline = at + request.timeout_s
+        self.number = request.number * NUMBERS
+        self.attempts = 0
+        self.asks = 0
+        self.relayed = 0
+        self.first_at = 0.0
+        self.endpoint = ''
+        self.avoid: tuple[str, ...] = ()
+        self.storms = 0
+
+
+class Replay:
+    """One run of a trace under one policy.
+
+    Parameters
+    ----------
+    trace : Trace
+        What arrives and what fails.
+    policy : str
+        A key of ``POLICIES``.
+    """
+
+    def __init__(self, trace: Trace, policy: str = 'tiered') -> None:
+        self.trace = trace
+        self.policy = policy
+        self.cell = Cell(POLICIES[policy]())
+        self.engines = {spec.name: EngineModel(spec) for spec in trace.engines}
+        self.stepping: set[str] = set()
+        self.live: dict[events.RequestKey, Live] = {}
+        self.record = ReplayRecord()
+        self.budget = RetryBudget()
+        self.now = 0.0
+        self.heap: list[Step] = []
+        self.order = 0
+        self.reports: deque[LateReport] = deque()
+        self.usable = dict.fromkeys(self.engines, True)
+
+    def run(self) -> ReplayRecord:
+        """Replay the whole trace."""
+        for spec in self.trace.engines:
+            self.feed(self.seen(spec.name))
+        for request in self.trace.requests:
+            self.at(request.at, self.arrive, Live(request, request.at))
+        for fault in self.trace.faults:
+            self.at(fault.at, self.fail, fault)
+        last = self.trace.requests[-1].at
+        longest = max(one.timeout_s for one in self.trace.requests)
+        self.at(0, self.tick, last + longest + SETTLE_S)
+        self.at(PACE_S, self.pace, last + longest + SETTLE_S)
+        while self.heap:
+            due = heapq.heappop(self.heap)
+            self.now = due.when
+            due.step(*due.arguments)
+        return self.record
+
+    def at(self, when: float, step: Callable[..., None], *args: object) -> None:
+        """Schedule a step."""
+        self.order += 1
+        heapq.heappush(self.heap, Step(when, self.order, step, args))
+
+    def feed(self, event: events.Event) -> None:
+        """Pass an event to the cell and act on its decisions."""
+        for decision in self.cell.handle(event, self.now):
+            ACTIONS[type(decision)](self, decision)
+
+    def seen(self, name: str) -> events.EndpointSeen:
+        """Return the membership event of an engine."""
+        spec = self.engines[name].spec
+        return events.EndpointSeen(
+            name,
+            spec.generation,
+            spec.slots,
+            self.usable[name],
+        )
+
+    def tick(self, until: float) -> None:
+        """Pass time to the cell."""
+        self.feed(events.Tick())
+        if self.now < until:
+            self.at(self.now + TICK_S, self.tick, until)
+
+    def pace(self, until: float) -> None:
+        """Tell speeds as entries see them, and late load reports."""
+        for engine in self.engines.values():
+            self.tell_pace(engine)
+        loads = {
+            one.spec.name: len(one.batch) + len(one.queue)
+            for one in self.engines.values()
+        }
+        lag = self.trace.header['report_lag_s']
+        self.reports.append(LateReport(self.now, loads))
+        while self.reports and self.reports[0].at <= self.now - lag:
+            for name, load in self.reports.popleft().loads.items():
+                self.feed(events.LoadReport(name, load, 0, lag))
+        if self.now < until:
+            self.at(self.now + PACE_S, self.pace, until)
+
+    def tell_pace(self, engine: EngineModel) -> None:
+        """Tell the speed of one engine and start its next interval."""
+        if engine.stream_seconds:
+            streams = max(1, round(engine.stream_seconds / PACE_S))
+            self.feed(
+                events.Pace(
+                    engine.spec.name,
+                    streams,
+                    engine.tokens,
+                    engine.stream_seconds / streams,
+                )
+            )
+        engine.tokens = 0
+        engine.stream_seconds = 0
+
+    def arrive(self, live: Live) -> None:
+        """Take a request from a caller."""
+        self.record.asked += 1
+        self.budget.earn(live.request.workspace, RETRY_SHARE)
+        self.ask(live)
+        self.at(live.deadline, self.expire, live)
+
+    def ask(self, live: Live) -> None:
+        """Ask for a permit for the next attempt."""
+        live.number += 1
+        live.asks += 1
+        live.endpoint = ''
+        key = events.RequestKey(ENTRY, live.number)
+        self.live[key] = live
+        self.feed(self.make_ask(live))
+
+    def make_ask(self, live: Live) -> events.Ask:
+        """Return a request's ask."""
+        request = live.request
+        return events.Ask(
+            events.RequestKey(ENTRY, live.number),
+            CELL,
+            request.workspace,
+            request.kind,
+            request.tier,
+            request.weight,
+            live.deadline,
+            request.prompt_tokens + live.relayed,
+            request.allowed_tokens - live.relayed,
+            events.VictimClass(request.victim),
+            rungs_of(request),
+            live.avoid,
+        )
+
+    def grant(self, grant: events.Grant) -> None:
+        """Dispatch to an engine."""
+        live = self.live[grant.request]
+        engine = self.engines[grant.endpoint]
+        self.record.grants.append(
+            GrantSeen(self.now, grant.endpoint, grant.tier),
+        )
+        if not engine.alive:
+            live.avoid = (*live.avoid, grant.endpoint)
+            self.release(grant.request, events.Ending.refused, None)
+            self.at(self.now, self.ask, live)
+            return
+        self.dispatch(live, engine, grant.request)
+
+    def dispatch(
+        self,
+        live: Live,
+        engine: EngineModel,
+        request: events.RequestKey,
+    ) -> None:
+        """Start a sequence."""
+        rungs = rungs_of(live.request)
+        prompt = live.request.prompt_tokens + live.relayed
+        cached = engine.cached(rungs, prompt)
+        best = max(
+            one.cached(rungs, prompt)
+            for one in self.engines.values()
+            if one.alive
+        )
+        sequence = Sequence(
+            request,
+            prompt,
+            cached,
+            live.request.output_tokens - live.relayed,
+            rungs,
+        )
+        sequence.started_at = self.now
+        live.endpoint = engine.spec.name
+        live.attempts += 1
+        self.record.dispatched += 1
+        self.record.prefill += sequence.prefill
+        self.record.waste['missed_prefix'] += best - cached
+        engine.add(sequence)
+        self.wake(engine)
+
+    def wake(self, engine: EngineModel) -> None:
+        """Start a step unless one is running."""
+        name = engine.spec.name
+        if name in self.stepping:
+            return
+        took = engine.begin()
+        if took:
+            self.stepping.add(name)
+            self.at(self.now + took, self.step_end, engine, took)
+
+    def step_end(self, engine: EngineModel, took: float) -> None:
+        """End an engine's step."""
+        self.stepping.discard(engine.spec.name)
+        if not engine.alive:
+            return
+        done = engine.finish(self.now, took)
+        for sequence in done.first:
+            live = self.live.get(sequence.request)
+            if live is not None and not live.first_at:
+                live.first_at = self.now
+        for ended in done.finished:
+            self.complete(ended)
+        if done.evicted:
+            lag = self.trace.header['cache_lag_s']
+            dropped = events.CacheEvent(
+                engine.spec.name,
+                tuple(done.evicted),
+                gap=False,
+            )
+            self.at(self.now + lag, self.feed, dropped)
+        self.wake(engine)
+
+    def complete(self, sequence: Sequence) -> None:
+        """Hand a whole answer to its caller."""
+        live = self.live.get(sequence.request)
+        if live is None:
+            return
+        live.relayed += sequence.produced
+        self.release(sequence.request, events.Ending.completed, sequence)
+        self.end(live, 'completed')
+
+    def release(
+        self,
+        request: events.RequestKey,
+        ending: events.Ending,
+        sequence: Sequence | None,
+    ) -> None:
+        """Give a permit back."""
+        self.live.pop(request, None)
+        if sequence is None:
+            self.feed(events.Release(request, ending, 0, 0, 0, 0, 0))
+            return
+        first = max(sequence.first_at - sequence.started_at, 0)
+        prompt = sequence.cached + sequence.computed
+        self.feed(
+            events.Release(
+                request,
+                ending,
+                first,
+                prompt,
+                sequence.cached,
+                sequence.produced,
+                self.now - sequence.first_at,
+            )
+        )
+
+    def refuse(self, refusal: events.Refuse) -> None:
+        """Answer a refused caller, who may ask again."""
+        live = self.live.pop(refusal.request)
+        lower = range(refusal.tier + 1, max(self.cell.running, default=0) + 1)
+        if self.cell.policy.tiered and any(
+            self.cell.running[tier] for tier in lower
+        ):
+            self.record.inversions += 1
+        if live.storms < self.trace.header['storm']:
+            again = Live(live.request, self.now + STORM_WAIT_S)
+            again.number = live.number
+            again.storms = live.storms + 1
+            self.at(again.arrived, self.arrive, again)
+        self.end(live, 'refused')
+
+    def revoke(self, revocation: events.Revoke) -> None:
+        """Cancel a running request; a resumable one goes on elsewhere."""
+        live = self.live[revocation.request]
+        self.record.revoked += 1
+        self.stop(live, 'cancelled', events.Ending.cancelled)
+        if live.request.victim <= events.VictimClass.idempotent:
+            self.at(self.now, self.ask, live)
+        else:
+            self.end(live, 'interrupted')
+
+    def stop(self, live: Live, cause: str, ending: events.Ending) -> None:
+        """Take a request out of its engine and count the lost prefill."""
+        request = events.RequestKey(ENTRY, live.number)
+        sequence = self.engines[live.endpoint].remove(request)
+        if sequence is not None:
+            live.relayed += sequence.produced
+            self.record.waste[cause] += sequence.computed
+        # Released at the next instant, since the cell is deciding now.
+        self.at(self.now, self.release, request, ending, None)
+
+    def expire(self, live: Live) -> None:
+        """End a request at its deadline."""
+        request = events.RequestKey(ENTRY, live.number)
+        if self.live.get(request) is not live:
+            return
+        if live.endpoint:
+            self.stop(live, 'discarded', events.Ending.cancelled)
+            self.live.pop(request)
+        else:
+            self.live.pop(request)
+            self.feed(events.Withdraw(request))
+        self.end(live, 'late')
+
+    def end(self, live: Live, outcome: str) -> None:
+        """Record a request's outcome."""
+        produced = max(1, live.relayed - 1)
+        first = live.first_at - live.arrived if live.first_at else 0
+        gap = (self.now - live.first_at) / produced if live.first_at else 0
+        self.record.served.append(
+            Served(live.request, outcome, first, gap, live.attempts),
+        )
+
+    def fail(self, fault: FaultEvent) -> None:
+        """Apply a fault."""
+        FAULTS[fault.fault](self, fault)
+
+    def fault_speed(self, fault: FaultEvent) -> None:
+        """Change an engine's speed."""
+        self.engines[fault.endpoint].speed = fault.amount
+
+    def fault_leave(self, fault: FaultEvent) -> None:
+        """Tell that an engine leaves."""
+        self.usable[fault.endpoint] = False
+        self.feed(self.seen(fault.endpoint))
+
+    def fault_die(self, fault: FaultEvent) -> None:
+        """Kill an engine; what it ran goes elsewhere within the budget."""
+        engine = self.engines[fault.endpoint]
+        engine.alive = False
+        lost = [
+            live
+            for live in list(self.live.values())
+            if live.endpoint == fault.endpoint
+        ]
+        for live in lost:
+            self.stop(live, 'repeated', events.Ending.broken)
+            self.live.pop(events.RequestKey(ENTRY, live.number))
+            live.avoid = (fault.endpoint,)
+            once = live.request.victim > events.VictimClass.idempotent
+            if once or not self.budget.spend(live.request.workspace):
+                self.end(live, 'may_have_run')
+            else:
+                self.at(self.now, self.ask, live)
+
+    def fault_new_home(self, fault: FaultEvent) -> None:
+        """Replace the cell's home: all that it learned is lost."""
+        self.cell = Cell(POLICIES[self.policy]())
+        self.feed(events.Collect(self.now + COLLECT_S))
+        for name in self.engines:
+            self.feed(self.seen(name))
+        for live in list(self.live.values()):
+            ask = self.make_ask(live)
+            if live.endpoint:
+                self.feed(events.Held(ask, live.endpoint))
+            else:
+                self.feed(ask)
+
+
+def rungs_of(request: RequestEvent) -> tuple[int, ...]:
+    """Return the prefix hashes of a request's prompt."""
+    rungs = []
+    depth = 0
+    while BLOCK_TOKENS << depth <= request.prompt_tokens:
+        shared = BLOCK_TOKENS << depth <= request.prefix_tokens
+        source = request.prefix if shared else str(request.number)
+        rungs.append(xxhash.xxh32_intdigest(f'{source}:{depth}'.encode()))
+        depth += 1
+    return tuple(rungs)
+
+
+ACTIONS: Mapping[type, Callable[..., None]] = {
+    events.Grant: Replay.grant,
+    events.Refuse: Replay.refuse,
+    events.Revoke: Replay.revoke,
+}
+
+FAULTS: Mapping[str, Callable[..., None]] = {
+    'speed': Replay.fault_speed,
+    'leave': Replay.fault_leave,
+    'die': Replay.fault_die,
+    'new_home': Replay.fault_new_home,
+}
