Keep limits up while long prompts stall a batch

Cause: limits fell to 2 of 16 on the slowest engines, since one chunk of a long prompt stalls all streams of a batch and the measured gap was taken for congestion. Ruled out: stragglers (health stayed healthy throughout). Change: two measurements in a row over the target, and a floor at half of the engine's slots.

--- a/trefoilspool/learning.py
+++ b/trefoilspool/learning.py
@@ -23,6 +23,8 @@
 START_LIMIT = 4
 RAISE_BELOW = 0.75  # share of the gap target under which the limit grows
 LOWER_FACTOR = 0.85
+OVER_BEFORE_LOWER = 2  # one long prompt stalls a whole batch once
+FLOOR_SHARE = 0.5  # of the slots
 MIN_STREAM_SECONDS = 0.2
 TRUSTED_SAMPLES = 10
 
@@ -53,8 +55,9 @@
         self.slots = slots
         self.prefill = float(PREFILL_PRIOR)
         self.gap = GAP_PRIOR_S
-        self.limit = float(min(START_LIMIT, slots))
+        self.limit = float(max(min(START_LIMIT, slots), slots * FLOOR_SHARE))
         self.samples = 0
+        self.over = 0
 
     @property
     def trust(self) -> float:
@@ -103,8 +106,10 @@
 
     def adapt_limit(self, gap: float, outstanding: int) -> None:
         """Raise the limit while gaps are short, lower it when they are not."""
-        if gap > GAP_TARGET_S:
-            self.limit = max(1.0, self.limit * LOWER_FACTOR)
+        self.over = self.over + 1 if gap > GAP_TARGET_S else 0
+        if self.over >= OVER_BEFORE_LOWER:
+            floor = max(1.0, self.slots * FLOOR_SHARE)
+            self.limit = max(floor, self.limit * LOWER_FACTOR)
         elif gap < GAP_TARGET_S * RAISE_BELOW:
             if outstanding >= math.floor(self.limit):
                 self.limit = min(float(self.slots), self.limit + 1)
--- a/trefoilspool/summary.py
+++ b/trefoilspool/summary.py
@@ -132,24 +132,23 @@
     seconds = np.arange(end)
     spare = rate * (seconds[np.newaxis, :] - seconds[:, np.newaxis])
     total = 0.0
-    for request in sorted(
-        trace.requests,
-        key=lambda one: (
-            one.tier,
-            work_of(trace, one),
-            one.number,
-        ),
-    ):
-        work = work_of(trace, request)
-        start = math.floor(request.at)
+    for work, request in ordered_works(trace):
+        start = math.floor(request.at) + 1
         stop = math.ceil(request.at + request.timeout_s)
-        around = spare[: start + 1, stop:]
+        around = spare[:start, stop:]
         fits = min(work, max(0.0, float(around.min())))
         around -= fits
         total += fits / work
     return total
 
 
+def ordered_works(trace: Trace) -> list[tuple[float, RequestEvent]]:
+    """Return works by tier, then the shortest first."""
+    works = [(work_of(trace, one), one) for one in trace.requests]
+    works.sort(key=lambda pair: (pair[1].tier, pair[0], pair[1].number))
+    return works
+
+
 def work_of(trace: Trace, request: RequestEvent) -> float:
     """Return a request's work in output tokens."""
     exchange = min(
