Serve later asks where the earliest has no time, refuse hopeless ones early

Cause of inversions: under overload the head of a workspace's lane, the earliest deadline, had time for the fastest engines only; a free slow engine then went to a lower tier, and the deeper asks of the higher tier expired. Change: lanes are sorted by deadline, so that the first ask with time for a free engine is found in O(log n); a new ask is refused at once when half the work ahead already exceeds its time and no lower tier runs.

--- a/trefoilspool/cell.py
+++ b/trefoilspool/cell.py
@@ -26,6 +26,7 @@
 PREEMPT_AFTER_S = 0.05
 SAFETY = 1.25  # factor on predicted times when a deadline is judged
 MAX_WAITING = 20_000
+WAIT_TRUST = 0.5  # predictions of long waits are often twice too long
 MIN_RETRY_S = 1.0
 MAX_RETRY_S = 60.0
 EJECTED_SHARE = 1 / 3
@@ -108,12 +109,34 @@
         if ask.request in self.permits or ask.request in self.asked_at:
             return
         ask = ask._replace(output_tokens=self.lengths.expect(ask))
+        if self.policy.admits and self.hopeless(ask):
+            self.refuse(ask, events.Reason.shed)
+            return
         self.arrivals += 1
         self.asked_at[ask.request] = self.now
         self.queues[self.tier_of(ask)].push(ask)
         latest = ask.deadline - self.fastest(ask) * SAFETY
         heapq.heappush(self.urgent, (latest, self.arrivals, ask))
 
+    def hopeless(self, ask: events.Ask) -> bool:
+        """Tell whether the work ahead leaves a new request no time."""
+        if any(self.running[tier] for tier in range(ask.tier + 1, TIERS)):
+            return False
+        wait = self.predicted_wait(ask)
+        return wait * WAIT_TRUST + self.fastest(ask) > ask.deadline - self.now
+
+    def predicted_wait(self, ask: events.Ask) -> float:
+        """Return the seconds until the work ahead of an ask has begun."""
+        rate = sum(
+            one.rates.throughput
+            for one in self.endpoints.values()
+            if one.usable and one.health.state is HealthState.healthy
+        )
+        higher = self.queues[: ask.tier]
+        ahead = sum(queue.work for queue in higher)
+        ahead += self.queues[ask.tier].work_ahead(ask)
+        return ahead / rate if rate else 0
+
     def on_held(self, held: events.Held) -> None:
         """Take over a permit that another home granted."""
         self.drop_waiting(held.ask.request)
@@ -253,14 +276,32 @@
         free = [one for one in self.endpoints.values() if self.open_to(one)]
         if not free or not queue:
             return False
-        for ask in queue.heads(HEADS):
+        for head in queue.heads(HEADS):
+            ask = head
             candidates = self.candidates(ask, free)
+            if not candidates:
+                ask = self.roomier(queue, head, free)
+                candidates = self.candidates(ask, free)
             if candidates:
                 queue.take(ask)
                 self.grant(ask, candidates)
                 return True
         return False
 
+    def roomier(
+        self,
+        queue: FairQueue,
+        head: events.Ask,
+        free: list[Endpoint],
+    ) -> events.Ask:
+        """Return a workspace's first ask that has time for a free endpoint.
+
+        The ask with the earliest deadline may have time for the fastest
+        endpoints only; a free slow one can still serve a later ask.
+        """
+        shortest = min(self.finish_time(head, one) for one in free)
+        return queue.later(head, self.now + shortest) or head
+
     def open_to(self, endpoint: Endpoint) -> bool:
         """Tell whether an endpoint may get one more request."""
         if not endpoint.usable:
@@ -398,7 +439,7 @@
         for queue in reversed(self.queues):
             while excess > 0 and queue:
                 self.refuse(
-                    next(reversed(queue.live.values())),
+                    next(reversed(queue.live.values())).ask,
                     events.Reason.shed,
                 )
                 excess -= 1
@@ -417,13 +458,7 @@
 
     def retry_after(self, ask: events.Ask) -> float:
         """Return seconds after which the waiting work should have run."""
-        slots = sum(
-            max(1, math.floor(one.rates.limit))
-            for one in self.endpoints.values()
-            if one.usable
-        )
-        ahead = sum(len(queue) for queue in self.queues[: ask.tier + 1])
-        wait = self.fastest(ask) * ahead / max(slots, 1)
+        wait = self.predicted_wait(ask)
         return min(max(wait, MIN_RETRY_S), MAX_RETRY_S)
 
 
--- a/trefoilspool/learning.py
+++ b/trefoilspool/learning.py
@@ -68,6 +68,11 @@
         """
         return min(1, (1 + self.samples) / TRUSTED_SAMPLES)
 
+    @property
+    def throughput(self) -> float:
+        """Return tokens a second with all slots in use, at most."""
+        return self.slots / (self.gap * self.trust)
+
     def predict(self, ask: Ask, cached_tokens: int) -> Estimate:
         """Return the predicted times of a request that starts now."""
         missed = max(0, ask.prompt_tokens - cached_tokens)
