Keep room for the recent peak of higher tiers

Cause of wasted prefill: each burst of chats revoked summaries, which were granted again a moment later.

--- a/trefoilspool/cell.py
+++ b/trefoilspool/cell.py
@@ -13,7 +13,7 @@
 from trefoilspool import events
 from trefoilspool.fairqueue import FairQueue
 from trefoilspool.health import Health, HealthState
-from trefoilspool.learning import EndpointRates, Lengths
+from trefoilspool.learning import EndpointRates, Lengths, Peaks
 from trefoilspool.policies.tiered import Tiered
 from trefoilspool.policy import Candidate, Policy
 from trefoilspool.prefix import PrefixIndex
@@ -78,6 +78,7 @@
         self.queues = [FairQueue() for _ in range(TIERS)]
         self.permits: dict[events.RequestKey, Permit] = {}
         self.running: Counter[int] = Counter()
+        self.peaks = Peaks(TIERS)
         self.revoking: dict[events.RequestKey, events.RequestKey] = {}
         self.urgent: list[tuple[float, int, events.Ask]] = []
         self.asked_at: dict[events.RequestKey, float] = {}
@@ -223,6 +224,7 @@
         permit = Permit(ask, endpoint, self.now, cached)
         self.permits[ask.request] = permit
         self.running[ask.tier] += 1
+        self.peaks.note(ask.tier, self.running, self.now)
         if endpoint in self.endpoints:
             self.endpoints[endpoint].permits[ask.request] = permit
 
@@ -266,10 +268,29 @@
 
     def grant_free(self) -> None:
         """Grant in tier order while an endpoint is free."""
-        for queue in self.queues:
-            granted = True
-            while granted:
+        for tier, queue in enumerate(self.queues):
+            granted = bool(queue)
+            while granted and self.has_room(tier, 0):
                 granted = self.grant_one(queue)
+            if granted:
+                # Lower tiers must not take what this one is refused.
+                return
+
+    def has_room(self, tier: int, freed: int) -> bool:
+        """Tell whether a tier leaves the room that higher tiers need.
+
+        Higher tiers keep the places that they used at their recent peak, so
+        that they need not cancel lower-tier work for each of their requests.
+        """
+        if not tier or not self.policy.admits:
+            return True
+        free = sum(
+            max(0, one.free)
+            for one in self.endpoints.values()
+            if one.usable
+        )
+        spare = self.peaks.spare(tier, self.running, self.now)
+        return free + freed > spare
 
     def grant_one(self, queue: FairQueue) -> bool:
         """Grant the first head that some endpoint can serve in time."""
@@ -382,7 +403,9 @@
 
     def preempt_for_waiting(self) -> None:
         """Cancel lower-tier work for requests that have waited too long."""
-        for queue in self.queues[:-1]:
+        for tier, queue in enumerate(self.queues[:-1]):
+            if not queue or not self.has_room(tier, 1):
+                continue
             for ask in queue.heads(HEADS):
                 waited = self.now - self.asked_at[ask.request]
                 if waited >= PREEMPT_AFTER_S:
@@ -430,7 +453,9 @@
         for request, permit in endpoint.permits.items():
             lower = permit.ask.tier > ask.tier
             service = permit.ask.victim is events.VictimClass.service
-            if lower and not service and request not in self.revoking:
+            settled = self.now - permit.granted >= PREEMPT_AFTER_S
+            free = request not in self.revoking
+            if lower and settled and free and not service:
                 yield permit
 
     def shed_excess(self) -> None:
--- a/trefoilspool/learning.py
+++ b/trefoilspool/learning.py
@@ -2,11 +2,12 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from trefoilspool.events import Ask, Pace, Release
 
-__all__ = ['EndpointRates', 'Lengths', 'bounded_average']
+__all__ = ['EndpointRates', 'Lengths', 'Peaks', 'bounded_average']
 
 PREFILL_PRIOR = 4000  # prompt tokens a second
 GAP_PRIOR_S = 0.03
@@ -27,6 +28,7 @@
 FLOOR_SHARE = 0.5  # of the slots
 MIN_STREAM_SECONDS = 0.2
 TRUSTED_SAMPLES = 10
+PEAK_TERM_S = 10.0
 
 
 def bounded_average(old: float, sample: float, gain: float) -> float:
@@ -120,6 +122,32 @@
                 self.limit = min(float(self.slots), self.limit + 1)
 
 
+class Peaks:
+    """Recent peaks of the running requests of each tier and those above."""
+
+    def __init__(self, tiers: int) -> None:
+        self.levels = [0.0] * tiers
+        self.at = [0.0] * tiers
+
+    def note(self, tier: int, running: Mapping[int, int], now: float) -> None:
+        """Take notice that a request of a tier has started."""
+        for level in range(tier, len(self.levels)):
+            count = sum(running[one] for one in range(level + 1))
+            self.levels[level] = max(count, self.level(level, now))
+            self.at[level] = now
+
+    def level(self, tier: int, now: float) -> float:
+        """Return the decayed peak of a tier and those above."""
+        age = now - self.at[tier]
+        return self.levels[tier] * math.exp(-age / PEAK_TERM_S)
+
+    def spare(self, tier: int, running: Mapping[int, int], now: float) -> int:
+        """Return how many places the tiers above may need again soon."""
+        above = tier - 1
+        count = sum(running[one] for one in range(tier))
+        return max(0, math.floor(self.level(above, now)) - count)
+
+
 class Lengths:
     """Answer lengths by workspace and kind, in tokens.
 
