Revoke what has computed least, and wait 0.2 s before revoking

Cause of wasted prefill: the order of victims took a prompt's whole length as lost, so that a summary in mid-decode went before one that had just begun.

--- a/trefoilspool/cell.py
+++ b/trefoilspool/cell.py
@@ -23,7 +23,7 @@
 TIERS = 4
 PERMIT_TERM_S = 5.0
 HEADS = 8  # workspaces whose next request is tried when the first cannot go
-PREEMPT_AFTER_S = 0.05
+PREEMPT_AFTER_S = 0.2
 SAFETY = 1.25  # factor on predicted times when a deadline is judged
 MAX_WAITING = 20_000
 WAIT_TRUST = 0.5  # predictions of long waits are often twice too long
@@ -425,7 +425,7 @@
             return True
         victim = min(
             self.victims(ask),
-            key=victim_order,
+            key=self.victim_order,
             default=None,
         )
         if victim is None:
@@ -458,6 +458,17 @@
             if lower and settled and free and not service:
                 yield permit
 
+    def victim_order(self, permit: Permit) -> tuple[int, int, float, float]:
+        """Order victims: lowest tier, cheapest class, least prefill, newest.
+
+        The prefill lost is what the endpoint can have computed by now.
+        """
+        missed = permit.ask.prompt_tokens - permit.cached_tokens
+        rates = self.endpoints[permit.endpoint].rates
+        computed = (self.now - permit.granted) * rates.prefill
+        lost = min(missed, computed)
+        return (-permit.ask.tier, permit.ask.victim, lost, -permit.granted)
+
     def shed_excess(self) -> None:
         """Refuse the lowest tier's requests when too many wait."""
         excess = len(self.asked_at) - MAX_WAITING
@@ -487,12 +498,6 @@
         return min(max(wait, MIN_RETRY_S), MAX_RETRY_S)
 
 
-def victim_order(permit: Permit) -> tuple[int, int, int, float]:
-    """Order victims: lowest tier, cheapest class, least prefill, newest."""
-    lost = permit.ask.prompt_tokens - permit.cached_tokens
-    return (-permit.ask.tier, permit.ask.victim, lost, -permit.granted)
-
-
 HANDLERS: Mapping[type, Callable[..., None]] = {
     events.Ask: Cell.on_ask,
     events.Held: Cell.on_held,
