--- /dev/null
+++ b/trefoilspool/benches/settings.py
@@ -0,0 +1,92 @@
+"""Cost of the settings tree."""
+
+from trefoilspool.bench import Bench, measure_memory, measure_time
+from trefoilspool.fold import Edit, Fold, encode_edit
+from trefoilspool.platform import LogRecord
+
+__all__ = ['EditFold', 'SnapshotBytes', 'TreeMemory']
+
+NODES_A_WORKSPACE = 11
+
+
+def edits(workspaces: int) -> list[LogRecord]:
+    """Return one edit a workspace, each with the nodes of a sample tree."""
+    records = []
+    for number in range(workspaces):
+        changes = {
+            f'/ws{number}/assistant/tier{node}/kind': {
+                'rank': 1,
+                'timeout_s': 20,
+                'output_tokens': 200,
+            }
+            for node in range(NODES_A_WORKSPACE)
+        }
+        edit = Edit(f'edit-{number}', number - 1, 'operator', changes)
+        records.append(LogRecord(number, encode_edit(edit)))
+    return records
+
+
+def folded(records: list[LogRecord]) -> Fold:
+    """Return the fold of some records."""
+    fold = Fold()
+    for record in records:
+        fold.apply(record)
+    return fold
+
+
+class EditFold(Bench):
+    """Time to put one more edit in force by the size of the tree."""
+
+    name = 'edit-fold'
+    role = 'settings'
+    size_unit = 'workspaces'
+    unit = 'microseconds an edit'
+    sizes = (100, 500, 1000, 2700)
+
+    def measure(self, size: int) -> float:
+        """Return the time to fold an edit and publish the tree."""
+        fold = folded(edits(size))
+        change = {'/ws1': {'weight': 3}}
+
+        def step() -> None:
+            body = encode_edit(Edit('one', fold.next, 'x', change))
+            fold.verdicts.pop('one', None)
+            fold.apply(LogRecord(fold.next, body))
+            fold.tree().kinds  # noqa: B018
+
+        return measure_time(step)
+
+
+class SnapshotBytes(Bench):
+    """Bytes of a snapshot by the size of the tree."""
+
+    name = 'snapshot-bytes'
+    role = 'settings'
+    size_unit = 'workspaces'
+    unit = 'bytes'
+    sizes = (100, 500, 1000, 2700)
+
+    def measure(self, size: int) -> float:
+        """Return the bytes of a snapshot."""
+        return float(len(folded(edits(size)).snapshot()))
+
+
+class TreeMemory(Bench):
+    """Memory of the fold and the tree in force."""
+
+    name = 'tree-memory'
+    role = 'settings'
+    size_unit = 'workspaces'
+    unit = 'bytes'
+    sizes = (100, 500, 1000, 2700)
+
+    def measure(self, size: int) -> float:
+        """Return the bytes that a host keeps."""
+        records = edits(size)
+
+        def build() -> object:
+            fold = folded(records)
+            tree = fold.tree()
+            return fold, tree, tree.kinds
+
+        return measure_memory(build)
--- a/trefoilspool/cmdline.py
+++ b/trefoilspool/cmdline.py
@@ -10,6 +10,7 @@
 import fire
 import logbook
 
+from trefoilspool.benchcommand import run_capacity
 from trefoilspool.errors import (
     OptionError,
     SettingsError,
@@ -17,6 +18,7 @@
 )
 from trefoilspool.operator import Operator, check_changes, load_tree_file
 from trefoilspool.options import HostOptions, StandinOptions, load_options
+from trefoilspool.pathload import PathLoad
 from trefoilspool.platforms.http import HttpLog
 from trefoilspool.replaycommand import (
     check_policy,
@@ -44,6 +46,28 @@
         yield
 
 
+class BenchCommands:
+    """Measure speed, size and memory."""
+
+    def capacity(self, folder: str, only: str = '') -> str:
+        """Measure the slopes of docs/CAPACITY.md into a folder."""
+        return run_capacity(folder, only)
+
+    def path(
+        self,
+        port: int,
+        token: str,
+        engine_port: int = 0,
+        streams: str = '1,10,50,100,200',
+        seconds: float = 10,
+        kind: str = 'stock',
+    ) -> str:
+        """Load a running host, and compare with its engine if it is given."""
+        counts = [int(one) for one in str(streams).strip('()').split(',')]
+        load = PathLoad(int(port), str(token), str(kind), float(seconds))
+        return load.report(counts, int(engine_port))
+
+
 class SettingsCommands:
     """Read and edit the settings tree."""
 
@@ -131,6 +155,7 @@
 
     def __init__(self) -> None:
         self.settings = SettingsCommands()
+        self.bench = BenchCommands()
 
     def host(self, **flags: Any) -> None:
         """Run the daemon of a host.
--- a/trefoilspool/summary.py
+++ b/trefoilspool/summary.py
@@ -130,7 +130,7 @@
     rate = sum(map(peak_rate, trace.engines))
     end = max(math.ceil(one.at + one.timeout_s) for one in trace.requests) + 1
     seconds = np.arange(end)
-    spare = rate * (seconds[np.newaxis, :] - seconds[:, np.newaxis])
+    spare = rate * np.subtract.outer(seconds, seconds).T
     total = 0.0
     for work, request in ordered_works(trace):
         window = (
