--- a/trefoilspool/benches/frames.py
+++ b/trefoilspool/benches/frames.py
@@ -10,7 +10,7 @@
 
 SIZES = (1, 4, 16, 64, 256)
 LOOPS = 20
-NUMBER = 1 << 50
+NUMBER = 1 << 38
 
 
 def make_ask(number: int) -> events.Ask:
--- a/trefoilspool/benches/settings.py
+++ b/trefoilspool/benches/settings.py
@@ -52,7 +52,7 @@
             body = encode_edit(Edit('one', fold.next, 'x', change))
             fold.verdicts.pop('one', None)
             fold.apply(LogRecord(fold.next, body))
-            fold.tree().kinds  # noqa: B018
+            fold.tree().kind('ws1', 'kind')
 
         return measure_time(step)
 
@@ -87,6 +87,6 @@
         def build() -> object:
             fold = folded(records)
             tree = fold.tree()
-            return fold, tree, tree.kinds
+            return fold, tree, tree.all_kinds()
 
         return measure_memory(build)
--- a/trefoilspool/cell.py
+++ b/trefoilspool/cell.py
@@ -26,6 +26,8 @@
 __all__ = ['PERMIT_TERM_S', 'Cell']
 
 PERMIT_TERM_S = 5.0
+# Events after which one endpoint at most has changed.
+CHEAP_EVENTS = (events.Ask, events.Release)
 HEADS = 8  # workspaces whose next request is tried when the first cannot go
 MAX_WAITING = 20_000
 UNWELL = frozenset((HealthState.ejected, HealthState.probing))
@@ -58,6 +60,7 @@
         self.urgent: list[Latest] = []
         self.arrivals = 0
         self.collecting_until = -math.inf
+        self.open: list[EndpointState] = []
         self.decisions: Decisions = []
 
     def handle(self, event: events.Event, now: float) -> Decisions:
@@ -73,7 +76,8 @@
         self.state.now = max(now, self.state.now)
         self.decisions = []
         HANDLERS[type(event)](self, event)
-        self.pump()
+        if self.state.now >= self.collecting_until:
+            self.pump(event)
         return self.decisions
 
     def on_ask(self, ask: events.Ask) -> None:
@@ -89,6 +93,7 @@
         self.arrivals += 1
         state.asked_at[ask.request] = state.now
         state.queues[self.tier_of(ask)].push(ask)
+        self.shed_excess()
         latest = ask.deadline - state.fastest(ask) * SAFETY
         heapq.heappush(self.urgent, Latest(latest, self.arrivals, ask))
 
@@ -109,6 +114,7 @@
         if permit is None or permit.endpoint not in self.state.endpoints:
             return
         endpoint = self.state.endpoints[permit.endpoint]
+        self.reopen(endpoint)
         if event.ending is events.Ending.completed:
             endpoint.health.observe_success()
             endpoint.rates.learn_release(event)
@@ -166,15 +172,28 @@
         """Return the queue that an ask waits in."""
         return ask.tier if self.policy.tiered else 0
 
-    def pump(self) -> None:
-        """Grant what can run, then settle what cannot wait longer."""
-        if self.state.now < self.collecting_until:
+    def pump(self, event: events.Event) -> None:
+        """Grant what can run; settle what cannot wait longer now and then."""
+        cheap = isinstance(event, CHEAP_EVENTS)
+        if not cheap:
+            self.refresh()
+        if not self.state.asked_at:
             return
         self.grant_free()
-        if self.policy.admits:
+        if self.policy.admits and not cheap:
             self.settle_urgent()
             self.preempt_for_waiting()
-        self.shed_excess()
+
+    def refresh(self) -> None:
+        """Work out anew which endpoints have a free place."""
+        self.state.count_free()
+        self.open = [one for one in self.state.usable() if self.open_to(one)]
+
+    def reopen(self, endpoint: EndpointState) -> None:
+        """Take notice that an endpoint has lost a permit."""
+        if endpoint.usable and endpoint not in self.open:
+            if self.open_to(endpoint):
+                self.open.append(endpoint)
 
     def grant_free(self) -> None:
         """Grant in tier order while an endpoint is free."""
@@ -192,7 +211,7 @@
 
     def grant_one(self, queue: FairQueue) -> bool:
         """Grant the first head that some endpoint can serve in time."""
-        free = [one for one in self.state.usable() if self.open_to(one)]
+        free = self.open
         if not free or not queue:
             return False
         for head in queue.heads(HEADS):
@@ -260,6 +279,9 @@
         state.asked_at.pop(ask.request, None)
         state.book(ask, winner.endpoint, cached)
         state.prefixes.record(winner.endpoint, ask.ladder)
+        taken = state.endpoints[winner.endpoint]
+        if not self.open_to(taken):
+            self.open.remove(taken)
         losers = tuple(
             (one.endpoint, one.finish)
             for one in candidates
--- a/trefoilspool/cellstate.py
+++ b/trefoilspool/cellstate.py
@@ -13,8 +13,10 @@
 __all__ = ['SAFETY', 'TIERS', 'CellState', 'EndpointState', 'Permit']
 
 TIERS = 4
+ROOMY = 2.0
 SAFETY = 1.25  # factor on predicted times when a deadline is judged
 SERVICE_TIME_S = 0.001
+BEST_TERM_S = 0.1
 
 
 class Permit(NamedTuple):
@@ -68,16 +70,24 @@
         self.lengths = Lengths()
         self.prefixes = PrefixIndex()
         self.peaks = Peaks(TIERS)
+        self.free = 0
+        self.best = (0.0, 0.0)
+        self.best_until = -math.inf
 
     def usable(self) -> list[EndpointState]:
         """Return the endpoints that may get new work."""
         return [one for one in self.endpoints.values() if one.usable]
 
+    def count_free(self) -> None:
+        """Count the places that are free on usable endpoints."""
+        self.free = sum(max(0, one.free) for one in self.usable())
+
     def book(self, ask: events.Ask, endpoint: str, cached: int) -> None:
         """Record a permit."""
         permit = Permit(ask, endpoint, self.now, cached)
         self.permits[ask.request] = permit
         self.running[ask.tier] += 1
+        self.free -= 1
         self.peaks.note(ask.tier, self.running, self.now)
         if endpoint in self.endpoints:
             self.endpoints[endpoint].permits[ask.request] = permit
@@ -89,8 +99,10 @@
         if permit is None:
             return None
         self.running[permit.ask.tier] -= 1
-        if permit.endpoint in self.endpoints:
-            self.endpoints[permit.endpoint].permits.pop(request, None)
+        endpoint = self.endpoints.get(permit.endpoint)
+        if endpoint is not None:
+            endpoint.permits.pop(request, None)
+            self.free += endpoint.usable and endpoint.free > 0
         return permit
 
     def drop_waiting(self, request: events.RequestKey) -> None:
@@ -100,11 +112,18 @@
             queue.remove(request)
 
     def fastest(self, ask: events.Ask) -> float:
-        """Return the shortest predicted time to finish, in seconds."""
-        return min(
-            (self.finish_time(ask, one) for one in self.usable()),
-            default=0,
-        )
+        """Return about the shortest predicted time to finish, in seconds.
+
+        Rates are those of the best endpoints a moment ago, and prefixes are
+        left out, so that the cost does not grow with the cell.
+        """
+        if ask.victim is events.VictimClass.service:
+            return SERVICE_TIME_S
+        if self.now >= self.best_until:
+            self.best_until = self.now + BEST_TERM_S
+            self.best = best_rates(self.usable())
+        prefill, gap = self.best
+        return ask.prompt_tokens * prefill + (1 + ask.output_tokens) * gap
 
     def finish_time(self, ask: events.Ask, endpoint: EndpointState) -> float:
         """Return the predicted seconds until the answer is whole."""
@@ -116,8 +135,13 @@
         return finish if math.isinf(factor) else finish * factor
 
     def in_time(self, ask: events.Ask, finish: float) -> bool:
-        """Tell whether a predicted time leaves enough until the deadline."""
-        return finish * SAFETY <= ask.deadline - self.now
+        """Tell whether a predicted time leaves enough until the deadline.
+
+        While lower-tier work could be revoked for a better place, a request
+        takes only a place where an answer of twice the length would fit.
+        """
+        factor = ROOMY if self.any_running_below(ask.tier) else SAFETY
+        return finish * factor <= ask.deadline - self.now
 
     def running_below(self, tier: int) -> int:
         """Count lower-tier permits that are not being revoked."""
@@ -131,3 +155,16 @@
     def any_running_below(self, tier: int) -> bool:
         """Tell whether any lower-tier permit is out."""
         return any(self.running[one] for one in range(tier + 1, TIERS))
+
+
+def best_rates(endpoints: list[EndpointState]) -> tuple[float, float]:
+    """Return the least seconds a prompt token and an answer's token."""
+    prefill = min(
+        (one.rates.trust / one.rates.prefill for one in endpoints),
+        default=0,
+    )
+    gap = min(
+        (one.rates.trust * one.rates.gap for one in endpoints),
+        default=0,
+    )
+    return prefill, gap
--- a/trefoilspool/filters/classify.py
+++ b/trefoilspool/filters/classify.py
@@ -114,7 +114,7 @@
 def find_place(caller: Caller, target: Target) -> KindPlace:
     """Return the place of the request's kind in the tree."""
     kind = caller.arrival.headers.get('x-request-kind', '')
-    place = caller.tree.kinds.get((caller.workspace, kind))
+    place = caller.tree.kind(caller.workspace, kind)
     if place is None:
         raise UnknownKindError(
             f'workspace {caller.workspace} has no kind {kind!r}',
--- a/trefoilspool/fold.py
+++ b/trefoilspool/fold.py
@@ -95,7 +95,9 @@
     def accept(self, offset: int, edit: Edit) -> None:
         """Put an edit's changes in force."""
         for path, changes in edit.changes.items():
-            node = self.nodes.setdefault(path, {})
+            # Published trees share the nodes, so that a node is never changed.
+            node = dict(self.nodes.get(path, {}))
+            self.nodes[path] = node
             for key, setting in changes.items():
                 self.changed[f'{path} {key}'] = offset
                 if setting is None:
@@ -130,8 +132,7 @@
 
     def tree(self) -> Tree:
         """Return the tree as of the last record folded."""
-        nodes = {path: dict(values) for path, values in self.nodes.items()}
-        return Tree(nodes, self.next - 1)
+        return Tree(dict(self.nodes), self.next - 1)
 
 
 def touched(edit: Edit) -> list[str]:
--- a/trefoilspool/operator.py
+++ b/trefoilspool/operator.py
@@ -101,7 +101,7 @@
             prefix = path if path == '/' else f'{path}/'
             kinds = tuple(
                 place.path
-                for place in before.kinds.values()
+                for place in before.all_kinds()
                 if place.path == path or place.path.startswith(prefix)
             )
             for key, setting in settings.items():
--- a/trefoilspool/pipeline.py
+++ b/trefoilspool/pipeline.py
@@ -1,6 +1,6 @@
 """The way of a request through the filters."""
 
-import secrets
+import itertools
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -26,7 +26,8 @@
 
 __all__ = ['Filters', 'Pipeline']
 
-NUMBER_BITS = 52
+TIME_RANGE_S = 1 << 22  # 48 days, after which numbers start again
+NUMBERS_A_SECOND = 1 << 12
 RETRY_S = 1.0
 
 
@@ -68,6 +69,7 @@
         self.ready = ready
         self.max_open = max_open
         self.lock = threading.Lock()
+        self.numbers = itertools.count(first_number())
         self.open = 0
 
     def handle(
@@ -78,7 +80,7 @@
         gone: Callable[[], bool],
     ) -> Answer:
         """Return the answer to a request; it runs while chunks are taken."""
-        number = secrets.randbits(NUMBER_BITS) * ATTEMPT_NUMBERS
+        number = next(self.numbers) * ATTEMPT_NUMBERS
         arrival = Arrival(
             number,
             f'{self.host}-{number // ATTEMPT_NUMBERS:x}',
@@ -148,3 +150,12 @@
         finally:
             with self.lock:
                 self.open -= 1
+
+
+def first_number() -> int:
+    """Return the number of a process's first request.
+
+    Numbers start from the time, so that a restarted host does not use those
+    of its former self again, and are short on the wire.
+    """
+    return int(time.time()) % TIME_RANGE_S * NUMBERS_A_SECOND
--- a/trefoilspool/preemption.py
+++ b/trefoilspool/preemption.py
@@ -39,8 +39,9 @@
         if not tier:
             return True
         state = self.state
-        free = sum(max(0, one.free) for one in state.usable())
-        return free + freed > state.peaks.spare(tier, state.running, state.now)
+        return state.free + freed > state.peaks.spare(
+            tier, state.running, state.now
+        )
 
     def due(self, ask: events.Ask) -> bool:
         """Tell whether a request has waited long enough to revoke for it.
--- a/trefoilspool/smoke.py
+++ b/trefoilspool/smoke.py
@@ -30,7 +30,7 @@
     workspace = tree.workspace_of(token)
     lines = ['kind            tier        port  status  outcome']
     places = [
-        place for place in tree.kinds.values() if place.workspace == workspace
+        place for place in tree.all_kinds() if place.workspace == workspace
     ]
     for turn, place in enumerate(places):
         port = ports[turn % len(ports)]
--- a/trefoilspool/tree.py
+++ b/trefoilspool/tree.py
@@ -2,7 +2,7 @@
 
 import hashlib
 from collections.abc import Iterator, Mapping
-from functools import cached_property
+from functools import cached_property, lru_cache
 from typing import NamedTuple
 
 from pydantic import ValidationError
@@ -12,6 +12,8 @@
 __all__ = ['KindPlace', 'Tree', 'ancestors']
 
 ROOT = '/'
+KIND_DEPTH = len(LEVELS) - 1
+MAX_CHECKED = 65_536
 NodeValues = Mapping[str, object]
 
 
@@ -54,6 +56,7 @@
     ) -> None:
         self.nodes = nodes
         self.version = version
+        self.places: dict[str, KindPlace] = {}
 
     def explain(self, path: str) -> dict[str, tuple[object, str]]:
         """Return each key in force at ``path`` with the path it comes from."""
@@ -82,25 +85,37 @@
         return owners
 
     @cached_property
-    def kinds(self) -> Mapping[tuple[str, str], KindPlace]:
-        """Map a workspace and a kind's name to the kind's place."""
-        places: dict[tuple[str, str], KindPlace] = {}
+    def kind_paths(self) -> Mapping[tuple[str, str], str]:
+        """Map a workspace and a kind's name to the kind's path."""
+        paths: dict[tuple[str, str], str] = {}
         for path in sorted(self.nodes):
-            names = path.strip('/').split('/')
-            if len(names) == len(LEVELS) - 1:
-                workspace, service, tier, kind = names
-                places.setdefault(
-                    (workspace, kind),
-                    KindPlace(
-                        path,
-                        workspace,
-                        service,
-                        tier,
-                        kind,
-                        self.settings(path),
-                    ),
-                )
-        return places
+            if path.count('/') == KIND_DEPTH:
+                names = path.split('/')
+                paths.setdefault((names[1], names[KIND_DEPTH]), path)
+        return paths
+
+    def kind(self, workspace: str, name: str) -> KindPlace | None:
+        """Return the place of a workspace's kind, or None."""
+        path = self.kind_paths.get((workspace, name))
+        return None if path is None else self.place(path)
+
+    def place(self, path: str) -> KindPlace:
+        """Return the place of the kind at a path, worked out once."""
+        if path not in self.places:
+            _, workspace, service, tier, kind = path.split('/')
+            self.places[path] = KindPlace(
+                path,
+                workspace,
+                service,
+                tier,
+                kind,
+                self.settings(path),
+            )
+        return self.places[path]
+
+    def all_kinds(self) -> list[KindPlace]:
+        """Return the places of all kinds."""
+        return [self.place(path) for path in self.kind_paths.values()]
 
     def workspace_of(self, token: str) -> str | None:
         """Return the workspace that owns a bearer token."""
@@ -110,6 +125,14 @@
 
 def valid(key: str, setting: object) -> bool:
     """Tell whether this version of the program can use a value."""
+    if isinstance(setting, list):
+        setting = tuple(setting)
+    return checked(key, setting)
+
+
+@lru_cache(MAX_CHECKED)
+def checked(key: str, setting: object) -> bool:
+    """Check a value against the schema, once for each value."""
     try:
         Settings.model_validate({key: setting})
     except ValidationError:
