Shed the lowest tier first on a full host, tell request stories, embed

Cause: a full host refused whatever came next, so that a proposal could be refused while tags ran on the same host. Change: a new request takes the place of an open one of a lower tier; plain-service calls are never shed.

--- /dev/null
+++ b/tests/test_tools.py
@@ -0,0 +1,246 @@
+"""Options, the host's gate, request stories, recorded traces, examples."""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
+import pytest
+from test_cell import make_ask
+
+import trefoilspool
+from trefoilspool.errors import OptionError
+from trefoilspool.events import VictimClass
+from trefoilspool.filter import Arrival, Job, Progress
+from trefoilspool.hostgate import HostGate
+from trefoilspool.membership import Beat, HostState, Membership
+from trefoilspool.options import HostOptions, load_options
+from trefoilspool.platform import HostEntry, Roster
+from trefoilspool.recorder import record_trace
+from trefoilspool.retries import RetryBudget
+from trefoilspool.schema import Settings
+from trefoilspool.tickets import LIFETIME_S, TicketBook
+from trefoilspool.tree import KindPlace
+from trefoilspool.why import find_lines, tell
+from trefoilspool.workload import CABRERA, make_engines
+
+ROOT = pathlib.Path(__file__).parent.parent
+FLAGS = {
+    'name': 'h1',
+    'log_url': 'http://x',
+    'roster_url': 'http://x',
+    'ticket_secret': 'sixteen-characters',
+}
+
+
+def make_job(number: int, tier: int, victim: VictimClass) -> Job:
+    arrival = Arrival(number, f'h-{number}', '/', {}, b'', 0, bool)
+    place = KindPlace('/w/s/t/k', 'w', 's', 't', 'k', Settings())
+    ask = make_ask(number, tier=tier, victim=victim)
+    return Job(arrival, 'w', place, ask, {}, True, False, Progress())
+
+
+class TestOptions:
+    def test_error_names_setting_value_and_range(self) -> None:
+        with pytest.raises(OptionError) as caught:
+            load_options(HostOptions, {**FLAGS, 'port': 70_000})
+        assert '--port: 70000 is not allowed' in str(caught.value)
+        assert '65535' in str(caught.value)
+
+    def test_unknown_flag(self) -> None:
+        with pytest.raises(OptionError, match='--prot'):
+            load_options(HostOptions, {**FLAGS, 'prot': 1})
+
+    def test_variable(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setenv('TREFOILSPOOL_MAX_STREAMS', '7')
+        assert load_options(HostOptions, FLAGS).max_streams == 7
+
+    def test_exit_status(self) -> None:
+        ended = subprocess.run(
+            [sys.executable, '-m', 'trefoilspool', 'host', '--name', 'a b'],
+            capture_output=True,
+            text=True,
+            check=False,
+            cwd=ROOT,
+        )
+        assert ended.returncode == 2
+        assert "--name: 'a b' is not allowed" in ended.stderr
+
+
+class TestHostGate:
+    def test_lowest_tier_makes_room(self) -> None:
+        gate = HostGate('h', 2)
+        low = make_job(1, 3, VictimClass.resumable)
+        middle = make_job(2, 1, VictimClass.resumable)
+        for job in (low, middle):
+            assert gate.enter(job) is None
+        assert gate.enter(make_job(3, 0, VictimClass.resumable)) is None
+        assert (low.progress.shed, middle.progress.shed) == (True, False)
+
+    def test_nothing_lower_is_a_refusal(self) -> None:
+        gate = HostGate('h', 1)
+        assert gate.enter(make_job(1, 1, VictimClass.resumable)) is None
+        refusal = gate.enter(make_job(2, 1, VictimClass.resumable))
+        assert refusal is not None
+        assert refusal.retry_after
+
+    def test_service_calls_are_never_shed(self) -> None:
+        gate = HostGate('h', 1)
+        assert gate.enter(make_job(1, 3, VictimClass.service)) is None
+        assert gate.enter(make_job(2, 0, VictimClass.resumable)) is not None
+
+
+class TestMembership:
+    def entry(self, name: str, state: str = 'live') -> HostEntry:
+        return HostEntry(name, 'dc1', '127.0.0.1', 1, 2, state)
+
+    def test_states(self) -> None:
+        members = Membership('h0')
+        members.on_list(
+            Roster(
+                tuple(self.entry(f'h{number}') for number in range(4)),
+                (),
+            )
+        )
+        for number, heard in enumerate((10, 8, 5)):
+            beat = Beat(1, HostState.live, 0)
+            members.on_beat(f'h{number}', beat, heard)
+        view = members.view(10)
+        assert [view.states[f'h{number}'].name for number in range(4)] == [
+            'live',
+            'suspect',
+            'gone',
+            'joining',
+        ]
+        assert view.homes == ('h0',)
+
+    def test_former_incarnation_is_ignored(self) -> None:
+        members = Membership('h0')
+        members.on_list(Roster((self.entry('h1'),), ()))
+        members.on_beat('h1', Beat(2, HostState.live, 0), 1)
+        members.on_beat('h1', Beat(1, HostState.leaving, 0), 1)
+        assert members.view(1).states['h1'] is HostState.live
+
+    def test_listed_as_leaving_is_no_home(self) -> None:
+        members = Membership('h0')
+        members.on_list(Roster((self.entry('h1', 'leaving'),), ()))
+        members.on_beat('h1', Beat(1, HostState.live, 0), 1)
+        assert not members.view(1).homes
+
+
+class TestRetryBudget:
+    def test_storm_is_bounded(self) -> None:
+        budget = RetryBudget()
+        retries = 0
+        for _ in range(1000):
+            budget.earn('w', 0.1)
+            while budget.spend('w'):
+                retries += 1
+        assert retries <= 1000 * 0.1 + 1
+
+    def test_workspaces_are_apart(self) -> None:
+        budget = RetryBudget()
+        budget.earn('a', 0.1)
+        assert budget.spend('a')
+        assert not budget.spend('a')
+        budget.earn('b', 0.1)
+        assert budget.spend('b')
+
+
+class TestTicketBook:
+    def test_used_once_and_only_while_remembered(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        book = TicketBook('sixteen-characters', 'h', 1)
+        ticket = book.read(book.issue('w'))
+        assert ticket is not None
+        assert book.use(ticket)
+        assert not book.use(ticket)
+        later = ticket.issued + LIFETIME_S + 5
+        monkeypatch.setattr('time.monotonic', lambda: later)
+        with pytest.raises(trefoilspool.TrefoilspoolError):
+            book.use(ticket)
+
+
+class TestStories:
+    LINES = (
+        {
+            'time': '2',
+            'host': 'h1',
+            'decision': 'settle',
+            'request': 'r',
+            'outcome': 'completed',
+            'status': 200,
+            'tokens': 5,
+            'attempts': 1,
+            'took_s': 1.0,
+            'workspace': 'w',
+            'kind': 'k',
+            'tier': 0,
+            'weight': 1,
+            'timeout_s': 9,
+            'prompt_tokens': 40,
+            'allowed_tokens': 9,
+            'victim': 0,
+            'interactive': True,
+        },
+        {
+            'time': '1',
+            'host': 'h2',
+            'decision': 'grant',
+            'request': 'r',
+            'endpoint': 'e1',
+            'predicted_s': 0.5,
+            'losers': [['e2', 0.9]],
+        },
+        {
+            'time': '1',
+            'host': 'h2',
+            'decision': 'grant',
+            'request': 'q',
+            'endpoint': 'e1',
+            'predicted_s': 0.5,
+            'losers': [],
+        },
+    )
+
+    def text(self) -> str:
+        return '\n'.join(map(json.dumps, self.LINES))
+
+    def test_in_order_over_hosts(self, tmp_path: pathlib.Path) -> None:
+        log = tmp_path / 'log'
+        log.write_text(self.text())
+        story = tell(find_lines([str(log)], 'r'), 'r').splitlines()
+        assert story[0].startswith('1 h2: got a permit for e1')
+        assert 'others: e2 0.9 s' in story[0]
+        assert 'ended: completed' in story[1]
+
+    def test_trace_is_recorded(self) -> None:
+        text = self.text().replace('"time": "2"', '"time": "2026-01-01"')
+        trace = record_trace('x', [text], make_engines(CABRERA))
+        assert [one.prompt_tokens for one in trace.requests] == [40]
+
+
+class TestEmbedding:
+    def test_public_names_exist(self) -> None:
+        for name in trefoilspool.__all__:
+            assert hasattr(trefoilspool, name)
+
+    def test_example_runs(self) -> None:
+        ended = subprocess.run(
+            [sys.executable, 'examples/embedding.py'],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+            env={**os.environ, 'PYTHONPATH': str(ROOT)},
+        )
+        assert ended.stdout.splitlines() == [
+            'Success',
+            'Failure',
+            "['Grant']",
+            '[]',
+            "['Grant']",
+        ]
--- a/trefoilspool/attempts.py
+++ b/trefoilspool/attempts.py
@@ -89,6 +89,8 @@
         rule = FOLLOW_UPS.get(type(problem))  # type: ignore[arg-type]
         if rule is None or time.monotonic() >= job.ask.deadline:
             return False
+        if job.progress.shed:
+            return False
         if job.once and job.progress.attempts and rule != 'always':
             return False
         if rule == 'always':
--- a/trefoilspool/cmdline.py
+++ b/trefoilspool/cmdline.py
@@ -20,6 +20,7 @@
 from trefoilspool.options import HostOptions, StandinOptions, load_options
 from trefoilspool.pathload import PathLoad
 from trefoilspool.platforms.http import HttpLog
+from trefoilspool.recorder import record_trace
 from trefoilspool.replaycommand import (
     check_policy,
     json_text,
@@ -30,7 +31,13 @@
 from trefoilspool.smoke import try_kinds
 from trefoilspool.telemetry import JsonHandler
 from trefoilspool.trace import save_trace
-from trefoilspool.workload import SCENARIOS, make_trace
+from trefoilspool.why import find_lines, tell
+from trefoilspool.workload import (
+    CABRERA,
+    SCENARIOS,
+    make_engines,
+    make_trace,
+)
 
 __all__ = ['main']
 
@@ -63,7 +70,7 @@
         kind: str = 'stock',
     ) -> str:
         """Load a running host, and compare with its engine if it is given."""
-        counts = [int(one) for one in str(streams).strip('()').split(',')]
+        counts = [int(one) for one in split(streams)]
         load = PathLoad(int(port), str(token), str(kind), float(seconds))
         return load.report(counts, int(engine_port))
 
@@ -135,6 +142,13 @@
         )
 
 
+def split(flag: Any) -> list[str]:
+    """Return the parts of a flag, which the parser may have split."""
+    if isinstance(flag, (list, tuple)):
+        return [str(part) for part in flag]
+    return [part for part in str(flag).split(',') if part]
+
+
 def confirmed() -> bool:
     """Ask on the terminal whether to publish."""
     sys.stdout.write('Publish? [y/N] ')
@@ -188,7 +202,7 @@
         plot: str = '',
     ) -> str:
         """Replay a trace; --against takes policies to compare with."""
-        names = [policy, *filter(None, str(against).split(','))]
+        names = [policy, *split(against)]
         summaries = {
             name: replay_file(trace, name)[1]
             for name in map(check_policy, names)
@@ -206,9 +220,21 @@
         save_trace(pathlib.Path(file), made)
         return f'{file}: {len(made.requests)} requests'
 
+    def record(self, file: str, logs: str) -> str:
+        """Make a trace of decision logs, with the sample engines."""
+        texts = [pathlib.Path(name).read_text('utf-8') for name in split(logs)]
+        engines = make_engines(CABRERA)
+        made = record_trace(pathlib.Path(file).stem, texts, engines)
+        save_trace(pathlib.Path(file), made)
+        return f'{file}: {len(made.requests)} requests'
+
+    def why(self, request: str, logs: str) -> str:
+        """Tell the story of a request from decision logs."""
+        return tell(find_lines(split(logs), request), request)
+
     def smoke(self, hosts: Any, token: str) -> str:
         """Send one request of every kind and print each outcome."""
-        ports = [int(port) for port in str(hosts).strip('()').split(',')]
+        ports = [int(port) for port in split(hosts)]
         operator = make_operator('')
         return try_kinds(operator.tree(), token, ports)
 
--- a/trefoilspool/filter.py
+++ b/trefoilspool/filter.py
@@ -68,6 +68,8 @@
         Whether a byte may have reached an endpoint.
     relayed : int
         Tokens that the caller has.
+    shed : bool
+        Whether the request has to end for one of a higher tier.
     """
 
     def __init__(self) -> None:
@@ -77,6 +79,15 @@
         self.first_token_s = 0.0
         self.outcome: Outcome | None = None
         self.endpoint = ''
+        self.shed = False
+        self.permit: Permit | None = None
+
+    def shed_now(self) -> None:
+        """End the request; the one method that other threads may call."""
+        self.shed = True
+        permit = self.permit
+        if permit is not None:
+            permit.revoke()
 
 
 class Job(NamedTuple):
--- a/trefoilspool/filters/schedule.py
+++ b/trefoilspool/filters/schedule.py
@@ -6,12 +6,13 @@
 from returns.result import Failure, Result, Success
 
 from trefoilspool.broker import Abandon, Acquire, BrokerTask, PermitResult
-from trefoilspool.errors import CallerGoneError
+from trefoilspool.errors import CallerGoneError, OverloadedError, Problem
 from trefoilspool.filter import ClaimedJob, Filter, Final, PermittedJob
 
 __all__ = ['Schedule']
 
 GONE_POLL_S = 0.1
+RETRY_S = 1.0
 
 
 class Schedule(Filter[ClaimedJob, PermittedJob]):
@@ -31,16 +32,31 @@
         future: Future[PermitResult] = Future()
         ask = message.job.ask
         self.broker.post(Acquire(ask, future))
-        gone = message.job.arrival.gone
         while True:
             try:
                 found = future.result(GONE_POLL_S)
             except FutureTimeoutError:
-                if gone() and future.cancel():
+                problem = self.abandoned(message)
+                if problem is not None and future.cancel():
                     self.broker.post(Abandon(ask.request))
-                    return Failure(CallerGoneError('the caller hung up'))
+                    return Failure(problem)
                 continue
             break
         if isinstance(found, Success):
-            return Success(PermittedJob(message, found.unwrap()))
+            permit = found.unwrap()
+            message.job.progress.permit = permit
+            if message.job.progress.shed:
+                permit.revoke()
+            return Success(PermittedJob(message, permit))
         return Failure(found.failure())
+
+    def abandoned(self, claimed: ClaimedJob) -> Problem | None:
+        """Return why a request need not wait any longer, if it need not."""
+        if claimed.job.progress.shed:
+            return OverloadedError(
+                'shed: the host is full of requests of higher tiers',
+                RETRY_S,
+            )
+        if claimed.job.arrival.gone():
+            return CallerGoneError('the caller hung up')
+        return None
--- a/trefoilspool/filters/settle.py
+++ b/trefoilspool/filters/settle.py
@@ -7,6 +7,7 @@
 
 from trefoilspool.claims import ClaimTask, ReleaseKey
 from trefoilspool.errors import Problem
+from trefoilspool.events import VictimClass
 from trefoilspool.filter import Answer, Arrival, ClaimedJob, Final, Job
 from trefoilspool.outcome import Outcome
 from trefoilspool.results import ResultStore
@@ -113,15 +114,32 @@
             outcome=outcome,
             status=status,
             tier=tier,
-            workspace=job.workspace if job else '',
-            kind=job.place.kind if job else '',
-            attempts=job.progress.attempts if job else 0,
-            tokens=job.progress.relayed if job else 0,
             took_s=round(took, 4),
-            first_token_s=round(first, 4),
+            **job_facts(job),
         )
 
 
+def job_facts(job: Job | None) -> dict[str, object]:
+    """Return what the log says of a job; a trace is recorded from it."""
+    if job is None:
+        return {'attempts': 0, 'tokens': 0}
+    ask = job.ask
+    model = ask.victim is not VictimClass.service
+    return {
+        'workspace': job.workspace,
+        'kind': job.place.kind,
+        'attempts': job.progress.attempts,
+        'tokens': job.progress.relayed,
+        'first_token_s': round(job.progress.first_token_s, 4),
+        'timeout_s': round(ask.deadline - job.arrival.arrived, 3),
+        'weight': ask.weight,
+        'prompt_tokens': ask.prompt_tokens if model else 0,
+        'allowed_tokens': ask.output_tokens,
+        'victim': int(ask.victim),
+        'interactive': ask.interactive,
+    }
+
+
 def outcome_of(job: Job) -> Outcome:
     """Return the outcome of a request that has ended."""
     progress = job.progress
--- a/trefoilspool/host.py
+++ b/trefoilspool/host.py
@@ -26,6 +26,7 @@
 from trefoilspool.filters.relay import Relay
 from trefoilspool.filters.schedule import Schedule
 from trefoilspool.filters.settle import Settle
+from trefoilspool.hostgate import HostGate
 from trefoilspool.link import Item, LinkTask, ReceiverTask
 from trefoilspool.membership import Beat, HostState, View, home_of
 from trefoilspool.options import HostOptions
@@ -147,12 +148,8 @@
             Relay(attempts, self.broker, self.watch),
             Settle(self.claims, self.results, self.metrics),
         )
-        return Pipeline(
-            self.name,
-            filters,
-            self.takes_requests,
-            self.options.max_streams,
-        )
+        gate = HostGate(self.name, self.options.max_streams)
+        return Pipeline(self.name, filters, self.takes_requests, gate)
 
     def start(self) -> None:
         """Start the tasks; frames are taken from here on."""
--- /dev/null
+++ b/trefoilspool/hostgate.py
@@ -0,0 +1,67 @@
+"""The limit on a host's open requests, lowest tier first."""
+
+import threading
+
+from trefoilspool.errors import OverloadedError
+from trefoilspool.events import VictimClass
+from trefoilspool.filter import Job
+
+__all__ = ['HostGate']
+
+RETRY_S = 1.0
+
+
+class HostGate:
+    """Counts open requests; safe to use from any thread.
+
+    When the host is full, a new request takes the place of an open one of a
+    lower tier, and is refused only when there is none.
+
+    Parameters
+    ----------
+    host : str
+        This host's name.
+    limit : int
+        The most open requests.
+    """
+
+    def __init__(self, host: str, limit: int) -> None:
+        self.host = host
+        self.limit = limit
+        self.lock = threading.Lock()
+        self.jobs: dict[int, Job] = {}
+
+    def enter(self, job: Job) -> OverloadedError | None:
+        """Admit a request, or return its refusal."""
+        with self.lock:
+            if len(self.jobs) >= self.limit:
+                victim = self.victim(job)
+                if victim is None:
+                    return OverloadedError(
+                        f'host {self.host} has {self.limit} open requests '
+                        f'of tier {job.ask.tier} or above',
+                        RETRY_S,
+                    )
+                self.jobs.pop(victim.arrival.number)
+                victim.progress.shed_now()
+            self.jobs[job.arrival.number] = job
+            return None
+
+    def leave(self, job: Job) -> None:
+        """Take notice that a request has ended."""
+        with self.lock:
+            self.jobs.pop(job.arrival.number, None)
+
+    def victim(self, job: Job) -> Job | None:
+        """Return the open request to shed for a new one."""
+        lower = [
+            other
+            for other in self.jobs.values()
+            if other.ask.tier > job.ask.tier
+            and other.ask.victim is not VictimClass.service
+        ]
+        return min(
+            lower,
+            key=lambda other: (-other.ask.tier, other.ask.victim),
+            default=None,
+        )
--- a/trefoilspool/pipeline.py
+++ b/trefoilspool/pipeline.py
@@ -3,13 +3,13 @@
 import itertools
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import NamedTuple
 
 from returns.result import Failure, Success
 
 from trefoilspool.attempts import Attempts
-from trefoilspool.errors import NotReadyError, OverloadedError
+from trefoilspool.errors import NotReadyError
 from trefoilspool.events import ATTEMPT_NUMBERS
 from trefoilspool.filter import (
     Answer,
@@ -23,6 +23,7 @@
 from trefoilspool.filters.classify import Classify
 from trefoilspool.filters.relay import Relay
 from trefoilspool.filters.settle import Settle
+from trefoilspool.hostgate import HostGate
 
 __all__ = ['Filters', 'Pipeline']
 
@@ -53,8 +54,8 @@
         The steps.
     ready : callable
         Tells whether this host takes requests.
-    max_open : int
-        Open requests beyond which new ones are refused.
+    gate : HostGate
+        Limits the open requests.
     """
 
     def __init__(
@@ -62,12 +63,12 @@
         host: str,
         filters: Filters,
         ready: Callable[[], bool],
-        max_open: int,
+        gate: HostGate,
     ) -> None:
         self.host = host
         self.filters = filters
         self.ready = ready
-        self.max_open = max_open
+        self.gate = gate
         self.lock = threading.Lock()
         self.numbers = itertools.count(first_number())
         self.open = 0
@@ -113,16 +114,9 @@
         if not isinstance(known, Success):
             return self.end(arrival, None, None, known.failure())
         job = known.unwrap()
-        if self.open > self.max_open:
-            return self.end(
-                arrival,
-                job,
-                None,
-                OverloadedError(
-                    f'host {self.host} has {self.max_open} open requests',
-                    RETRY_S,
-                ),
-            )
+        full = self.gate.enter(job)
+        if full is not None:
+            return self.end(arrival, job, None, full)
         held = filters.claim.apply(job)
         if not isinstance(held, Success):
             return self.end(arrival, job, None, held.failure())
@@ -141,13 +135,15 @@
     ) -> Answer:
         """Settle, and count the request as closed after its last chunk."""
         answer = self.filters.settle.finish(arrival, job, claimed, final)
-        return answer._replace(chunks=self.counted(answer))
+        return answer._replace(chunks=self.counted(answer, job))
 
-    def counted(self, answer: Answer):  # type: ignore[no-untyped-def]
+    def counted(self, answer: Answer, job: Job | None) -> Iterator[bytes]:
         """Yield the chunks, then count the request as closed."""
         try:
             yield from answer.chunks
         finally:
+            if job is not None:
+                self.gate.leave(job)
             with self.lock:
                 self.open -= 1
 
--- /dev/null
+++ b/trefoilspool/why.py
@@ -0,0 +1,82 @@
+"""The story of one request, from the decision logs of all hosts."""
+
+import json
+import pathlib
+from collections.abc import Iterable
+from typing import Any
+
+from trefoilspool.errors import OptionError
+
+__all__ = ['find_lines', 'parse_line', 'tell']
+
+
+STORIES = {
+    'claim': 'claimed its key in the log',
+    'dispatch': 'was sent to {endpoint}, attempt {attempt}',
+    'forward': 'was passed to host {to}, which its ticket names',
+    'grant': 'got a permit for {endpoint}, predicted to take {predicted_s} s',
+    'refuse': (
+        'was refused ({reason}); come back in {retry_after_s} s; running in '
+        'the cell by tier: {running}'
+    ),
+    'retry': 'may try again after {reason} at {endpoint}',
+    'revoke': 'lost its permit for {endpoint} to request {cause}',
+    'settle': (
+        'ended: {outcome}, status {status}, {tokens} tokens, {attempts} '
+        'attempts, {took_s} s'
+    ),
+}
+
+
+def find_lines(files: Iterable[str], request: str) -> list[dict[str, Any]]:
+    """Return the decisions on a request, in time order.
+
+    Raises
+    ------
+    OptionError
+        When a file cannot be read.
+    """
+    found: list[dict[str, Any]] = []
+    for name in files:
+        try:
+            text = pathlib.Path(name).read_text('utf-8')
+        except OSError as error:
+            raise OptionError(
+                'logs', name, f'readable files: {error}'
+            ) from None
+        found.extend(
+            line
+            for line in map(parse_line, text.splitlines())
+            if request in {line.get('request'), line.get('cause')}
+        )
+    return sorted(found, key=lambda line: str(line['time']))
+
+
+def parse_line(text: str) -> dict[str, Any]:
+    """Return a log line's fields, none if it is not JSON."""
+    try:
+        line = json.loads(text)
+    except ValueError:
+        return {}
+    return line if isinstance(line, dict) else {}
+
+
+def tell(lines: list[dict[str, Any]], request: str) -> str:
+    """Return a line of text for each decision."""
+    if not lines:
+        return f'no decision on {request} in these logs'
+    return '\n'.join(tell_one(line, request) for line in lines)
+
+
+def tell_one(line: dict[str, Any], request: str) -> str:
+    """Return the text of one decision."""
+    prefix = f'{line["time"]} {line["host"]}:'
+    if line.get('cause') == request:
+        victim = line['request']
+        return f'{prefix} took the place of {victim} on {line["endpoint"]}'
+    story = STORIES.get(line['decision'], line['decision']).format(**line)
+    losers = line.get('losers')
+    if losers:
+        others = ', '.join(f'{name} {score} s' for name, score in losers)
+        story = f'{story}; others: {others}'
+    return f'{prefix} {story}'
--- a/trefoilspool/workload.py
+++ b/trefoilspool/workload.py
@@ -13,7 +13,15 @@
     make_header,
 )
 
-__all__ = ['SCENARIOS', 'Scenario', 'make_trace', 'peak_rate']
+__all__ = [
+    'CABRERA',
+    'LAAGRIVARAV',
+    'SCENARIOS',
+    'Scenario',
+    'make_engines',
+    'make_trace',
+    'peak_rate',
+]
 
 BATCH_COST = 0.012
 SLOTS = 16
