--- a/trefoilspool/cmdline.py
+++ b/trefoilspool/cmdline.py
@@ -21,6 +21,7 @@
 from trefoilspool.pathload import PathLoad
 from trefoilspool.platforms.http import HttpLog
 from trefoilspool.recorder import record_trace
+from trefoilspool.reference import options_page, settings_page
 from trefoilspool.replaycommand import (
     check_policy,
     json_text,
@@ -220,6 +221,13 @@
         save_trace(pathlib.Path(file), made)
         return f'{file}: {len(made.requests)} requests'
 
+    def reference(self, page: str) -> str:
+        """Print a generated page: settings or options."""
+        pages = {'settings': settings_page, 'options': options_page}
+        if page not in pages:
+            raise OptionError('page', page, 'settings or options')
+        return pages[page]().rstrip()
+
     def record(self, file: str, logs: str) -> str:
         """Make a trace of decision logs, with the sample engines."""
         texts = [pathlib.Path(name).read_text('utf-8') for name in split(logs)]
--- a/trefoilspool/endpoint.py
+++ b/trefoilspool/endpoint.py
@@ -4,7 +4,14 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import NamedTuple
 
-__all__ = ['Endpoint', 'EndpointRequest', 'EndpointStream', 'Load', 'Token']
+__all__ = [
+    'CacheNews',
+    'Endpoint',
+    'EndpointRequest',
+    'EndpointStream',
+    'Load',
+    'Token',
+]
 
 
 class EndpointRequest(NamedTuple):
@@ -32,6 +39,14 @@
     leaving: bool
 
 
+class CacheNews(NamedTuple):
+    """Prefixes that an endpoint dropped since an event number."""
+
+    dropped: tuple[int, ...]
+    last: int
+    gap: bool
+
+
 class EndpointStream(ABC):
     """An open answer, owned by the thread that reads it."""
 
@@ -92,3 +107,7 @@
     @abstractmethod
     def load(self) -> Load:
         """Read the endpoint's report."""
+
+    @abstractmethod
+    def cache_news(self, after: int) -> CacheNews:
+        """Read the cache events after a number."""
--- a/trefoilspool/endpoints/http.py
+++ b/trefoilspool/endpoints/http.py
@@ -6,9 +6,11 @@
 import json
 import socket
 from collections.abc import Callable, Iterator
+from typing import Any
 from urllib.parse import urlsplit
 
 from trefoilspool.endpoint import (
+    CacheNews,
     Endpoint,
     EndpointRequest,
     EndpointStream,
@@ -144,12 +146,31 @@
 
     def load(self) -> Load:
         """Read the report."""
+        report = self.get('/load')
+        return Load(report['running'], report['waiting'], report['leaving'])
+
+    def cache_news(self, after: int) -> CacheNews:
+        """Read cache events; a number that is missing is a gap."""
+        listed = self.get(f'/cache-events?from={after}')
+        if not isinstance(listed, list) or not listed:
+            return CacheNews((), after, gap=False)
+        last = int(listed[-1][0])
+        dropped = tuple(int(event[1]) for event in listed)
+        return CacheNews(dropped, last, gap=last - after != len(listed))
+
+    def get(self, path: str) -> Any:
+        """Read a JSON document.
+
+        Raises
+        ------
+        EndpointError
+            The endpoint did not answer with one.
+        """
         link = self.connect(LOAD_TIMEOUT_S)
         try:
-            link.request('GET', '/load')
-            report = json.loads(link.getresponse().read())
+            link.request('GET', path)
+            return json.loads(link.getresponse().read())
         except (OSError, http.client.HTTPException, ValueError) as error:
-            raise SendFailedError(f'no load report: {error!r}') from error
+            raise SendFailedError(f'no answer to {path}: {error!r}') from error
         finally:
             link.close()
-        return Load(report['running'], report['waiting'], report['leaving'])
--- a/trefoilspool/roster.py
+++ b/trefoilspool/roster.py
@@ -8,6 +8,7 @@
 import logbook
 
 from trefoilspool import events
+from trefoilspool.endpoint import CacheNews, Load
 from trefoilspool.endpoints.http import HttpEndpoint
 from trefoilspool.errors import EndpointError, LogError
 from trefoilspool.membership import Beat, HostState, Membership, View
@@ -114,6 +115,14 @@
             logger.debug('host list not read: {}', error)
 
 
+class Reading(NamedTuple):
+    """What one endpoint reported."""
+
+    name: str
+    load: Load
+    news: CacheNews
+
+
 class ReportTask(Task):
     """Reads the load reports of endpoints that this host schedules.
 
@@ -134,6 +143,7 @@
         self.publish = publish
         self.executor = executor
         self.endpoints: tuple[EndpointEntry, ...] = ()
+        self.seen_events: dict[str, int] = {}
 
     def handle(self, message: object) -> None:
         """Take a view."""
@@ -142,28 +152,42 @@
 
     def tick(self) -> None:
         """Read all reports."""
-        reports = []
-        leaving = set()
-        loads = self.executor.map(read_load, self.endpoints)
-        for entry, load in zip(self.endpoints, loads, strict=True):
-            if load is None:
-                continue
-            reports.append(
-                events.LoadReport(
-                    entry.name,
-                    load.running,
-                    load.waiting,
-                    REPORT_S,
-                )
+        found = [
+            one
+            for one in self.executor.map(self.read, self.endpoints)
+            if one is not None
+        ]
+        for reading in found:
+            self.seen_events[reading.name] = reading.news.last
+        self.publish(
+            Reports(
+                tuple(
+                    events.LoadReport(
+                        one.name,
+                        one.load.running,
+                        one.load.waiting,
+                        REPORT_S,
+                    )
+                    for one in found
+                ),
+                tuple(
+                    events.CacheEvent(one.name, one.news.dropped, one.news.gap)
+                    for one in found
+                    if one.news.dropped
+                ),
+                frozenset(one.name for one in found if one.load.leaving),
             )
-            if load.leaving:
-                leaving.add(entry.name)
-        self.publish(Reports(tuple(reports), frozenset(leaving)))
+        )
 
-
-def read_load(entry: EndpointEntry):  # type: ignore[no-untyped-def]
-    """Return an endpoint's load, or None if it does not answer."""
-    try:
-        return HttpEndpoint(entry.url).load()
-    except EndpointError:
-        return None
+    def read(self, entry: EndpointEntry) -> Reading | None:
+        """Return an endpoint's reports, or None if it does not answer."""
+        endpoint = HttpEndpoint(entry.url)
+        after = self.seen_events.get(entry.name, 0)
+        try:
+            return Reading(
+                entry.name,
+                endpoint.load(),
+                endpoint.cache_news(after),
+            )
+        except EndpointError:
+            return None
--- a/trefoilspool/scheduler.py
+++ b/trefoilspool/scheduler.py
@@ -29,9 +29,10 @@
 
 
 class Reports(NamedTuple):
-    """Load reports, and which endpoints say that they leave."""
+    """Reports of endpoints, and which say that they leave."""
 
     reports: tuple[events.LoadReport, ...]
+    cache_events: tuple[events.CacheEvent, ...]
     leaving: frozenset[str]
 
 
@@ -149,7 +150,11 @@
         if message.leaving != self.leaving:
             self.leaving = message.leaving
             self.update_endpoints()
-        for report in message.reports:
+        reports: list[events.LoadReport | events.CacheEvent] = [
+            *message.reports,
+            *message.cache_events,
+        ]
+        for report in reports:
             for name, cell in self.cells.items():
                 if report.endpoint in cell.state.endpoints:
                     self.feed(name, report)
