Split the daemon, the relay, the broker and the replay by subject

Frames are taken apart in router, pages are in pages, shapes of answers in answers, permits in permit, measurements of a replay in replayrecord.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,7 +9,7 @@
 from test_tools import make_job
 
 from trefoilspool import events
-from trefoilspool.broker import BrokerTask, Permit
+from trefoilspool.broker import BrokerTask
 from trefoilspool.endpoint import (
     CacheNews,
     Endpoint,
@@ -24,6 +24,7 @@
 from trefoilspool.filters.dispatch import Dispatch
 from trefoilspool.filters.settle import outcome_of, truthful
 from trefoilspool.outcome import Outcome
+from trefoilspool.permit import Permit
 from trefoilspool.watch import WatchTask
 
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from trefoilspool.replay import Replay, ReplayRecord
+from trefoilspool.replay import Replay
 from trefoilspool.replaycommand import json_text, replay_file
+from trefoilspool.replayrecord import ReplayRecord
 from trefoilspool.summary import Summary, summarize
 from trefoilspool.trace import Trace, load_trace
 from trefoilspool.workload import SCENARIOS, make_trace
--- a/trefoilspool/broker.py
+++ b/trefoilspool/broker.py
@@ -6,24 +6,17 @@
 from typing import Any, NamedTuple
 
 import logbook
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from trefoilspool import events
-from trefoilspool.errors import DeadlineError, OverloadedError, Problem
+from trefoilspool.errors import DeadlineError, OverloadedError
 from trefoilspool.membership import View, home_of
+from trefoilspool.permit import Permit, PermitResult
 from trefoilspool.task import Task
 from trefoilspool.wire import convert
 from trefoilspool.wire.gen.peer import ttypes
 
-__all__ = [
-    'Abandon',
-    'Acquire',
-    'BrokerTask',
-    'FromHome',
-    'Permit',
-    'PermitResult',
-    'Seen',
-]
+__all__ = ['Abandon', 'Acquire', 'BrokerTask', 'FromHome', 'Seen']
 
 TICK_S = 0.1
 PACE_S = 0.5
@@ -36,46 +29,6 @@
 logger = logbook.Logger('broker')
 
 
-class Permit:
-    """The right to dispatch one request to one endpoint.
-
-    ``use`` and ``revoke`` exclude each other: a permit is either used or
-    revoked first, never both at once.
-
-    Parameters
-    ----------
-    ask : Ask
-        What was asked for.
-    endpoint : str
-        Where the request may go.
-    expiry : float
-        Monotonic seconds after which the permit must not be used.
-    """
-
-    def __init__(self, ask: events.Ask, endpoint: str, expiry: float) -> None:
-        self.ask = ask
-        self.endpoint = endpoint
-        self.expiry = expiry
-        self.gate: Future[None] = Future()
-        self.revoked = False
-        self.abort: Callable[[], None] | None = None
-
-    def use(self) -> bool:
-        """Take the permit into use; False if it was revoked or is late."""
-        if time.monotonic() >= self.expiry:
-            self.gate.cancel()
-        return self.gate.set_running_or_notify_cancel()
-
-    def revoke(self) -> None:
-        """Revoke the permit, and abort its stream if it is in use."""
-        self.revoked = True
-        if not self.gate.cancel() and self.abort is not None:
-            self.abort()
-
-
-PermitResult = Result[Permit, Problem]
-
-
 class Acquire(NamedTuple):
     """Ask for a permit."""
 
--- a/trefoilspool/filter.py
+++ b/trefoilspool/filter.py
@@ -7,11 +7,11 @@
 from returns.result import Result
 
 from trefoilspool import events
-from trefoilspool.broker import Permit
 from trefoilspool.endpoint import EndpointStream
 from trefoilspool.errors import Problem
 from trefoilspool.ledger import Claim
 from trefoilspool.outcome import Outcome
+from trefoilspool.permit import Permit
 from trefoilspool.tree import KindPlace, Tree
 
 __all__ = [
--- a/trefoilspool/filters/dispatch.py
+++ b/trefoilspool/filters/dispatch.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from trefoilspool import events
-from trefoilspool.broker import BrokerTask, Permit
+from trefoilspool.broker import BrokerTask
 from trefoilspool.endpoint import Endpoint, EndpointRequest, EndpointStream
 from trefoilspool.errors import (
     ConnectFailedError,
@@ -28,6 +28,7 @@
     PermittedJob,
 )
 from trefoilspool.filters.claim import boot_time
+from trefoilspool.permit import Permit
 from trefoilspool.telemetry import log_decision
 from trefoilspool.watch import Unwatch, Watch, WatchTask
 
--- a/trefoilspool/filters/relay.py
+++ b/trefoilspool/filters/relay.py
@@ -4,11 +4,11 @@
 import time
 from collections.abc import Iterator
 from http import HTTPStatus
-from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
 from trefoilspool import events
+from trefoilspool.answers import stream_events, text_of, whole_body
 from trefoilspool.attempts import Attempts
 from trefoilspool.broker import BrokerTask, Seen
 from trefoilspool.endpoint import Token
@@ -22,7 +22,6 @@
 )
 from trefoilspool.filter import (
     Answer,
-    ClaimedJob,
     Filter,
     Final,
     OpenAnswer,
@@ -239,19 +238,6 @@
         raise failure if isinstance(failure, Problem) else problem
 
 
-class Shape(NamedTuple):
-    """Where the text is in the chunks of a path."""
-
-    kind: str
-    chat: bool
-
-
-SHAPES = {
-    '/v1/chat/completions': Shape('chat.completion', chat=True),
-    '/v1/completions': Shape('text_completion', chat=False),
-}
-
-
 def check_attempt(opened: OpenAnswer) -> None:
     """Refuse an answer that belongs to another attempt or request."""
     job = opened.claimed.job
@@ -286,52 +272,3 @@
         return problem
     job.progress.result_unknown = True
     return MayHaveRunError(str(error))
-
-
-def text_of(token: Token) -> str:
-    """Return the text of a chunk."""
-    choice = json.loads(token.payload)['choices'][0]
-    if 'text' in choice:
-        return str(choice['text'])
-    return str(choice.get('delta', {}).get('content', ''))
-
-
-def whole_body(path: str, model: str, texts: list[str]) -> dict[str, object]:
-    """Return the body of an answer that is not streamed."""
-    text = ''.join(texts)
-    choice: dict[str, object] = {'index': 0, 'finish_reason': 'stop'}
-    shape = SHAPES[path]
-    if shape.chat:
-        choice['message'] = {'role': 'assistant', 'content': text}
-    else:
-        choice['text'] = text
-    return {
-        'object': shape.kind,
-        'model': model,
-        'choices': [choice],
-        'usage': {'completion_tokens': len(texts)},
-    }
-
-
-def stream_events(
-    claimed: ClaimedJob,
-    first: Token | None,
-    tokens: Iterator[Token],
-) -> Iterator[bytes]:
-    """Yield server-sent events; the last one is the outcome."""
-    try:
-        if first is not None:
-            yield format_token(first)
-            for token in tokens:
-                yield format_token(token)
-        yield b'data: [DONE]\n\n'
-        document: dict[str, object] = {'outcome': Outcome.completed.value}
-    except Problem as problem:
-        claimed.job.progress.outcome = problem.outcome
-        document = dict(problem.document())
-    yield f'event: outcome\ndata: {json.dumps(document)}\n\n'.encode()
-
-
-def format_token(token: Token) -> bytes:
-    """Return a token's event."""
-    return f'id: {token.place}\ndata: {token.payload}\n\n'.encode()
--- a/trefoilspool/filters/schedule.py
+++ b/trefoilspool/filters/schedule.py
@@ -5,9 +5,10 @@
 
 from returns.result import Failure, Result, Success
 
-from trefoilspool.broker import Abandon, Acquire, BrokerTask, PermitResult
+from trefoilspool.broker import Abandon, Acquire, BrokerTask
 from trefoilspool.errors import CallerGoneError, OverloadedError, Problem
 from trefoilspool.filter import ClaimedJob, Filter, Final, PermittedJob
+from trefoilspool.permit import PermitResult
 
 __all__ = ['Schedule']
 
--- a/trefoilspool/host.py
+++ b/trefoilspool/host.py
@@ -5,21 +5,18 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
-from http import HTTPStatus
 from types import FrameType
 
 import logbook
 import waitress
 
 from trefoilspool.attempts import Attempts
-from trefoilspool.broker import BrokerTask, FromHome
+from trefoilspool.broker import BrokerTask
 from trefoilspool.claims import ClaimTask
 from trefoilspool.endpoints.http import HttpEndpoint
-from trefoilspool.errors import UnauthorizedError
-from trefoilspool.filter import Answer
-from trefoilspool.filters.authenticate import SCHEME, Authenticate
+from trefoilspool.filters.authenticate import Authenticate
 from trefoilspool.filters.claim import ClaimFilter
 from trefoilspool.filters.classify import Classify
 from trefoilspool.filters.dispatch import Dispatch
@@ -28,26 +25,23 @@
 from trefoilspool.filters.settle import Settle
 from trefoilspool.hostgate import HostGate
 from trefoilspool.link import Item, LinkTask, ReceiverTask
-from trefoilspool.membership import Beat, HostState, View, home_of
+from trefoilspool.membership import Beat, View, home_of
 from trefoilspool.options import HostOptions
+from trefoilspool.pages import Pages
 from trefoilspool.pipeline import Filters, Pipeline
 from trefoilspool.platforms.http import HttpHostList, HttpLog
 from trefoilspool.queries import QueryTask
 from trefoilspool.results import ResultStore
 from trefoilspool.retries import RetryBudget
-from trefoilspool.roster import Heard, Leave, ReportTask, RosterTask
-from trefoilspool.scheduler import FIELD_HANDLERS, FromEntry, SchedulerTask
-from trefoilspool.settingstask import (
-    PeerOffset,
-    PeerSnapshot,
-    SettingsTask,
-    SnapshotWanted,
-)
+from trefoilspool.roster import Leave, ReportTask, RosterTask
+from trefoilspool.router import Destinations, FrameRouter
+from trefoilspool.scheduler import SchedulerTask
+from trefoilspool.settingstask import SettingsTask
 from trefoilspool.task import Stop, Task, TaskGroup
 from trefoilspool.telemetry import Metrics
 from trefoilspool.tickets import TicketBook
 from trefoilspool.watch import WatchTask
-from trefoilspool.web import Environ, WebApp, json_answer, request_headers
+from trefoilspool.web import WebApp
 from trefoilspool.wire.gen.peer import ttypes
 
 __all__ = ['Host', 'serve']
@@ -99,6 +93,15 @@
             self.incarnation,
         )
         self.build_tasks()
+        self.router = FrameRouter(
+            Destinations(
+                self.scheduler,
+                self.broker,
+                self.roster,
+                self.settings,
+                self.queries,
+            )
+        )
         self.pipeline = self.build_pipeline()
 
     def build_tasks(self) -> None:
@@ -116,7 +119,11 @@
         self.scheduler = SchedulerTask(self.name, self.send)
         self.queries = QueryTask(self.results, self.send)
         self.watch = WatchTask()
-        self.reports = ReportTask(self.scheduler.post, self.calls)
+        self.reports = ReportTask(
+            self.name,
+            self.scheduler.post,
+            self.calls,
+        )
         self.roster = RosterTask(
             self.name,
             self.incarnation,
@@ -157,7 +164,7 @@
             (self.options.address, self.options.peer_port),
             backlog=BACKLOG,
         )
-        self.group.start(ReceiverTask(listener, self.deliver))
+        self.group.start(ReceiverTask(listener, self.router.deliver))
         for task in self.tasks():
             self.group.start(task)
 
@@ -186,7 +193,7 @@
     def send(self, host: str, field: str, element: object) -> None:
         """Send a list item to a host, which may be this one."""
         if host == self.name:
-            self.deliver_field(host, field, (element,))
+            self.router.deliver_field(host, field, (element,))
             return
         entry = self.view.hosts.get(host) if self.view else None
         link = (
@@ -235,123 +242,9 @@
             self.links[address] = link
             self.group.start(link)
 
-    def deliver(self, frame: ttypes.Frame) -> None:
-        """Pass a received frame to the tasks."""
-        sender = frame.sender
-        if frame.beat is not None:
-            self.deliver_beat(sender, frame.beat)
-        if frame.settings_from is not None:
-            self.settings.post(SnapshotWanted(sender, frame.settings_from))
-        if frame.roll is not None:
-            self.deliver_field(sender, 'roll', (frame.roll,))
-        for field in LIST_FIELDS:
-            elements = getattr(frame, field)
-            if elements:
-                self.deliver_field(sender, field, tuple(elements))
-
-    def deliver_beat(self, sender: str, wire: ttypes.Beat) -> None:
-        """Pass on a heartbeat."""
-        beat = Beat(
-            wire.incarnation,
-            HostState(wire.state),
-            wire.settings_offset,
-        )
-        self.roster.post(Heard(sender, beat))
-        self.settings.post(PeerOffset(sender, beat.settings_offset))
-
-    def deliver_field(
-        self,
-        sender: str,
-        field: str,
-        elements: tuple[object, ...],
-    ) -> None:
-        """Pass a list of one kind to the task that owns it."""
-        if field in FIELD_HANDLERS:
-            self.scheduler.post(FromEntry(sender, field, elements))
-            return
-        if field in HOME_FIELDS:
-            self.broker.post(FromHome(sender, field, elements))
-            return
-        for element in elements:
-            ELEMENT_HANDLERS[field](self, sender, element)
-
-    def on_settings_record(
-        self,
-        sender: str,
-        record: ttypes.SettingsRecord,
-    ) -> None:
-        """Take a peer's settings tree."""
-        self.settings.post(PeerSnapshot(sender, record.body.decode()))
-
-    def on_claim_query(self, sender: str, query: ttypes.ClaimQuery) -> None:
-        """Answer a peer that asks for a result."""
-        self.queries.answer(sender, query)
-
-    def on_claim_answer(self, sender: str, answer: ttypes.ClaimAnswer) -> None:
-        """Take a peer's answer."""
-        self.queries.post(answer)
-
     def web_app(self) -> WebApp:
         """Return the WSGI application."""
-        return WebApp(
-            {
-                ('GET', '/healthz'): self.page_health,
-                ('GET', '/readyz'): self.page_ready,
-                ('GET', '/metrics'): self.page_metrics,
-                ('GET', '/v1/status'): self.page_status,
-                ('POST', '/v1/tickets'): self.page_ticket,
-            },
-            self.pipeline.handle,
-        )
-
-    def page_health(self, environ: Environ) -> Answer:
-        """Tell that the process runs."""
-        return json_answer(HTTPStatus.OK, {'status': 'ok'})
-
-    def page_ready(self, environ: Environ) -> Answer:
-        """Tell whether the balancer should send requests here."""
-        ready = self.is_ready()
-        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
-        return json_answer(status, {'ready': ready})
-
-    def page_metrics(self, environ: Environ) -> Answer:
-        """Return the metrics."""
-        body = self.metrics.render().encode()
-        return Answer(
-            HTTPStatus.OK, (('Content-Type', 'text/plain'),), iter((body,))
-        )
-
-    def page_status(self, environ: Environ) -> Answer:
-        """Return what this host sees of the system."""
-        view = self.view
-        states = view.states if view else {}
-        return json_answer(
-            HTTPStatus.OK,
-            {
-                'host': self.name,
-                'incarnation': self.incarnation,
-                'settings_version': self.settings.version,
-                'open_requests': self.pipeline.open,
-                'hosts': {name: state.name for name, state in states.items()},
-                'homes': {
-                    entry.cell: home_of(entry.cell, view.homes)
-                    for entry in view.endpoints
-                }
-                if view
-                else {},
-            },
-        )
-
-    def page_ticket(self, environ: Environ) -> Answer:
-        """Issue a ticket to a known workspace."""
-        credentials = request_headers(environ).get('authorization', '')
-        token = credentials.removeprefix(SCHEME)
-        workspace = self.settings.tree.workspace_of(token)
-        if workspace is None:
-            raise UnauthorizedError('the bearer token is unknown')
-        return json_answer(
-            HTTPStatus.CREATED, {'ticket': self.tickets.issue(workspace)}
-        )
+        return WebApp(Pages(self).table(), self.pipeline.handle)
 
     def drain(self) -> None:
         """Leave: fail /readyz, hand cells over, finish what is open."""
@@ -370,28 +263,6 @@
         self.calls.shutdown(wait=False, cancel_futures=True)
 
 
-LIST_FIELDS = (
-    'asks',
-    'grants',
-    'refusals',
-    'releases',
-    'withdrawals',
-    'revocations',
-    'held',
-    'paces',
-    'claim_queries',
-    'claim_answers',
-    'settings_records',
-)
-HOME_FIELDS = frozenset(('grants', 'refusals', 'revocations'))
-
-ELEMENT_HANDLERS: Mapping[str, Callable[..., None]] = {
-    'settings_records': Host.on_settings_record,
-    'claim_queries': Host.on_claim_query,
-    'claim_answers': Host.on_claim_answer,
-}
-
-
 def wire_item(field: str, element: object) -> Item:
     """Return the item of a frame; a tree travels as a record."""
     if isinstance(element, str):
--- /dev/null
+++ b/trefoilspool/pages.py
@@ -0,0 +1,90 @@
+"""The pages of a host that are not requests to endpoints."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from trefoilspool.errors import UnauthorizedError
+from trefoilspool.filter import Answer
+from trefoilspool.filters.authenticate import SCHEME
+from trefoilspool.membership import home_of
+from trefoilspool.web import Environ, Page, json_answer, request_headers
+
+if TYPE_CHECKING:
+    from trefoilspool.host import Host
+
+__all__ = ['Pages']
+
+
+class Pages:
+    """Health, metrics, status and tickets.
+
+    Parameters
+    ----------
+    host : Host
+        What the pages are about.
+    """
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+
+    def table(self) -> Mapping[tuple[str, str], Page]:
+        """Return the pages by method and path."""
+        return {
+            ('GET', '/healthz'): self.health,
+            ('GET', '/readyz'): self.ready,
+            ('GET', '/metrics'): self.metrics,
+            ('GET', '/v1/status'): self.status,
+            ('POST', '/v1/tickets'): self.ticket,
+        }
+
+    def health(self, environ: Environ) -> Answer:
+        """Tell that the process runs."""
+        return json_answer(HTTPStatus.OK, {'status': 'ok'})
+
+    def ready(self, environ: Environ) -> Answer:
+        """Tell whether the balancer should send requests here."""
+        ready = self.host.is_ready()
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return json_answer(status, {'ready': ready})
+
+    def metrics(self, environ: Environ) -> Answer:
+        """Return the metrics."""
+        body = self.host.metrics.render().encode()
+        return Answer(
+            HTTPStatus.OK, (('Content-Type', 'text/plain'),), iter((body,))
+        )
+
+    def status(self, environ: Environ) -> Answer:
+        """Return what this host sees of the system."""
+        view = self.host.view
+        states = view.states if view else {}
+        return json_answer(
+            HTTPStatus.OK,
+            {
+                'host': self.host.name,
+                'incarnation': self.host.incarnation,
+                'settings_version': self.host.settings.version,
+                'open_requests': self.host.pipeline.open,
+                'hosts': {name: state.name for name, state in states.items()},
+                'homes': {
+                    entry.cell: home_of(entry.cell, view.homes)
+                    for entry in view.endpoints
+                }
+                if view
+                else {},
+            },
+        )
+
+    def ticket(self, environ: Environ) -> Answer:
+        """Issue a ticket to a known workspace."""
+        credentials = request_headers(environ).get('authorization', '')
+        token = credentials.removeprefix(SCHEME)
+        workspace = self.host.settings.tree.workspace_of(token)
+        if workspace is None:
+            raise UnauthorizedError('the bearer token is unknown')
+        return json_answer(
+            HTTPStatus.CREATED, {'ticket': self.host.tickets.issue(workspace)}
+        )
--- a/trefoilspool/replay.py
+++ b/trefoilspool/replay.py
@@ -5,21 +5,19 @@
 """
 
 import heapq
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-import xxhash
-
 from trefoilspool import events
 from trefoilspool.cell import Cell
 from trefoilspool.enginemodel import EngineModel, Sequence
-from trefoilspool.ladder import BLOCK_TOKENS
 from trefoilspool.policies import POLICIES
+from trefoilspool.replayrecord import GrantSeen, ReplayRecord, Served
 from trefoilspool.retries import RetryBudget
-from trefoilspool.trace import FaultEvent, RequestEvent, Trace
+from trefoilspool.trace import FaultEvent, RequestEvent, Trace, rungs_of
 
-__all__ = ['GrantSeen', 'Replay', 'ReplayRecord', 'Served']
+__all__ = ['Replay']
 
 TICK_S = 0.05
 PACE_S = 0.5
@@ -32,24 +30,6 @@
 NUMBERS = events.ATTEMPT_NUMBERS
 
 
-class Served(NamedTuple):
-    """What became of one request; times are seconds, NaN-free."""
-
-    request: RequestEvent
-    outcome: str
-    first_token_s: float
-    gap_s: float
-    attempts: int
-
-
-class GrantSeen(NamedTuple):
-    """A permit that the cell gave."""
-
-    at: float
-    endpoint: str
-    tier: int
-
-
 class LateReport(NamedTuple):
     """Loads by engine at a time, told later."""
 
@@ -66,20 +46,6 @@
     arguments: tuple[object, ...]
 
 
-class ReplayRecord:
-    """All that a replay measured."""
-
-    def __init__(self) -> None:
-        self.served: list[Served] = []
-        self.grants: list[GrantSeen] = []
-        self.waste: Counter[str] = Counter()
-        self.prefill = 0
-        self.dispatched = 0
-        self.asked = 0
-        self.inversions = 0
-        self.revoked = 0
-
-
 class Live:
     """A request that has no final answer yet."""
 
@@ -455,18 +421,6 @@
                 self.feed(ask)
 
 
-def rungs_of(request: RequestEvent) -> tuple[int, ...]:
-    """Return the prefix hashes of a request's prompt."""
-    rungs = []
-    depth = 0
-    while BLOCK_TOKENS << depth <= request.prompt_tokens:
-        shared = BLOCK_TOKENS << depth <= request.prefix_tokens
-        source = request.prefix if shared else str(request.number)
-        rungs.append(xxhash.xxh32_intdigest(f'{source}:{depth}'.encode()))
-        depth += 1
-    return tuple(rungs)
-
-
 ACTIONS: Mapping[type, Callable[..., None]] = {
     events.Grant: Replay.grant,
     events.Refuse: Replay.refuse,
--- a/trefoilspool/roster.py
+++ b/trefoilspool/roster.py
@@ -11,7 +11,13 @@
 from trefoilspool.endpoint import CacheNews, Load
 from trefoilspool.endpoints.http import HttpEndpoint
 from trefoilspool.errors import EndpointError, LogError
-from trefoilspool.membership import Beat, HostState, Membership, View
+from trefoilspool.membership import (
+    Beat,
+    HostState,
+    Membership,
+    View,
+    home_of,
+)
 from trefoilspool.platform import EndpointEntry, HostList
 from trefoilspool.scheduler import Reports
 from trefoilspool.task import Task
@@ -128,6 +134,8 @@
 
     Parameters
     ----------
+    host : str
+        This host.
     publish : callable
         Called with the reports.
     executor : Executor
@@ -136,10 +144,12 @@
 
     def __init__(
         self,
+        host: str,
         publish: Callable[[Reports], None],
         executor: Executor,
     ) -> None:
         super().__init__(REPORT_S)
+        self.host = host
         self.publish = publish
         self.executor = executor
         self.endpoints: tuple[EndpointEntry, ...] = ()
@@ -148,7 +158,11 @@
     def handle(self, message: object) -> None:
         """Take a view."""
         if isinstance(message, View):
-            self.endpoints = message.endpoints
+            self.endpoints = tuple(
+                entry
+                for entry in message.endpoints
+                if home_of(entry.cell, message.homes) == self.host
+            )
 
     def tick(self) -> None:
         """Read all reports."""
--- /dev/null
+++ b/trefoilspool/router.py
@@ -0,0 +1,122 @@
+"""Delivery of received frames to the tasks that own their parts."""
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from trefoilspool.broker import BrokerTask, FromHome
+from trefoilspool.membership import Beat, HostState
+from trefoilspool.queries import QueryTask
+from trefoilspool.roster import Heard, RosterTask
+from trefoilspool.scheduler import FIELD_HANDLERS, FromEntry, SchedulerTask
+from trefoilspool.settingstask import (
+    PeerOffset,
+    PeerSnapshot,
+    SettingsTask,
+    SnapshotWanted,
+)
+from trefoilspool.wire.gen.peer import ttypes
+
+__all__ = ['Destinations', 'FrameRouter']
+
+
+class Destinations(NamedTuple):
+    """The tasks that take parts of frames."""
+
+    scheduler: SchedulerTask
+    broker: BrokerTask
+    roster: RosterTask
+    settings: SettingsTask
+    queries: QueryTask
+
+
+class FrameRouter:
+    """Takes frames apart.
+
+    Parameters
+    ----------
+    tasks : Destinations
+        Where the parts go.
+    """
+
+    def __init__(self, tasks: Destinations) -> None:
+        self.tasks = tasks
+
+    def deliver(self, frame: ttypes.Frame) -> None:
+        """Pass a received frame to the tasks."""
+        sender = frame.sender
+        if frame.beat is not None:
+            self.deliver_beat(sender, frame.beat)
+        if frame.settings_from is not None:
+            self.tasks.settings.post(
+                SnapshotWanted(sender, frame.settings_from)
+            )
+        if frame.roll is not None:
+            self.deliver_field(sender, 'roll', (frame.roll,))
+        for field in LIST_FIELDS:
+            elements = getattr(frame, field)
+            if elements:
+                self.deliver_field(sender, field, tuple(elements))
+
+    def deliver_beat(self, sender: str, wire: ttypes.Beat) -> None:
+        """Pass on a heartbeat."""
+        beat = Beat(
+            wire.incarnation,
+            HostState(wire.state),
+            wire.settings_offset,
+        )
+        self.tasks.roster.post(Heard(sender, beat))
+        self.tasks.settings.post(PeerOffset(sender, beat.settings_offset))
+
+    def deliver_field(
+        self,
+        sender: str,
+        field: str,
+        elements: tuple[object, ...],
+    ) -> None:
+        """Pass a list of one kind to the task that owns it."""
+        if field in FIELD_HANDLERS:
+            self.tasks.scheduler.post(FromEntry(sender, field, elements))
+            return
+        if field in HOME_FIELDS:
+            self.tasks.broker.post(FromHome(sender, field, elements))
+            return
+        for element in elements:
+            ELEMENT_HANDLERS[field](self, sender, element)
+
+    def on_settings_record(
+        self,
+        sender: str,
+        record: ttypes.SettingsRecord,
+    ) -> None:
+        """Take a peer's settings tree."""
+        self.tasks.settings.post(PeerSnapshot(sender, record.body.decode()))
+
+    def on_claim_query(self, sender: str, query: ttypes.ClaimQuery) -> None:
+        """Answer a peer that asks for a result."""
+        self.tasks.queries.answer(sender, query)
+
+    def on_claim_answer(self, sender: str, answer: ttypes.ClaimAnswer) -> None:
+        """Take a peer's answer."""
+        self.tasks.queries.post(answer)
+
+
+LIST_FIELDS = (
+    'asks',
+    'grants',
+    'refusals',
+    'releases',
+    'withdrawals',
+    'revocations',
+    'held',
+    'paces',
+    'claim_queries',
+    'claim_answers',
+    'settings_records',
+)
+HOME_FIELDS = frozenset(('grants', 'refusals', 'revocations'))
+
+ELEMENT_HANDLERS: Mapping[str, Callable[..., None]] = {
+    'settings_records': FrameRouter.on_settings_record,
+    'claim_queries': FrameRouter.on_claim_query,
+    'claim_answers': FrameRouter.on_claim_answer,
+}
--- a/trefoilspool/summary.py
+++ b/trefoilspool/summary.py
@@ -7,7 +7,7 @@
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
-from trefoilspool.replay import ReplayRecord, Served
+from trefoilspool.replayrecord import ReplayRecord, Served
 from trefoilspool.trace import RequestEvent, Trace
 from trefoilspool.workload import peak_rate
 
--- a/trefoilspool/trace.py
+++ b/trefoilspool/trace.py
@@ -5,7 +5,10 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple, TypedDict
 
+import xxhash
+
 from trefoilspool.errors import TraceError
+from trefoilspool.ladder import BLOCK_TOKENS
 
 __all__ = [
     'EngineSpec',
@@ -14,6 +17,8 @@
     'Trace',
     'TraceHeader',
     'load_trace',
+    'make_header',
+    'rungs_of',
     'save_trace',
 ]
 
@@ -171,3 +176,15 @@
         'storm': storm,
         'engines': [list(engine) for engine in engines],
     }
+
+
+def rungs_of(request: RequestEvent) -> tuple[int, ...]:
+    """Return the prefix hashes of a request's prompt."""
+    rungs = []
+    depth = 0
+    while BLOCK_TOKENS << depth <= request.prompt_tokens:
+        shared = BLOCK_TOKENS << depth <= request.prefix_tokens
+        source = request.prefix if shared else str(request.number)
+        rungs.append(xxhash.xxh32_intdigest(f'{source}:{depth}'.encode()))
+        depth += 1
+    return tuple(rungs)
