Leave a host that hears nobody, and prove service through cuts

Cause, found with a wire between hosts that drops bytes: a host whose incoming frames are lost still sends heartbeats, so that the others kept it as a home and asked it in vain until their deadlines. Change: a heartbeat says whether its sender hears the receiver; one that does not is suspect.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -38,6 +39,40 @@
     raise AssertionError(f'waited {WAIT_S} s for {what}')
 
 
+class Wire:
+    """Passes connections on to a host's port for frames, or drops bytes."""
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+        self.cut = False
+        self.listener = socket.create_server((ADDRESS, 0))
+        self.port = int(self.listener.getsockname()[1])
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while self.listener.fileno() >= 0:
+                source = self.listener.accept()[0]
+                threading.Thread(
+                    target=self.copy,
+                    args=(source,),
+                    daemon=True,
+                ).start()
+
+    def copy(self, source: socket.socket) -> None:
+        """Copy one way; hosts send frames one way on a connection."""
+        with contextlib.suppress(OSError), source:
+            target = socket.create_connection((ADDRESS, self.target))
+            with target:
+                while chunk := source.recv(65536):
+                    if self.cut:
+                        return
+                    target.sendall(chunk)
+
+    def close(self) -> None:
+        self.listener.close()
+
+
 class Cluster:
     """Processes of one test; all are ended by ``close``."""
 
@@ -53,6 +88,8 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.ports: dict[str, int] = {}
         self.commands: dict[str, list[str]] = {}
+        self.peer_ports: dict[str, int] = {}
+        self.wires: dict[str, Wire] = {}
         self.flags = flags
         cells = {
             'cabrera': ('assistant', 'orders'),
@@ -93,12 +130,17 @@
 
     def host_entry(self, name: str) -> dict[str, Any]:
         self.ports[name] = free_port()
+        self.peer_ports[name] = free_port()
+        listed = self.peer_ports[name]
+        if self.flags.get('wires'):
+            self.wires[name] = Wire(listed)
+            listed = self.wires[name].port
         return {
             'name': name,
             'data_centre': 'dc1',
             'address': ADDRESS,
             'http_port': self.ports[name],
-            'peer_port': free_port(),
+            'peer_port': listed,
             'state': 'live',
         }
 
@@ -135,10 +177,9 @@
             )
 
     def start_host(self, name: str) -> None:
-        entry = next(one for one in self.hosts if one['name'] == name)
         flags = {
             'name': name,
-            'peer_port': entry['peer_port'],
+            'peer_port': self.peer_ports[name],
             'log_url': self.url('log'),
             'roster_url': self.url('roster'),
             'ticket_secret': 'test-secret-of-16-chars',
@@ -238,6 +279,8 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        for wire in self.wires.values():
+            wire.close()
         self.folder.cleanup()
 
 
@@ -245,6 +288,7 @@
 def cluster(**options: Any) -> Iterator[Cluster]:
     made = Cluster.__new__(Cluster)
     made.processes = {}
+    made.wires = {}
     try:
         made.__init__(**options)  # type: ignore[misc]
         yield made
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -128,6 +128,14 @@
         members.on_beat('h1', Beat(1, HostState.live, 0), 1)
         assert not members.view(1).homes
 
+    def test_deaf_host_is_no_home(self) -> None:
+        members = Membership('h0')
+        members.on_list(Roster((self.entry('h1'),), ()))
+        beat = Beat(1, HostState.live, 0, hears=False)
+        members.on_beat('h1', beat, 1)
+        assert members.view(1).states['h1'] is HostState.suspect
+        assert not members.view(1).homes
+
 
 class TestRetryBudget:
     def test_storm_is_bounded(self) -> None:
--- a/trefoilspool/benches/membership.py
+++ b/trefoilspool/benches/membership.py
@@ -54,7 +54,7 @@
 
     def measure(self, size: int) -> float:
         """Return the bytes that one host sends in a round."""
-        beat = ttypes.Beat(1 << 60, int(HostState.live), 123_456, 0)
+        beat = ttypes.Beat(1 << 60, int(HostState.live), 123_456, hears=True)
         frame = encode(ttypes.Frame(sender='host-017', beat=beat))
         return float(len(frame) * (size - 1))
 
--- a/trefoilspool/host.py
+++ b/trefoilspool/host.py
@@ -202,16 +202,19 @@
         if link is not None:
             link.post(wire_item(field, element))
 
-    def send_beat(self, beat: Beat) -> None:
-        """Send a heartbeat to all peers."""
-        frame = ttypes.Beat(
-            beat.incarnation,
-            int(beat.state),
-            beat.settings_offset,
-            0,
-        )
-        for link in list(self.links.values()):
-            link.post(Item('beat', frame))
+    def send_beat(self, host: str, beat: Beat) -> None:
+        """Send a heartbeat to a peer."""
+        if host != self.name:
+            self.send(
+                host,
+                'beat',
+                ttypes.Beat(
+                    beat.incarnation,
+                    int(beat.state),
+                    beat.settings_offset,
+                    beat.hears,
+                ),
+            )
 
     def publish(self, view: View) -> None:
         """Put a new view in force; called by the roster task only."""
--- a/trefoilspool/membership.py
+++ b/trefoilspool/membership.py
@@ -25,11 +25,19 @@
 
 
 class Beat(NamedTuple):
-    """A heartbeat of a host."""
+    """A heartbeat of a host.
+
+    Attributes
+    ----------
+    hears : bool
+        Whether the sender has heard of the receiver lately; if not, it is of
+        no use to the receiver, though it lives.
+    """
 
     incarnation: int
     state: HostState
     settings_offset: int
+    hears: bool = True
 
 
 class Member(NamedTuple):
@@ -118,10 +126,17 @@
             return HostState.gone
         if silence >= SUSPECT_AFTER_S:
             return HostState.suspect
+        if not member.beat.hears:
+            return HostState.suspect
         if entry.state == 'leaving':
             return HostState.leaving
         return member.beat.state
 
+    def hears(self, host: str, now: float) -> bool:
+        """Tell whether a host was heard of lately."""
+        member = self.members.get(host)
+        return member is not None and now - member.heard_at < SUSPECT_AFTER_S
+
     def view(self, now: float) -> View:
         """Return the picture at a time."""
         hosts = {entry.name: entry for entry in self.roster.hosts}
--- a/trefoilspool/pages.py
+++ b/trefoilspool/pages.py
@@ -69,6 +69,10 @@
                 'settings_version': self.host.settings.version,
                 'open_requests': self.host.pipeline.open,
                 'hosts': {name: state.name for name, state in states.items()},
+                'permits': {
+                    name: len(cell.state.permits)
+                    for name, cell in self.host.scheduler.cells.items()
+                },
                 'homes': {
                     entry.cell: home_of(entry.cell, view.homes)
                     for entry in view.endpoints
--- a/trefoilspool/roster.py
+++ b/trefoilspool/roster.py
@@ -54,7 +54,7 @@
     publish : callable
         Called with each new view.
     beat : callable
-        Sends a heartbeat to all peers.
+        Sends a heartbeat to a peer.
     ready : callable
         Tells whether this host can serve.
     version : callable
@@ -67,7 +67,7 @@
         incarnation: int,
         listing: HostList,
         publish: Callable[[View], None],
-        beat: Callable[[Beat], None],
+        beat: Callable[[str, Beat], None],
         ready: Callable[[], bool],
         version: Callable[[], int],
     ) -> None:
@@ -101,7 +101,9 @@
             self.read_list()
         beat = Beat(self.incarnation, self.own_state(), self.version())
         self.membership.on_beat(self.host, beat, time.monotonic())
-        self.beat(beat)
+        for entry in self.membership.roster.hosts:
+            hears = self.membership.hears(entry.name, now)
+            self.beat(entry.name, beat._replace(hears=hears))
         view = self.membership.view(time.monotonic())
         if view != self.last:
             self.last = view
--- a/trefoilspool/router.py
+++ b/trefoilspool/router.py
@@ -63,6 +63,7 @@
             wire.incarnation,
             HostState(wire.state),
             wire.settings_offset,
+            wire.hears,
         )
         self.tasks.roster.post(Heard(sender, beat))
         self.tasks.settings.post(PeerOffset(sender, beat.settings_offset))
--- a/trefoilspool/wire/gen/peer/ttypes.py
+++ b/trefoilspool/wire/gen/peer/ttypes.py
@@ -659,16 +659,16 @@
      - incarnation
      - state
      - settings_offset
-     - claims_offset
+     - hears
 
     """
 
 
-    def __init__(self, incarnation=None, state=None, settings_offset=None, claims_offset=None,):
+    def __init__(self, incarnation=None, state=None, settings_offset=None, hears=None,):
         self.incarnation = incarnation
         self.state = state
         self.settings_offset = settings_offset
-        self.claims_offset = claims_offset
+        self.hears = hears
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -695,8 +695,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I64:
-                    self.claims_offset = iprot.readI64()
+                if ftype == TType.BOOL:
+                    self.hears = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -721,9 +721,9 @@
             oprot.writeFieldBegin('settings_offset', TType.I64, 3)
             oprot.writeI64(self.settings_offset)
             oprot.writeFieldEnd()
-        if self.claims_offset is not None:
-            oprot.writeFieldBegin('claims_offset', TType.I64, 4)
-            oprot.writeI64(self.claims_offset)
+        if self.hears is not None:
+            oprot.writeFieldBegin('hears', TType.BOOL, 4)
+            oprot.writeBool(self.hears)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1346,7 +1346,7 @@
     (1, TType.I64, 'incarnation', None, None, ),  # 1
     (2, TType.BYTE, 'state', None, None, ),  # 2
     (3, TType.I64, 'settings_offset', None, None, ),  # 3
-    (4, TType.I64, 'claims_offset', None, None, ),  # 4
+    (4, TType.BOOL, 'hears', None, None, ),  # 4
 )
 all_structs.append(ClaimQuery)
 ClaimQuery.thrift_spec = (
--- a/trefoilspool/wire/peer.thrift
+++ b/trefoilspool/wire/peer.thrift
@@ -50,7 +50,7 @@
   1: i64 incarnation
   2: byte state
   3: i64 settings_offset
-  4: i64 claims_offset
+  4: bool hears            // whether the sender hears the receiver
 }
 struct ClaimQuery {
   1: i64 query
