--- a/trefoilspool/bench.py
+++ b/trefoilspool/bench.py
@@ -1,6 +1,7 @@
 """The base class of capacity benchmarks, and the fit of their slopes."""
 
 import csv
+import math
 import pathlib
 import statistics
 import time
@@ -52,6 +53,8 @@
         What is varied and what is measured.
     sizes : tuple of int
         At least four.
+    bound : float
+        The most that may be measured at any size, from the stated targets.
     """
 
     name: ClassVar[str]
@@ -59,6 +62,7 @@
     size_unit: ClassVar[str]
     unit: ClassVar[str]
     sizes: ClassVar[tuple[int, ...]]
+    bound: ClassVar[float] = math.inf
 
     @abstractmethod
     def measure(self, size: int) -> float:
--- a/trefoilspool/benchcommand.py
+++ b/trefoilspool/benchcommand.py
@@ -1,13 +1,14 @@
 """The commands that run benchmarks and write their rows and plots."""
 
+import math
 import pathlib
 from collections.abc import Sequence
 
 from trefoilspool.bench import Bench, Row, Slope, fit
 from trefoilspool.benches import BENCHES
-from trefoilspool.errors import OptionError
+from trefoilspool.errors import BoundError, OptionError
 
-__all__ = ['run_capacity']
+__all__ = ['check_bounds', 'run_capacity']
 
 HEADING = (
     '| benchmark | role | measured | per unit | at size 0 | largest error |\n'
@@ -46,6 +47,26 @@
     return text
 
 
+def check_bounds() -> str:
+    """Measure what has a bound, and compare.
+
+    Raises
+    ------
+    BoundError
+        When a measurement is over its bound.
+    """
+    lines = []
+    for kind in BENCHES:
+        if math.isfinite(kind.bound):
+            worst = max(row.measured for row in kind().run())
+            lines.append(
+                f'{kind.name}: {worst:.4g} of at most {kind.bound} {kind.unit}',
+            )
+            if worst > kind.bound:
+                raise BoundError(lines[-1])
+    return '\n'.join(lines)
+
+
 def format_slope(bench: Bench, slope: Slope) -> str:
     """Return a table row of a slope."""
     return (
--- a/trefoilspool/benches/scheduling.py
+++ b/trefoilspool/benches/scheduling.py
@@ -15,6 +15,7 @@
 SLOTS = 16
 REQUESTS = 400
 FAR_S = 1e6
+CONTROL_PATH_US = 500  # a request's whole control path
 
 
 def make_ask(number: int) -> events.Ask:
@@ -88,6 +89,7 @@
     size_unit = 'endpoints a cell'
     unit = 'microseconds a request'
     sizes = (4, 16, 32, 64, 128)
+    bound = CONTROL_PATH_US
 
     def measure(self, size: int) -> float:
         """Return the time of an ask, a grant and a release."""
@@ -105,6 +107,7 @@
     size_unit = 'waiting requests'
     unit = 'microseconds a request'
     sizes = (10, 100, 1000, 10_000)
+    bound = CONTROL_PATH_US
 
     def measure(self, size: int) -> float:
         """Return the time of an ask, a grant and a release."""
--- a/trefoilspool/benches/settings.py
+++ b/trefoilspool/benches/settings.py
@@ -42,6 +42,8 @@
     size_unit = 'workspaces'
     unit = 'microseconds an edit'
     sizes = (100, 500, 1000, 2700)
+    # 4.2% of a core at one edit every 8.8 s.
+    bound = 370_000
 
     def measure(self, size: int) -> float:
         """Return the time to fold an edit and publish the tree."""
@@ -79,6 +81,7 @@
     size_unit = 'workspaces'
     unit = 'bytes'
     sizes = (100, 500, 1000, 2700)
+    bound = 256_000_000
 
     def measure(self, size: int) -> float:
         """Return the bytes that a host keeps."""
--- a/trefoilspool/cmdline.py
+++ b/trefoilspool/cmdline.py
@@ -10,7 +10,7 @@
 import fire
 import logbook
 
-from trefoilspool.benchcommand import run_capacity
+from trefoilspool.benchcommand import check_bounds, run_capacity
 from trefoilspool.claimload import run_claims
 from trefoilspool.claims import MAX_BATCH
 from trefoilspool.errors import (
@@ -63,6 +63,10 @@
         """Measure the slopes of docs/CAPACITY.md into a folder."""
         return run_capacity(folder, only)
 
+    def check(self) -> str:
+        """Measure what has a bound; exit with 1 if one is exceeded."""
+        return check_bounds()
+
     def claims(self, callers: int = 50, seconds: float = 10) -> str:
         """Measure claims with one claim an append and with many."""
         return '\n'.join(
--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -33,6 +33,7 @@
     'SettingsError',
     'SettingsConflictError',
     'TicketError',
+    'BoundError',
     'TraceError',
     'TrefoilspoolError',
     'TrimmedError',
@@ -87,6 +88,10 @@
         self.key = key
 
 
+class BoundError(TrefoilspoolError):
+    """A benchmark measured more than its bound."""
+
+
 class TraceError(TrefoilspoolError):
     """A file is not a trace of the expected schema."""
 
