--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -1,4 +1,4 @@
-"""Options, the host's gate, request stories, recorded traces, examples."""
+"""Options, the host's gate, request descriptions, recorded traces, examples."""
 
 import json
 import os
--- a/trefoilspool/benches/frames.py
+++ b/trefoilspool/benches/frames.py
@@ -14,7 +14,7 @@
 
 
 def make_ask(number: int) -> events.Ask:
-    """Return an ask of usual size: a ladder of four rungs."""
+    """Return an ask of usual size: four prefix hashes."""
     return events.Ask(
         events.RequestKey('host-017', NUMBER + number * 64),
         'assistant',
--- a/trefoilspool/broker.py
+++ b/trefoilspool/broker.py
@@ -16,7 +16,7 @@
 from trefoilspool.wire import convert
 from trefoilspool.wire.gen.peer import ttypes
 
-__all__ = ['Abandon', 'Acquire', 'BrokerTask', 'FromHome', 'Seen']
+__all__ = ['Abandon', 'Acquire', 'BrokerTask', 'FromHome', 'TokensSeen']
 
 TICK_S = 0.1
 PACE_S = 0.5
@@ -42,7 +42,7 @@
     request: events.RequestKey
 
 
-class Seen(NamedTuple):
+class TokensSeen(NamedTuple):
     """Tokens that a relay saw from an endpoint since it last told."""
 
     endpoint: str
@@ -106,7 +106,7 @@
         """Repeat lost asks, answer expired ones and tell speeds."""
         now = time.monotonic()
         if now - self.ticked_at >= PAUSE_S:
-            self.tell_again()
+            self.resend_held()
         self.ticked_at = now
         for waiting in list(self.waiting.values()):
             if now >= waiting.ask.deadline:
@@ -120,7 +120,7 @@
             self.rolled_at = now
             self.send_rolls()
 
-    def tell_again(self) -> None:
+    def resend_held(self) -> None:
         """Tell all homes what is held, after this process was paused."""
         for cell, home in list(self.home_of_cell.items()):
             self.move(cell, home, home)
@@ -233,7 +233,7 @@
             home = self.home(permit.ask.cell) or self.host
             self.send(home, 'releases', convert.release_to_wire(release))
 
-    def on_seen(self, message: Seen) -> None:
+    def on_seen(self, message: TokensSeen) -> None:
         """Add up tokens by endpoint until the next pace is due."""
         streams, tokens, elapsed = self.seen.get(message.endpoint, (0, 0, 0))
         self.seen[message.endpoint] = (
@@ -328,7 +328,7 @@
     Acquire: BrokerTask.on_acquire,
     Abandon: BrokerTask.on_abandon,
     FromHome: BrokerTask.on_from_home,
-    Seen: BrokerTask.on_seen,
+    TokensSeen: BrokerTask.on_seen,
     events.Release: BrokerTask.on_release,
     View: BrokerTask.on_view,
 }
--- a/trefoilspool/cell.py
+++ b/trefoilspool/cell.py
@@ -125,7 +125,7 @@
             endpoint.health.observe_success()
             endpoint.rates.learn_release(event)
             self.state.lengths.learn(permit.ask, event.output_tokens)
-            self.state.prefixes.record(endpoint.name, permit.ask.ladder)
+            self.state.prefixes.record(endpoint.name, permit.ask.prefix_hashes)
         elif event.ending is not events.Ending.cancelled:
             endpoint.health.observe_failure(self.state.now)
 
@@ -296,10 +296,12 @@
         """Choose an endpoint and issue a permit."""
         state = self.state
         winner = self.policy.choose(ask, candidates)
-        cached = state.prefixes.cached_tokens(winner.endpoint, ask.ladder)
+        cached = state.prefixes.cached_tokens(
+            winner.endpoint, ask.prefix_hashes
+        )
         state.asked_at.pop(ask.request, None)
         state.book(ask, winner.endpoint, cached)
-        state.prefixes.record(winner.endpoint, ask.ladder)
+        state.prefixes.record(winner.endpoint, ask.prefix_hashes)
         taken = state.endpoints[winner.endpoint]
         if not self.open_to(taken):
             self.open.remove(taken)
--- a/trefoilspool/cellstate.py
+++ b/trefoilspool/cellstate.py
@@ -20,7 +20,7 @@
 ]
 
 TIERS = 4
-ROOMY = 2.0
+LONG_ANSWER_FACTOR = 2.0
 SAFETY = 1.25  # factor on predicted times when a deadline is judged
 SERVICE_TIME_S = 0.001
 BEST_TERM_S = 0.1
@@ -147,7 +147,7 @@
         """Return the predicted seconds until the answer is whole."""
         if ask.victim is events.VictimClass.service:
             return SERVICE_TIME_S
-        cached = self.prefixes.cached_tokens(endpoint.name, ask.ladder)
+        cached = self.prefixes.cached_tokens(endpoint.name, ask.prefix_hashes)
         finish = endpoint.rates.predict(ask, cached).finish
         factor = endpoint.health.score_factor
         return finish if math.isinf(factor) else finish * factor
@@ -158,7 +158,9 @@
         While lower-tier work could be revoked for a better place, a request
         takes only a place where an answer of twice the length would fit.
         """
-        factor = ROOMY if self.any_running_below(ask.tier) else SAFETY
+        factor = (
+            LONG_ANSWER_FACTOR if self.any_running_below(ask.tier) else SAFETY
+        )
         return finish * factor <= ask.deadline - self.now
 
     def running_below(self, tier: int) -> int:
--- a/trefoilspool/enginemodel.py
+++ b/trefoilspool/enginemodel.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from trefoilspool.events import RequestKey
-from trefoilspool.ladder import BLOCK_TOKENS
+from trefoilspool.prefixhash import BLOCK_TOKENS
 from trefoilspool.trace import EngineSpec
 
 __all__ = ['EngineModel', 'Sequence', 'StepResult']
@@ -21,7 +21,7 @@
         prompt: int,
         cached: int,
         remaining: int,
-        rungs: tuple[int, ...],
+        hashes: tuple[int, ...],
     ) -> None:
         self.request = request
         self.cached = cached
@@ -29,7 +29,7 @@
         self.computed = 0
         self.remaining = remaining
         self.produced = 0
-        self.rungs = rungs
+        self.hashes = hashes
         self.started_at = 0.0
         self.first_at = 0.0
 
@@ -62,10 +62,10 @@
         self.tokens = 0
         self.stream_seconds = 0.0
 
-    def cached(self, rungs: tuple[int, ...], prompt: int) -> int:
+    def cached(self, hashes: tuple[int, ...], prompt: int) -> int:
         """Return how many of a prompt's tokens are in the cache."""
-        for depth in range(len(rungs) - 1, -1, -1):
-            if rungs[depth] in self.cache:
+        for depth in range(len(hashes) - 1, -1, -1):
+            if hashes[depth] in self.cache:
                 return min(BLOCK_TOKENS << depth, prompt)
         return 0
 
@@ -106,7 +106,7 @@
                 sequence.prefill -= chunk
                 sequence.computed += chunk
                 if not sequence.prefill:
-                    done.evicted.extend(self.remember(sequence.rungs))
+                    done.evicted.extend(self.remember(sequence.hashes))
                 continue
             self.decode(sequence, now, took, done)
         for ended in done.finished:
@@ -132,14 +132,14 @@
         if sequence.remaining <= 0:
             done.finished.append(sequence)
 
-    def remember(self, rungs: tuple[int, ...]) -> list[int]:
+    def remember(self, hashes: tuple[int, ...]) -> list[int]:
         """Cache a prompt's prefixes; return what was evicted."""
-        for depth, rung in enumerate(rungs):
+        for depth, hashed in enumerate(hashes):
             size = BLOCK_TOKENS << max(0, depth - 1)
-            if rung not in self.cache:
+            if hashed not in self.cache:
                 self.cached_tokens += size
-            self.cache.pop(rung, None)
-            self.cache[rung] = size
+            self.cache.pop(hashed, None)
+            self.cache[hashed] = size
         return self.evict()
 
     def evict(self) -> list[int]:
--- a/trefoilspool/events.py
+++ b/trefoilspool/events.py
@@ -90,7 +90,7 @@
     prompt_tokens: int
     output_tokens: int
     victim: VictimClass
-    ladder: tuple[int, ...] = ()
+    prefix_hashes: tuple[int, ...] = ()
     avoid: tuple[str, ...] = ()
     interactive: bool = False
 
--- a/trefoilspool/filters/classify.py
+++ b/trefoilspool/filters/classify.py
@@ -25,7 +25,7 @@
     Job,
     Progress,
 )
-from trefoilspool.ladder import count_tokens, ladder
+from trefoilspool.prefixhash import count_tokens, prefix_hashes
 from trefoilspool.tree import KindPlace
 
 __all__ = ['Classify', 'prompt_of']
@@ -86,7 +86,7 @@
             prompt_tokens=count_tokens(prompt),
             output_tokens=output_tokens(body, settings.output_tokens),
             victim=victim_class(place),
-            ladder=ladder(prompt),
+            prefix_hashes=prefix_hashes(prompt),
             interactive=settings.interactive,
         )
         return Job(
--- a/trefoilspool/filters/relay.py
+++ b/trefoilspool/filters/relay.py
@@ -10,7 +10,7 @@
 from trefoilspool import events
 from trefoilspool.answers import stream_events, text_of, whole_body
 from trefoilspool.attempts import Attempts
-from trefoilspool.broker import BrokerTask, Seen
+from trefoilspool.broker import BrokerTask, TokensSeen
 from trefoilspool.endpoint import Token
 from trefoilspool.errors import (
     DeadlineError,
@@ -45,8 +45,8 @@
         self.started = time.monotonic()
         self.first = 0.0
         self.tokens = 0
-        self.told_at = self.started
-        self.told_tokens = 0
+        self.reported_at = self.started
+        self.reported_tokens = 0
 
 
 class Relay(Filter[OpenAnswer, Answer]):
@@ -180,25 +180,25 @@
             arrival = opened.claimed.job.arrival
             progress = opened.claimed.job.progress
             reading.first = now
-            reading.told_at = now
+            reading.reported_at = now
             progress.first_token_s = progress.first_token_s or (
                 now - arrival.arrived
             )
         reading.tokens += 1
-        if now - reading.told_at >= TELL_S:
-            self.tell(opened, reading, now)
+        if now - reading.reported_at >= TELL_S:
+            self.report(opened, reading, now)
 
-    def tell(self, opened: OpenAnswer, reading: Reading, now: float) -> None:
+    def report(self, opened: OpenAnswer, reading: Reading, now: float) -> None:
         """Report the tokens since the last report."""
         self.broker.post(
-            Seen(
+            TokensSeen(
                 opened.permit.endpoint,
-                reading.tokens - reading.told_tokens,
-                now - reading.told_at,
+                reading.tokens - reading.reported_tokens,
+                now - reading.reported_at,
             )
         )
-        reading.told_at = now
-        reading.told_tokens = reading.tokens
+        reading.reported_at = now
+        reading.reported_tokens = reading.tokens
 
     def end(
         self,
--- a/trefoilspool/membership.py
+++ b/trefoilspool/membership.py
@@ -53,7 +53,7 @@
     Attributes
     ----------
     hosts : mapping
-        Listed hosts by name.
+        ListRead hosts by name.
     states : mapping
         State of each host.
     homes : tuple of str
--- a/trefoilspool/options.py
+++ b/trefoilspool/options.py
@@ -126,10 +126,11 @@
     except ValidationError as error:
         first = error.errors()[0]
         name = str(first['loc'][0])
+        missing = first['type'] == 'missing'
         field = kind.model_fields.get(name)
         about = field.description if field else 'a known option'
         raise OptionError(
             name.replace('_', '-'),
-            first.get('input'),
+            'no value' if missing else first.get('input'),
             f'{about} ({first["msg"]})',
         ) from None
--- a/trefoilspool/prefix.py
+++ b/trefoilspool/prefix.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 
-from trefoilspool.ladder import BLOCK_TOKENS
+from trefoilspool.prefixhash import BLOCK_TOKENS
 
 __all__ = ['PrefixIndex']
 
@@ -21,28 +21,28 @@
         self.holders: OrderedDict[int, dict[str, int]] = OrderedDict()
         self.epochs: dict[str, int] = {}
 
-    def record(self, endpoint: str, rungs: Sequence[int]) -> None:
+    def record(self, endpoint: str, hashes: Sequence[int]) -> None:
         """Note that an endpoint has computed these prefixes."""
         epoch = self.epochs.setdefault(endpoint, 0)
-        for rung in rungs:
-            holders = self.holders.pop(rung, {})
+        for hashed in hashes:
+            holders = self.holders.pop(hashed, {})
             holders[endpoint] = epoch
-            self.holders[rung] = holders
+            self.holders[hashed] = holders
         while len(self.holders) > MAX_HASHES:
             self.holders.popitem(last=False)
 
-    def cached_tokens(self, endpoint: str, rungs: Sequence[int]) -> int:
+    def cached_tokens(self, endpoint: str, hashes: Sequence[int]) -> int:
         """Return the tokens of the longest prefix the endpoint holds."""
         epoch = self.epochs.get(endpoint, 0)
-        for depth in range(len(rungs) - 1, -1, -1):
-            if self.holders.get(rungs[depth], {}).get(endpoint) == epoch:
+        for depth in range(len(hashes) - 1, -1, -1):
+            if self.holders.get(hashes[depth], {}).get(endpoint) == epoch:
                 return BLOCK_TOKENS << depth
         return 0
 
-    def drop(self, endpoint: str, rungs: Sequence[int]) -> None:
+    def drop(self, endpoint: str, hashes: Sequence[int]) -> None:
         """Forget prefixes that the endpoint evicted."""
-        for rung in rungs:
-            self.holders.get(rung, {}).pop(endpoint, None)
+        for hashed in hashes:
+            self.holders.get(hashed, {}).pop(endpoint, None)
 
     def forget(self, endpoint: str) -> None:
         """Forget all of an endpoint, as after a gap in its events."""
--- a/trefoilspool/ladder.py
+++ b/trefoilspool/prefixhash.py
@@ -5,12 +5,12 @@
 
 import xxhash
 
-__all__ = ['BLOCK_TOKENS', 'count_tokens', 'ladder', 'pack', 'unpack']
+__all__ = ['BLOCK_TOKENS', 'count_tokens', 'prefix_hashes', 'pack', 'unpack']
 
 BLOCK_TOKENS = 32
 CHARS_PER_TOKEN = 4
 BLOCK_CHARS = BLOCK_TOKENS * CHARS_PER_TOKEN
-MAX_RUNGS = 10
+MAX_DEPTH = 10
 HASH_BYTES = 4
 
 
@@ -19,7 +19,7 @@
     return max(1, len(text) // CHARS_PER_TOKEN)
 
 
-def ladder(text: str) -> tuple[int, ...]:
+def prefix_hashes(text: str) -> tuple[int, ...]:
     """Hash the prompt's first 1, 2, 4, ... blocks.
 
     Parameters
@@ -32,20 +32,20 @@
     tuple of int
         32-bit hashes; entry ``i`` covers ``BLOCK_TOKENS * 2 ** i`` tokens.
     """
-    rungs = []
-    for rung in range(MAX_RUNGS):
-        end = BLOCK_CHARS << rung
+    hashes = []
+    for depth in range(MAX_DEPTH):
+        end = BLOCK_CHARS << depth
         if end > len(text):
             break
-        rungs.append(xxhash.xxh32_intdigest(text[:end].encode()))
-    return tuple(rungs)
+        hashes.append(xxhash.xxh32_intdigest(text[:end].encode()))
+    return tuple(hashes)
 
 
-def pack(rungs: Sequence[int]) -> bytes:
-    """Return the wire form of a ladder."""
-    return struct.pack(f'<{len(rungs)}I', *rungs)
+def pack(hashes: Sequence[int]) -> bytes:
+    """Return the wire form of prefix hashes."""
+    return struct.pack(f'<{len(hashes)}I', *hashes)
 
 
 def unpack(raw: bytes) -> tuple[int, ...]:
-    """Return the ladder of its wire form."""
+    """Return the prefix hashes of their wire form."""
     return struct.unpack(f'<{len(raw) // HASH_BYTES}I', raw)
--- a/trefoilspool/replay.py
+++ b/trefoilspool/replay.py
@@ -15,7 +15,7 @@
 from trefoilspool.policies import POLICIES
 from trefoilspool.replayrecord import GrantSeen, ReplayRecord, Served
 from trefoilspool.retries import RetryBudget
-from trefoilspool.trace import FaultEvent, RequestEvent, Trace, rungs_of
+from trefoilspool.trace import FaultEvent, RequestEvent, Trace, hashes_of
 
 __all__ = ['Replay']
 
@@ -139,7 +139,7 @@
     def pace(self, until: float) -> None:
         """Tell speeds as entries see them, and late load reports."""
         for engine in self.engines.values():
-            self.tell_pace(engine)
+            self.send_pace(engine)
         loads = {
             one.spec.name: len(one.batch) + len(one.queue)
             for one in self.engines.values()
@@ -152,7 +152,7 @@
         if self.now < until:
             self.at(self.now + PACE_S, self.pace, until)
 
-    def tell_pace(self, engine: EngineModel) -> None:
+    def send_pace(self, engine: EngineModel) -> None:
         """Tell the speed of one engine and start its next interval."""
         if engine.stream_seconds:
             streams = max(1, round(engine.stream_seconds / PACE_S))
@@ -197,7 +197,7 @@
             request.prompt_tokens + live.relayed,
             request.allowed_tokens - live.relayed,
             events.VictimClass(request.victim),
-            rungs_of(request),
+            hashes_of(request),
             live.avoid,
             request.interactive,
         )
@@ -223,11 +223,11 @@
         request: events.RequestKey,
     ) -> None:
         """Start a sequence."""
-        rungs = rungs_of(live.request)
+        hashes = hashes_of(live.request)
         prompt = live.request.prompt_tokens + live.relayed
-        cached = engine.cached(rungs, prompt)
+        cached = engine.cached(hashes, prompt)
         best = max(
-            one.cached(rungs, prompt)
+            one.cached(hashes, prompt)
             for one in self.engines.values()
             if one.alive
         )
@@ -236,7 +236,7 @@
             prompt,
             cached,
             live.request.output_tokens - live.relayed,
-            rungs,
+            hashes,
         )
         sequence.started_at = self.now
         live.endpoint = engine.spec.name
--- a/trefoilspool/roster.py
+++ b/trefoilspool/roster.py
@@ -22,7 +22,7 @@
 from trefoilspool.scheduler import Reports
 from trefoilspool.task import Task
 
-__all__ = ['Heard', 'Leave', 'ReportTask', 'RosterTask']
+__all__ = ['BeatReceived', 'Leave', 'ReportTask', 'RosterTask']
 
 BEAT_S = 0.5
 LIST_S = 1.0
@@ -31,7 +31,7 @@
 logger = logbook.Logger('roster')
 
 
-class Heard(NamedTuple):
+class BeatReceived(NamedTuple):
     """A peer's heartbeat."""
 
     host: str
@@ -42,7 +42,7 @@
     """Tell that this host is shutting down."""
 
 
-class Listed(NamedTuple):
+class ListRead(NamedTuple):
     """A reading of the list ended; None if it failed."""
 
     roster: Roster | None
@@ -97,10 +97,10 @@
 
     def handle(self, message: object) -> None:
         """Take a heartbeat, or start leaving."""
-        if isinstance(message, Heard):
+        if isinstance(message, BeatReceived):
             now = time.monotonic()
             self.membership.on_beat(message.host, message.beat, now)
-        elif isinstance(message, Listed):
+        elif isinstance(message, ListRead):
             self.on_listed(message)
         elif isinstance(message, Leave):
             self.leaving = True
@@ -137,12 +137,12 @@
     def read_list(self) -> None:
         """Read the platform's list on an executor thread."""
         try:
-            self.post(Listed(self.listing.fetch()))
+            self.post(ListRead(self.listing.fetch()))
         except LogError as error:
             logger.debug('host list not read: {}', error)
-            self.post(Listed(None))
+            self.post(ListRead(None))
 
-    def on_listed(self, message: Listed) -> None:
+    def on_listed(self, message: ListRead) -> None:
         """Take the list; keep the last one through an outage."""
         self.reading = False
         if message.roster is not None:
--- a/trefoilspool/router.py
+++ b/trefoilspool/router.py
@@ -6,7 +6,7 @@
 from trefoilspool.broker import BrokerTask, FromHome
 from trefoilspool.membership import Beat, HostState
 from trefoilspool.queries import QueryTask
-from trefoilspool.roster import Heard, RosterTask
+from trefoilspool.roster import BeatReceived, RosterTask
 from trefoilspool.scheduler import FIELD_HANDLERS, FromEntry, SchedulerTask
 from trefoilspool.settingstask import (
     PeerOffset,
@@ -65,7 +65,7 @@
             wire.settings_offset,
             wire.hears,
         )
-        self.tasks.roster.post(Heard(sender, beat))
+        self.tasks.roster.post(BeatReceived(sender, beat))
         self.tasks.settings.post(PeerOffset(sender, beat.settings_offset))
 
     def deliver_field(
--- a/trefoilspool/standins/engine.py
+++ b/trefoilspool/standins/engine.py
@@ -10,8 +10,8 @@
 from typing import ClassVar
 
 from trefoilspool.filters.classify import prompt_of
-from trefoilspool.ladder import BLOCK_TOKENS, count_tokens, ladder
 from trefoilspool.options import StandinOptions
+from trefoilspool.prefixhash import BLOCK_TOKENS, count_tokens, prefix_hashes
 from trefoilspool.standin import (
     CutError,
     Reply,
@@ -59,7 +59,7 @@
         self.prompt = prompt
         self.next = start
         self.end = answer_tokens(prompt, allowed)
-        self.rungs = ladder(prompt)
+        self.hashes = prefix_hashes(prompt)
         self.cached = 0
         self.prefill = count_tokens(prompt)
         self.cancelled = False
@@ -145,13 +145,13 @@
         """Compute a part of a prompt."""
         sequence.prefill -= chunk
         if sequence.prefill <= 0:
-            self.remember(sequence.rungs)
+            self.remember(sequence.hashes)
 
-    def remember(self, rungs: tuple[int, ...]) -> None:
+    def remember(self, hashes: tuple[int, ...]) -> None:
         """Put prefixes into the cache and evict the oldest."""
-        for rung in rungs:
-            self.cache.pop(rung, None)
-            self.cache[rung] = None
+        for hashed in hashes:
+            self.cache.pop(hashed, None)
+            self.cache[hashed] = None
         while len(self.cache) > self.options.cache_blocks:
             evicted, _ = self.cache.popitem(last=False)
             self.event_count += 1
@@ -198,8 +198,8 @@
         after = int(request.query.get('from', 0))
         known = time.monotonic() - self.options.lag_s
         return [
-            (number, rung)
-            for number, at, rung in list(self.events)
+            (number, hashed)
+            for number, at, hashed in list(self.events)
             if number > after and at <= known
         ]
 
@@ -209,8 +209,8 @@
         prompt = prompt_of(body)
         start = int(request.header('X-Resume-Offset') or 0)
         one = Sequence(prompt, int(body['max_tokens']), start)
-        for depth, rung in enumerate(one.rungs):
-            if rung in self.cache:
+        for depth, hashed in enumerate(one.hashes):
+            if hashed in self.cache:
                 one.cached = min(BLOCK_TOKENS << depth, one.prefill)
         one.prefill = max(1, one.prefill - one.cached)
         entry: dict[str, object] = {
--- a/trefoilspool/trace.py
+++ b/trefoilspool/trace.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from trefoilspool.errors import TraceError
-from trefoilspool.ladder import BLOCK_TOKENS
+from trefoilspool.prefixhash import BLOCK_TOKENS
 
 __all__ = [
     'EngineSpec',
@@ -18,7 +18,7 @@
     'TraceHeader',
     'load_trace',
     'make_header',
-    'rungs_of',
+    'hashes_of',
     'save_trace',
 ]
 
@@ -178,13 +178,13 @@
     }
 
 
-def rungs_of(request: RequestEvent) -> tuple[int, ...]:
+def hashes_of(request: RequestEvent) -> tuple[int, ...]:
     """Return the prefix hashes of a request's prompt."""
-    rungs = []
+    hashes = []
     depth = 0
     while BLOCK_TOKENS << depth <= request.prompt_tokens:
         shared = BLOCK_TOKENS << depth <= request.prefix_tokens
         source = request.prefix if shared else str(request.number)
-        rungs.append(xxhash.xxh32_intdigest(f'{source}:{depth}'.encode()))
+        hashes.append(xxhash.xxh32_intdigest(f'{source}:{depth}'.encode()))
         depth += 1
-    return tuple(rungs)
+    return tuple(hashes)
--- a/trefoilspool/why.py
+++ b/trefoilspool/why.py
@@ -1,4 +1,4 @@
-"""The story of one request, from the decision logs of all hosts."""
+"""The text of one request, from the decision logs of all hosts."""
 
 import json
 import pathlib
@@ -10,7 +10,7 @@
 __all__ = ['find_lines', 'parse_line', 'tell']
 
 
-STORIES = {
+DESCRIPTIONS = {
     'claim': 'claimed its key in the log',
     'dispatch': 'was sent to {endpoint}, attempt {attempt}',
     'forward': 'was passed to host {to}, which its ticket names',
@@ -65,18 +65,18 @@
     """Return a line of text for each decision."""
     if not lines:
         return f'no decision on {request} in these logs'
-    return '\n'.join(tell_one(line, request) for line in lines)
+    return '\n'.join(describe(line, request) for line in lines)
 
 
-def tell_one(line: dict[str, Any], request: str) -> str:
+def describe(line: dict[str, Any], request: str) -> str:
     """Return the text of one decision."""
     prefix = f'{line["time"]} {line["host"]}:'
     if line.get('cause') == request:
         victim = line['request']
         return f'{prefix} took the place of {victim} on {line["endpoint"]}'
-    story = STORIES.get(line['decision'], line['decision']).format(**line)
+    text = DESCRIPTIONS.get(line['decision'], line['decision']).format(**line)
     losers = line.get('losers')
     if losers:
         others = ', '.join(f'{name} {score} s' for name, score in losers)
-        story = f'{story}; others: {others}'
-    return f'{prefix} {story}'
+        text = f'{text}; others: {others}'
+    return f'{prefix} {text}'
--- a/trefoilspool/wire/convert.py
+++ b/trefoilspool/wire/convert.py
@@ -3,7 +3,7 @@
 Deadlines travel as remaining milliseconds, since hosts share no clock.
 """
 
-from trefoilspool import events, ladder
+from trefoilspool import events, prefixhash
 from trefoilspool.wire.gen.peer import ttypes
 
 __all__ = [
@@ -28,7 +28,7 @@
         prompt_tokens=ask.prompt_tokens,
         output_tokens=ask.output_tokens,
         victim_class=int(ask.victim),
-        ladder=ladder.pack(ask.ladder),
+        prefix_hashes=prefixhash.pack(ask.prefix_hashes),
         kind=ask.kind,
         avoid=list(ask.avoid),
         interactive=ask.interactive,
@@ -48,7 +48,7 @@
         prompt_tokens=wire.prompt_tokens,
         output_tokens=wire.output_tokens,
         victim=events.VictimClass(wire.victim_class),
-        ladder=ladder.unpack(wire.ladder or b''),
+        prefix_hashes=prefixhash.unpack(wire.prefix_hashes or b''),
         avoid=tuple(wire.avoid or ()),
         interactive=bool(wire.interactive),
     )
--- a/trefoilspool/wire/gen/peer/ttypes.py
+++ b/trefoilspool/wire/gen/peer/ttypes.py
@@ -28,7 +28,7 @@
      - prompt_tokens
      - output_tokens
      - victim_class
-     - ladder
+     - prefix_hashes
      - kind
      - avoid
      - interactive
@@ -36,7 +36,7 @@
     """
 
 
-    def __init__(self, request=None, cell=None, workspace=None, tier=None, weight=None, deadline_ms=None, prompt_tokens=None, output_tokens=None, victim_class=None, ladder=None, kind=None, avoid=None, interactive=None,):
+    def __init__(self, request=None, cell=None, workspace=None, tier=None, weight=None, deadline_ms=None, prompt_tokens=None, output_tokens=None, victim_class=None, prefix_hashes=None, kind=None, avoid=None, interactive=None,):
         self.request = request
         self.cell = cell
         self.workspace = workspace
@@ -46,7 +46,7 @@
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
         self.victim_class = victim_class
-        self.ladder = ladder
+        self.prefix_hashes = prefix_hashes
         self.kind = kind
         self.avoid = avoid
         self.interactive = interactive
@@ -107,7 +107,7 @@
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.STRING:
-                    self.ladder = iprot.readBinary()
+                    self.prefix_hashes = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
@@ -176,9 +176,9 @@
             oprot.writeFieldBegin('victim_class', TType.BYTE, 9)
             oprot.writeByte(self.victim_class)
             oprot.writeFieldEnd()
-        if self.ladder is not None:
-            oprot.writeFieldBegin('ladder', TType.STRING, 10)
-            oprot.writeBinary(self.ladder)
+        if self.prefix_hashes is not None:
+            oprot.writeFieldBegin('prefix_hashes', TType.STRING, 10)
+            oprot.writeBinary(self.prefix_hashes)
             oprot.writeFieldEnd()
         if self.kind is not None:
             oprot.writeFieldBegin('kind', TType.STRING, 11)
@@ -1296,7 +1296,7 @@
     (7, TType.I32, 'prompt_tokens', None, None, ),  # 7
     (8, TType.I32, 'output_tokens', None, None, ),  # 8
     (9, TType.BYTE, 'victim_class', None, None, ),  # 9
-    (10, TType.STRING, 'ladder', 'BINARY', None, ),  # 10
+    (10, TType.STRING, 'prefix_hashes', 'BINARY', None, ),  # 10
     (11, TType.STRING, 'kind', 'UTF8', None, ),  # 11
     (12, TType.LIST, 'avoid', (TType.STRING, 'UTF8', False), None, ),  # 12
     (13, TType.BOOL, 'interactive', None, None, ),  # 13
--- a/trefoilspool/wire/peer.thrift
+++ b/trefoilspool/wire/peer.thrift
@@ -12,7 +12,7 @@
   7: i32 prompt_tokens
   8: i32 output_tokens
   9: byte victim_class
-  10: binary ladder         // 4-byte prefix hashes at power-of-two depths
+  10: binary prefix_hashes         // 4-byte prefix hashes at power-of-two depths
   11: string kind
   12: list<string> avoid
   13: bool interactive
