--- a/scripts/bench-path.sh
+++ b/scripts/bench-path.sh
@@ -3,18 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 sh scripts/environment.sh
-run=$(mktemp -d)
-pids=""
-start() {
-    .venv/bin/trefoilspool "$@" 2>>"$run/log.jsonl" &
-    pids="$pids $!"
-}
-stop() {
-    for pid in $pids; do kill "$pid" 2>/dev/null || true; done
-    for pid in $pids; do wait "$pid" 2>/dev/null || true; done
-    rm -rf "$run"
-}
-trap stop EXIT INT TERM
+. scripts/processes.sh
 export TREFOILSPOOL_LOG_URL=http://127.0.0.1:8001
 export TREFOILSPOOL_ROSTER_URL=http://127.0.0.1:8002
 export TREFOILSPOOL_TICKET_SECRET=bench-secret-of-16
--- /dev/null
+++ b/scripts/processes.sh
@@ -0,0 +1,13 @@
+# Sourced by scripts that start processes on loopback and stop them at exit.
+run=$(mktemp -d)
+pids=""
+start() {
+    .venv/bin/trefoilspool "$@" 2>>"$run/log.jsonl" &
+    pids="$pids $!"
+}
+stop() {
+    for pid in $pids; do kill "$pid" 2>/dev/null || true; done
+    for pid in $pids; do wait "$pid" 2>/dev/null || true; done
+    rm -rf "$run"
+}
+trap stop EXIT INT TERM
--- a/trefoilspool/broker.py
+++ b/trefoilspool/broker.py
@@ -11,8 +11,8 @@
 from trefoilspool import events
 from trefoilspool.errors import DeadlineError, OverloadedError
 from trefoilspool.membership import View, home_of
+from trefoilspool.peertask import PeerTask, Send
 from trefoilspool.permit import Permit, PermitResult
-from trefoilspool.task import Task
 from trefoilspool.wire import convert
 from trefoilspool.wire.gen.peer import ttypes
 
@@ -68,25 +68,11 @@
         self.sent_at = 0.0
 
 
-class BrokerTask(Task):
-    """Owns this host's asks and permits.
-
-    Parameters
-    ----------
-    host : str
-        This host.
-    send : callable
-        Sends a list item to a host: host, frame field, element.
-    """
-
-    def __init__(
-        self,
-        host: str,
-        send: Callable[[str, str, object], None],
-    ) -> None:
-        super().__init__(TICK_S)
-        self.host = host
-        self.send = send
+class BrokerTask(PeerTask):
+    """Owns this host's asks and permits."""
+
+    def __init__(self, host: str, send: Send) -> None:
+        super().__init__(TICK_S, host, send)
         self.view: View | None = None
         self.waiting: dict[int, Waiting] = {}
         self.held: dict[int, Permit] = {}
--- a/trefoilspool/queries.py
+++ b/trefoilspool/queries.py
@@ -1,10 +1,10 @@
 """The task that asks other hosts for results of once-only requests."""
 
 import time
-from collections.abc import Callable
 from concurrent.futures import Future
 from typing import NamedTuple
 
+from trefoilspool.peertask import Send
 from trefoilspool.results import ResultState, ResultStore, StoredResult
 from trefoilspool.task import Task
 from trefoilspool.wire.gen.peer import ttypes
@@ -39,13 +39,13 @@
     results : ResultStore
         Results of this host.
     send : callable
-        Sends a list item to a host: host, frame field, element.
+        Sends an element to a host: host, frame field, element.
     """
 
     def __init__(
         self,
         results: ResultStore,
-        send: Callable[[str, str, object], None],
+        send: Send,
     ) -> None:
         super().__init__(TICK_S)
         self.results = results
--- a/trefoilspool/replay.py
+++ b/trefoilspool/replay.py
@@ -13,6 +13,7 @@
 from trefoilspool.cell import Cell
 from trefoilspool.enginemodel import EngineModel, Sequence
 from trefoilspool.policies import POLICIES
+from trefoilspool.replayfaults import FAULTS
 from trefoilspool.replayrecord import GrantSeen, ReplayRecord, Served
 from trefoilspool.retries import RetryBudget
 from trefoilspool.trace import FaultEvent, RequestEvent, Trace, hashes_of
@@ -21,7 +22,6 @@
 
 TICK_S = 0.05
 PACE_S = 0.5
-COLLECT_S = 1.0
 RETRY_SHARE = 0.1
 STORM_WAIT_S = 0.5
 SETTLE_S = 5.0
@@ -379,57 +379,9 @@
         """Apply a fault."""
         FAULTS[fault.fault](self, fault)
 
-    def fault_speed(self, fault: FaultEvent) -> None:
-        """Change an engine's speed."""
-        self.engines[fault.endpoint].speed = fault.amount
-
-    def fault_leave(self, fault: FaultEvent) -> None:
-        """Tell that an engine leaves."""
-        self.usable[fault.endpoint] = False
-        self.feed(self.seen(fault.endpoint))
-
-    def fault_die(self, fault: FaultEvent) -> None:
-        """Kill an engine; what it ran goes elsewhere within the budget."""
-        engine = self.engines[fault.endpoint]
-        engine.alive = False
-        lost = [
-            live
-            for live in list(self.live.values())
-            if live.endpoint == fault.endpoint
-        ]
-        for live in lost:
-            self.stop(live, 'repeated', events.Ending.broken)
-            self.live.pop(events.RequestKey(ENTRY, live.number))
-            live.avoid = (fault.endpoint,)
-            once = live.request.victim > events.VictimClass.idempotent
-            if once or not self.budget.spend(live.request.workspace):
-                self.end(live, 'may_have_run')
-            else:
-                self.at(self.now, self.ask, live)
-
-    def fault_new_home(self, fault: FaultEvent) -> None:
-        """Replace the cell's home: all that it learned is lost."""
-        self.cell = Cell(POLICIES[self.policy]())
-        self.feed(events.Collect(self.now + COLLECT_S))
-        for name in self.engines:
-            self.feed(self.seen(name))
-        for live in list(self.live.values()):
-            ask = self.make_ask(live)
-            if live.endpoint:
-                self.feed(events.Held(ask, live.endpoint))
-            else:
-                self.feed(ask)
-
 
 ACTIONS: Mapping[type, Callable[..., None]] = {
     events.Grant: Replay.grant,
     events.Refuse: Replay.refuse,
     events.Revoke: Replay.revoke,
 }
-
-FAULTS: Mapping[str, Callable[..., None]] = {
-    'speed': Replay.fault_speed,
-    'leave': Replay.fault_leave,
-    'die': Replay.fault_die,
-    'new_home': Replay.fault_new_home,
-}
--- a/trefoilspool/scheduler.py
+++ b/trefoilspool/scheduler.py
@@ -7,7 +7,7 @@
 from trefoilspool import events
 from trefoilspool.cell import Cell
 from trefoilspool.membership import HostState, View, home_of
-from trefoilspool.task import Task
+from trefoilspool.peertask import PeerTask, Send
 from trefoilspool.telemetry import log_decision
 from trefoilspool.wire import convert
 from trefoilspool.wire.gen.peer import ttypes
@@ -36,25 +36,11 @@
     leaving: frozenset[str]
 
 
-class SchedulerTask(Task):
-    """Owns the cells.
-
-    Parameters
-    ----------
-    host : str
-        This host.
-    send : callable
-        Sends a list item to a host: host, frame field, element.
-    """
-
-    def __init__(
-        self,
-        host: str,
-        send: Callable[[str, str, object], None],
-    ) -> None:
-        super().__init__(TICK_S)
-        self.host = host
-        self.send = send
+class SchedulerTask(PeerTask):
+    """Owns the cells."""
+
+    def __init__(self, host: str, send: Send) -> None:
+        super().__init__(TICK_S, host, send)
         self.cells: dict[str, Cell] = {}
         self.view: View | None = None
         self.leaving: frozenset[str] = frozenset()
--- a/trefoilspool/settingstask.py
+++ b/trefoilspool/settingstask.py
@@ -9,6 +9,7 @@
 
 from trefoilspool.errors import LogError, TrimmedError
 from trefoilspool.fold import Fold
+from trefoilspool.peertask import Send
 from trefoilspool.platform import LogPage, LogRecord, LogService
 from trefoilspool.task import Task
 from trefoilspool.tree import Tree
@@ -117,7 +118,7 @@
     log : LogService
         Where edits are.
     send : callable
-        Sends a list item to a peer: host, frame field, element.
+        Sends an element to a host: host, frame field, element.
     writes_snapshots : callable
         Tells whether this host is the one that appends snapshots.
     """
@@ -125,7 +126,7 @@
     def __init__(
         self,
         log: LogService,
-        send: Callable[[str, str, object], None],
+        send: Send,
         writes_snapshots: Callable[[], bool],
     ) -> None:
         super().__init__(POLL_S)
