Serve engines of the usual protocol that number no tokens

Cause, found by reading the endpoint adapter: tokens were placed by the event ids that only our stand-in sends, so that an answer of an engine without them was dropped whole, and one without X-Attempt was refused. Change: tokens are counted where there are no ids; a missing attempt is trusted; a stream is resumed only if the endpoint says at which token. Whole answers carry id, created and usage as clients of the usual shape expect. Tests: test_plain_engine_is_served, test_plain_engine_is_not_resumed.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -34,6 +34,7 @@
         self.not_run = not_run
         self.attempt = ''
         self.cached_tokens = 0
+        self.resumed_at = 0
 
     def body(self) -> bytes:
         return b''
--- a/trefoilspool/answers.py
+++ b/trefoilspool/answers.py
@@ -1,12 +1,13 @@
 """Bodies and events of answers, in the usual shapes."""
 
 import json
+import time
 from collections.abc import Iterator
 from typing import NamedTuple
 
 from trefoilspool.endpoint import Token
 from trefoilspool.errors import Problem
-from trefoilspool.filter import ClaimedJob
+from trefoilspool.filter import ClaimedJob, Job
 from trefoilspool.outcome import Outcome
 
 __all__ = ['stream_events', 'text_of', 'whole_body']
@@ -27,26 +28,36 @@
 
 def text_of(token: Token) -> str:
     """Return the text of a chunk."""
-    choice = json.loads(token.payload)['choices'][0]
+    choices = json.loads(token.payload).get('choices')
+    if not choices:
+        return ''
+    choice = choices[0]
     if 'text' in choice:
         return str(choice['text'])
     return str(choice.get('delta', {}).get('content', ''))
 
 
-def whole_body(path: str, model: str, texts: list[str]) -> dict[str, object]:
+def whole_body(job: Job, texts: list[str]) -> dict[str, object]:
     """Return the body of an answer that is not streamed."""
     text = ''.join(texts)
     choice: dict[str, object] = {'index': 0, 'finish_reason': 'stop'}
-    shape = SHAPES[path]
+    shape = SHAPES[job.arrival.path]
+    prompt_tokens = job.ask.prompt_tokens
     if shape.chat:
         choice['message'] = {'role': 'assistant', 'content': text}
     else:
         choice['text'] = text
     return {
+        'id': job.arrival.request_id,
         'object': shape.kind,
-        'model': model,
+        'created': int(time.time()),
+        'model': job.place.settings.cell,
         'choices': [choice],
-        'usage': {'completion_tokens': len(texts)},
+        'usage': {
+            'prompt_tokens': prompt_tokens,
+            'completion_tokens': len(texts),
+            'total_tokens': prompt_tokens + len(texts),
+        },
     }
 
 
--- a/trefoilspool/endpoint.py
+++ b/trefoilspool/endpoint.py
@@ -54,6 +54,7 @@
     attempt: str
     cached_tokens: int
     not_run: bool
+    resumed_at: int
 
     @abstractmethod
     def body(self) -> bytes:
--- a/trefoilspool/endpoints/http.py
+++ b/trefoilspool/endpoints/http.py
@@ -45,6 +45,7 @@
         self.cached_tokens = int(answer.headers.get('X-Cached-Tokens', 0))
         outcome = answer.headers.get('X-Request-Outcome', '')
         self.not_run = outcome == 'not_run'
+        self.resumed_at = int(answer.headers.get('X-Resume-Offset', 0))
         self.content_type = answer.headers.get(
             'Content-Type',
             'application/octet-stream',
@@ -58,16 +59,23 @@
             raise StreamCutError(f'the answer was cut: {error!r}') from error
 
     def tokens(self) -> Iterator[Token]:
-        """Yield events until the final one."""
-        index = -1
+        """Yield events until the final one.
+
+        Tokens are numbered by the events' ids, or counted where an endpoint
+        sends none.
+        """
+        index = self.resumed_at - 1
+        named = False
         while True:
             line = self.read_line()
             if line.startswith('id: '):
                 index = int(line.removeprefix('id: '))
+                named = True
             elif line.startswith('data: '):
                 payload = line.removeprefix('data: ')
                 if payload == DONE:
                     return
+                index += not named
                 yield Token(index, payload)
 
     def read_line(self) -> str:
--- a/trefoilspool/filters/relay.py
+++ b/trefoilspool/filters/relay.py
@@ -122,7 +122,7 @@
         """Return a whole answer for a caller who does not stream."""
         job = opened.claimed.job
         texts = [text_of(token) for token in self.tokens(opened)]
-        body = whole_body(job.arrival.path, job.place.settings.cell, texts)
+        body = whole_body(job, texts)
         headers = (
             ('Content-Type', 'application/json'),
             ('X-Request-Outcome', Outcome.completed.value),
@@ -239,13 +239,22 @@
 
 
 def check_attempt(opened: OpenAnswer) -> None:
-    """Refuse an answer that belongs to another attempt or request."""
-    job = opened.claimed.job
-    expected = f'{job.arrival.request_id}/{job.progress.attempts}'
-    if opened.stream.attempt != expected:
-        opened.stream.close()
+    """Refuse an answer of another attempt, or one that was not resumed.
+
+    An endpoint that does not name the attempt is trusted, since a connection
+    carries one request only.
+    """
+    progress = opened.claimed.job.progress
+    stream = opened.stream
+    expected = f'{opened.claimed.job.arrival.request_id}/{progress.attempts}'
+    if stream.attempt not in {'', expected}:
+        stream.close()
+        raise StreamCutError(f'the answer is for attempt {stream.attempt}')
+    if stream.resumed_at != progress.relayed:
+        stream.close()
         raise StreamCutError(
-            f'the answer is for attempt {opened.stream.attempt}',
+            f'the endpoint resumed at token {stream.resumed_at}, '
+            f'not at {progress.relayed}',
         )
 
 
