Give back the permit of an answer that is refused for its attempt

Cause, found by reading: an answer of another attempt was refused before the block that gives the permit back, so that each such answer took a place of the endpoint for good (test_permits_are_given_back waited 60 s in vain before). Also: reports, headers and event ids of endpoints are read as data that may be wrong; an unexpected error in a dispatch gives its permit back.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -166,6 +166,22 @@
             'the engine to cancel',
         )
 
+    def test_permits_are_given_back(self, system: Cluster) -> None:
+        for engine in ('engine0', 'engine1'):
+            system.fault(engine, wrong_attempt=1)
+        for number in range(8):
+            system.call('h0', stock(f'given back {number}'))
+        wait_until(
+            lambda: (
+                not any(
+                    count
+                    for host in ('h0', 'h1')
+                    for count in system.status(host)['permits'].values()
+                )
+            ),
+            'all permits to be given back',
+        )
+
     def test_deadline_ends_the_answer_at_once(self, system: Cluster) -> None:
         for engine in ('engine0', 'engine1'):
             system.fault(engine, speed=0.05)
--- a/trefoilspool/endpoints/http.py
+++ b/trefoilspool/endpoints/http.py
@@ -42,10 +42,10 @@
         self.answer = answer
         self.status = answer.status
         self.attempt = answer.headers.get('X-Attempt', '')
-        self.cached_tokens = int(answer.headers.get('X-Cached-Tokens', 0))
+        self.cached_tokens = header_number(answer, 'X-Cached-Tokens')
         outcome = answer.headers.get('X-Request-Outcome', '')
         self.not_run = outcome == 'not_run'
-        self.resumed_at = int(answer.headers.get('X-Resume-Offset', 0))
+        self.resumed_at = header_number(answer, 'X-Resume-Offset')
         self.content_type = answer.headers.get(
             'Content-Type',
             'application/octet-stream',
@@ -68,8 +68,9 @@
         named = False
         while True:
             line = self.read_line()
-            if line.startswith('id: '):
-                index = int(line.removeprefix('id: '))
+            number = line.removeprefix('id: ')
+            if number != line and number.isdecimal():
+                index = int(number)
                 named = True
             elif line.startswith('data: '):
                 payload = line.removeprefix('data: ')
@@ -94,6 +95,12 @@
         self.link.close()
 
 
+def header_number(answer: http.client.HTTPResponse, name: str) -> int:
+    """Return a header's number, 0 if there is none."""
+    text = answer.headers.get(name, '')
+    return int(text) if text.isdecimal() else 0
+
+
 def abort(connection: socket.socket) -> None:
     """Shut a connection down, which ends a blocked read."""
     with contextlib.suppress(OSError):
@@ -155,7 +162,14 @@
     def load(self) -> Load:
         """Read the report."""
         report = self.get('/load')
-        return Load(report['running'], report['waiting'], report['leaving'])
+        try:
+            return Load(
+                int(report['running']),
+                int(report['waiting']),
+                bool(report['leaving']),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise SendFailedError(f'no load report: {error!r}') from error
 
     def cache_news(self, after: int) -> CacheNews:
         """Read cache events; a number that is missing is a gap."""
--- a/trefoilspool/filters/dispatch.py
+++ b/trefoilspool/filters/dispatch.py
@@ -117,6 +117,9 @@
         except EndpointError as error:
             self.give_back(permit, failed_ending(permit))
             return Failure(self.sent_problem(message, error))
+        except Exception:
+            self.give_back(permit, events.Ending.broken)
+            raise
         return self.judge(message, stream)
 
     def connected(
--- a/trefoilspool/filters/relay.py
+++ b/trefoilspool/filters/relay.py
@@ -154,18 +154,13 @@
         reading = Reading()
         progress = opened.claimed.job.progress
         ending = events.Ending.cancelled
-        check_attempt(opened)
         try:
+            check_attempt(opened)
             for token in opened.stream.tokens():
                 self.measure(opened, reading)
-                if token.place < progress.relayed:
-                    continue
-                if token.place > progress.relayed:
-                    raise StreamCutError(
-                        f'token {progress.relayed} is missing',
-                    )
-                progress.relayed += 1
-                yield token
+                if is_next(token, progress.relayed):
+                    progress.relayed += 1
+                    yield token
             ending = events.Ending.completed
         except StreamCutError:
             ending = cut_ending(opened)
@@ -238,6 +233,19 @@
         raise failure if isinstance(failure, Problem) else problem
 
 
+def is_next(token: Token, relayed: int) -> bool:
+    """Tell whether a token follows those that the caller has.
+
+    Raises
+    ------
+    StreamCutError
+        When a token between them is missing.
+    """
+    if token.place > relayed:
+        raise StreamCutError(f'token {relayed} is missing')
+    return token.place == relayed
+
+
 def check_attempt(opened: OpenAnswer) -> None:
     """Refuse an answer of another attempt, or one that was not resumed.
 
@@ -248,10 +256,8 @@
     stream = opened.stream
     expected = f'{opened.claimed.job.arrival.request_id}/{progress.attempts}'
     if stream.attempt not in {'', expected}:
-        stream.close()
         raise StreamCutError(f'the answer is for attempt {stream.attempt}')
     if stream.resumed_at != progress.relayed:
-        stream.close()
         raise StreamCutError(
             f'the endpoint resumed at token {stream.resumed_at}, '
             f'not at {progress.relayed}',
