Pass plain services' methods, queries and bodies on as they are

Cause, found by reading: only POST with a JSON body reached a plain service, its query was dropped and its answer called JSON; a model's 4xx was read as a stream and ended as may_have_run. Now a model's 4xx is failed, and a plain service's 4xx is handed on as failed with its body.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -35,6 +35,7 @@
         self.attempt = ''
         self.cached_tokens = 0
         self.resumed_at = 0
+        self.content_type = ''
 
     def body(self) -> bytes:
         return b''
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,5 +1,6 @@
 """The whole path, as separate processes."""
 
+import http.client
 import uuid
 from collections.abc import Iterator
 
@@ -114,3 +115,30 @@
         told = system.call('h2', chat('stock', 'x'), timeout_s=timeout)
         assert told.status == 400
         assert 'bad_timeout' in told.text
+
+
+class TestPlainServices:
+    def test_method_query_and_body_are_passed_on(
+        self,
+        system: Cluster,
+    ) -> None:
+        link = http.client.HTTPConnection(
+            '127.0.0.1',
+            system.ports['h0'],
+            timeout=30,
+        )
+        link.request(
+            'POST',
+            '/services/orders/x?crates=2',
+            b'not json',
+            {
+                'Authorization': 'Bearer token-shops',
+                'X-Request-Kind': 'confirmation',
+                'Content-Type': 'text/plain',
+            },
+        )
+        answer = link.getresponse()
+        link.close()
+        assert answer.headers['X-Request-Outcome'] == 'completed'
+        assert system.journal('service0')[-1]['body'] == 'not json'
+        assert system.journal('service0')[-1]['query'] == {'crates': '2'}
--- a/trefoilspool/endpoint.py
+++ b/trefoilspool/endpoint.py
@@ -17,6 +17,7 @@
 class EndpointRequest(NamedTuple):
     """One attempt of a request at an endpoint."""
 
+    method: str
     path: str
     body: bytes
     headers: Mapping[str, str]
@@ -55,6 +56,7 @@
     cached_tokens: int
     not_run: bool
     resumed_at: int
+    content_type: str
 
     @abstractmethod
     def body(self) -> bytes:
--- a/trefoilspool/endpoints/http.py
+++ b/trefoilspool/endpoints/http.py
@@ -150,7 +150,12 @@
             'X-Resume-Offset': str(request.resume_at),
         }
         try:
-            link.request('POST', request.path, request.body, headers)
+            link.request(
+                request.method,
+                request.path,
+                request.body,
+                headers,
+            )
             answer = link.getresponse()
         except (OSError, http.client.HTTPException) as error:
             link.close()
--- a/trefoilspool/filter.py
+++ b/trefoilspool/filter.py
@@ -38,6 +38,8 @@
     ----------
     headers : mapping
         Values by lower-case name.
+    query : str
+        What stood behind the path's question mark.
     gone : callable
         Tells whether the caller has hung up.
     """
@@ -49,6 +51,13 @@
     body: bytes
     arrived: float
     gone: Callable[[], bool]
+    method: str = 'POST'
+    query: str = ''
+
+    @property
+    def target(self) -> str:
+        """Return the path with its query."""
+        return f'{self.path}?{self.query}' if self.query else self.path
 
 
 class Caller(NamedTuple):
--- a/trefoilspool/filters/classify.py
+++ b/trefoilspool/filters/classify.py
@@ -28,7 +28,7 @@
 from trefoilspool.prefixhash import count_tokens, prefix_hashes
 from trefoilspool.tree import KindPlace
 
-__all__ = ['Classify', 'prompt_of']
+__all__ = ['SERVICE_PREFIX', 'Classify', 'prompt_of']
 
 SERVICE_PREFIX = '/services/'
 MODEL_PATHS = frozenset(('/v1/chat/completions', '/v1/completions'))
@@ -65,6 +65,7 @@
         """Build the job."""
         arrival = caller.arrival
         target = target_of(arrival.path)
+        is_model = target.kind == 'model'
         place = find_place(caller, target)
         settings = place.settings
         if len(arrival.body) > settings.max_body_bytes:
@@ -72,9 +73,9 @@
                 f'the body has {len(arrival.body)} bytes; {place.path} '
                 f'takes at most {settings.max_body_bytes}',
             )
-        body = parse_body(arrival.body)
+        body = parse_body(arrival.body) if is_model else {}
         check_model(body, place)
-        prompt = prompt_of(body) if target.kind == 'model' else ''
+        prompt = prompt_of(body) if is_model else ''
         ask = events.Ask(
             request=events.RequestKey(self.host, arrival.number),
             cell=settings.cell,
@@ -95,7 +96,7 @@
             place,
             ask,
             body,
-            body.get('stream') is True and target.kind == 'model',
+            body.get('stream') is True,
             not settings.idempotent,
             Progress(),
         )
--- a/trefoilspool/filters/dispatch.py
+++ b/trefoilspool/filters/dispatch.py
@@ -34,7 +34,9 @@
 
 __all__ = ['Dispatch', 'RevokedError', 'release']
 
-SERVER_ERROR = 500
+# A plain service's 4xx is its answer; a model's carries no tokens.
+ERRORS_FROM = {'model': 400, 'service': 500}
+JSON = 'application/json'
 RETRY_S = 1.0
 READ_SLACK_S = 1.0  # the watch task ends a read at its deadline before this
 
@@ -163,7 +165,8 @@
     ) -> Result[OpenAnswer, Final]:
         """Turn an error status into a problem."""
         opened = OpenAnswer(message.claimed, message.permit, stream)
-        if stream.status < SERVER_ERROR:
+        target = message.claimed.job.place.settings.target
+        if stream.status < ERRORS_FROM[target]:
             return Success(opened)
         stream.close()
         endpoint = message.permit.endpoint
@@ -207,7 +210,7 @@
 def endpoint_request(job: Job) -> EndpointRequest:
     """Return the request that an endpoint gets."""
     headers: Mapping[str, str] = {
-        'Content-Type': 'application/json',
+        'Content-Type': job.arrival.headers.get('content-type') or JSON,
         'X-Request-Id': job.arrival.request_id,
     }
     body = job.arrival.body
@@ -221,7 +224,8 @@
             }
         ).encode()
     return EndpointRequest(
-        job.arrival.path,
+        job.arrival.method,
+        job.arrival.target,
         body,
         headers,
         f'{job.arrival.request_id}/{job.progress.attempts}',
--- a/trefoilspool/filters/relay.py
+++ b/trefoilspool/filters/relay.py
@@ -93,14 +93,16 @@
             body = stream.body()
             ending = events.Ending.completed
         except EndpointError as error:
+            ending = cut_ending(opened)
             return Failure(MayHaveRunError(str(error)))
         finally:
             self.end(opened, reading, ending)
-        job = opened.claimed.job
-        job.progress.outcome = Outcome.completed
+        refused = stream.status >= HTTPStatus.BAD_REQUEST
+        outcome = Outcome.failed if refused else Outcome.completed
+        opened.claimed.job.progress.outcome = outcome
         headers = (
-            ('Content-Type', 'application/json'),
-            ('X-Request-Outcome', Outcome.completed.value),
+            ('Content-Type', stream.content_type),
+            ('X-Request-Outcome', outcome.value),
         )
         return Success(Answer(stream.status, headers, iter((body,))))
 
--- a/trefoilspool/forward.py
+++ b/trefoilspool/forward.py
@@ -53,7 +53,12 @@
         }
         headers['X-Request-Timeout'] = str(left)
         try:
-            link.request('POST', arrival.path, arrival.body, headers)
+            link.request(
+                arrival.method,
+                arrival.target,
+                arrival.body,
+                headers,
+            )
             reply = link.getresponse()
             body = reply.read()
         except (OSError, http.client.HTTPException):
--- a/trefoilspool/pipeline.py
+++ b/trefoilspool/pipeline.py
@@ -82,6 +82,8 @@
         headers: Mapping[str, str],
         body: bytes,
         gone: Callable[[], bool],
+        method: str = 'POST',
+        query: str = '',
     ) -> Answer:
         """Return the answer to a request; it runs while chunks are taken."""
         number = next(self.numbers) * ATTEMPT_NUMBERS
@@ -93,6 +95,8 @@
             body,
             time.monotonic(),
             gone,
+            method,
+            query,
         )
         with self.lock:
             self.open += 1
--- a/trefoilspool/standins/service.py
+++ b/trefoilspool/standins/service.py
@@ -1,6 +1,5 @@
 """A stand-in for a plain service, such as orders or registration."""
 
-import json
 import time
 from collections.abc import Callable, Mapping
 from typing import ClassVar
@@ -62,6 +61,7 @@
                 {
                     'request': request.header('X-Request-Id'),
                     'attempt': request.header('X-Attempt'),
+                    'query': request.query,
                     'body': request.body.decode(),
                     'time': time.time(),
                 }
@@ -75,6 +75,6 @@
             {
                 'service': self.options.name,
                 'number': number,
-                'received': json.loads(request.body or b'{}'),
+                'received': request.body.decode(),
             }
         )
--- a/trefoilspool/web.py
+++ b/trefoilspool/web.py
@@ -6,6 +6,7 @@
 
 from trefoilspool.errors import Problem, UnknownPathError
 from trefoilspool.filter import Answer
+from trefoilspool.filters.classify import SERVICE_PREFIX
 from trefoilspool.filters.settle import problem_answer
 
 __all__ = ['Page', 'WebApp', 'reason']
@@ -56,7 +57,7 @@
     pages : mapping
         Method and path to a page.
     default : callable
-        Handles path, headers, body and hang-up check of a POST.
+        Handles path, headers, body, hang-up check, method and query.
     """
 
     def __init__(
@@ -86,7 +87,7 @@
         try:
             if page is not None:
                 return page(environ)
-            if method != 'POST':
+            if method != 'POST' and not path.startswith(SERVICE_PREFIX):
                 raise UnknownPathError(f'{method} {path} is not a resource')
         except Problem as problem:
             return problem_answer(problem)
@@ -95,6 +96,8 @@
             request_headers(environ),
             environ['wsgi.input'].read(),
             environ.get('waitress.client_disconnected', connected),
+            method,
+            environ.get('QUERY_STRING', ''),
         )
 
 
