--- a/trefoilspool/broker.py
+++ b/trefoilspool/broker.py
@@ -236,7 +236,7 @@
         seen = self.seen
         self.seen = {}
         for endpoint, (streams, tokens, elapsed) in seen.items():
-            home = self.home(cells.get(endpoint, ''))
+            home = self.home(cells[endpoint]) if endpoint in cells else None
             if home is not None:
                 elapsed_ms = int(elapsed / streams * MS_PER_S)
                 self.send(
