--- a/trefoilspool/cmdline.py
+++ b/trefoilspool/cmdline.py
@@ -249,7 +249,7 @@
         return f'{file}: {len(made.requests)} requests'
 
     def why(self, request: str, logs: str) -> str:
-        """Tell the story of a request from decision logs."""
+        """Tell what was decided on a request, from decision logs."""
         return tell(find_lines(split(logs), request), request)
 
     def smoke(self, hosts: Any, token: str) -> str:
--- a/trefoilspool/fold.py
+++ b/trefoilspool/fold.py
@@ -6,25 +6,16 @@
 
 import json
 from collections.abc import Mapping
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple
 
 from trefoilspool.platform import LogRecord
 from trefoilspool.tree import Tree
 
-__all__ = ['Edit', 'EditRecord', 'Fold', 'HistoryEntry', 'encode_edit']
+__all__ = ['Edit', 'Fold', 'HistoryEntry', 'encode_edit']
 
 MAX_VERDICTS = 20_000
 
 
-class EditRecord(TypedDict):
-    """An edit as it stands in the log."""
-
-    edit: str
-    base: int
-    author: str
-    changes: dict[str, dict[str, object]]
-
-
 class Edit(NamedTuple):
     """Changes by path and key; None removes a key."""
 
--- a/trefoilspool/link.py
+++ b/trefoilspool/link.py
@@ -20,7 +20,6 @@
 SEND_TIMEOUT_S = 2.0
 RECONNECT_S = 0.2
 RECEIVE_BYTES = 65_536
-MAX_PENDING = 20_000  # items kept for a peer that does not take them
 POLL_S = 0.5
 
 
