Let a ticket run after a request with it did not run

Cause, found by reading: a ticket was used up by a request that ended not_run, so that its Retry-After was a lie (test_runs_after_it_did_not_run waits in vain without the change). The owner's results now decide: a ticket whose request did not run may run, once. Found on the way: a test's cluster did not come up in 60 s beside another run, since its ports came from the range of outgoing connections and one could be taken before its server started; ports are now taken from below that range.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -1,6 +1,7 @@
 """Starts stand-ins and hosts as processes on loopback."""
 
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -20,13 +21,27 @@
 
 WAIT_S = 60
 POLL_S = 0.02
+FIRST_PORT = 10_000
+PORT_COUNT = 20_000
+PORTS = itertools.cycle(
+    FIRST_PORT + (os.getpid() * 97 + step) % PORT_COUNT
+    for step in range(PORT_COUNT)
+)
 ADDRESS = '127.0.0.1'
 ROOT = pathlib.Path(__file__).parent.parent
 
 
 def free_port() -> int:
-    with socket.create_server((ADDRESS, 0)) as probe:
-        return int(probe.getsockname()[1])
+    """Return a port outside the range of outgoing connections.
+
+    A port of that range can be taken by a connection before its server
+    starts.
+    """
+    for port in PORTS:
+        with contextlib.suppress(OSError):
+            socket.create_server((ADDRESS, port)).close()
+            return port
+    raise AssertionError('no port is free')
 
 
 def wait_until(check: Callable[[], Any], what: str) -> Any:
@@ -45,8 +60,8 @@
     def __init__(self, target: int) -> None:
         self.target = target
         self.cut = False
-        self.listener = socket.create_server((ADDRESS, 0))
-        self.port = int(self.listener.getsockname()[1])
+        self.port = free_port()
+        self.listener = socket.create_server((ADDRESS, self.port))
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self) -> None:
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -281,6 +281,20 @@
         again = system.call('h1', confirmation(ticket))
         assert again.outcome == 'completed'
 
+    def test_runs_after_it_did_not_run(self, system: Cluster) -> None:
+        before = wait_service(system, 'leaving')
+        ticket = self.ticket(system, 'h0')
+        told = system.call('h1', confirmation(ticket), timeout_s=1)
+        assert told.outcome == 'not_run'
+        set_service(system, 'live')
+        wait_until(
+            lambda: (
+                system.call('h2', confirmation(ticket)).outcome == 'completed'
+            ),
+            'the ticket to run',
+        )
+        assert runs(system) == before + 1
+
     def test_owner_killed(self, system: Cluster) -> None:
         ticket = self.ticket(system, 'h0')
         system.kill('h0')
--- a/trefoilspool/claims.py
+++ b/trefoilspool/claims.py
@@ -149,9 +149,9 @@
         """Queue a claim, or answer at once from what is known."""
         holder = self.ledger.holders.get(message.key)
         if holder is not None and not holder.released:
-            message.future.set_result(Failure(holder))
+            answer(message.future, Failure(holder))
         elif self.outage_since is not None or not self.caught_up:
-            message.future.set_result(Failure(self.unavailable()))
+            answer(message.future, Failure(self.unavailable()))
         else:
             claim = Claim(message.key, self.random.getrandbits(CLAIM_ID_BITS))
             self.waiting[claim] = message.future
@@ -294,5 +294,10 @@
         waiting = self.waiting
         self.waiting = {}
         for future in waiting.values():
-            if future.set_running_or_notify_cancel():
-                future.set_result(Failure(self.unavailable()))
+            answer(future, Failure(self.unavailable()))
+
+
+def answer(future: 'Future[ClaimResult]', found: ClaimResult) -> None:
+    """Set a result unless the request has given up."""
+    if future.set_running_or_notify_cancel():
+        future.set_result(found)
--- a/trefoilspool/filters/claim.py
+++ b/trefoilspool/filters/claim.py
@@ -92,10 +92,12 @@
             raise TicketError('the ticket belongs to another workspace')
         if not self.tickets.issued_here(ticket):
             return self.forward(job, ticket)
-        if not self.tickets.use(ticket):
+        used = not self.tickets.use(ticket)
+        stored = self.results.get(ticket.unique)
+        may_run = not used or stored.state is ResultState.not_run
+        if not (may_run and self.results.begin(ticket.unique)):
             stored = self.results.get(ticket.unique)
             return Failure(answer_duplicate(stored))
-        self.results.begin(ticket.unique)
         claimed = ClaimedJob(job, None, ticket.unique, boot_time())
         return Success(claimed)
 
