--- a/scripts/bench-path.sh
+++ b/scripts/bench-path.sh
@@ -23,3 +23,4 @@
 .venv/bin/trefoilspool bench path --port 8101 --token token-shops \
     --engine-port 8301 --streams "${1:-1,10,50,100,200,400}" --seconds 8
 grep -E 'VmRSS|VmHWM|Threads' "/proc/$host_pid/status"
+awk '{print "processor seconds: " ($14 + $15) / 100}' "/proc/$host_pid/stat"
