--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -7,6 +7,9 @@
 
 __all__ = [
     'BadBodyError',
+    'BadRecordError',
+    'CutAnswerError',
+    'EndpointRefusedConnectionError',
     'BadTimeoutError',
     'BodyTooLargeError',
     'CallerGoneError',
@@ -40,6 +43,9 @@
     'UnauthorizedError',
     'UnknownKindError',
     'UnknownPathError',
+    'UnknownRouteError',
+    'OverLimitError',
+    'MalformedCallError',
     'ClaimsUnavailableError',
 ]
 
@@ -126,6 +132,39 @@
         self.first = first
 
 
+class BadRecordError(TrefoilspoolError):
+    """A record of the platform has a field that cannot be used.
+
+    Parameters
+    ----------
+    record : str
+        Key of the record.
+    field : str
+        The field, empty for the whole record.
+    bad : object
+        What it holds.
+    allowed : str
+        What it may hold.
+    """
+
+    def __init__(
+        self,
+        record: str,
+        field: str,
+        bad: object,
+        allowed: str,
+    ) -> None:
+        super().__init__(
+            f'{record}: {field or "record"} = {bad!r} cannot be used; '
+            f'it must be {allowed}',
+        )
+        self.field = field
+
+
+class CutAnswerError(TrefoilspoolError, OSError):
+    """A stream ends early; its connection is closed without an end."""
+
+
 class EndpointError(TrefoilspoolError):
     """Base of the failures between a host and an endpoint."""
 
@@ -134,6 +173,10 @@
     """No connection was made, so nothing was sent."""
 
 
+class EndpointRefusedConnectionError(ConnectFailedError):
+    """Nothing listens at the endpoint's address."""
+
+
 class SendFailedError(EndpointError):
     """The request was sent, in part or whole, and no answer came."""
 
@@ -308,3 +351,24 @@
     status = 503
     slug = 'interrupted'
     outcome = Outcome.interrupted
+
+
+class UnknownRouteError(Problem):
+    """No route of the configuration in force matches."""
+
+    status = 404
+    slug = 'unknown_route'
+
+
+class OverLimitError(Problem):
+    """The workspace has used up its limit."""
+
+    status = 429
+    slug = 'over_limit'
+
+
+class MalformedCallError(Problem):
+    """A header of the request has a value that cannot be used."""
+
+    status = 400
+    slug = 'malformed_request'
--- /dev/null
+++ b/trefoilspool/follow.py
@@ -0,0 +1,166 @@
+"""The tasks that keep a replica up to date."""
+
+import random
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import logbook
+
+from trefoilspool.errors import LogOutageError, TrimmedError
+from trefoilspool.replica import Replica
+from trefoilspool.store import KeyedSource
+
+__all__ = ['FollowPeersTask', 'FollowStoreTask', 'Pace']
+
+RETRY_S = 0.3
+PEER_PAUSE_S = 0.1
+
+logger = logbook.Logger('follow')
+
+
+class Pace(NamedTuple):
+    """How often the store is read.
+
+    Attributes
+    ----------
+    wait_s : float
+        How long a read waits for a record.
+    pause_s : float
+        Pause between reads.
+    """
+
+    wait_s: float
+    pause_s: float
+
+
+class FollowStoreTask:
+    """Reads a topic from the store, for as long as the host runs.
+
+    Parameters
+    ----------
+    topic : str
+        Name of the topic in log lines.
+    source : KeyedSource
+        The store.
+    replica : Replica
+        Takes what is read.
+    pace : Pace
+        How often to read.
+    stopping : threading.Event
+        Ends the task.
+    """
+
+    def __init__(
+        self,
+        topic: str,
+        source: KeyedSource,
+        replica: Replica,
+        pace: Pace,
+        stopping: threading.Event,
+    ) -> None:
+        self.topic = topic
+        self.source = source
+        self.replica = replica
+        self.pace = pace
+        self.stopping = stopping
+        self.lost_at: float | None = None
+        self.regained_at = 0.0
+        self.trimmed = True
+
+    def run(self) -> None:
+        """Read until stopped."""
+        while not self.stopping.is_set():
+            pause = self.pace.pause_s
+            try:
+                self.read()
+            except TrimmedError as error:
+                logger.info(
+                    'records_trimmed',
+                    extra={'topic': self.topic, 'first': error.first},
+                )
+                self.trimmed = True
+                pause = 0
+            except LogOutageError as error:
+                self.on_outage(error)
+                pause = RETRY_S * (1 + random.random())
+            except Exception:
+                logger.exception('reading {} failed', self.topic)
+                pause = RETRY_S
+            self.stopping.wait(pause)
+
+    def read(self) -> None:
+        """Read once; the whole topic at first and after a gap."""
+        if self.trimmed or self.replica.end < 0:
+            page = self.source.newest()
+        else:
+            page = self.source.after(self.replica.end, self.pace.wait_s)
+        self.on_answer()
+        self.replica.apply(page)
+        self.trimmed = False
+
+    def on_answer(self) -> None:
+        """Note that the store answers."""
+        if self.lost_at is not None:
+            now = time.monotonic()
+            logger.info(
+                'store_regained',
+                extra={'topic': self.topic, 'away_s': now - self.lost_at},
+            )
+            self.regained_at = now
+            self.lost_at = None
+
+    def on_outage(self, error: LogOutageError) -> None:
+        """Note that the store does not answer."""
+        if self.lost_at is None:
+            self.lost_at = time.monotonic()
+            logger.warning(
+                'store_lost',
+                extra={'topic': self.topic, 'error': str(error)},
+            )
+
+
+class FollowPeersTask:
+    """Reads what peers have and this host lacks.
+
+    Parameters
+    ----------
+    topic : str
+        Name of the topic in log lines.
+    ahead : callable
+        Returns the source of a peer that has read further than an offset.
+    replica : Replica
+        Takes what is read.
+    stopping : threading.Event
+        Ends the task.
+    """
+
+    def __init__(
+        self,
+        topic: str,
+        ahead: Callable[[int], KeyedSource | None],
+        replica: Replica,
+        stopping: threading.Event,
+    ) -> None:
+        self.topic = topic
+        self.ahead = ahead
+        self.replica = replica
+        self.stopping = stopping
+
+    def run(self) -> None:
+        """Read until stopped."""
+        behind_since = 0
+        while not self.stopping.wait(PEER_PAUSE_S):
+            source = self.ahead(self.replica.end)
+            behind_since = behind_since + 1 if source else 0
+            # The store usually delivers the same records a moment later.
+            if source is None or behind_since < 2:
+                continue
+            try:
+                self.replica.apply(source.after(max(self.replica.end, 0), 0))
+            except LogOutageError as error:
+                logger.info(
+                    'peer_not_read',
+                    extra={'topic': self.topic, 'error': str(error)},
+                )
--- /dev/null
+++ b/trefoilspool/gatewayhost.py
@@ -0,0 +1,423 @@
+"""The daemon that serves routed requests on every host."""
+
+import secrets
+import signal
+import threading
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable, Mapping
+from types import FrameType
+from typing import Any, NamedTuple
+
+import logbook
+import waitress
+
+from trefoilspool.directory import Directory, EndpointRecord
+from trefoilspool.errors import BadRecordError, Problem
+from trefoilspool.exchange import Dialect, Exchange
+from trefoilspool.filter import Answer
+from trefoilspool.follow import FollowPeersTask, FollowStoreTask, Pace
+from trefoilspool.gateway import Gateway, refusal_answer
+from trefoilspool.homes import Card
+from trefoilspool.mesh import MeshTask
+from trefoilspool.options import GatewayOptions
+from trefoilspool.placement import Station
+from trefoilspool.replica import Replica
+from trefoilspool.routing import Configuration
+from trefoilspool.serving import Servings
+from trefoilspool.store import KeyedRecord, KeyedSource
+from trefoilspool.telemetry import Metrics
+from trefoilspool.watch import WatchTask
+from trefoilspool.web import reason
+
+__all__ = ['GatewayHost', 'Platform', 'serve_gateway']
+
+NS_PER_US = 1000
+INCARNATION_BITS = 4
+WORKER_THREADS = 160
+BACKLOG = 512
+LOOKAHEAD = 1  # lets waitress notice that a caller has hung up
+CHANNEL_TIMEOUT_S = 600
+MAX_CONNECTIONS = 1000
+MAX_BODY_BYTES = 64_000_000
+MAX_HEADERS_BYTES = 65_536
+SWITCH_POLL_S = 0.05
+SWEEP_S = 1.0
+LAST_EXIT_S = 7.4
+MIN_DRAIN_S = 3.0
+SETTINGS_PACE = Pace(wait_s=1.5, pause_s=0.02)
+ENDPOINTS_PACE = Pace(wait_s=0, pause_s=0.6)
+CONFIGURATION_KEY = 'config'
+PROBLEM_BAD = 400
+
+logger = logbook.Logger('gateway')
+
+Environ = Mapping[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+class Topics(NamedTuple):
+    """The sources of the two topics that every host follows."""
+
+    settings: KeyedSource
+    endpoints: KeyedSource
+
+
+class Platform(ABC):
+    """What a platform's adapter provides."""
+
+    @abstractmethod
+    def dialect(self) -> Dialect:
+        """Return how requests are spelt."""
+
+    @abstractmethod
+    def topics(self) -> Topics:
+        """Return the store's topics."""
+
+    @abstractmethod
+    def peer_topics(self, address: str) -> Topics:
+        """Return a peer's copies of the topics."""
+
+    @abstractmethod
+    def page_body(self, replica: Replica, end: int) -> bytes:
+        """Return a copy's records from an offset, for a peer."""
+
+    @abstractmethod
+    def configuration(self, content: bytes) -> Configuration:
+        """Return the configuration of a record.
+
+        Raises
+        ------
+        BadRecordError
+            It cannot be read.
+        """
+
+    @abstractmethod
+    def endpoint(self, key: str, content: bytes) -> EndpointRecord:
+        """Return the endpoint of a record.
+
+        Raises
+        ------
+        BadRecordError
+            It names no endpoint.
+        """
+
+    @abstractmethod
+    def ready_path(self) -> str:
+        """Return the path at which the balancer asks for readiness."""
+
+
+class GatewayHost:
+    """The tasks of one host.
+
+    Parameters
+    ----------
+    options : GatewayOptions
+        Process settings.
+    platform : Platform
+        How the platform is spoken to.
+    """
+
+    def __init__(self, options: GatewayOptions, platform: Platform) -> None:
+        self.options = options
+        self.platform = platform
+        self.incarnation = (
+            time.time_ns() // NS_PER_US << INCARNATION_BITS
+        ) + secrets.randbits(INCARNATION_BITS)
+        self.stopping = threading.Event()
+        self.metrics = Metrics()
+        own = Card(options.name, options.address, self.incarnation)
+        self.mesh = MeshTask(own, options.mesh_port, options.seed_addresses)
+        topics = platform.topics()
+        self.settings = Replica(self.on_settings)
+        self.settings_task = FollowStoreTask(
+            'settings',
+            topics.settings,
+            self.settings,
+            SETTINGS_PACE,
+            self.stopping,
+        )
+        self.directory = Directory(
+            platform.endpoint,
+            self.outage_ended_at,
+            self.on_stations,
+        )
+        self.endpoints = Replica(self.on_endpoints)
+        self.endpoints_task = FollowStoreTask(
+            'endpoints',
+            topics.endpoints,
+            self.endpoints,
+            ENDPOINTS_PACE,
+            self.stopping,
+        )
+        self.watch = WatchTask()
+        self.exchange = Exchange(platform.dialect())
+        self.gateway = Gateway(
+            Servings(
+                self.mesh.client,
+                self.directory,
+                self.exchange,
+                self.watch,
+                self.metrics,
+                options.data_centre,
+            ),
+            self.metrics,
+        )
+
+    def outage_ended_at(self) -> float:
+        """Return when the store was regained."""
+        if self.endpoints_task.lost_at is not None:
+            return time.monotonic()
+        return self.endpoints_task.regained_at
+
+    def start(self) -> None:
+        """Start the tasks."""
+        for run in self.runs():
+            threading.Thread(target=run, daemon=True).start()
+
+    def runs(self) -> Iterable[Callable[[], None]]:
+        """Yield the loops of the tasks."""
+        yield self.mesh.run
+        yield self.watch.run
+        yield self.settings_task.run
+        yield self.endpoints_task.run
+        yield FollowPeersTask(
+            'settings',
+            self.peer_ahead_in_settings,
+            self.settings,
+            self.stopping,
+        ).run
+        yield FollowPeersTask(
+            'endpoints',
+            self.peer_ahead_in_endpoints,
+            self.endpoints,
+            self.stopping,
+        ).run
+        yield self.sweep
+
+    def sweep(self) -> None:
+        """Close idle connections and let lapsed endpoints go."""
+        while not self.stopping.wait(SWEEP_S):
+            self.exchange.pool.sweep()
+            self.directory.tick(time.monotonic())
+
+    def peer_ahead_in_settings(self, end: int) -> KeyedSource | None:
+        """Return a peer's settings if it has read further."""
+        ahead = self.peer_ahead(lambda card: card.settings_end, end)
+        return ahead.settings if ahead else None
+
+    def peer_ahead_in_endpoints(self, end: int) -> KeyedSource | None:
+        """Return a peer's endpoints if it has read much further."""
+        ahead = self.peer_ahead(lambda card: card.endpoints_end, end)
+        return ahead.endpoints if ahead else None
+
+    def peer_ahead(
+        self,
+        position: Callable[[Card], int],
+        end: int,
+    ) -> Topics | None:
+        """Return the topics of the peer that has read furthest."""
+        cards = list(self.mesh.homes.cards.values())
+        best = max(cards, key=position)
+        if position(best) <= max(end, 0) or best.name == self.options.name:
+            return None
+        return self.platform.peer_topics(best.address)
+
+    def on_settings(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Put a new configuration in force."""
+        for record in records:
+            if record.key == CONFIGURATION_KEY and record.content:
+                self.on_configuration(record)
+
+    def on_configuration(self, record: KeyedRecord) -> None:
+        """Put a configuration in force if it can be read and is newer."""
+        try:
+            configuration = self.platform.configuration(record.content)
+        except BadRecordError as error:
+            logger.warning(
+                'configuration_unreadable',
+                extra={'offset': record.offset, 'error': str(error)},
+            )
+            return
+        if configuration.version <= self.gateway.version:
+            return
+        self.gateway.configuration = configuration
+        self.mesh.set_configuration(configuration)
+        self.directory.on_configuration(configuration)
+        logger.info(
+            'version_in_force',
+            extra={
+                'version': configuration.version,
+                'offset': record.offset,
+                'routes': len(configuration.table.routes),
+            },
+        )
+        self.tell()
+
+    def on_endpoints(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Take new records of endpoints."""
+        self.directory.on_records(records, time.monotonic())
+        self.tell()
+
+    def on_stations(self, stations: list[Station]) -> None:
+        """Tell the mesh which endpoints may get work."""
+        self.mesh.set_stations(stations)
+
+    def tell(self) -> None:
+        """Let peers know how far this host has read."""
+        self.mesh.homes.set_own(
+            Card(
+                self.options.name,
+                self.options.address,
+                self.incarnation,
+                self.gateway.draining,
+                self.gateway.version,
+                self.settings.end,
+                self.endpoints.end,
+            )
+        )
+
+    def is_ready(self) -> bool:
+        """Tell the balancer whether to send callers here."""
+        return (
+            self.gateway.configuration is not None
+            and bool(self.directory.published)
+            and not self.gateway.draining
+        )
+
+    def drain(self) -> None:
+        """Leave: not ready, then finish what is open."""
+        started = time.monotonic()
+        self.gateway.draining = True
+        self.tell()
+        logger.info('draining', extra={'open': self.gateway.open})
+        time.sleep(MIN_DRAIN_S)
+        while self.gateway.open and time.monotonic() < started + LAST_EXIT_S:
+            time.sleep(SWITCH_POLL_S)
+        logger.info('drained', extra={'open': self.gateway.open})
+
+    def stop(self) -> None:
+        """Stop the tasks."""
+        self.stopping.set()
+        self.mesh.stopping.set()
+
+
+class GatewayApp:
+    """The WSGI application of all listeners.
+
+    Parameters
+    ----------
+    host : GatewayHost
+        What is served.
+    """
+
+    def __init__(self, host: GatewayHost) -> None:
+        self.host = host
+        self.dialect = host.exchange.dialect
+        ready = host.platform.ready_path()
+        self.pages: Mapping[tuple[str, str], Callable[[str], Answer]] = {
+            (port_of(host.options.ready), ready): self.ready,
+            (port_of(host.options.ready), '/metrics'): self.metrics,
+            (port_of(host.options.control), '/metrics'): self.metrics,
+            (port_of(host.options.control), '/settings'): self.settings,
+            (port_of(host.options.control), '/endpoints'): self.endpoints,
+        }
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        answer = self.answer(environ)
+        start_response(reason(answer.status), list(answer.headers))
+        return answer.chunks
+
+    def answer(self, environ: Environ) -> Answer:
+        """Find the page, or pass the call to the gateway."""
+        port = environ['SERVER_PORT']
+        if port != port_of(self.host.options.listen):
+            page = self.pages.get((port, environ['PATH_INFO']))
+            if page is None:
+                return plain(404, b'')
+            return page(environ['QUERY_STRING'])
+        try:
+            call = self.dialect.read_call(environ)
+        except Problem as problem:
+            return refusal_answer(problem)
+        return self.host.gateway.handle(
+            call,
+            environ['waitress.client_disconnected'],
+        )
+
+    def ready(self, query: str) -> Answer:
+        """Answer the balancer."""
+        return plain(200 if self.host.is_ready() else 503, b'')
+
+    def metrics(self, query: str) -> Answer:
+        """Return the metrics."""
+        return plain(200, self.host.metrics.render().encode())
+
+    def settings(self, query: str) -> Answer:
+        """Return the operator's records for a peer."""
+        body = self.host.platform.page_body(self.host.settings, int(query))
+        return plain(200, body)
+
+    def endpoints(self, query: str) -> Answer:
+        """Return the endpoints' records for a peer."""
+        body = self.host.platform.page_body(self.host.endpoints, int(query))
+        return plain(200, body)
+
+
+def port_of(listener: str) -> str:
+    """Return the port of an IP:PORT."""
+    return listener.rpartition(':')[2]
+
+
+def plain(status: int, body: bytes) -> Answer:
+    """Return an answer with a length."""
+    return Answer(
+        status,
+        (('Content-Length', str(len(body))),),
+        iter((body,)),
+    )
+
+
+def serve_gateway(options: GatewayOptions, platform: Platform) -> None:
+    """Run a host until SIGTERM or SIGINT, then drain and return."""
+    host = GatewayHost(options, platform)
+    server = waitress.create_server(
+        GatewayApp(host),
+        listen=f'{options.listen} {options.ready} {options.control}',
+        threads=WORKER_THREADS,
+        send_bytes=1,
+        channel_request_lookahead=LOOKAHEAD,
+        max_request_body_size=MAX_BODY_BYTES,
+        max_request_header_size=MAX_HEADERS_BYTES,
+        connection_limit=MAX_CONNECTIONS,
+        channel_timeout=CHANNEL_TIMEOUT_S,
+        backlog=BACKLOG,
+        clear_untrusted_proxy_headers=False,
+        log_socket_errors=False,
+        asyncore_use_poll=True,
+        ident=None,
+    )
+    stopping = threading.Event()
+
+    def on_signal(number: int, frame: FrameType | None) -> None:
+        stopping.set()
+
+    def on_hangup(number: int, frame: FrameType | None) -> None:
+        logger.info('settings_file_changed')
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    signal.signal(signal.SIGHUP, on_hangup)
+    host.start()
+    threading.Thread(target=server.run, daemon=True).start()
+    logger.info('started', extra={'listen': options.listen})
+    stopping.wait()
+    host.drain()
+    server.close()
+    host.stop()
+    logger.info('stopped')
--- a/trefoilspool/health.py
+++ b/trefoilspool/health.py
@@ -86,6 +86,10 @@
         """Forget earlier failures."""
         self.failures = 0
 
+    def signal_recovered(self, now: float) -> None:
+        """Take an answer as proof that the endpoint works."""
+        self.signal(Signal.normal, now)
+
     def probe_due(self, now: float) -> bool:
         """Tell whether an ejected endpoint may be tried again."""
         if self.state is HealthState.ejected:
--- /dev/null
+++ b/trefoilspool/homes.py
@@ -0,0 +1,149 @@
+"""Which hosts are here, and which of them is home to the desk."""
+
+import threading
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+__all__ = ['Card', 'Homes']
+
+SUSPECT_S = 0.6  # a host that did not answer is passed over for this long
+MAX_SUSPECT_S = 3.0
+SUSPECT_FACTOR = 2.0
+FORGET_S = 30.0
+DESK = 'desk'
+
+
+class Card(NamedTuple):
+    """What a host says of itself.
+
+    Attributes
+    ----------
+    address : str
+        IP address; ports are the same on all hosts.
+    incarnation : int
+        Larger after each start.
+    settings_version : int
+        Version of the configuration in force there.
+    settings_end, endpoints_end : int
+        How far it has read the operator's and the endpoints' records.
+    """
+
+    name: str
+    address: str
+    incarnation: int
+    leaving: bool = False
+    settings_version: int = 0
+    settings_end: int = 0
+    endpoints_end: int = 0
+
+
+class Suspicion(NamedTuple):
+    """A host did not answer."""
+
+    until: float
+    term: float
+
+
+def rank(name: str) -> int:
+    """Return a host's place in the order of homes, highest first."""
+    return xxhash.xxh64_intdigest(f'{DESK}|{name}'.encode())
+
+
+class Homes:
+    """The hosts that are known; safe to use from any thread.
+
+    Parameters
+    ----------
+    own : Card
+        This host.
+    """
+
+    def __init__(self, own: Card) -> None:
+        self.own = own
+        self.lock = threading.Lock()
+        self.cards: dict[str, Card] = {own.name: own}
+        self.heard: dict[str, float] = {}
+        self.told: dict[str, float] = {}
+        self.suspects: dict[str, Suspicion] = {}
+
+    def set_own(self, card: Card) -> None:
+        """Change what this host says of itself."""
+        with self.lock:
+            self.own = card
+            self.cards[card.name] = card
+
+    def on_heard(self, card: Card, now: float) -> bool:
+        """Take a sign of life; False if it is of a former self."""
+        with self.lock:
+            known = self.cards.get(card.name)
+            if known and card.incarnation < known.incarnation:
+                return False
+            self.cards[card.name] = card
+            self.heard[card.name] = now
+            self.suspects.pop(card.name, None)
+        return True
+
+    def on_told(self, cards: Iterable[Card], now: float) -> None:
+        """Take what others know; it is no sign of life."""
+        with self.lock:
+            for card in cards:
+                known = self.cards.get(card.name)
+                if known is None or known.incarnation < card.incarnation:
+                    self.cards[card.name] = card
+                    self.told[card.name] = now
+
+    def on_silence(self, name: str, now: float) -> None:
+        """Pass a host over for a while, longer each time."""
+        with self.lock:
+            known = self.suspects.get(name)
+            term = SUSPECT_S
+            if known is not None:
+                if now < known.until:
+                    return
+                term = min(known.term * SUSPECT_FACTOR, MAX_SUSPECT_S)
+            self.suspects[name] = Suspicion(now + term, term)
+
+    def home(self, now: float) -> Card | None:
+        """Return the host that gives places, None if there is none."""
+        with self.lock:
+            usable = [
+                card
+                for card in self.cards.values()
+                if not card.leaving and not self.is_suspect(card.name, now)
+            ]
+        return max(usable, key=lambda card: rank(card.name), default=None)
+
+    def is_suspect(self, name: str, now: float) -> bool:
+        """Tell whether a host is passed over now."""
+        suspicion = self.suspects.get(name)
+        return suspicion is not None and now < suspicion.until
+
+    def fresh(self, now: float) -> list[Card]:
+        """Return the hosts that were heard of lately, this one included."""
+        with self.lock:
+            return [
+                card
+                for card in self.cards.values()
+                if card.name == self.own.name or self.lately(card, now)
+            ]
+
+    def lately(self, card: Card, now: float) -> bool:
+        """Tell whether a host was heard or told of lately."""
+        last = max(
+            self.heard.get(card.name, 0),
+            self.told.get(card.name, 0),
+        )
+        return now - last < FORGET_S
+
+    def forget(self, now: float) -> None:
+        """Drop hosts that nobody has heard of for long."""
+        with self.lock:
+            for name, card in list(self.cards.items()):
+                if name != self.own.name and not self.lately(card, now):
+                    del self.cards[name]
+
+    def count(self) -> int:
+        """Return the number of known hosts."""
+        return len(self.cards)
--- /dev/null
+++ b/trefoilspool/mesh.py
@@ -0,0 +1,302 @@
+"""The task that owns a host's datagrams: the desk's home and its clients."""
+
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import logbook
+
+from trefoilspool.desk import Desk
+from trefoilspool.homes import Card, Homes
+from trefoilspool.placeclient import PlaceClient
+from trefoilspool.placement import Ended, PlaceAsk, Station
+from trefoilspool.routing import Configuration
+from trefoilspool.wire import mesh as wire
+from trefoilspool.wire.gen.mesh import ttypes
+
+__all__ = ['MeshTask']
+
+TICK_S = 0.02
+BEAT_S = 0.25
+HOSTS_EVERY = 4  # beats between lists of hosts
+HELLO_S = 0.5
+MAX_DATAGRAM = 60_000
+RECEIVE_BYTES = 1 << 20
+
+logger = logbook.Logger('mesh')
+
+
+class MeshTask:
+    """Receives datagrams, runs the desk where this host is home.
+
+    Parameters
+    ----------
+    own : Card
+        This host.
+    port : int
+        Port of datagrams, the same on all hosts.
+    seeds : iterable of str
+        Addresses of hosts that may know the others.
+    """
+
+    def __init__(self, own: Card, port: int, seeds: Iterable[str]) -> None:
+        self.port = port
+        self.seeds = [seed for seed in seeds if seed != own.address]
+        self.homes = Homes(own)
+        self.client = PlaceClient(own.name, self.homes, self.mail)
+        self.desk = Desk()
+        self.stopping = threading.Event()
+        self.news: list[Callable[[float], None]] = []
+        self.news_lock = threading.Lock()
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES
+        )
+        self.socket.bind((own.address, port))
+        self.socket.settimeout(TICK_S)
+        self.beat_at = 0.0
+        self.hello_at = 0.0
+        self.ticked_at = 0.0
+        self.beats = 0
+
+    def mail(self, address: str, message: object) -> None:
+        """Send an ask or an end; usable from any thread."""
+        datagram = ttypes.Datagram(wire.card_to_wire(self.homes.own))
+        if isinstance(message, PlaceAsk):
+            datagram.asks = [wire.ask_to_wire(message, time.monotonic())]
+        elif isinstance(message, Ended):
+            datagram.ends = [wire.ended_to_wire(message)]
+        self.send(address, datagram)
+
+    def send(self, address: str, datagram: ttypes.Datagram) -> None:
+        """Send a datagram; one that is lost is made good by later ones."""
+        body = wire.encode(datagram)
+        if len(body) > MAX_DATAGRAM:
+            logger.warning('datagram_too_long', extra={'bytes': len(body)})
+            return
+        try:
+            self.socket.sendto(body, (address, self.port))
+        except OSError as error:
+            logger.info(
+                'datagram_not_sent',
+                extra={'to': address, 'error': repr(error)},
+            )
+
+    def tell(self, step: Callable[[float], None]) -> None:
+        """Run a step on the task's thread; usable from any thread."""
+        with self.news_lock:
+            self.news.append(step)
+
+    def set_stations(self, stations: list[Station]) -> None:
+        """Take the endpoints that may get work."""
+        self.client.on_stations(stations)
+        self.tell(lambda now: self.desk.on_stations(stations, now))
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take the limits of a configuration."""
+        limits = configuration.workspaces
+        self.client.workspaces = limits
+        self.tell(
+            lambda now: self.desk.allowances.on_workspaces(limits, now),
+        )
+
+    def run(self) -> None:
+        """Handle datagrams until stopped."""
+        while not self.stopping.is_set():
+            try:
+                self.step()
+            except Exception:
+                logger.exception('mesh step failed')
+        self.socket.close()
+
+    def step(self) -> None:
+        """Handle one datagram and what is due."""
+        try:
+            body, origin = self.socket.recvfrom(MAX_DATAGRAM)
+        except TimeoutError:
+            body = b''
+        now = time.monotonic()
+        if body:
+            self.on_datagram(body, origin[0], now)
+        if self.news:
+            self.take_news(now)
+        if now - self.ticked_at >= TICK_S:
+            self.ticked_at = now
+            self.tick(now)
+        self.deliver()
+
+    def take_news(self, now: float) -> None:
+        """Run the steps that other threads handed over."""
+        with self.news_lock:
+            news = self.news
+            self.news = []
+        for step in news:
+            step(now)
+
+    def on_datagram(self, body: bytes, address: str, now: float) -> None:
+        """Handle a datagram by the fields that it has."""
+        datagram = wire.decode(body)
+        if datagram is None:
+            logger.warning('datagram_unreadable', extra={'from': address})
+            return
+        sender = wire.card_from_wire(datagram.sender)
+        if not self.homes.on_heard(sender, now):
+            return
+        for field, handler in HANDLERS.items():
+            content = getattr(datagram, field)
+            if content is not None:
+                handler(self, sender, content, now)
+
+    def on_asks(self, sender: Card, asks: list[Any], now: float) -> None:
+        """Pass asks to the desk."""
+        for one in asks:
+            self.desk.on_ask(wire.ask_from_wire(one, sender.name, now), now)
+
+    def on_ends(self, sender: Card, ends: list[Any], now: float) -> None:
+        """Pass ends to the desk."""
+        for one in ends:
+            self.desk.on_ended(wire.ended_from_wire(one, sender.name), now)
+
+    def on_verdicts(
+        self,
+        sender: Card,
+        verdicts: list[Any],
+        now: float,
+    ) -> None:
+        """Pass verdicts to the requests that wait for them."""
+        for one in verdicts:
+            self.client.on_verdict(
+                wire.verdict_from_wire(one, self.homes.own.name),
+            )
+
+    def on_roll(self, sender: Card, roll: list[Any], now: float) -> None:
+        """Take a beat with what an entry holds, and answer it."""
+        self.desk.on_roll(
+            sender.name,
+            wire.held_from_wire(roll, sender.name),
+            now,
+        )
+        answer = ttypes.Datagram(
+            wire.card_to_wire(self.homes.own),
+            digest=self.digest(now),
+        )
+        self.send(sender.address, answer)
+
+    def digest(self, now: float) -> ttypes.Digest:
+        """Return the desk's counts and levels."""
+        return ttypes.Digest(
+            [
+                ttypes.Load(
+                    name,
+                    len(state.bookings),
+                    not state.takes_work(now),
+                )
+                for name, state in self.desk.stations.items()
+            ],
+            [
+                ttypes.Level(name, level)
+                for name, level in self.desk.allowances.levels(now)
+            ],
+        )
+
+    def on_digest(
+        self,
+        sender: Card,
+        digest: ttypes.Digest,
+        now: float,
+    ) -> None:
+        """Take the home's counts."""
+        self.client.on_loads(
+            {load.endpoint: load.held for load in digest.loads},
+            frozenset(load.endpoint for load in digest.loads if load.ejected),
+        )
+
+    def on_hosts(self, sender: Card, hosts: list[Any], now: float) -> None:
+        """Learn of hosts."""
+        self.homes.on_told(map(wire.card_from_wire, hosts), now)
+
+    def on_hello(self, sender: Card, hello: bool, now: float) -> None:
+        """Tell a host who is here."""
+        self.send(sender.address, self.introduction(now))
+
+    def introduction(self, now: float) -> ttypes.Datagram:
+        """Return a datagram that names the hosts."""
+        return ttypes.Datagram(
+            wire.card_to_wire(self.homes.own),
+            hosts=[wire.card_to_wire(one) for one in self.homes.fresh(now)],
+        )
+
+    def tick(self, now: float) -> None:
+        """Let waiting requests time out, and beat."""
+        self.desk.tick(now)
+        if now - self.beat_at >= BEAT_S:
+            self.beat_at = now
+            self.beat(now)
+        if now - self.hello_at >= HELLO_S:
+            self.hello_at = now
+            self.say_hello(now)
+
+    def beat(self, now: float) -> None:
+        """Tell the home what this host holds, and all hosts who is here."""
+        self.beats += 1
+        home = self.homes.home(now)
+        if home is None:
+            return
+        datagram = ttypes.Datagram(
+            wire.card_to_wire(self.homes.own),
+            roll=[wire.held_to_wire(one) for one in self.client.roll()],
+        )
+        self.send(home.address, datagram)
+        if home.name == self.homes.own.name and not self.beats % HOSTS_EVERY:
+            self.homes.forget(now)
+            introduction = self.introduction(now)
+            for card in self.homes.fresh(now):
+                if card.name != home.name:
+                    self.send(card.address, introduction)
+
+    def say_hello(self, now: float) -> None:
+        """Ask the seeds, and hosts that were silent, whether they are here."""
+        addresses = set()
+        if self.homes.count() <= 1:
+            addresses.update(self.seeds)
+        for name in list(self.homes.suspects):
+            card = self.homes.cards.get(name)
+            if card is not None:
+                addresses.add(card.address)
+        hello = ttypes.Datagram(
+            wire.card_to_wire(self.homes.own),
+            hello=True,
+        )
+        for address in addresses:
+            self.send(address, hello)
+
+    def deliver(self) -> None:
+        """Send the desk's verdicts to their entry hosts."""
+        by_entry: dict[str, list[Any]] = {}
+        for verdict in self.desk.take_verdicts():
+            by_entry.setdefault(verdict.key.entry, []).append(
+                wire.verdict_to_wire(verdict),
+            )
+        for entry, verdicts in by_entry.items():
+            card = self.homes.cards.get(entry)
+            if card is not None:
+                self.send(
+                    card.address,
+                    ttypes.Datagram(
+                        wire.card_to_wire(self.homes.own),
+                        verdicts=verdicts,
+                    ),
+                )
+
+
+HANDLERS = {
+    'asks': MeshTask.on_asks,
+    'ends': MeshTask.on_ends,
+    'verdicts': MeshTask.on_verdicts,
+    'roll': MeshTask.on_roll,
+    'digest': MeshTask.on_digest,
+    'hosts': MeshTask.on_hosts,
+    'hello': MeshTask.on_hello,
+}
--- a/trefoilspool/options.py
+++ b/trefoilspool/options.py
@@ -8,9 +8,10 @@
 
 from trefoilspool.errors import OptionError
 
-__all__ = ['HostOptions', 'StandinOptions', 'load_options']
+__all__ = ['GatewayOptions', 'HostOptions', 'StandinOptions', 'load_options']
 
 MAX_PORT = 65535
+ADDRESS = '^[0-9.]+:[0-9]+$'
 
 
 class ProcessOptions(BaseSettings):
@@ -61,6 +62,29 @@
     )
 
 
+class GatewayOptions(ProcessOptions):
+    """Options of a host that serves routed requests on a platform."""
+
+    name: str = Field(pattern='^[A-Za-z0-9._-]+$', description='host name')
+    data_centre: str = Field(description='data centre of the host')
+    listen: str = Field(pattern=ADDRESS, description="callers' IP:PORT")
+    ready: str = Field(pattern=ADDRESS, description='readiness IP:PORT')
+    control: str = Field(pattern=ADDRESS, description="peers' IP:PORT")
+    mesh_port: int = Field(gt=0, le=MAX_PORT, description='datagrams port')
+    seeds: str = Field('', description='IP:PORT of hosts, with commas')
+    store: str = Field(pattern=ADDRESS, description="the store's IP:PORT")
+
+    @property
+    def control_port(self) -> int:
+        """Return the port at which peers ask."""
+        return int(self.control.rpartition(':')[2])
+
+    @property
+    def seed_addresses(self) -> list[str]:
+        """Return the addresses of hosts that may know the others."""
+        return [seed.split(':')[0] for seed in self.seeds.split(',') if seed]
+
+
 class StandinOptions(ProcessOptions):
     """Options of ``trefoilspool standin``."""
 
--- /dev/null
+++ b/trefoilspool/stations.py
@@ -0,0 +1,137 @@
+"""What the desk knows of endpoints: held places, speed and health."""
+
+from typing import NamedTuple
+
+from trefoilspool.health import Health, HealthState
+from trefoilspool.placement import Ended, PlaceAsk, PlaceKey, Station
+from trefoilspool.placement import SendEnding as Ending
+
+__all__ = ['Booking', 'StationState']
+
+PREFILL_TOKENS_A_S = 150_000.0
+TOKEN_GAP_S = 0.004
+FIRST_STEP_S = 0.03
+PLAIN_WORK_S = 0.05
+SPEED_GAIN = 0.4
+MIN_SLOWNESS = 0.2
+MAX_SLOWNESS = 50.0
+MIN_EVENTS = 4  # fewer say little of the speed between them
+PARTS_KEPT_S = 9.0
+MAX_PARTS = 4096
+
+
+class Booking(NamedTuple):
+    """A place in use."""
+
+    service: str
+    endpoint: str
+    granted: float
+    prompt_tokens: int
+    output_tokens: int
+
+
+class StationState:
+    """State of one endpoint.
+
+    Parameters
+    ----------
+    station : Station
+        The endpoint.
+    """
+
+    def __init__(self, station: Station) -> None:
+        self.station = station
+        self.bookings: dict[PlaceKey, Booking] = {}
+        self.health = Health()
+        self.slowness = 1.0
+        self.samples = 0
+        self.prefill_free_at = 0.0
+        self.parts: dict[str, float] = {}
+
+    @property
+    def free(self) -> int:
+        """Return the places that are not in use."""
+        return self.station.places - len(self.bookings)
+
+    @property
+    def is_engine(self) -> bool:
+        """Tell whether this is a model engine."""
+        return self.station.event_tokens > 0
+
+    def missed_tokens(self, ask: PlaceAsk, now: float) -> int:
+        """Return the prompt tokens that the endpoint has to read."""
+        if ask.parts and self.parts.get(ask.parts[-1], 0) > now:
+            return 0
+        return ask.prompt_tokens
+
+    def first_token_s(self, ask: PlaceAsk, now: float) -> float:
+        """Predict the seconds until the first byte of a new request."""
+        if not self.is_engine:
+            return PLAIN_WORK_S * self.slowness * (1 + len(self.bookings))
+        backlog = max(0, self.prefill_free_at - now)
+        own = self.missed_tokens(ask, now) / PREFILL_TOKENS_A_S
+        return backlog + (own + FIRST_STEP_S) * self.slowness
+
+    def book(self, ask: PlaceAsk, now: float) -> None:
+        """Take a place for a request."""
+        if self.is_engine:
+            own = self.missed_tokens(ask, now) / PREFILL_TOKENS_A_S
+            start = max(now, self.prefill_free_at)
+            self.prefill_free_at = start + own * self.slowness
+            for part in ask.parts:
+                self.parts[part] = now + PARTS_KEPT_S
+            if len(self.parts) > MAX_PARTS:
+                self.forget_parts(now)
+        self.bookings[ask.key] = Booking(
+            ask.service,
+            self.station.name,
+            now,
+            ask.prompt_tokens,
+            ask.output_tokens,
+        )
+
+    def forget_parts(self, now: float) -> None:
+        """Drop prompt parts that have not been used for long."""
+        self.parts = {
+            part: until for part, until in self.parts.items() if until > now
+        }
+
+    def learn(self, ended: Ended, now: float) -> None:
+        """Learn speed and health from how a place was used."""
+        if ended.ending in FAILURES:
+            self.health.observe_failure(now)
+        elif ended.ending is Ending.completed:
+            self.health.observe_success()
+            self.health.signal_recovered(now)
+            self.learn_speed(ended)
+
+    def learn_speed(self, ended: Ended) -> None:
+        """Learn from the gaps between the events of a stream."""
+        if ended.events < MIN_EVENTS or not self.is_engine:
+            return
+        tokens = (ended.events - 1) * self.station.event_tokens
+        sample = ended.decode_s / tokens / TOKEN_GAP_S
+        sample = min(max(sample, MIN_SLOWNESS), MAX_SLOWNESS)
+        self.samples += 1
+        gain = max(SPEED_GAIN, 1 / self.samples)
+        self.slowness += gain * (sample - self.slowness)
+
+    def takes_work(self, now: float) -> bool:
+        """Tell whether the endpoint may get a request now."""
+        if self.health.state is not HealthState.ejected:
+            return True
+        if self.health.probe_due(now):
+            self.health.since = now
+            return True
+        return False
+
+
+FAILURES = frozenset(
+    (
+        Ending.unreachable,
+        Ending.broken,
+        Ending.silent,
+        Ending.refused,
+        Ending.failed,
+    )
+)
--- /dev/null
+++ b/trefoilspool/wire/mesh.thrift
@@ -0,0 +1,77 @@
+// Datagrams between hosts: who is here, and places for requests.
+namespace py trefoilspool.wire.gen.mesh
+
+struct HostCard {
+  1: string name
+  2: string address         // IP address of the host's datagrams
+  3: i64 incarnation
+  4: bool leaving
+  5: i64 settings_version   // configuration in force there
+  6: i64 settings_end       // end offset of the operator's records there
+  7: i64 endpoints_end      // end offset of the endpoints' records there
+}
+struct Ask {
+  1: i64 request
+  2: string service_name
+  3: string workspace
+  4: i16 rank
+  5: i32 prompt_tokens
+  6: i32 output_tokens
+  7: i32 aim_ms             // what is left until the answer is late
+  8: i32 left_ms            // what is left until the deadline
+  9: list<string> avoid
+  10: i16 attempt
+  11: list<string> parts    // the prompt's parts, as the caller names them
+  12: bool streams
+  13: i32 charge            // tokens counted towards the workspace's limit
+  14: string data_centre
+  15: i32 waited_ms         // since the request arrived at its entry
+  16: bool repeatable
+}
+struct Verdict {
+  1: i64 request
+  2: byte kind              // 0 waiting, 1 granted, 2 refused
+  3: string endpoint
+  4: byte reason
+  5: i32 retry_after_ms
+}
+struct End {
+  1: i64 request
+  2: byte ending
+  3: string endpoint
+  4: i32 first_ms           // from the dispatch to the first event; 0: none
+  5: i32 events
+  6: i32 decode_ms          // from the first event to the last
+  7: i32 prompt_tokens
+}
+struct Holding {
+  1: i64 request
+  2: string service_name
+  3: string endpoint
+  4: i32 prompt_tokens
+  5: i32 output_tokens
+  6: i32 age_ms
+}
+struct Load {
+  1: string endpoint
+  2: i32 held
+  3: bool ejected
+}
+struct Level {
+  1: string workspace
+  2: i64 tokens
+}
+struct Digest {
+  1: list<Load> loads
+  2: list<Level> levels
+}
+struct Datagram {
+  1: HostCard sender
+  2: optional list<Ask> asks
+  3: optional list<Verdict> verdicts
+  4: optional list<End> ends
+  5: optional list<Holding> roll
+  6: optional Digest digest
+  7: optional list<HostCard> hosts
+  8: optional bool hello    // the sender asks who is here
+}
