Let a leaving host close idle connections and refuse what comes late

Ruled out: the balancer; the connections were older than the signal. Change: every 50 ms a leaving host closes connections without a request, ends each answer's connection, and refuses requests that come 2.8 s after the signal.

--- a/trefoilspool/gateway.py
+++ b/trefoilspool/gateway.py
@@ -59,6 +59,7 @@
         self.metrics = metrics
         self.configuration: Configuration | None = None
         self.draining = False
+        self.closed = False
         self.open = 0
         self.lock = threading.Lock()
 
@@ -68,6 +69,8 @@
         with self.lock:
             self.open += 1
         answer = self.answer(call, arrived, gone)
+        if self.draining:
+            answer = answer._replace(headers=without_length(answer.headers))
         return answer._replace(chunks=self.counted(answer.chunks))
 
     def answer(
@@ -78,10 +81,11 @@
     ) -> Answer:
         """Pass a call through the filters."""
         configuration = self.configuration
-        if configuration is None:
+        if configuration is None or self.closed:
+            why = 'is leaving' if self.closed else 'knows no configuration'
             return self.refuse(
                 call,
-                NotReadyError('no configuration is known yet', START_RETRY_S),
+                NotReadyError(f'this host {why}', START_RETRY_S),
             )
         message = Arrived(call, arrived, gone, configuration)
         found = find_route(message).bind(identify)
@@ -169,6 +173,17 @@
     )
 
 
+def without_length(
+    headers: tuple[tuple[str, str], ...],
+) -> tuple[tuple[str, str], ...]:
+    """Leave out the length, so that the connection ends with the answer."""
+    return tuple(
+        (name, text)
+        for name, text in headers
+        if name.lower() != 'content-length'
+    )
+
+
 def refusal_answer(problem: Problem) -> Answer:
     """Return a final answer of this system's own."""
     body = json.dumps(problem.document()).encode()
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -10,7 +10,6 @@
 from typing import Any, NamedTuple
 
 import logbook
-import waitress
 
 from trefoilspool.directory import Directory, EndpointRecord
 from trefoilspool.errors import BadRecordError, Problem
@@ -19,6 +18,7 @@
 from trefoilspool.follow import FollowPeersTask, FollowStoreTask, Pace
 from trefoilspool.gateway import Gateway, refusal_answer
 from trefoilspool.homes import Card
+from trefoilspool.listening import Listening
 from trefoilspool.mesh import MeshTask
 from trefoilspool.options import GatewayOptions
 from trefoilspool.placement import Station
@@ -34,17 +34,11 @@
 
 NS_PER_US = 1000
 INCARNATION_BITS = 4
-WORKER_THREADS = 160
-BACKLOG = 512
-LOOKAHEAD = 1  # lets waitress notice that a caller has hung up
-CHANNEL_TIMEOUT_S = 600
-MAX_CONNECTIONS = 1000
-MAX_BODY_BYTES = 64_000_000
-MAX_HEADERS_BYTES = 65_536
-SWITCH_POLL_S = 0.05
+DRAIN_POLL_S = 0.05
 SWEEP_S = 1.0
-LAST_EXIT_S = 7.4
-MIN_DRAIN_S = 3.0
+TAKE_S = 2.8  # the balancer has taken a leaving host out by then
+MIN_DRAIN_S = 3.2
+LAST_EXIT_S = 7.5  # the platform kills after 8 s
 SETTINGS_PACE = Pace(wait_s=1.5, pause_s=0.02)
 ENDPOINTS_PACE = Pace(wait_s=0, pause_s=0.6)
 CONFIGURATION_KEY = 'config'
@@ -285,16 +279,28 @@
             and not self.gateway.draining
         )
 
-    def drain(self) -> None:
-        """Leave: not ready, then finish what is open."""
+    def drain(self, listening: Listening) -> None:
+        """Leave: not ready, take no more, then finish what is open.
+
+        Parameters
+        ----------
+        listening : Listening
+            Whose idle connections are closed, so that their callers go to
+            other hosts.
+        """
         started = time.monotonic()
-        self.gateway.draining = True
+        gateway = self.gateway
+        gateway.draining = True
         self.tell()
-        logger.info('draining', extra={'open': self.gateway.open})
-        time.sleep(MIN_DRAIN_S)
-        while self.gateway.open and time.monotonic() < started + LAST_EXIT_S:
-            time.sleep(SWITCH_POLL_S)
-        logger.info('drained', extra={'open': self.gateway.open})
+        logger.info('draining', extra={'open': gateway.open})
+        while time.monotonic() < started + LAST_EXIT_S:
+            age = time.monotonic() - started
+            gateway.closed = age >= TAKE_S
+            listening.close_idle()
+            if age >= MIN_DRAIN_S and not gateway.open:
+                break
+            time.sleep(DRAIN_POLL_S)
+        logger.info('drained', extra={'open': gateway.open})
 
     def stop(self) -> None:
         """Stop the tasks."""
@@ -386,21 +392,9 @@
 def serve_gateway(options: GatewayOptions, platform: Platform) -> None:
     """Run a host until SIGTERM or SIGINT, then drain and return."""
     host = GatewayHost(options, platform)
-    server = waitress.create_server(
+    listening = Listening(
         GatewayApp(host),
-        listen=f'{options.listen} {options.ready} {options.control}',
-        threads=WORKER_THREADS,
-        send_bytes=1,
-        channel_request_lookahead=LOOKAHEAD,
-        max_request_body_size=MAX_BODY_BYTES,
-        max_request_header_size=MAX_HEADERS_BYTES,
-        connection_limit=MAX_CONNECTIONS,
-        channel_timeout=CHANNEL_TIMEOUT_S,
-        backlog=BACKLOG,
-        clear_untrusted_proxy_headers=False,
-        log_socket_errors=False,
-        asyncore_use_poll=True,
-        ident=None,
+        (options.listen, options.ready, options.control),
     )
     stopping = threading.Event()
 
@@ -414,10 +408,10 @@
     signal.signal(signal.SIGINT, on_signal)
     signal.signal(signal.SIGHUP, on_hangup)
     host.start()
-    threading.Thread(target=server.run, daemon=True).start()
+    threading.Thread(target=listening.run, daemon=True).start()
     logger.info('started', extra={'listen': options.listen})
     stopping.wait()
-    host.drain()
-    server.close()
+    host.drain(listening)
+    listening.close()
     host.stop()
     logger.info('stopped')
--- /dev/null
+++ b/trefoilspool/listening.py
@@ -0,0 +1,88 @@
+"""The HTTP server of a host, which can leave without losing a request."""
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+import waitress
+from waitress.channel import HTTPChannel
+from waitress.wasyncore import close_all
+
+__all__ = ['Listening']
+
+WORKER_THREADS = 160
+BACKLOG = 512
+LOOKAHEAD = 1  # lets waitress notice that a caller has hung up
+CHANNEL_TIMEOUT_S = 600
+MAX_CONNECTIONS = 1000
+MAX_BODY_BYTES = 64_000_000
+MAX_HEADERS_BYTES = 65_536
+
+Application = Callable[..., Iterable[bytes]]
+
+
+class Listening:
+    """A waitress server on several addresses.
+
+    Parameters
+    ----------
+    application : callable
+        The WSGI application.
+    addresses : iterable of str
+        IP:PORT of each listener.
+    """
+
+    def __init__(
+        self,
+        application: Application,
+        addresses: Iterable[str],
+    ) -> None:
+        self.sockets: dict[Any, Any] = {}
+        self.server = waitress.create_server(
+            application,
+            map=self.sockets,
+            listen=' '.join(addresses),
+            threads=WORKER_THREADS,
+            send_bytes=1,
+            channel_request_lookahead=LOOKAHEAD,
+            max_request_body_size=MAX_BODY_BYTES,
+            max_request_header_size=MAX_HEADERS_BYTES,
+            connection_limit=MAX_CONNECTIONS,
+            channel_timeout=CHANNEL_TIMEOUT_S,
+            backlog=BACKLOG,
+            clear_untrusted_proxy_headers=False,
+            log_socket_errors=False,
+            asyncore_use_poll=True,
+            ident=None,
+        )
+
+    def run(self) -> None:
+        """Serve until the process ends."""
+        self.server.run()
+
+    def channels(self) -> Iterator[HTTPChannel]:
+        """Yield the open connections of callers."""
+        for one in list(self.sockets.values()):
+            if isinstance(one, HTTPChannel):
+                yield one
+
+    def close_idle(self) -> int:
+        """Close connections on which no request has begun.
+
+        Returns
+        -------
+        int
+            The number of connections that are closed.
+        """
+        closed = 0
+        for channel in self.channels():
+            with channel.requests_lock:
+                idle = not channel.requests and channel.request is None
+                if idle and not channel.total_outbufs_len:
+                    channel.will_close = True
+                    closed += 1
+            channel.server.pull_trigger()
+        return closed
+
+    def close(self) -> None:
+        """Close all sockets."""
+        close_all(self.sockets, ignore_all=True)
