--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,15 @@
 """Reports the failures that KNOWN-RED.txt lists without failing the run."""
 
 import pathlib
+import sys
 from collections.abc import Iterator
 
 import pytest
 
-KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
+ROOT = pathlib.Path(__file__).parent.parent
+# The adapter's modules are found as they are when its script is started.
+sys.path.append(str(ROOT / 'platform'))
+KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 
 
 def known_red() -> set[str]:
--- /dev/null
+++ b/tests/gatewaycluster.py
@@ -0,0 +1,225 @@
+"""Gateway hosts in this process, before stand-ins of the platform."""
+
+import contextlib
+import http.client
+import itertools
+import os
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+from cluster import free_port
+from launch import UsersPlatform
+from platformendpoint import PlatformEndpoint
+from platformstore import PlatformStore
+
+from trefoilspool.gatewayapp import GatewayApp
+from trefoilspool.gatewayhost import GatewayHost
+from trefoilspool.listening import Listening
+from trefoilspool.options import GatewayOptions
+
+WAIT_S = 20
+POLL_S = 0.01
+NETWORKS = itertools.count()
+KEY = 'key-of-acme'
+AUTHORITY = 'shop.example'
+
+
+class Reply(NamedTuple):
+    """What a caller got; ``whole`` tells whether the answer is complete."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+def wait_for(check: Callable[[], Any], what: str) -> Any:
+    give_up = time.monotonic() + WAIT_S
+    while time.monotonic() < give_up:
+        found = check()
+        if found:
+            return found
+        time.sleep(POLL_S)
+    raise AssertionError(f'waited {WAIT_S} s for {what}')
+
+
+def configuration(version: int = 1, **changes: object) -> dict[str, object]:
+    """Return an operator's record with one route of each kind."""
+    return {
+        'version': version,
+        'routeTable': [
+            route('chat', 'streaming', streamResume=True, maxAttempts=2),
+            route('talk', 'streaming', streamResume=False),
+            route('look', 'idempotent', maxAttempts=2),
+            route('book', 'non_idempotent'),
+        ],
+        'backends': [{'name': 'engines', 'healthPath': '/healthz'}],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 4194304,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+        'tenants': [
+            {
+                'name': 'acme',
+                'apiKeys': [KEY],
+                'priority': 1,
+                'unit': 'tokens',
+                'plainTokens': 200,
+                'ratePerS': 0,
+                'burst': 0,
+            }
+        ],
+        **changes,
+    }
+
+
+def route(name: str, kind: str, **changes: object) -> dict[str, object]:
+    return {
+        'name': f'r-{name}',
+        'authority': AUTHORITY,
+        'pathPrefix': f'/{name}/',
+        'routeType': kind,
+        'timeoutMs': 5000,
+        'targetLatencyMs': 300,
+        'priority': 1,
+        'backend': 'engines',
+        'maxAttempts': 1,
+        'anonymous': False,
+        'streamResume': False,
+        **changes,
+    }
+
+
+class RunningHost:
+    """A gateway host with its listeners."""
+
+    def __init__(self, cluster: 'GatewayCluster', number: int) -> None:
+        self.address = f'{cluster.network}.{number}'
+        self.port, ready, control = cluster.ports
+        self.options = GatewayOptions(
+            name=f'h{number}',
+            address=self.address,
+            data_centre='z1',
+            listen=f'{self.address}:{self.port}',
+            ready=f'{self.address}:{ready}',
+            control=f'{self.address}:{control}',
+            mesh_port=cluster.mesh_port,
+            seeds=cluster.seeds,
+            store=cluster.store.address,
+        )
+        self.host = GatewayHost(self.options, UsersPlatform(self.options))
+        self.listening = Listening(
+            GatewayApp(self.host),
+            (self.options.listen, self.options.ready, self.options.control),
+        )
+        self.host.start()
+        threading.Thread(target=self.listening.run, daemon=True).start()
+
+    def stop(self) -> None:
+        self.host.stop()
+        self.listening.close()
+
+
+class GatewayCluster:
+    """A store, endpoints and hosts; closed with ``close``."""
+
+    def __init__(self) -> None:
+        # Each cluster has loopback addresses of its own, so that tests that
+        # run at the same time do not hear each other.
+        worker = os.getpid() % 200
+        self.network = f'127.{20 + next(NETWORKS) % 200}.{worker}'
+        self.store = PlatformStore()
+        self.ports = (free_port(), free_port(), free_port())
+        self.mesh_port = free_port()
+        self.seeds = f'{self.network}.1:1'
+        self.endpoints: list[PlatformEndpoint] = []
+        self.hosts: list[RunningHost] = []
+        self.ids = itertools.count(1)
+        self.configure()
+
+    def configure(self, version: int = 1, **changes: object) -> None:
+        self.store.put('keyed.op', 'config', configuration(version, **changes))
+
+    def add_endpoint(self, **changes: object) -> PlatformEndpoint:
+        endpoint = PlatformEndpoint(f'i-{len(self.endpoints) + 1}')
+        self.endpoints.append(endpoint)
+        self.register(endpoint, **changes)
+        return endpoint
+
+    def register(self, endpoint: PlatformEndpoint, **changes: object) -> None:
+        record = endpoint.record('engines', **changes)
+        self.store.put('keyed.servers', endpoint.name, record)
+
+    def add_host(self) -> RunningHost:
+        running = RunningHost(self, len(self.hosts) + 1)
+        self.hosts.append(running)
+        if self.endpoints:
+            wait_for(running.host.is_ready, 'a host that is ready')
+        return running
+
+    def knows_endpoints(self, running: RunningHost, count: int) -> None:
+        wait_for(
+            lambda: len(running.host.mesh.desk.stations) == count,
+            f'{count} endpoints at the desk',
+        )
+
+    def call(
+        self,
+        running: RunningHost,
+        path: str = '/look/1',
+        method: str = 'POST',
+        body: bytes = b'',
+        **headers: str,
+    ) -> Reply:
+        with self.calling(running, path, method, body, **headers) as response:
+            try:
+                found, whole = response.read(), True
+            except http.client.IncompleteRead as error:
+                found, whole = error.partial, False
+            return Reply(
+                response.status,
+                {name.lower(): one for name, one in response.getheaders()},
+                found,
+                whole,
+            )
+
+    @contextlib.contextmanager
+    def calling(
+        self,
+        running: RunningHost,
+        path: str,
+        method: str = 'POST',
+        body: bytes = b'',
+        **headers: str,
+    ) -> Iterator[http.client.HTTPResponse]:
+        """Give the open response; the connection is closed at the end."""
+        link = http.client.HTTPConnection(
+            running.address, running.port, timeout=WAIT_S
+        )
+        sent = {
+            'Host': AUTHORITY,
+            'Request-Id': f'q{next(self.ids)}',
+            'Deadline-Ms': '4000',
+            'Authorization': f'Bearer {KEY}',
+        }
+        sent.update(
+            (name.replace('_', '-'), one) for name, one in headers.items()
+        )
+        link.request(method, path, body, sent)
+        response = link.getresponse()
+        try:
+            yield response
+        finally:
+            response.close()
+            link.close()
+
+    def close(self) -> None:
+        for running in self.hosts:
+            running.stop()
+        for endpoint in self.endpoints:
+            endpoint.close()
+        self.store.close()
--- /dev/null
+++ b/tests/platformendpoint.py
@@ -0,0 +1,178 @@
+"""A small endpoint as the platform's pages describe it, on raw sockets."""
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+from typing import NamedTuple
+
+STAMP = 'stamp.1'
+
+
+class Seen(NamedTuple):
+    """A request that arrived."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def request_id(self) -> str:
+        return self.headers.get('request-id', '')
+
+
+class Conversation:
+    """What a behaviour may do with one request."""
+
+    def __init__(self, sock: socket.socket, seen: Seen, name: str) -> None:
+        self.sock = sock
+        self.seen = seen
+        self.name = name
+        self.open = True
+
+    def head(self, status: int, *lines: str) -> None:
+        text = '\r\n'.join(
+            (
+                f'HTTP/1.1 {status} Status',
+                f'Request-Id: {self.seen.request_id}',
+                f'Instance-Id: {self.name}',
+                *lines,
+            )
+        )
+        self.sock.sendall(f'{text}\r\n\r\n'.encode())
+
+    def whole(self, status: int = 200, body: bytes = b'done') -> None:
+        self.head(
+            status, f'Server-Stamp: {STAMP}', f'Content-Length: {len(body)}'
+        )
+        self.sock.sendall(body)
+
+    def refuse(self, status: int = 503) -> None:
+        self.head(status, 'Not-Executed: 1', 'Content-Length: 0')
+
+    def start_stream(self) -> None:
+        self.head(
+            200,
+            f'Server-Stamp: {STAMP}',
+            'Content-Type: text/event-stream',
+            'Transfer-Encoding: chunked',
+        )
+
+    def chunk(self, body: bytes) -> None:
+        self.sock.sendall(b'%x\r\n%s\r\n' % (len(body), body))
+
+    def event(self, number: int) -> None:
+        self.chunk(b'id: %d\ndata: piece %d\n\n' % (number, number))
+
+    def end_stream(self) -> None:
+        self.sock.sendall(b'0\r\n\r\n')
+
+    def stream(self, events: int = 5) -> None:
+        first = int(self.seen.headers.get('last-event-id', -1)) + 1
+        self.start_stream()
+        for number in range(first, events):
+            self.event(number)
+        self.end_stream()
+
+    def reset(self) -> None:
+        """Close the connection with a reset."""
+        self.sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+        self.close()
+
+    def close(self) -> None:
+        self.open = False
+        self.sock.close()
+
+    def caller_left(self, within_s: float = 5) -> bool:
+        """Tell whether the connection is closed by the other side."""
+        self.sock.settimeout(within_s)
+        try:
+            return self.sock.recv(1) == b''
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+
+
+class PlatformEndpoint:
+    """Runs ``behaviour`` for each request; keeps what arrived."""
+
+    def __init__(self, name: str, address: str = '127.0.0.1') -> None:
+        self.name = name
+        self.behaviour = Conversation.whole
+        self.seen: list[Seen] = []
+        self.runs: list[str] = []
+        self.connections = 0
+        self.listener = socket.create_server((address, 0))
+        self.port = self.listener.getsockname()[1]
+        self.address = f'{address}:{self.port}'
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def record(self, service: str, **changes: object) -> dict[str, object]:
+        """Return the record that the endpoint writes of itself."""
+        return {
+            'backend': service,
+            'address': self.address,
+            'zone': 'z1',
+            'version': 'v1',
+            'capacity': 4,
+            'state': 'ready',
+            'coldRemainingMs': 0,
+            'sequence': 1,
+            'born': 1,
+            **changes,
+        }
+
+    def accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while self.listener.fileno() >= 0:
+                sock, _ = self.listener.accept()
+                self.connections += 1
+                threading.Thread(
+                    target=self.serve,
+                    args=(sock,),
+                    daemon=True,
+                ).start()
+
+    def serve(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            reader = sock.makefile('rb')
+            for seen in iter(lambda: read_request(reader), None):
+                self.seen.append(seen)
+                conversation = Conversation(sock, seen, self.name)
+                expected = seen.headers.get('expect-instance', self.name)
+                if expected == self.name:
+                    self.runs.append(seen.request_id)
+                    self.behaviour(conversation)
+                else:
+                    conversation.refuse(421)
+                if not conversation.open:
+                    return
+
+    def close(self) -> None:
+        self.listener.close()
+
+
+def read_request(reader) -> Seen | None:  # type: ignore[no-untyped-def]
+    line = reader.readline().decode().strip()
+    if not line:
+        return None
+    headers = {}
+    for header in iter(lambda: reader.readline().strip(), b''):
+        name, _, text = header.decode().partition(':')
+        headers[name.lower()] = text.strip()
+    body = reader.read(int(headers.get('content-length', 0)))
+    return Seen(line, headers, body)
+
+
+def slow(seconds: float) -> object:
+    """Return a behaviour that answers late."""
+
+    def behave(conversation: Conversation) -> None:
+        time.sleep(seconds)
+        conversation.whole()
+
+    return behave
--- /dev/null
+++ b/tests/platformstore.py
@@ -0,0 +1,164 @@
+"""A small store as the platform's pages describe it, with faults."""
+
+import base64
+import json
+import struct
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+PAGE = 3  # small, so that tests meet several pages
+
+
+class Topic:
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bytes]] = []
+        self.first = 0
+
+    @property
+    def end(self) -> int:
+        return len(self.records)
+
+    def newest(self) -> dict[str, tuple[int, bytes]]:
+        found: dict[str, tuple[int, bytes]] = {}
+        for offset, (key, content) in enumerate(self.records):
+            found.pop(key, None)
+            if content:
+                found[key] = (offset, content)
+        return found
+
+
+class StoreServer(ThreadingHTTPServer):
+    store: 'PlatformStore'
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+    server: StoreServer
+
+    def do_GET(self) -> None:
+        self.server.store.get(self)
+
+    def log_message(self, *arguments: object) -> None:
+        """Write nothing."""
+
+
+class PlatformStore:
+    """Keyed topics; ``fault`` is a status, ``silent`` or ``reset``."""
+
+    def __init__(self, address: str = '127.0.0.1') -> None:
+        self.topics: dict[str, Topic] = {}
+        self.changed = threading.Condition()
+        self.fault: int | str = 0
+        self.calls = 0
+        self.server = StoreServer((address, 0), Handler)
+        self.server.store = self
+        self.server.daemon_threads = True
+        port = self.server.server_address[1]
+        self.address = f'{address}:{port}'
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def topic(self, name: str) -> Topic:
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic: str, key: str, content: object) -> int:
+        """Append a record; a dict is written as JSON."""
+        body = content if isinstance(content, bytes) else dump(content)
+        with self.changed:
+            self.topic(topic).records.append((key, body))
+            self.changed.notify_all()
+            return self.topic(topic).end - 1
+
+    def trim(self, topic: str) -> None:
+        """Drop the history; the newest of each key is kept."""
+        with self.changed:
+            self.topic(topic).first = self.topic(topic).end
+
+    def get(self, handler: BaseHTTPRequestHandler) -> None:
+        self.calls += 1
+        parts = urlsplit(handler.path)
+        query = {name: one[0] for name, one in parse_qs(parts.query).items()}
+        if self.fault == 'silent':
+            time.sleep(3)
+            handler.close_connection = True
+            return
+        if self.fault == 'reset':
+            handler.close_connection = True
+            return
+        if self.fault:
+            send(handler, int(self.fault), b'{}')
+            return
+        pages = {'/-/log-newest': self.newest, '/-/log-read': self.read}
+        pages[parts.path](handler, query)
+
+    def newest(
+        self,
+        handler: BaseHTTPRequestHandler,
+        query: dict[str, str],
+    ) -> None:
+        with self.changed:
+            topic = self.topic(query['topic'])
+            newest = sorted(topic.newest().items())
+            after = query.get('after', '')
+            rest = [one for one in newest if one[0] > after]
+            items = [
+                {
+                    'key': key,
+                    'value': base64.b64encode(content).decode(),
+                    'offset': offset,
+                }
+                for key, (offset, content) in rest[:PAGE]
+            ]
+            page = {
+                'items': items,
+                'more': len(rest) > PAGE,
+                'end': topic.end,
+            }
+        send(handler, 200, json.dumps(page).encode())
+
+    def read(
+        self,
+        handler: BaseHTTPRequestHandler,
+        query: dict[str, str],
+    ) -> None:
+        start = int(query['from'])
+        wait_s = int(query.get('waitMs', 0)) / 1000
+        with self.changed:
+            topic = self.topic(query['topic'])
+            self.changed.wait_for(lambda: topic.end > start, wait_s)
+            if start < topic.first:
+                body = json.dumps({'first': topic.first}).encode()
+                status = 410
+            else:
+                status = 200
+                body = struct.pack('>QQ', topic.end, topic.first)
+                for key, content in topic.records[start:]:
+                    record = bytes([len(key)]) + key.encode() + content
+                    body += struct.pack('>I', len(record)) + record
+        send(handler, status, body)
+
+    @contextmanager
+    def failing(self, fault: int | str) -> Iterator[None]:
+        self.fault = fault
+        try:
+            yield
+        finally:
+            self.fault = 0
+
+    def close(self) -> None:
+        self.server.shutdown()
+        self.server.server_close()
+
+
+def dump(content: object) -> bytes:
+    return json.dumps(content).encode() if content else b''
+
+
+def send(handler: BaseHTTPRequestHandler, status: int, body: bytes) -> None:
+    handler.send_response(status)
+    handler.send_header('Content-Length', str(len(body)))
+    handler.end_headers()
+    handler.wfile.write(body)
--- /dev/null
+++ b/tests/test_desk.py
@@ -0,0 +1,240 @@
+"""The pure core that gives out places."""
+
+import pytest
+
+from trefoilspool.desk import (
+    HOLD_TIMEOUT_S,
+    PATIENCE_S,
+    Desk,
+)
+from trefoilspool.placement import (
+    Ended,
+    Granted,
+    Held,
+    PlaceAsk,
+    PlaceKey,
+    Queued,
+    RefusalReason,
+    Refused,
+    SendEnding,
+    Station,
+)
+from trefoilspool.routing import Workspace
+
+SERVICE = 'engines'
+
+
+def station(name: str, places: int = 2, **changes: object) -> Station:
+    made = Station(name, SERVICE, 'z1', places, 1, 7)
+    return made._replace(**changes)
+
+
+def ask(number: int, **changes: object) -> PlaceAsk:
+    made = PlaceAsk(
+        key=PlaceKey('h1', number),
+        service=SERVICE,
+        workspace='w',
+        rank=1,
+        prompt_tokens=1000,
+        output_tokens=100,
+        aim=0.4,
+        deadline=10,
+        asked=0,
+        avoid=(),
+        attempt=1,
+        parts=(),
+        streams=True,
+        charge=0,
+        data_centre='z1',
+        repeatable=True,
+    )
+    return made._replace(**changes)
+
+
+def ended(
+    number: int,
+    endpoint: str,
+    ending: SendEnding = SendEnding.completed,
+) -> Ended:
+    return Ended(PlaceKey('h1', number), ending, endpoint, 0.1, 0, 0, 1000)
+
+
+@pytest.fixture
+def desk() -> Desk:
+    made = Desk()
+    made.on_stations([station('a'), station('b')], 0)
+    return made
+
+
+def kinds(desk: Desk) -> list[type]:
+    return [type(one) for one in desk.take_verdicts()]
+
+
+class TestPlaces:
+    def test_no_endpoint_gets_more_than_its_places(self, desk: Desk) -> None:
+        for number in range(5):
+            desk.on_ask(ask(number), 0)
+        assert kinds(desk) == [Granted] * 4 + [Queued]
+        held = [len(one.bookings) for one in desk.stations.values()]
+        assert held == [2, 2]
+
+    def test_freed_place_goes_to_who_waits(self, desk: Desk) -> None:
+        for number in range(5):
+            desk.on_ask(ask(number), 0)
+        granted = desk.take_verdicts()[0]
+        assert isinstance(granted, Granted)
+        desk.on_ended(ended(0, granted.endpoint), 0.1)
+        assert desk.take_verdicts() == [
+            Granted(PlaceKey('h1', 4), granted.endpoint),
+        ]
+
+    def test_more_important_request_goes_first(self, desk: Desk) -> None:
+        for number in range(4):
+            desk.on_ask(ask(number), 0)
+        desk.on_ask(ask(8, rank=2), 0)
+        desk.on_ask(ask(9, rank=0), 0.1)
+        granted = desk.take_verdicts()[0]
+        assert isinstance(granted, Granted)
+        desk.on_ended(ended(0, granted.endpoint), 0.2)
+        assert desk.take_verdicts()[0].key.number == 9
+
+    def test_repeated_ask_gets_the_same_place(self, desk: Desk) -> None:
+        desk.on_ask(ask(1), 0)
+        desk.on_ask(ask(1), 0.1)
+        first, second = desk.take_verdicts()
+        assert first == second
+        assert len(desk.bookings) == 1
+
+    def test_busy_prefill_is_passed_over(self, desk: Desk) -> None:
+        desk.on_ask(ask(1, prompt_tokens=50_000), 0)
+        desk.on_ask(ask(2), 0)
+        first, second = desk.take_verdicts()
+        assert isinstance(first, Granted)
+        assert isinstance(second, Granted)
+        assert first.endpoint != second.endpoint
+
+    def test_endpoints_to_avoid_are_avoided(self, desk: Desk) -> None:
+        desk.on_ask(ask(1, avoid=('a',)), 0)
+        desk.on_ask(ask(2, avoid=('a', 'b')), 0)
+        first, second = desk.take_verdicts()
+        assert first == Granted(PlaceKey('h1', 1), 'b')
+        assert isinstance(second, Refused)
+        assert second.reason is RefusalReason.no_endpoint
+
+    def test_request_waits_for_endpoints_that_are_not_known_yet(self) -> None:
+        desk = Desk()
+        desk.on_ask(ask(1), 0)
+        assert kinds(desk) == [Queued]
+        desk.on_stations([station('a')], 0.1)
+        assert desk.take_verdicts() == [Granted(PlaceKey('h1', 1), 'a')]
+
+    def test_leaving_endpoint_gets_nothing(self, desk: Desk) -> None:
+        desk.on_stations([station('b')], 0)
+        for number in range(3):
+            desk.on_ask(ask(number), 0)
+        verdicts = desk.take_verdicts()
+        granted = [one for one in verdicts if isinstance(one, Granted)]
+        assert {one.endpoint for one in granted} == {'b'}
+
+    def test_failing_endpoint_is_ejected_and_tried_again(
+        self, desk: Desk
+    ) -> None:
+        for number in range(3):
+            desk.on_ended(ended(number, 'a', SendEnding.broken), 0)
+        for number in range(10, 12):
+            desk.on_ask(ask(number), 0)
+        assert {one.endpoint for one in desk.take_verdicts()} == {'b'}  # type: ignore[union-attr]
+        desk.on_ask(ask(12), 5)
+        assert desk.take_verdicts() == [Granted(PlaceKey('h1', 12), 'a')]
+
+
+class TestWaiting:
+    def test_hopeless_wait_ends_with_a_time_to_come_back(
+        self, desk: Desk
+    ) -> None:
+        for number in range(5):
+            desk.on_ask(ask(number), 0)
+        desk.take_verdicts()
+        desk.on_roll(
+            'h1',
+            [
+                Held(key, SERVICE, one.endpoint, 1, 1, 0)
+                for key, one in desk.bookings.items()
+            ],
+            PATIENCE_S,
+        )
+        desk.tick(PATIENCE_S)
+        refused = desk.take_verdicts()[0]
+        assert isinstance(refused, Refused)
+        assert refused.retry_after > 0
+
+    def test_withdrawn_request_gets_no_place(self, desk: Desk) -> None:
+        for number in range(5):
+            desk.on_ask(ask(number), 0)
+        desk.on_ended(ended(4, '', SendEnding.unused), 0)
+        desk.take_verdicts()
+        desk.on_ended(ended(0, 'a'), 0)
+        assert not desk.take_verdicts()
+
+
+class TestRolls:
+    def test_places_of_another_home_are_counted(self, desk: Desk) -> None:
+        held = [
+            Held(PlaceKey('h2', number), SERVICE, 'a', 10, 10, 1)
+            for number in range(2)
+        ]
+        desk.on_roll('h2', held, 0)
+        desk.on_ask(ask(1), 0)
+        desk.on_ask(ask(2), 0)
+        assert {one.endpoint for one in desk.take_verdicts()} == {'b'}  # type: ignore[union-attr]
+
+    def test_lost_end_is_made_good(self, desk: Desk) -> None:
+        desk.on_ask(ask(1), 0)
+        desk.on_roll('h1', [], HOLD_TIMEOUT_S + 0.1)
+        assert not desk.bookings
+
+    def test_grant_under_way_is_kept(self, desk: Desk) -> None:
+        desk.on_ask(ask(1), 0)
+        desk.on_roll('h1', [], 0.1)
+        assert len(desk.bookings) == 1
+
+    def test_lost_entry_frees_its_places(self, desk: Desk) -> None:
+        desk.on_ask(ask(1), 0)
+        desk.on_roll('h1', [], 0)
+        desk.tick(HOLD_TIMEOUT_S + 0.1)
+        assert not desk.bookings
+
+
+class TestLimits:
+    limited = Workspace('w', frozenset(), None, 1000, 2000, True, 200)
+
+    def test_limit_holds_over_all_hosts(self, desk: Desk) -> None:
+        desk.allowances.on_workspaces({'w': self.limited}, 0)
+        for number in range(3):
+            key = PlaceKey(f'h{number}', number)
+            desk.on_ask(ask(number, key=key, charge=1000), 0)
+        verdicts = desk.take_verdicts()
+        assert [type(one) for one in verdicts] == [Granted, Granted, Refused]
+        refused = verdicts[2]
+        assert isinstance(refused, Refused)
+        assert refused.reason is RefusalReason.over_limit
+        assert refused.retry_after == pytest.approx(1)
+
+    def test_limit_that_goes_down_binds_at_once(self, desk: Desk) -> None:
+        allowances = desk.allowances
+        allowances.on_workspaces({'w': self.limited}, 0)
+        desk.on_ask(ask(1, charge=100), 0)
+        lower = self.limited._replace(rate=10, burst=20)
+        allowances.on_workspaces({'w': lower}, 0)
+        desk.on_ask(ask(2, charge=20), 0)
+        desk.on_ask(ask(3, charge=20), 0)
+        assert kinds(desk) == [Granted, Granted, Refused]
+
+    def test_repeats_stay_within_the_budget(self, desk: Desk) -> None:
+        desk.on_stations([station('a', 1000)], 0)
+        for number in range(200):
+            desk.on_ask(ask(number, attempt=2), 0)
+        found = kinds(desk)
+        assert found.count(Granted) == 60
+        desk.on_ask(ask(900, attempt=2), 11)
+        assert kinds(desk) == [Granted]
--- /dev/null
+++ b/tests/test_homes.py
@@ -0,0 +1,230 @@
+"""Who is here, who is home, and what happens when the home is silent."""
+
+import threading
+import time
+
+import pytest
+
+from trefoilspool.homes import FORGET_S, SUSPECT_S, Card, Homes
+from trefoilspool.placeclient import PlaceClient
+from trefoilspool.placement import (
+    Ended,
+    Granted,
+    PlaceAsk,
+    PlaceKey,
+    Queued,
+    RefusalReason,
+    Refused,
+    SendEnding,
+    Station,
+)
+from trefoilspool.routing import Workspace
+
+ALONE_BOUND_S = 0.1
+
+
+def card(number: int, incarnation: int = 1, **changes: object) -> Card:
+    made = Card(f'h{number}', f'10.0.0.{number}', incarnation)
+    return made._replace(**changes)
+
+
+@pytest.fixture
+def homes() -> Homes:
+    made = Homes(card(1))
+    for number in range(2, 6):
+        made.on_heard(card(number), 0)
+    return made
+
+
+class TestHomes:
+    def test_all_hosts_choose_the_same_home(self, homes: Homes) -> None:
+        other = Homes(card(3))
+        for number in (5, 4, 2, 1):
+            other.on_heard(card(number), 0)
+        assert homes.home(0) == other.home(0)
+
+    def test_silent_home_is_passed_over_and_returns(self, homes: Homes) -> None:
+        first = homes.home(0)
+        assert first is not None
+        homes.on_silence(first.name, 0)
+        second = homes.home(0)
+        assert second is not None
+        assert second != first
+        assert homes.home(SUSPECT_S) == first
+
+    def test_silence_that_goes_on_is_waited_for_longer(
+        self, homes: Homes
+    ) -> None:
+        first = homes.home(0)
+        assert first is not None
+        homes.on_silence(first.name, 0)
+        homes.on_silence(first.name, SUSPECT_S)
+        assert homes.home(SUSPECT_S * 2) != first
+
+    def test_sign_of_life_brings_a_home_back(self, homes: Homes) -> None:
+        first = homes.home(0)
+        assert first is not None
+        homes.on_silence(first.name, 0)
+        homes.on_heard(first, 0.1)
+        assert homes.home(0.1) == first
+
+    def test_former_self_is_not_heard(self, homes: Homes) -> None:
+        assert homes.on_heard(card(2, 7, leaving=True), 1)
+        assert not homes.on_heard(card(2, 6), 2)
+        assert homes.cards['h2'].leaving
+
+    def test_leaving_host_is_not_home(self, homes: Homes) -> None:
+        first = homes.home(0)
+        assert first is not None
+        homes.on_heard(first._replace(leaving=True), 1)
+        assert homes.home(1) != first
+
+    def test_hosts_that_nobody_hears_are_forgotten(self, homes: Homes) -> None:
+        homes.forget(FORGET_S + 1)
+        assert set(homes.cards) == {'h1'}
+
+
+class Post:
+    """Takes what a client sends; answers as it is told."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, object]] = []
+        self.client: PlaceClient | None = None
+        self.answers: list[object] = []
+
+    def __call__(self, address: str, message: object) -> None:
+        self.sent.append((address, message))
+        if isinstance(message, PlaceAsk) and self.answers:
+            kind = self.answers.pop(0)
+            if kind is Granted:
+                verdict = Granted(message.key, 'a')
+            elif kind is Queued:
+                verdict = Queued(message.key)  # type: ignore[assignment]
+            else:
+                return
+            assert self.client is not None
+            self.client.on_verdict(address, verdict)
+
+
+def ask(client: PlaceClient, **changes: object) -> PlaceAsk:
+    now = time.monotonic()
+    made = PlaceAsk(
+        key=client.new_key(),
+        service='s',
+        workspace='w',
+        rank=1,
+        prompt_tokens=10,
+        output_tokens=10,
+        aim=now + 0.4,
+        deadline=now + 5,
+        asked=now,
+        avoid=(),
+        attempt=1,
+        parts=(),
+        streams=True,
+        charge=0,
+        data_centre='z',
+        repeatable=True,
+    )
+    return made._replace(**changes)
+
+
+def stays() -> bool:
+    return False
+
+
+class TestPlaceClient:
+    @pytest.fixture
+    def post(self) -> Post:
+        return Post()
+
+    @pytest.fixture
+    def client(self, homes: Homes, post: Post) -> PlaceClient:
+        made = PlaceClient('h1', homes, post)
+        post.client = made
+        made.on_stations(
+            [Station(name, 's', 'z', 4, 1, 7) for name in 'abc'],
+        )
+        return made
+
+    def test_grant_of_the_home_is_held(
+        self, client: PlaceClient, post: Post
+    ) -> None:
+        post.answers = [Granted]
+        wanted = ask(client)
+        assert client.acquire(wanted, stays) == Granted(wanted.key, 'a')
+        assert [one.key for one in client.roll()] == [wanted.key]
+
+    def test_silent_home_costs_less_than_a_tenth_of_a_second(
+        self, client: PlaceClient, homes: Homes
+    ) -> None:
+        first = homes.home(time.monotonic())
+        started = time.monotonic()
+        verdict = client.acquire(ask(client), stays)
+        assert isinstance(verdict, Granted)
+        assert time.monotonic() - started < ALONE_BOUND_S
+        assert homes.home(time.monotonic()) != first
+
+    def test_queued_request_waits_on(
+        self, client: PlaceClient, post: Post
+    ) -> None:
+        post.answers = [Queued, Queued, Granted]
+        verdict = client.acquire(ask(client), stays)
+        assert isinstance(verdict, Granted)
+        assert len(post.sent) == 3
+
+    def test_caller_that_left_withdraws(
+        self, client: PlaceClient, post: Post
+    ) -> None:
+        post.answers = [Queued]
+        wanted = ask(client)
+        verdict = client.acquire(wanted, lambda: True)
+        assert isinstance(verdict, Refused)
+        ended = post.sent[-1][1]
+        assert isinstance(ended, Ended)
+        assert (ended.key, ended.ending) == (wanted.key, SendEnding.unused)
+
+    def test_grant_that_nobody_waits_for_is_given_back(
+        self, client: PlaceClient, post: Post
+    ) -> None:
+        client.on_verdict('10.0.0.2', Granted(PlaceKey('h1', 1), 'a'))
+        address, ended = post.sent[-1]
+        assert address == '10.0.0.2'
+        assert isinstance(ended, Ended)
+        assert ended.ending is SendEnding.unused
+
+    def test_alone_the_even_share_of_a_limit_holds(
+        self, client: PlaceClient
+    ) -> None:
+        limit = Workspace('w', frozenset(), None, 5, 500, True, 200)
+        client.workspaces = {'w': limit}
+        verdicts = [
+            client.place_alone(ask(client, charge=100)) for _ in range(3)
+        ]
+        assert isinstance(verdicts[0], Granted)
+        assert isinstance(verdicts[1], Refused)
+        assert verdicts[1].reason is RefusalReason.over_limit
+
+    def test_alone_the_less_loaded_of_two_is_chosen(
+        self, client: PlaceClient
+    ) -> None:
+        client.on_loads({'a': 4, 'b': 0}, frozenset(('c',)))
+        found = [client.place_alone(ask(client)) for _ in range(8)]
+        assert {one.endpoint for one in found} == {'b'}  # type: ignore[union-attr]
+
+    def test_many_requests_at_once_get_their_own_verdicts(
+        self, client: PlaceClient, post: Post
+    ) -> None:
+        post.answers = [Granted] * 20
+        found: list[bool] = []
+
+        def one_request() -> None:
+            wanted = ask(client)
+            found.append(client.acquire(wanted, stays).key == wanted.key)
+
+        threads = [threading.Thread(target=one_request) for _ in range(20)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert found == [True] * 20
--- /dev/null
+++ b/tests/test_platform_folder.py
@@ -0,0 +1,258 @@
+"""The adapter folder: names stay inside, records are read with checks."""
+
+import io
+import json
+import platform
+import sys
+
+import pytest
+from cluster import ROOT
+from gatewaycluster import configuration
+from records import decode_configuration, decode_endpoint
+from spelling import PlatformDialect
+
+from trefoilspool.callerrors import MalformedCallError
+from trefoilspool.errors import BadRecordError, OptionError
+from trefoilspool.exchange import Send
+from trefoilspool.options import GatewayOptions, load_options
+from trefoilspool.routing import Repeats
+
+WIRE_NAMES = (
+    'routeTable',
+    'weightedBackends',
+    'apiKeys',
+    'ratePerS',
+    'plainTokens',
+    'streamResume',
+    'targetLatencyMs',
+    'gapAimMs',
+    'healthPath',
+    'kvCapacity',
+    'Token-Counts',
+    'Prefix-Hash',
+    'Deadline-Ms',
+    'Expect-Instance',
+    'Server-Stamp',
+    'Not-Executed',
+    'Last-Event-Id',
+    'Pin-Ms',
+    'Kv-',
+    'log-append',
+    'log-read',
+    'log-newest',
+    'keyed.op',
+    'keyed.servers',
+    'listenersMap',
+    'controlPlane',
+    'internalPorts',
+    'readyz',
+    'nodeName',
+    'backend',
+    'tenant',
+)
+OWN_USES = {
+    'readyz': {'pages.py', 'client.py', 'host.py', 'options.py'},
+}
+MAX_LINES = 900
+
+
+class TestNames:
+    def test_platform_names_stay_in_the_folder(self) -> None:
+        found = []
+        for path in sorted((ROOT / 'trefoilspool').rglob('*.py')):
+            text = path.read_text()
+            found += [
+                f'{path.name}: {name}'
+                for name in WIRE_NAMES
+                if name in text and path.name not in OWN_USES.get(name, ())
+            ]
+        assert not found
+
+    def test_standard_library_is_not_hidden(self) -> None:
+        assert platform.python_version()
+        assert not (ROOT / 'platform' / '__init__.py').exists()
+        own = {one.stem for one in (ROOT / 'platform').glob('*.py')}
+        assert not own & set(sys.stdlib_module_names)
+
+    def test_folder_is_small(self) -> None:
+        lines = sum(
+            len(one.read_text().splitlines())
+            for one in (ROOT / 'platform').glob('*.py')
+        )
+        assert lines <= MAX_LINES
+
+
+class TestConfigurationRecord:
+    def test_kinds_tell_what_may_be_repeated(self) -> None:
+        made = decode_configuration(json.dumps(configuration()).encode())
+        repeats = {one.name: one.repeats for one in made.table.routes.values()}
+        assert repeats == {
+            'r-chat': Repeats.resumed,
+            'r-talk': Repeats.never,
+            'r-look': Repeats.always,
+            'r-book': Repeats.never,
+        }
+
+    @pytest.mark.parametrize(
+        ('field', 'bad'),
+        [
+            ('version', 'x'),
+            ('version', None),
+            ('version', 1.5),
+            ('routeTable', {}),
+            ('backends', [1]),
+            ('limits', 3),
+        ],
+    )
+    def test_wrong_field_is_named(self, field: str, bad: object) -> None:
+        source = configuration()
+        source[field] = bad
+        with pytest.raises(BadRecordError) as error:
+            decode_configuration(json.dumps(source).encode())
+        assert str(error.value).startswith('config')
+
+    @pytest.mark.parametrize('body', [b'', b'[]', b'{', b'\xff\xfe', b'7'])
+    def test_unreadable_bytes(self, body: bytes) -> None:
+        with pytest.raises(BadRecordError):
+            decode_configuration(body)
+
+
+class TestEndpointRecord:
+    good = {
+        'backend': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'capacity': 4,
+        'state': 'ready',
+        'born': 5,
+    }
+
+    def test_record_names_an_endpoint(self) -> None:
+        found = decode_endpoint('i-1', json.dumps(self.good).encode())
+        assert (found.name, found.service, found.port) == ('i-1', 's', 80)
+        assert not found.leaving
+
+    @pytest.mark.parametrize(
+        ('field', 'bad'),
+        [
+            ('backend', None),
+            ('address', 'nowhere'),
+            ('address', 7),
+            ('zone', []),
+            ('capacity', 'many'),
+            ('capacity', True),
+            ('state', 'odd'),
+            ('state', None),
+            ('born', -1),
+        ],
+    )
+    def test_record_of_another_writer(self, field: str, bad: object) -> None:
+        source = json.dumps({**self.good, field: bad}).encode()
+        with pytest.raises(BadRecordError) as error:
+            decode_endpoint('i-1', source)
+        assert 'i-1' in str(error.value)
+        assert field in str(error.value)
+
+
+class TestSpelling:
+    dialect = PlatformDialect()
+
+    def environ(self, **headers: str) -> dict[str, object]:
+        return {
+            'REQUEST_METHOD': 'POST',
+            'REQUEST_URI': '/a/b%20c?x=1',
+            'wsgi.input': io.BytesIO(),
+            'HTTP_HOST': 'A.example:80',
+            **{f'HTTP_{name}': one for name, one in headers.items()},
+        }
+
+    def test_target_is_passed_on_as_it_came(self) -> None:
+        call = self.dialect.read_call(self.environ())
+        assert call.target == '/a/b%20c?x=1'
+        assert (call.authority, call.path) == ('a.example', '/a/b%20c')
+
+    def test_headers_that_a_connection_names_are_dropped(self) -> None:
+        call = self.dialect.read_call(
+            self.environ(CONNECTION='close, X-Own', X_OWN='1', X_ALL='2'),
+        )
+        names = {name for name, _ in call.passed}
+        assert names == {'Host', 'X-All'}
+
+    def test_parts_are_known_with_all_before_them(self) -> None:
+        call = self.dialect.read_call(
+            self.environ(PREFIX_HASH='aa:10,bb:20', TOKEN_COUNTS='30,5'),
+        )
+        assert call.parts == ('aa', 'aa/bb')
+        assert (call.prompt_tokens, call.output_tokens) == (30, 5)
+
+    @pytest.mark.parametrize(
+        ('name', 'bad'),
+        [
+            ('DEADLINE_MS', 'soon'),
+            ('TOKEN_COUNTS', '1'),
+            ('TOKEN_COUNTS', 'a,b'),
+            ('LAST_EVENT_ID', 'x'),
+        ],
+    )
+    def test_malformed_header_is_named(self, name: str, bad: str) -> None:
+        with pytest.raises(MalformedCallError) as error:
+            self.dialect.read_call(self.environ(**{name: bad}))
+        assert error.value.status == 400
+        assert repr(bad) in error.value.detail
+
+    def test_time_left_and_place_in_the_stream_are_the_systems(self) -> None:
+        call = self.dialect.read_call(
+            self.environ(DEADLINE_MS='9000', LAST_EVENT_ID='3'),
+        )
+        headers = self.dialect.send_headers(Send(call, 'i-1', 'w', 1.5, 7))
+        assert headers['Deadline-Ms'] == '1500'
+        assert headers['Last-Event-Id'] == '7'
+        assert headers['Tenant'] == 'w'
+
+    def test_head_tells_what_ran(self) -> None:
+        head = self.dialect.read_head(503, [('Not-Executed', '1')])
+        assert head.not_run
+        assert not head.proven
+        head = self.dialect.read_head(
+            500,
+            [('Server-Stamp', 's'), ('Keep-Alive', 'timeout=6, max=3')],
+        )
+        assert head.proven
+        assert not head.not_run
+        assert head.idle_s == 6
+
+
+class TestSettings:
+    good = {
+        'name': 'h',
+        'data_centre': 'z',
+        'listen': '1.2.3.4:1',
+        'ready': '1.2.3.4:2',
+        'control': '1.2.3.4:3',
+        'mesh_port': 4,
+        'store': '1.2.3.5:6',
+    }
+
+    @pytest.mark.parametrize('missing', sorted(good))
+    def test_missing_setting_is_named(self, missing: str) -> None:
+        flags = {name: one for name, one in self.good.items()}
+        flags.pop(missing)
+        with pytest.raises(OptionError) as error:
+            load_options(GatewayOptions, flags)
+        assert missing.replace('_', '-') in str(error.value)
+
+    @pytest.mark.parametrize(
+        ('name', 'bad'),
+        [
+            ('listen', 'here'),
+            ('mesh_port', 0),
+            ('mesh_port', 'x'),
+            ('store', '1.2.3.4'),
+            ('name', 'a b'),
+        ],
+    )
+    def test_wrong_setting_is_named(self, name: str, bad: object) -> None:
+        with pytest.raises(OptionError) as error:
+            load_options(GatewayOptions, {**self.good, name: bad})
+        assert name.replace('_', '-') in str(error.value)
+        assert repr(bad) in str(error.value)
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,159 @@
+"""Copies of the store's topics, and how they are kept."""
+
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+from gatewaycluster import wait_for
+from platformstore import PlatformStore
+from storecalls import StoreTopic, page_bytes, page_of
+
+from trefoilspool.errors import LogOutageError, TrimmedError
+from trefoilspool.follow import FollowStoreTask, Pace
+from trefoilspool.replica import Replica
+from trefoilspool.store import KeyedRecord, Page
+
+TOPIC = 'keyed.servers'
+CONTENT = b'{"x": 1}'
+
+
+def record(key: str, offset: int, content: bytes = CONTENT) -> KeyedRecord:
+    return KeyedRecord(key, content, offset)
+
+
+@pytest.fixture
+def store() -> Iterator[PlatformStore]:
+    made = PlatformStore()
+    yield made
+    made.close()
+
+
+class Changes:
+    def __init__(self) -> None:
+        self.records: list[KeyedRecord] = []
+
+    def __call__(self, records: tuple[KeyedRecord, ...]) -> None:
+        self.records += records
+
+    @property
+    def keys(self) -> list[str]:
+        return [one.key for one in self.records]
+
+
+class TestReplica:
+    def test_older_record_of_a_key_changes_nothing(self) -> None:
+        changes = Changes()
+        replica = Replica(changes)
+        replica.apply(Page((record('a', 5),), 6, whole=False))
+        replica.apply(Page((record('a', 3, b'old'),), 6, whole=False))
+        assert changes.keys == ['a']
+        assert replica.records['a'].content == CONTENT
+
+    def test_whole_page_drops_what_it_lacks(self) -> None:
+        changes = Changes()
+        replica = Replica(changes)
+        replica.apply(Page((record('a', 0), record('b', 1)), 2, whole=True))
+        replica.apply(Page((record('b', 1),), 3, whole=True))
+        assert changes.records[-1] == KeyedRecord('a', b'', 0)
+
+    def test_stale_whole_page_drops_nothing(self) -> None:
+        changes = Changes()
+        replica = Replica(changes)
+        replica.apply(Page((record('a', 4),), 5, whole=True))
+        replica.apply(Page((), 3, whole=True))
+        assert changes.keys == ['a']
+
+    def test_page_for_a_peer_comes_back_the_same(self) -> None:
+        replica = Replica(Changes())
+        replica.apply(Page((record('a', 4), record('b', 7, b'')), 8, False))
+        page = page_of(page_bytes(replica, 5))
+        assert page == Page((record('b', 7, b''),), 8, whole=False)
+
+
+class TestStoreTopic:
+    def test_newest_reads_all_pages(self, store: PlatformStore) -> None:
+        for number in range(8):
+            store.put(TOPIC, f'k{number}', {'n': number})
+        page = StoreTopic(store.address, TOPIC).newest()
+        assert len(page.records) == 8
+        assert (page.end, page.whole) == (8, True)
+
+    def test_read_waits_for_a_record(self, store: PlatformStore) -> None:
+        topic = StoreTopic(store.address, TOPIC)
+        threading.Timer(0.05, store.put, (TOPIC, 'a', {'n': 1})).start()
+        page = topic.after(0, 5)
+        assert [one.key for one in page.records] == ['a']
+        assert page.end == 1
+
+    def test_dropped_key_is_an_empty_record(self, store: PlatformStore) -> None:
+        store.put(TOPIC, 'a', b'')
+        page = StoreTopic(store.address, TOPIC).after(0, 0)
+        assert page.records == (KeyedRecord('a', b'', 0),)
+
+    def test_trimmed_history_is_told(self, store: PlatformStore) -> None:
+        store.put(TOPIC, 'a', {'n': 1})
+        store.trim(TOPIC)
+        with pytest.raises(TrimmedError):
+            StoreTopic(store.address, TOPIC).after(0, 0)
+
+    @pytest.mark.parametrize('fault', [503, 429, 'reset'])
+    def test_refusals_are_outages(
+        self, store: PlatformStore, fault: int | str
+    ) -> None:
+        topic = StoreTopic(store.address, TOPIC)
+        with store.failing(fault), pytest.raises(LogOutageError):
+            topic.after(0, 0)
+        assert topic.after(0, 0).end == 0
+
+    def test_silence_ends_within_two_seconds(
+        self, store: PlatformStore
+    ) -> None:
+        topic = StoreTopic(store.address, TOPIC)
+        started = time.monotonic()
+        with store.failing('silent'), pytest.raises(LogOutageError):
+            topic.newest()
+        assert time.monotonic() - started < 2
+
+
+class TestFollowStoreTask:
+    @pytest.fixture
+    def followed(
+        self, store: PlatformStore
+    ) -> Iterator[tuple[PlatformStore, Replica, FollowStoreTask]]:
+        replica = Replica(Changes())
+        stopping = threading.Event()
+        task = FollowStoreTask(
+            TOPIC,
+            StoreTopic(store.address, TOPIC),
+            replica,
+            Pace(0.2, 0.01),
+            stopping,
+        )
+        runner = threading.Thread(target=task.run, daemon=True)
+        runner.start()
+        yield store, replica, task
+        stopping.set()
+        runner.join()
+
+    def test_history_lost_in_between_is_read_anew(
+        self, followed: tuple[PlatformStore, Replica, FollowStoreTask]
+    ) -> None:
+        store, replica, _ = followed
+        store.put(TOPIC, 'a', {'n': 1})
+        wait_for(lambda: 'a' in replica.records, 'the first record')
+        with store.failing(503):
+            store.put(TOPIC, 'a', b'')
+            store.put(TOPIC, 'b', {'n': 2})
+            store.trim(TOPIC)
+        wait_for(lambda: 'b' in replica.records, 'the second record')
+        assert not replica.records['a'].content
+
+    def test_outage_is_noted_once_it_ends(
+        self, followed: tuple[PlatformStore, Replica, FollowStoreTask]
+    ) -> None:
+        store, _, task = followed
+        with store.failing(503):
+            wait_for(lambda: task.lost_at, 'the outage')
+        wait_for(lambda: task.lost_at is None, 'its end')
+        assert time.monotonic() - task.regained_at < 5
--- a/trefoilspool/desk.py
+++ b/trefoilspool/desk.py
@@ -121,12 +121,9 @@
 
     def refusal(self, ask: PlaceAsk, now: float) -> RefusalReason | None:
         """Return why a new request is refused at once, None if it is not."""
-        usable = [
-            one
-            for one in self.by_service.get(ask.service, ())
-            if one.station.name not in ask.avoid
-        ]
-        if not usable:
+        # A home that has just started may not know the endpoints yet.
+        known = self.by_service.get(ask.service, ())
+        if known and all(one.station.name in ask.avoid for one in known):
             return RefusalReason.no_endpoint
         if len(self.queue(ask.service)) >= MAX_WAITING:
             return RefusalReason.crowded
@@ -223,7 +220,8 @@
         listed = set()
         for held in roll:
             listed.add(held.key)
-            if held.key not in self.bookings:
+            booking = self.bookings.get(held.key)
+            if booking is None or booking.endpoint != held.endpoint:
                 self.adopt(held, now)
         fresh = now - HOLD_TIMEOUT_S
         for key, booking in list(self.bookings.items()):
@@ -233,7 +231,9 @@
                     self.release(key, now)
 
     def adopt(self, held: Held, now: float) -> None:
-        """Book a place that an entry holds from another home."""
+        """Book a place that an entry chose or holds from another home."""
+        self.drop_waiting(held.key)
+        self.unbook(held.key)
         booking = Booking(
             held.service,
             held.endpoint,
@@ -267,7 +267,9 @@
     def forget_entry(self, entry: str, now: float) -> None:
         """Free all that a lost entry host held or waited for."""
         self.refreshed.pop(entry, None)
-        for key in [one for one in self.waiting if one.entry == entry]:
-            self.drop_waiting(key)
-        for key in [one for one in self.bookings if one.entry == entry]:
-            self.release(key, now)
+        for asked in list(self.waiting):
+            if asked.entry == entry:
+                self.drop_waiting(asked)
+        for held in list(self.bookings):
+            if held.entry == entry:
+                self.release(held, now)
--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -43,9 +43,6 @@
     'UnauthorizedError',
     'UnknownKindError',
     'UnknownPathError',
-    'UnknownRouteError',
-    'OverLimitError',
-    'MalformedCallError',
     'ClaimsUnavailableError',
 ]
 
@@ -351,24 +348,3 @@
     status = 503
     slug = 'interrupted'
     outcome = Outcome.interrupted
-
-
-class UnknownRouteError(Problem):
-    """No route of the configuration in force matches."""
-
-    status = 404
-    slug = 'unknown_route'
-
-
-class OverLimitError(Problem):
-    """The workspace has used up its limit."""
-
-    status = 429
-    slug = 'over_limit'
-
-
-class MalformedCallError(Problem):
-    """A header of the request has a value that cannot be used."""
-
-    status = 400
-    slug = 'malformed_request'
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -374,6 +374,9 @@
             )
             if head.request_id in {'', call.request_id}:
                 return RawAnswer(self.pool, link, response, head)
+            # Without a length or a connection nothing can follow.
+            if response.length is None or link.sock is None:
+                break
             response = self.next_response(link, response, send)
         link.abort()
         link.close()
@@ -401,12 +404,17 @@
         send: Send,
     ) -> http.client.HTTPResponse:
         """Skip an answer that belongs to an earlier request."""
+        reader = stray.fp
+        # What follows the stray answer may be in its reader already.
+        stray.fp = None  # type: ignore[assignment]
+        response = http.client.HTTPResponse(
+            link.sock,
+            method=send.call.method,
+        )
+        response.fp.close()
+        response.fp = reader
         try:
-            stray.read()
-            response = http.client.HTTPResponse(
-                link.sock,
-                method=send.call.method,
-            )
+            reader.read(stray.length)
             response.begin()
         except (OSError, http.client.HTTPException, ValueError) as error:
             link.abort()
--- a/trefoilspool/gateway.py
+++ b/trefoilspool/gateway.py
@@ -9,12 +9,12 @@
 
 from returns.result import Failure, Result, Success
 
+from trefoilspool.callerrors import UnknownRouteError
 from trefoilspool.errors import (
     BodyTooLargeError,
     NotReadyError,
     Problem,
     UnauthorizedError,
-    UnknownRouteError,
 )
 from trefoilspool.exchange import Call
 from trefoilspool.filter import Answer
--- /dev/null
+++ b/trefoilspool/gatewaydaemon.py
@@ -0,0 +1,63 @@
+"""The process that serves routed requests on a host."""
+
+import signal
+import threading
+from types import FrameType
+
+import logbook
+
+from trefoilspool.gatewayapp import GatewayApp
+from trefoilspool.gatewayhost import GatewayHost, Platform
+from trefoilspool.listening import Listening
+from trefoilspool.options import GatewayOptions
+
+__all__ = ['serve_gateway']
+
+logger = logbook.Logger('daemon')
+
+
+class Signals:
+    """Turns signals into an event and log lines."""
+
+    def __init__(self) -> None:
+        self.stopping = threading.Event()
+
+    def install(self) -> None:
+        """Take the signals of this process."""
+        signal.signal(signal.SIGTERM, self.on_stop)
+        signal.signal(signal.SIGINT, self.on_stop)
+        signal.signal(signal.SIGHUP, self.on_hangup)
+
+    def on_stop(self, number: int, frame: FrameType | None) -> None:
+        """Begin to leave."""
+        self.stopping.set()
+
+    def on_hangup(self, number: int, frame: FrameType | None) -> None:
+        """Note a reload; flags and variables change only at a start."""
+        logger.info('reload', extra={'changed': 'nothing until a start'})
+
+
+def serve_gateway(options: GatewayOptions, platform: Platform) -> None:
+    """Run a host until SIGTERM or SIGINT, then drain and return."""
+    signals = Signals()
+    signals.install()
+    host = GatewayHost(options, platform)
+    listening = Listening(
+        GatewayApp(host),
+        (options.listen, options.ready, options.control),
+    )
+    host.start()
+    threading.Thread(target=listening.run, daemon=True).start()
+    logger.info(
+        'started',
+        extra={
+            'listen': options.listen,
+            'data_centre': options.data_centre,
+            'incarnation': host.incarnation,
+        },
+    )
+    signals.stopping.wait()
+    host.drain(listening)
+    listening.close()
+    host.stop()
+    logger.info('stopped')
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -1,22 +1,19 @@
 """The daemon that serves routed requests on every host."""
 
 import secrets
-import signal
 import threading
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable, Mapping
-from types import FrameType
-from typing import Any, NamedTuple
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import logbook
 
 from trefoilspool.directory import Directory, EndpointRecord
-from trefoilspool.errors import BadRecordError, Problem
+from trefoilspool.errors import BadRecordError
 from trefoilspool.exchange import Dialect, Exchange
-from trefoilspool.filter import Answer
 from trefoilspool.follow import FollowPeersTask, FollowStoreTask, Pace
-from trefoilspool.gateway import Gateway, refusal_answer
+from trefoilspool.gateway import Gateway
 from trefoilspool.homes import Card
 from trefoilspool.listening import Listening
 from trefoilspool.mesh import MeshTask
@@ -28,9 +25,8 @@
 from trefoilspool.store import KeyedRecord, KeyedSource
 from trefoilspool.telemetry import Metrics
 from trefoilspool.watch import WatchTask
-from trefoilspool.web import reason
 
-__all__ = ['GatewayHost', 'Platform', 'serve_gateway']
+__all__ = ['GatewayHost', 'Platform', 'Topics']
 
 NS_PER_US = 1000
 INCARNATION_BITS = 4
@@ -39,16 +35,15 @@
 TAKE_S = 2.8  # the balancer has taken a leaving host out by then
 MIN_DRAIN_S = 3.2
 LAST_EXIT_S = 7.5  # the platform kills after 8 s
-SETTINGS_PACE = Pace(wait_s=1.5, pause_s=0.02)
-ENDPOINTS_PACE = Pace(wait_s=0, pause_s=0.6)
+SETTINGS_WAIT_S = 1.5
+SETTINGS_PAUSE_S = 0.02
+ENDPOINTS_PAUSE_S = 0.6
+SETTINGS_PACE = Pace(SETTINGS_WAIT_S, SETTINGS_PAUSE_S)
+ENDPOINTS_PACE = Pace(0, ENDPOINTS_PAUSE_S)
 CONFIGURATION_KEY = 'config'
-PROBLEM_BAD = 400
 
 logger = logbook.Logger('gateway')
 
-Environ = Mapping[str, Any]
-StartResponse = Callable[[str, list[tuple[str, str]]], object]
-
 
 class Topics(NamedTuple):
     """The sources of the two topics that every host follows."""
@@ -259,7 +254,7 @@
 
     def tell(self) -> None:
         """Let peers know how far this host has read."""
-        self.mesh.homes.set_own(
+        self.mesh.homes.on_own(
             Card(
                 self.options.name,
                 self.options.address,
@@ -306,112 +301,3 @@
         """Stop the tasks."""
         self.stopping.set()
         self.mesh.stopping.set()
-
-
-class GatewayApp:
-    """The WSGI application of all listeners.
-
-    Parameters
-    ----------
-    host : GatewayHost
-        What is served.
-    """
-
-    def __init__(self, host: GatewayHost) -> None:
-        self.host = host
-        self.dialect = host.exchange.dialect
-        ready = host.platform.ready_path()
-        self.pages: Mapping[tuple[str, str], Callable[[str], Answer]] = {
-            (port_of(host.options.ready), ready): self.ready,
-            (port_of(host.options.ready), '/metrics'): self.metrics,
-            (port_of(host.options.control), '/metrics'): self.metrics,
-            (port_of(host.options.control), '/settings'): self.settings,
-            (port_of(host.options.control), '/endpoints'): self.endpoints,
-        }
-
-    def __call__(
-        self,
-        environ: Environ,
-        start_response: StartResponse,
-    ) -> Iterable[bytes]:
-        """Answer one request."""
-        answer = self.answer(environ)
-        start_response(reason(answer.status), list(answer.headers))
-        return answer.chunks
-
-    def answer(self, environ: Environ) -> Answer:
-        """Find the page, or pass the call to the gateway."""
-        port = environ['SERVER_PORT']
-        if port != port_of(self.host.options.listen):
-            page = self.pages.get((port, environ['PATH_INFO']))
-            if page is None:
-                return plain(404, b'')
-            return page(environ['QUERY_STRING'])
-        try:
-            call = self.dialect.read_call(environ)
-        except Problem as problem:
-            return refusal_answer(problem)
-        return self.host.gateway.handle(
-            call,
-            environ['waitress.client_disconnected'],
-        )
-
-    def ready(self, query: str) -> Answer:
-        """Answer the balancer."""
-        return plain(200 if self.host.is_ready() else 503, b'')
-
-    def metrics(self, query: str) -> Answer:
-        """Return the metrics."""
-        return plain(200, self.host.metrics.render().encode())
-
-    def settings(self, query: str) -> Answer:
-        """Return the operator's records for a peer."""
-        body = self.host.platform.page_body(self.host.settings, int(query))
-        return plain(200, body)
-
-    def endpoints(self, query: str) -> Answer:
-        """Return the endpoints' records for a peer."""
-        body = self.host.platform.page_body(self.host.endpoints, int(query))
-        return plain(200, body)
-
-
-def port_of(listener: str) -> str:
-    """Return the port of an IP:PORT."""
-    return listener.rpartition(':')[2]
-
-
-def plain(status: int, body: bytes) -> Answer:
-    """Return an answer with a length."""
-    return Answer(
-        status,
-        (('Content-Length', str(len(body))),),
-        iter((body,)),
-    )
-
-
-def serve_gateway(options: GatewayOptions, platform: Platform) -> None:
-    """Run a host until SIGTERM or SIGINT, then drain and return."""
-    host = GatewayHost(options, platform)
-    listening = Listening(
-        GatewayApp(host),
-        (options.listen, options.ready, options.control),
-    )
-    stopping = threading.Event()
-
-    def on_signal(number: int, frame: FrameType | None) -> None:
-        stopping.set()
-
-    def on_hangup(number: int, frame: FrameType | None) -> None:
-        logger.info('settings_file_changed')
-
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
-    signal.signal(signal.SIGHUP, on_hangup)
-    host.start()
-    threading.Thread(target=listening.run, daemon=True).start()
-    logger.info('started', extra={'listen': options.listen})
-    stopping.wait()
-    host.drain(listening)
-    listening.close()
-    host.stop()
-    logger.info('stopped')
--- a/trefoilspool/homes.py
+++ b/trefoilspool/homes.py
@@ -68,7 +68,7 @@
         self.told: dict[str, float] = {}
         self.suspects: dict[str, Suspicion] = {}
 
-    def set_own(self, card: Card) -> None:
+    def on_own(self, card: Card) -> None:
         """Change what this host says of itself."""
         with self.lock:
             self.own = card
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -3,7 +3,7 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import logbook
@@ -23,7 +23,7 @@
 HOSTS_EVERY = 4  # beats between lists of hosts
 HELLO_S = 0.5
 MAX_DATAGRAM = 60_000
-RECEIVE_BYTES = 1 << 20
+RECEIVE_BYTES = 1_048_576
 
 logger = logbook.Logger('mesh')
 
@@ -168,6 +168,7 @@
         """Pass verdicts to the requests that wait for them."""
         for one in verdicts:
             self.client.on_verdict(
+                sender.address,
                 wire.verdict_from_wire(one, self.homes.own.name),
             )
 
@@ -291,7 +292,7 @@
                 )
 
 
-HANDLERS = {
+HANDLERS: Mapping[str, Callable[..., None]] = {
     'asks': MeshTask.on_asks,
     'ends': MeshTask.on_ends,
     'verdicts': MeshTask.on_verdicts,
--- a/trefoilspool/placeclient.py
+++ b/trefoilspool/placeclient.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
 
 import logbook
 
@@ -20,6 +21,7 @@
     Queued,
     RefusalReason,
     Refused,
+    SendEnding,
     Station,
     Verdict,
 )
@@ -28,10 +30,9 @@
 __all__ = ['PlaceClient']
 
 ANSWER_S = 0.03  # a home answers in about 2 ms
-ANSWER_TRIES = 2
-REPEAT_S = 0.1  # asks that wait are repeated, as datagrams may be lost
-SILENT_REPEATS = 2
+REPEAT_S = 0.1
 CHOICES = 2
+ALONE_S = 0.1  # a request that is newer does not try another home
 RETRY_S = 0.3
 FIRST_NUMBER_BITS = 40
 
@@ -40,6 +41,25 @@
 Mailer = Callable[[str, object], None]
 
 
+class Patience(NamedTuple):
+    """How long a home may be silent.
+
+    Attributes
+    ----------
+    term_s : float
+        Seconds after which an ask is repeated, as datagrams may be lost.
+    tries : int
+        Silent terms after which the home counts as lost.
+    """
+
+    term_s: float
+    tries: int
+
+
+FIRST_PATIENCE = Patience(ANSWER_S, 2)
+QUEUED_PATIENCE = Patience(REPEAT_S, 3)
+
+
 class Holding:
     """A place that this host uses."""
 
@@ -81,13 +101,14 @@
         """Return the key of a new attempt."""
         return PlaceKey(self.host, next(self.numbers))
 
-    def on_verdict(self, verdict: Verdict) -> bool:
-        """Pass a verdict to its request; False if nobody waits for it."""
+    def on_verdict(self, address: str, verdict: Verdict) -> None:
+        """Pass a verdict to its request, or give an unwanted place back."""
         inbox = self.pending.get(verdict.key.number)
-        if inbox is None:
-            return verdict.key.number in self.held
-        inbox.put(verdict)
-        return True
+        if inbox is not None:
+            inbox.put(verdict)
+        elif isinstance(verdict, Granted):
+            if verdict.key.number not in self.held:
+                self.mail(address, unused(verdict.key, verdict.endpoint))
 
     def on_stations(self, stations: Iterable[Station]) -> None:
         """Take the endpoints that may get work."""
@@ -145,9 +166,8 @@
                 'home_silent',
                 extra={'home': home.name, 'request': ask.key.number},
             )
-            if time.monotonic() - ask.asked > REPEAT_S:
-                continue
-            break
+            if time.monotonic() - ask.asked < ALONE_S:
+                break
         return self.place_alone(ask)
 
     def ask_home(
@@ -158,27 +178,22 @@
         gone: Callable[[], bool],
     ) -> Verdict | None:
         """Return the home's verdict, None if it is silent."""
-        silent = 0
-        term, most = ANSWER_S, ANSWER_TRIES
+        patience = FIRST_PATIENCE
+        silences = 0
         self.mail(address, ask)
-        while silent < most:
-            try:
-                verdict = inbox.get(timeout=term)
-            except queue.Empty:
-                silent += 1
-                if gone():
-                    break
-                if silent < most:
-                    self.mail(address, ask)
-                continue
-            if not isinstance(verdict, Queued):
-                return verdict
-            silent = 0
-            term, most = REPEAT_S, 1 + SILENT_REPEATS
+        while silences < patience.tries:
+            verdict = next_verdict(inbox, patience.term_s)
             if gone():
-                break
-        if gone():
-            return Refused(ask.key, RefusalReason.hopeless, RETRY_S)
+                self.mail(address, unused(ask.key))
+                return Refused(ask.key, RefusalReason.hopeless, RETRY_S)
+            if verdict is None:
+                silences += 1
+                self.mail(address, ask)
+            elif isinstance(verdict, Queued):
+                patience = QUEUED_PATIENCE
+                silences = 0
+            else:
+                return verdict
         return None
 
     def place_alone(self, ask: PlaceAsk) -> Verdict:
@@ -264,3 +279,19 @@
                 )
                 for holding in self.held.values()
             ]
+
+
+def next_verdict(
+    inbox: 'queue.SimpleQueue[Verdict]',
+    term_s: float,
+) -> Verdict | None:
+    """Return the next verdict, None if none comes in time."""
+    try:
+        return inbox.get(timeout=term_s)
+    except queue.Empty:
+        return None
+
+
+def unused(key: PlaceKey, endpoint: str = '') -> Ended:
+    """Return the end of a place that is not used."""
+    return Ended(key, SendEnding.unused, endpoint, 0, 0, 0, 0)
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -1,21 +1,23 @@
 """Attempts of one request at endpoints, and the relay of its answer."""
 
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Generator, Iterator, Mapping
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
+from trefoilspool.callerrors import (
+    DeadlineAfterSendError,
+    OverLimitError,
+)
 from trefoilspool.directory import Directory
 from trefoilspool.errors import (
     CallerGoneError,
     ConnectFailedError,
     CutAnswerError,
-    DeadlineError,
     EndpointFailedError,
     EndpointRefusedConnectionError,
     MayHaveRunError,
-    OverLimitError,
     OverloadedError,
     Problem,
     SendFailedError,
@@ -450,7 +452,9 @@
         if not self.may_have_run:
             return OverloadedError(f'not run: {fault.detail}', RETRY_S)
         if time.monotonic() >= self.order.deadline:
-            return TimeoutPassedError('the deadline passed before an answer')
+            return DeadlineAfterSendError(
+                'the deadline passed before an answer'
+            )
         if fault.ending is SendEnding.failed:
             return EndpointFailedError(fault.detail)
         return MayHaveRunError(fault.detail)
@@ -475,21 +479,30 @@
         CutAnswerError
             The stream ends before its end.
         """
+        cut: Fault | None = None
+        while True:
+            if cut is not None:
+                opened = self.resume(opened, cut)
+            cut = yield from self.relay_one(opened)
+            if cut is None:
+                return
+
+    def relay_one(
+        self,
+        opened: Opened,
+    ) -> Generator[bytes, None, Fault | None]:
+        """Yield one endpoint's events; return a fault if they were cut."""
         ending = SendEnding.cancelled
         try:
-            while True:
-                try:
-                    yield from self.events_of(opened)
-                except StreamCutError as error:
-                    ending = SendEnding.broken
-                    fault = Fault(ending, True, str(error))
-                    opened = self.resume(opened, fault)
-                    ending = SendEnding.cancelled
-                    continue
-                ending = SendEnding.completed
-                return
+            yield from self.events_of(opened)
+            ending = SendEnding.completed
+        except StreamCutError as error:
+            ending = SendEnding.broken
+            return Fault(ending, may_have_run=True, detail=str(error))
         finally:
-            self.close(opened, ending)
+            if ending is not SendEnding.broken:
+                self.close(opened, ending)
+        return None
 
     def close(self, opened: Opened, ending: SendEnding) -> None:
         """Settle a stream."""
@@ -538,6 +551,12 @@
                 return self.open()
             except Problem as problem:
                 fault = fault._replace(detail=problem.detail)
+        self.settle(
+            opened.raw.head.status,
+            'cut',
+            fault.detail,
+            opened.place.endpoint,
+        )
         raise CutAnswerError(
             f'stream of {order.call.request_id} ends early: {fault.detail}',
         )
@@ -584,12 +603,6 @@
             )
 
 
-class TimeoutPassedError(DeadlineError):
-    """The deadline passed after the request was sent."""
-
-    slug = 'deadline_after_send'
-
-
 UNSENT: Mapping[SendEnding, bool] = {
     SendEnding.unreachable: True,
     SendEnding.gone: True,
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -33,6 +33,7 @@
 FACTORY = TCompactProtocolAcceleratedFactory()
 MS_PER_S = 1000
 WAITING, GRANTED, REFUSED = range(3)
+UNREADABLE = (TException, EOFError, ValueError, TypeError)
 
 
 def encode(datagram: ttypes.Datagram) -> bytes:
@@ -49,7 +50,7 @@
             body,
             FACTORY,
         )
-    except (TException, EOFError, ValueError, TypeError):
+    except UNREADABLE:
         return None
     return datagram if datagram.sender else None
 
