Serve who can be on time before who is late, and end long answers in time

Change: within a rank the requests that can be on time go first; a wait ends after 1 s or 0.35 of the time left; an endpoint is taken only if the estimated answer ends in time there; a prompt's stall of running streams counts.

--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -148,6 +148,53 @@
         assert desk.take_verdicts() == [Granted(PlaceKey('h1', 12), 'a')]
 
 
+class TestBurst:
+    """More requests than places: some can be on time, not all."""
+
+    def test_request_that_can_be_on_time_goes_before_a_late_one(
+        self, desk: Desk
+    ) -> None:
+        for number in range(4):
+            desk.on_ask(ask(number), 0)
+        desk.on_ask(ask(5, aim=0.2), 0)
+        desk.on_ask(ask(6, aim=0.9, asked=0.5), 0.5)
+        desk.take_verdicts()
+        desk.on_ended(ended(0, 'a'), 0.6)
+        assert desk.take_verdicts()[0].key.number == 6
+
+    def test_late_request_is_served_when_nobody_else_waits(
+        self, desk: Desk
+    ) -> None:
+        for number in range(4):
+            desk.on_ask(ask(number), 0)
+        desk.on_ask(ask(5, aim=0.2), 0)
+        desk.take_verdicts()
+        desk.on_ended(ended(0, 'a'), 0.6)
+        assert desk.take_verdicts()[0].key.number == 5
+
+    def test_long_answer_waits_for_an_endpoint_that_can_end_it(
+        self, desk: Desk
+    ) -> None:
+        desk.stations['a'].slowness = 4
+        for number in range(2):
+            desk.on_ask(ask(number, avoid=('a',)), 0)
+        desk.on_ask(ask(5, output_tokens=1000), 0)
+        desk.on_ask(ask(6, output_tokens=10), 0)
+        verdicts = {one.key.number: one for one in desk.take_verdicts()}
+        assert isinstance(verdicts[5], Queued)
+        assert verdicts[6] == Granted(PlaceKey('h1', 6), 'a')
+
+    def test_short_time_ends_a_wait_sooner(self, desk: Desk) -> None:
+        for number in range(4):
+            desk.on_ask(ask(number), 0)
+        desk.on_ask(ask(5, deadline=1), 0)
+        desk.take_verdicts()
+        desk.tick(0.3)
+        assert not desk.take_verdicts()
+        desk.tick(0.4)
+        assert isinstance(desk.take_verdicts()[0], Refused)
+
+
 class TestWaiting:
     def test_hopeless_wait_ends_with_a_time_to_come_back(
         self, desk: Desk
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -185,6 +185,15 @@
         assert call.parts == ('aa', 'aa/bb')
         assert (call.prompt_tokens, call.output_tokens) == (30, 5)
 
+    @pytest.mark.parametrize(
+        ('hint', 'tokens'), [('120', 120), ('', 0), ('many', 0), ('-3', 0)]
+    )
+    def test_estimate_that_cannot_be_read_is_left_out(
+        self, hint: str, tokens: int
+    ) -> None:
+        call = self.dialect.read_call(self.environ(LENGTH_HINT=hint))
+        assert call.expected_tokens == tokens
+
     @pytest.mark.parametrize(
         ('name', 'bad'),
         [
--- a/trefoilspool/desk.py
+++ b/trefoilspool/desk.py
@@ -5,11 +5,9 @@
 """
 
 from collections.abc import Iterable
-from typing import NamedTuple
-
-from sortedcontainers import SortedKeyList
 
 from trefoilspool.allowance import Allowances
+from trefoilspool.lineup import Lineup, Waiting
 from trefoilspool.placement import (
     Ended,
     Granted,
@@ -24,29 +22,17 @@
 )
 from trefoilspool.stations import Booking, StationState
 
-__all__ = ['Desk', 'Waiting']
+__all__ = ['Desk']
 
-PATIENCE_S = 1.2  # callers leave a stream that is silent for 2 s
-PLAIN_PATIENCE_S = 0.8
+PATIENCE_S = 1.0  # callers leave a stream that is silent for 2 s
+PATIENCE_SHARE = 0.35  # of the time that a request has
+SAFETY = 0.9  # share of the time left in which an answer has to end
 HOLD_TIMEOUT_S = 1.2  # entries repeat what they hold more often than this
 MIN_RETRY_S = 0.2
 MAX_RETRY_S = 3.0
 MAX_WAITING = 400
 
 
-class Waiting(NamedTuple):
-    """A request without a place, in the order of service."""
-
-    rank: int
-    asked: float
-    ask: PlaceAsk
-
-
-def waiting_order(waiting: Waiting) -> tuple[int, float, PlaceKey]:
-    """Return the key that sorts the waiting requests of a service."""
-    return waiting.rank, waiting.asked, waiting.ask.key
-
-
 class Desk:
     """Gives out places, keeps limits over all hosts and the retry budget.
 
@@ -63,7 +49,7 @@
     def __init__(self) -> None:
         self.stations: dict[str, StationState] = {}
         self.by_service: dict[str, list[StationState]] = {}
-        self.queues: dict[str, SortedKeyList[Waiting]] = {}
+        self.queues: dict[str, Lineup] = {}
         self.waiting: dict[PlaceKey, Waiting] = {}
         self.bookings: dict[PlaceKey, Booking] = {}
         self.refreshed: dict[str, float] = {}
@@ -104,20 +90,20 @@
         if reason is not None:
             self.refuse(ask, reason, now)
             return
-        waiting = Waiting(ask.rank, ask.asked, ask)
-        self.waiting[ask.key] = waiting
-        self.queue(ask.service).add(waiting)
+        self.waiting[ask.key] = Waiting(ask, self.give_up_at(ask))
+        self.queue(ask.service).add(ask)
         self.serve(ask.service, now)
         if ask.key in self.waiting:
             self.verdicts.append(Queued(ask.key))
 
-    def queue(self, service: str) -> 'SortedKeyList[Waiting]':
+    def queue(self, service: str) -> Lineup:
         """Return the waiting requests of a service."""
-        queue = self.queues.get(service)
-        if queue is None:
-            queue = SortedKeyList(key=waiting_order)
-            self.queues[service] = queue
-        return queue
+        return self.queues.setdefault(service, Lineup())
+
+    def give_up_at(self, ask: PlaceAsk) -> float:
+        """Return when a request has waited for long enough."""
+        share = (ask.deadline - ask.asked) * PATIENCE_SHARE
+        return ask.asked + min(PATIENCE_S, share)
 
     def refusal(self, ask: PlaceAsk, now: float) -> RefusalReason | None:
         """Return why a new request is refused at once, None if it is not."""
@@ -132,32 +118,37 @@
     def serve(self, service: str, now: float) -> None:
         """Give free places to the waiting requests of a service."""
         queue = self.queue(service)
-        skipped = 0
-        while skipped < len(queue):
-            ask = queue[skipped].ask
+        for ask in queue.candidates(now):
             station = self.best_station(ask, now)
-            if station is None:
-                if not ask.avoid:
-                    return
-                skipped += 1
-                continue
-            self.drop_waiting(ask.key)
-            self.grant(ask, station, now)
+            if station is not None:
+                self.drop_waiting(ask.key)
+                self.grant(ask, station, now)
+            elif not self.has_free(service):
+                return
+
+    def has_free(self, service: str) -> bool:
+        """Tell whether any endpoint of a service has a free place."""
+        return any(one.free > 0 for one in self.by_service.get(service, ()))
 
     def best_station(self, ask: PlaceAsk, now: float) -> StationState | None:
-        """Return the free endpoint with the earliest first byte."""
-        best = None
-        best_s = 0.0
-        for state in self.by_service.get(ask.service, ()):
-            if state.free <= 0 or state.station.name in ask.avoid:
-                continue
-            if not state.takes_work(now):
-                continue
-            first_s = state.first_token_s(ask, now)
-            if best is None or first_s < best_s:
-                best = state
-                best_s = first_s
-        return best
+        """Return the free endpoint that serves a request best.
+
+        An endpoint that is too slow to end the answer in time is taken only
+        where all are.
+        """
+        usable = [
+            one
+            for one in self.by_service.get(ask.service, ())
+            if one.station.name not in ask.avoid and one.takes_work(now)
+        ]
+        left = (ask.deadline - now) * SAFETY
+        able = [one for one in usable if one.finish_s(ask, now) <= left]
+        free = [one for one in able or usable if one.free > 0]
+        return min(
+            free,
+            key=lambda one: one.score(ask, now),
+            default=None,
+        )
 
     def grant(self, ask: PlaceAsk, state: StationState, now: float) -> None:
         """Give a place at an endpoint to a request."""
@@ -190,7 +181,7 @@
         """Forget a waiting request."""
         waiting = self.waiting.pop(key, None)
         if waiting is not None:
-            self.queues[waiting.ask.service].remove(waiting)
+            self.queues[waiting.ask.service].remove(waiting.ask)
 
     def withdraw(self, key: PlaceKey, now: float) -> None:
         """Forget a waiting request, which does not count for a limit."""
@@ -261,10 +252,8 @@
     def tick(self, now: float) -> None:
         """Refuse who has waited too long, and forget lost entry hosts."""
         for waiting in list(self.waiting.values()):
-            ask = waiting.ask
-            patience = PATIENCE_S if ask.streams else PLAIN_PATIENCE_S
-            if now >= min(ask.asked + patience, ask.deadline):
-                self.refuse(ask, RefusalReason.crowded, now)
+            if now >= waiting.give_up_at:
+                self.refuse(waiting.ask, RefusalReason.crowded, now)
         for entry, heard in list(self.refreshed.items()):
             if now - heard > HOLD_TIMEOUT_S:
                 self.forget_entry(entry, now)
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -52,6 +52,8 @@
         Seconds that the caller waits.
     parts : tuple of str
         The prompt's parts, in order.
+    expected_tokens : int
+        The caller's estimate of the answer's length; 0 if none.
     resume_after : int
         The last event that the caller has; -1 if none.
     """
@@ -68,6 +70,7 @@
     prompt_tokens: int
     output_tokens: int
     parts: tuple[str, ...]
+    expected_tokens: int
     resume_after: int
 
 
--- /dev/null
+++ b/trefoilspool/lineup.py
@@ -0,0 +1,72 @@
+"""The order in which waiting requests of a service get places."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from sortedcontainers import SortedKeyList
+
+from trefoilspool.placement import PlaceAsk, PlaceKey
+
+__all__ = ['Lineup', 'Waiting']
+
+FIRST_BYTE_S = 0.05  # least time from a place to the first byte
+MAX_CANDIDATES = 12
+
+
+class Waiting(NamedTuple):
+    """A request without a place, and when it is refused."""
+
+    ask: PlaceAsk
+    give_up_at: float
+
+
+def by_aim(ask: PlaceAsk) -> tuple[float, PlaceKey]:
+    """Return the key that sorts requests of one rank."""
+    return ask.aim, ask.key
+
+
+class Lineup:
+    """Waiting requests by rank, then those that can still be on time.
+
+    A burst leaves more requests than can be on time. Serving the oldest first
+    would make all of them late; so those whose aim has passed wait behind
+    those whose aim has not.
+    """
+
+    def __init__(self) -> None:
+        self.ranks: dict[int, SortedKeyList[PlaceAsk]] = {}
+        self.count = 0
+
+    def __len__(self) -> int:
+        return self.count
+
+    def add(self, ask: PlaceAsk) -> None:
+        """Add a request."""
+        asks = self.ranks.get(ask.rank)
+        if asks is None:
+            asks = SortedKeyList(key=by_aim)
+            self.ranks[ask.rank] = asks
+        asks.add(ask)
+        self.count += 1
+
+    def remove(self, ask: PlaceAsk) -> None:
+        """Take a request out."""
+        self.ranks[ask.rank].remove(ask)
+        self.count -= 1
+
+    def candidates(self, now: float) -> list[PlaceAsk]:
+        """Return the requests that are next, in order."""
+        found: list[PlaceAsk] = []
+        for ask in self.ordered(now):
+            found.append(ask)
+            if len(found) == MAX_CANDIDATES:
+                break
+        return found
+
+    def ordered(self, now: float) -> Iterator[PlaceAsk]:
+        """Yield all requests in order."""
+        for rank in sorted(self.ranks):
+            asks = self.ranks[rank]
+            on_time = asks.bisect_key_left((now + FIRST_BYTE_S,))
+            yield from asks[on_time:]
+            yield from asks[:on_time]
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -57,6 +57,7 @@
 SERVER_ERROR = 500
 LAST_GOOD_STATUS = 299
 MIN_LEFT_S = 0.01
+LIMIT_TO_MEAN = 8  # answers are much shorter than what they may be
 GATEWAY_TIMEOUT = 504
 
 
@@ -231,7 +232,7 @@
             workspace=order.workspace,
             rank=order.rank,
             prompt_tokens=order.call.prompt_tokens,
-            output_tokens=order.call.output_tokens,
+            output_tokens=expected_tokens(order.call),
             aim=order.arrived + order.route.aim_s,
             deadline=order.deadline,
             asked=order.arrived,
@@ -589,6 +590,7 @@
             left_s=round(order.deadline - time.monotonic(), 3),
             prompt_tokens=order.call.prompt_tokens,
             output_tokens=order.call.output_tokens,
+            expected_tokens=order.call.expected_tokens,
             events=self.events,
         )
         labels = f'service="{order.service}",rank="{order.rank}"'
@@ -603,6 +605,13 @@
             )
 
 
+def expected_tokens(call: Call) -> int:
+    """Return the tokens that an answer will probably have."""
+    if call.expected_tokens:
+        return min(call.expected_tokens, call.output_tokens)
+    return call.output_tokens // LIMIT_TO_MEAN
+
+
 UNSENT: Mapping[SendEnding, bool] = {
     SendEnding.unreachable: True,
     SendEnding.gone: True,
--- a/trefoilspool/stations.py
+++ b/trefoilspool/stations.py
@@ -12,6 +12,7 @@
 TOKEN_GAP_S = 0.004
 FIRST_STEP_S = 0.03
 PLAIN_WORK_S = 0.05
+STALL_WEIGHT = 0.3
 SPEED_GAIN = 0.4
 MIN_SLOWNESS = 0.2
 MAX_SLOWNESS = 50.0
@@ -72,6 +73,24 @@
         own = self.missed_tokens(ask, now) / PREFILL_TOKENS_A_S
         return backlog + (own + FIRST_STEP_S) * self.slowness
 
+    def finish_s(self, ask: PlaceAsk, now: float) -> float:
+        """Predict the seconds until the answer of a new request is whole."""
+        first = self.first_token_s(ask, now)
+        return first + ask.output_tokens * TOKEN_GAP_S * self.slowness
+
+    def score(self, ask: PlaceAsk, now: float) -> float:
+        """Return what a request costs here, in seconds; less is better.
+
+        To the wait for its own first byte comes the time for which its prompt
+        holds up the tokens of the requests that run already.
+        """
+        first = self.first_token_s(ask, now)
+        if not self.is_engine:
+            return first
+        missed = self.missed_tokens(ask, now) / PREFILL_TOKENS_A_S
+        stall = missed * self.slowness * len(self.bookings)
+        return first + stall * STALL_WEIGHT
+
     def book(self, ask: PlaceAsk, now: float) -> None:
         """Take a place for a request."""
         if self.is_engine:
