Refuse at arrival what will not get a place, and say when to come back

Ruled out: longer patience (the worth of a late answer is a third to a half). Change: the desk counts who goes first and the places given in a second; a request that would wait longer than its patience is refused at once, and Retry-After is when the present crowd is gone, at most a third of the time left.

--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -144,7 +144,7 @@
         for number in range(10, 12):
             desk.on_ask(ask(number), 0)
         assert {one.endpoint for one in desk.take_verdicts()} == {'b'}  # type: ignore[union-attr]
-        desk.on_ask(ask(12), 5)
+        desk.on_ask(ask(12, asked=5), 5)
         assert desk.take_verdicts() == [Granted(PlaceKey('h1', 12), 'a')]
 
 
@@ -195,6 +195,40 @@
         assert isinstance(desk.take_verdicts()[0], Refused)
 
 
+class TestCrowd:
+    """Far more requests than places, for longer than callers wait."""
+
+    def crowd(self, desk: Desk) -> None:
+        for number in range(4):
+            desk.on_ask(ask(number), 0)
+        for number in range(10, 30):
+            desk.on_ask(ask(number), 0)
+        assert len(desk.queue(SERVICE)) < 20
+        desk.take_verdicts()
+
+    def test_hopeless_request_is_refused_at_once(self, desk: Desk) -> None:
+        self.crowd(desk)
+        desk.on_ask(ask(50), 0)
+        refused = desk.take_verdicts()[0]
+        assert isinstance(refused, Refused)
+        assert refused.reason is RefusalReason.crowded
+
+    def test_caller_is_told_when_the_crowd_is_gone(self, desk: Desk) -> None:
+        self.crowd(desk)
+        desk.on_ask(ask(50, deadline=30), 0)
+        desk.on_ask(ask(51, deadline=1.5), 0)
+        first, second = desk.take_verdicts()
+        assert isinstance(first, Refused)
+        assert isinstance(second, Refused)
+        assert 0.9 < first.retry_after <= 10
+        assert second.retry_after <= 0.5
+
+    def test_more_important_request_still_waits(self, desk: Desk) -> None:
+        self.crowd(desk)
+        desk.on_ask(ask(50, rank=0), 0)
+        assert kinds(desk) == [Queued]
+
+
 class TestWaiting:
     def test_hopeless_wait_ends_with_a_time_to_come_back(
         self, desk: Desk
@@ -297,5 +331,5 @@
             desk.on_ask(ask(number, attempt=2), 0)
         found = kinds(desk)
         assert found.count(Granted) == 60
-        desk.on_ask(ask(900, attempt=2), 11)
+        desk.on_ask(ask(900, attempt=2, asked=11), 11)
         assert kinds(desk) == [Granted]
--- a/trefoilspool/desk.py
+++ b/trefoilspool/desk.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from trefoilspool.allowance import Allowances
+from trefoilspool.grantrates import GrantRates
 from trefoilspool.lineup import Lineup, Waiting
 from trefoilspool.placement import (
     Ended,
@@ -29,8 +30,7 @@
 SAFETY = 0.9  # share of the time left in which an answer has to end
 HOLD_TIMEOUT_S = 1.2  # entries repeat what they hold more often than this
 MIN_RETRY_S = 0.2
-MAX_RETRY_S = 3.0
-MAX_WAITING = 400
+RETRY_SHARE = 3  # callers come back within a third of the time left
 
 
 class Desk:
@@ -54,6 +54,7 @@
         self.bookings: dict[PlaceKey, Booking] = {}
         self.refreshed: dict[str, float] = {}
         self.allowances = Allowances()
+        self.rates = GrantRates()
         self.verdicts: list[Verdict] = []
 
     def take_verdicts(self) -> list[Verdict]:
@@ -90,7 +91,7 @@
         if reason is not None:
             self.refuse(ask, reason, now)
             return
-        self.waiting[ask.key] = Waiting(ask, self.give_up_at(ask))
+        self.waiting[ask.key] = Waiting(ask, self.give_up_at(ask, now))
         self.queue(ask.service).add(ask)
         self.serve(ask.service, now)
         if ask.key in self.waiting:
@@ -100,10 +101,18 @@
         """Return the waiting requests of a service."""
         return self.queues.setdefault(service, Lineup())
 
-    def give_up_at(self, ask: PlaceAsk) -> float:
+    def wait_s(self, ask: PlaceAsk, now: float) -> float:
+        """Predict the seconds until a new request gets a place."""
+        ahead = self.queue(ask.service).ahead(ask, now)
+        if not ahead:
+            return 0
+        return ahead / self.rates.of(ask.service, now)
+
+    def give_up_at(self, ask: PlaceAsk, now: float) -> float:
         """Return when a request has waited for long enough."""
-        share = (ask.deadline - ask.asked) * PATIENCE_SHARE
-        return ask.asked + min(PATIENCE_S, share)
+        since = now if ask.attempt > 1 else ask.asked
+        share = (ask.deadline - since) * PATIENCE_SHARE
+        return since + min(PATIENCE_S, share)
 
     def refusal(self, ask: PlaceAsk, now: float) -> RefusalReason | None:
         """Return why a new request is refused at once, None if it is not."""
@@ -111,7 +120,8 @@
         known = self.by_service.get(ask.service, ())
         if known and all(one.station.name in ask.avoid for one in known):
             return RefusalReason.no_endpoint
-        if len(self.queue(ask.service)) >= MAX_WAITING:
+        wait = self.wait_s(ask, now)
+        if wait and now + wait > self.give_up_at(ask, now):
             return RefusalReason.crowded
         return self.allowances.refusal(ask, now)
 
@@ -155,6 +165,7 @@
         state.book(ask, now)
         self.bookings[ask.key] = state.bookings[ask.key]
         self.allowances.spend(ask, now)
+        self.rates.count(ask.service, now)
         self.verdicts.append(Granted(ask.key, state.station.name))
 
     def refuse(self, ask: PlaceAsk, reason: RefusalReason, now: float) -> None:
@@ -171,11 +182,17 @@
         now: float,
     ) -> float:
         """Return the seconds after which a place is likely."""
+        most = (ask.deadline - now) / RETRY_SHARE
         if reason is RefusalReason.over_limit:
             wait = self.allowances.wait_s(ask, now)
         else:
-            wait = MIN_RETRY_S
-        return min(max(wait, MIN_RETRY_S), MAX_RETRY_S)
+            wait = self.clear_s(ask, now)
+        return min(max(wait, MIN_RETRY_S), max(most, MIN_RETRY_S))
+
+    def clear_s(self, ask: PlaceAsk, now: float) -> float:
+        """Predict the seconds until the present waiting requests are gone."""
+        waiting = len(self.queue(ask.service))
+        return waiting / self.rates.of(ask.service, now)
 
     def drop_waiting(self, key: PlaceKey) -> None:
         """Forget a waiting request."""
--- a/trefoilspool/lineup.py
+++ b/trefoilspool/lineup.py
@@ -54,6 +54,17 @@
         self.ranks[ask.rank].remove(ask)
         self.count -= 1
 
+    def ahead(self, ask: PlaceAsk, now: float) -> int:
+        """Count the requests that get a place before a new one."""
+        found = 0
+        for rank, asks in self.ranks.items():
+            if rank < ask.rank:
+                found += len(asks)
+            elif rank == ask.rank:
+                on_time = asks.bisect_key_left((now + FIRST_BYTE_S,))
+                found += max(0, asks.bisect_key_left(by_aim(ask)) - on_time)
+        return found
+
     def candidates(self, now: float) -> list[PlaceAsk]:
         """Return the requests that are next, in order."""
         found: list[PlaceAsk] = []
