Find hosts by the store, pass silent hosts over until heard, leave silent endpoints

Change: a keyed topic of hosts; hellos instead of requests find out who is back; a request that may be repeated leaves an endpoint after 1 s without a first event or 0.8 s without a further one; once-only requests get connections of their own.

--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -42,6 +42,9 @@
     def do_GET(self) -> None:
         self.server.store.get(self)
 
+    def do_POST(self) -> None:
+        self.server.store.append(self)
+
     def log_message(self, *arguments: object) -> None:
         """Write nothing."""
 
@@ -94,6 +97,19 @@
         pages = {'/-/log-newest': self.newest, '/-/log-read': self.read}
         pages[parts.path](handler, query)
 
+    def append(self, handler: BaseHTTPRequestHandler) -> None:
+        """Append the record of a call."""
+        query = parse_qs(urlsplit(handler.path).query)
+        body = handler.rfile.read(int(handler.headers['Content-Length']))
+        if self.fault:
+            send(handler, 503, b'{}')
+            return
+        key_end = 5 + body[4]
+        offset = self.put(
+            query['topic'][0], body[5:key_end].decode(), body[key_end:]
+        )
+        send(handler, 200, json.dumps({'offset': offset}).encode())
+
     def newest(
         self,
         handler: BaseHTTPRequestHandler,
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -126,3 +126,5 @@
     def test_own_word_of_an_endpoint_counts(self, listed: Listed) -> None:
         listed.directory.on_gone('a')
         assert not listed.names
+        listed.put('a')
+        assert listed.names == ['a']
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -340,6 +340,50 @@
                 assert cluster.call(running).status == 200
 
 
+class TestIntroductions:
+    def test_hosts_meet_through_the_store_without_seeds(
+        self, cluster: GatewayCluster
+    ) -> None:
+        cluster.seeds = ''
+        cluster.add_endpoint()
+        hosts = [cluster.add_host() for _ in range(3)]
+        wait_for(
+            lambda: len({one.host.mesh.homes.home() for one in hosts}) == 1,
+            'one home of all hosts',
+        )
+
+    def test_hosts_meet_through_a_seed_without_the_store(
+        self, cluster: GatewayCluster
+    ) -> None:
+        cluster.store.fault = 503
+        hosts = [cluster.add_host() for _ in range(3)]
+        wait_for(
+            lambda: len({one.host.mesh.homes.home() for one in hosts}) == 1,
+            'one home of all hosts',
+        )
+
+    def test_lost_home_delays_a_request_by_less_than_a_tenth_of_a_second(
+        self, cluster: GatewayCluster
+    ) -> None:
+        cluster.add_endpoint()
+        hosts = [cluster.add_host() for _ in range(3)]
+        wait_for(
+            lambda: len({one.host.mesh.homes.home() for one in hosts}) == 1,
+            'one home of all hosts',
+        )
+        home = hosts[0].host.mesh.homes.home()
+        assert home is not None
+        lost = next(one for one in hosts if one.options.name == home.name)
+        lost.host.mesh.stopping.set()
+        wait_for(
+            lambda: lost.host.mesh.socket.fileno() < 0, 'the home to be lost'
+        )
+        other = next(one for one in hosts if one is not lost)
+        started = time.monotonic()
+        assert cluster.call(other).status == 200
+        assert time.monotonic() - started < 0.1
+
+
 class TestLeavingEndpoints:
     def test_draining_endpoint_gets_no_new_work(
         self, cluster: GatewayCluster
--- a/tests/test_tiers.py
+++ b/tests/test_tiers.py
@@ -105,6 +105,9 @@
             lambda: len(high.told) > count + 30,
             'chats after the fault',
         )
+        self.check_decisions(system, low, high)
+
+    def check_decisions(self, system: Cluster, low: Load, high: Load) -> None:
         # Chats wait long enough for a place sooner or later, not always
         # among the first thirty.
         wait_until(
--- a/trefoilspool/directory.py
+++ b/trefoilspool/directory.py
@@ -65,6 +65,7 @@
         self.changed = changed
         self.lock = threading.RLock()
         self.endpoints: dict[str, EndpointRecord] = {}
+        self.gone: set[str] = set()
         self.lapsing: dict[str, float] = {}
         self.configuration: Configuration | None = None
         self.published: list[Station] = []
@@ -104,6 +105,7 @@
             if endpoint.started == known.started and known.leaving:
                 endpoint = endpoint._replace(leaving=True)
         self.lapsing.pop(endpoint.name, None)
+        self.gone.discard(endpoint.name)
         self.endpoints[endpoint.name] = endpoint
         if known is None or known.leaving != endpoint.leaving:
             logger.info(
@@ -129,6 +131,7 @@
     def remove(self, name: str) -> None:
         """Forget an endpoint."""
         self.lapsing.pop(name, None)
+        self.gone.discard(name)
         if self.endpoints.pop(name, None) is not None:
             logger.info('endpoint_dropped', extra={'endpoint': name})
 
@@ -142,11 +145,13 @@
                 self.publish()
 
     def on_gone(self, name: str) -> None:
-        """Take an endpoint's own word that it leaves or is another one."""
+        """Pass an endpoint over whose address another one has.
+
+        A later record of its own brings it back.
+        """
         with self.lock:
-            known = self.endpoints.get(name)
-            if known is not None and not known.leaving:
-                self.endpoints[name] = known._replace(leaving=True)
+            if name not in self.gone:
+                self.gone.add(name)
                 logger.info('endpoint_gone', extra={'endpoint': name})
                 self.publish()
 
@@ -159,7 +164,7 @@
     def get(self, name: str) -> EndpointRecord | None:
         """Return an endpoint that may get work, or None."""
         endpoint = self.endpoints.get(name)
-        if endpoint is None or endpoint.leaving:
+        if endpoint is None or endpoint.leaving or name in self.gone:
             return None
         return endpoint
 
@@ -178,7 +183,7 @@
         found = []
         for endpoint in self.endpoints.values():
             service = services.get(endpoint.service)
-            if service is None or endpoint.leaving:
+            if service is None or self.get(endpoint.name) is None:
                 continue
             engine = service.engine
             found.append(
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
+import logbook
+
 from trefoilspool.errors import (
     ConnectFailedError,
     EndpointRefusedConnectionError,
@@ -30,12 +32,20 @@
 
 CONNECT_TIMEOUT_S = 0.3
 UNACKED_TIMEOUT_MS = 1000
+# A silent network is noticed in three seconds while nothing is under way.
+KEEPALIVE: Mapping[int, int] = {
+    socket.TCP_KEEPIDLE: 1,
+    socket.TCP_KEEPINTVL: 1,
+    socket.TCP_KEEPCNT: 2,
+}
 MAX_IDLE_S = 4.0
 MAX_IDLE_LINKS = 8
 READ_BYTES = 65_536
 MAX_STRAYS = 2
 EVENT_END = b'\n\n'
 
+logger = logbook.Logger('exchange')
+
 
 class Call(NamedTuple):
     """A caller's request, decoded.
@@ -164,6 +174,9 @@
             socket.TCP_USER_TIMEOUT,
             UNACKED_TIMEOUT_MS,
         )
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, count in KEEPALIVE.items():
+            self.sock.setsockopt(socket.IPPROTO_TCP, option, count)
 
     def is_clean(self) -> bool:
         """Tell whether nothing came while the connection was idle."""
@@ -274,6 +287,18 @@
         self.finish()
         return body
 
+    def discard(self) -> None:
+        """Read a body that nobody needs; a broken one ends the connection."""
+        try:
+            self.body()
+        except StreamCutError as error:
+            logger.info('refusal_cut', extra={'error': str(error)})
+
+    def set_silence(self, seconds: float) -> None:
+        """Let reads fail after a silence."""
+        if self.link.raw is not None:
+            self.link.raw.settimeout(seconds)
+
     def pieces(self) -> Iterator[bytes]:
         """Yield the body as it comes and give the connection back.
 
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -15,6 +15,7 @@
 from trefoilspool.follow import FollowPeersTask, FollowStoreTask, Pace
 from trefoilspool.gateway import Gateway
 from trefoilspool.homes import Card
+from trefoilspool.introductions import IntroduceTask
 from trefoilspool.listening import Listening
 from trefoilspool.mesh import MeshTask
 from trefoilspool.options import GatewayOptions
@@ -22,11 +23,11 @@
 from trefoilspool.replica import Replica
 from trefoilspool.routing import Configuration
 from trefoilspool.serving import Servings
-from trefoilspool.store import KeyedRecord, KeyedSource
+from trefoilspool.store import KeyedRecord, KeyedSource, KeyedTopic
 from trefoilspool.telemetry import Metrics
 from trefoilspool.watch import WatchTask
 
-__all__ = ['GatewayHost', 'Platform', 'Topics']
+__all__ = ['GatewayHost', 'Platform', 'StoreTopics', 'Topics']
 
 NS_PER_US = 1000
 INCARNATION_BITS = 4
@@ -52,6 +53,22 @@
     endpoints: KeyedSource
 
 
+class StoreTopics(NamedTuple):
+    """The store's topics.
+
+    Attributes
+    ----------
+    settings, endpoints : KeyedSource
+        Followed by every host.
+    hosts : KeyedTopic
+        Where hosts introduce themselves.
+    """
+
+    settings: KeyedSource
+    endpoints: KeyedSource
+    hosts: KeyedTopic
+
+
 class Platform(ABC):
     """What a platform's adapter provides."""
 
@@ -60,7 +77,7 @@
         """Return how requests are spelt."""
 
     @abstractmethod
-    def topics(self) -> Topics:
+    def topics(self) -> StoreTopics:
         """Return the store's topics."""
 
     @abstractmethod
@@ -139,6 +156,11 @@
             ENDPOINTS_PACE,
             self.stopping,
         )
+        self.introduce_task = IntroduceTask(
+            topics.hosts,
+            self.mesh.homes,
+            self.stopping,
+        )
         self.watch = WatchTask()
         self.exchange = Exchange(platform.dialect())
         self.gateway = Gateway(
@@ -170,6 +192,7 @@
         yield self.watch.run
         yield self.settings_task.run
         yield self.endpoints_task.run
+        yield self.introduce_task.run
         yield FollowPeersTask(
             'settings',
             self.peer_ahead_in_settings,
@@ -291,6 +314,7 @@
         gateway = self.gateway
         gateway.draining = True
         self.tell()
+        self.mesh.announce()
         logger.info('draining', extra={'open': gateway.open})
         while time.monotonic() < started + LAST_EXIT_S:
             age = time.monotonic() - started
--- a/trefoilspool/homes.py
+++ b/trefoilspool/homes.py
@@ -8,8 +8,9 @@
 
 __all__ = ['Card', 'Homes']
 
-SUSPECT_S = 0.6  # a host that did not answer is passed over for this long
-MAX_SUSPECT_S = 3.0
+SUSPECT_S = 0.4  # a host that did not answer is passed over for so long
+MAX_SUSPECT_S = 6.0
+CALM_S = 10.0  # after which an earlier silence is forgotten
 SUSPECT_FACTOR = 2.0
 FORGET_S = 30.0
 DESK = 'desk'
@@ -40,7 +41,15 @@
 
 
 class Suspicion(NamedTuple):
-    """A host did not answer."""
+    """A host did not answer; it counts again once it is heard after a time.
+
+    Attributes
+    ----------
+    until : float
+        Signs of life before this are not enough.
+    term : float
+        Seconds from the silence until then; doubled by another silence.
+    """
 
     until: float
     term: float
@@ -67,6 +76,7 @@
         self.heard: dict[str, float] = {}
         self.told: dict[str, float] = {}
         self.suspects: dict[str, Suspicion] = {}
+        self.pardoned: dict[str, Suspicion] = {}
 
     def on_own(self, card: Card) -> None:
         """Change what this host says of itself."""
@@ -82,7 +92,9 @@
                 return False
             self.cards[card.name] = card
             self.heard[card.name] = now
-            self.suspects.pop(card.name, None)
+            suspicion = self.suspects.get(card.name)
+            if suspicion is not None and now >= suspicion.until:
+                self.pardoned[card.name] = self.suspects.pop(card.name)
         return True
 
     def on_told(self, cards: Iterable[Card], now: float) -> None:
@@ -95,30 +107,40 @@
                     self.told[card.name] = now
 
     def on_silence(self, name: str, now: float) -> None:
-        """Pass a host over for a while, longer each time."""
+        """Pass a host over until it is heard, longer each time."""
         with self.lock:
-            known = self.suspects.get(name)
+            if name in self.suspects:
+                return
             term = SUSPECT_S
-            if known is not None:
-                if now < known.until:
-                    return
-                term = min(known.term * SUSPECT_FACTOR, MAX_SUSPECT_S)
+            earlier = self.pardoned.pop(name, None)
+            if earlier is not None and now < earlier.until + CALM_S:
+                term = min(earlier.term * SUSPECT_FACTOR, MAX_SUSPECT_S)
             self.suspects[name] = Suspicion(now + term, term)
 
-    def home(self, now: float) -> Card | None:
+    def home(self) -> Card | None:
         """Return the host that gives places, None if there is none."""
         with self.lock:
             usable = [
                 card
                 for card in self.cards.values()
-                if not card.leaving and not self.is_suspect(card.name, now)
+                if not card.leaving and self.answers(card.name)
             ]
         return max(usable, key=lambda card: rank(card.name), default=None)
 
-    def is_suspect(self, name: str, now: float) -> bool:
-        """Tell whether a host is passed over now."""
-        suspicion = self.suspects.get(name)
-        return suspicion is not None and now < suspicion.until
+    def answers(self, name: str) -> bool:
+        """Tell whether a host was heard and has not fallen silent since."""
+        if name == self.own.name:
+            return True
+        return name in self.heard and name not in self.suspects
+
+    def unheard(self) -> list[Card]:
+        """Return the hosts that should be asked whether they are here."""
+        with self.lock:
+            return [
+                card
+                for card in self.cards.values()
+                if not self.answers(card.name)
+            ]
 
     def fresh(self, now: float) -> list[Card]:
         """Return the hosts that were heard of lately, this one included."""
@@ -143,6 +165,8 @@
             for name, card in list(self.cards.items()):
                 if name != self.own.name and not self.lately(card, now):
                     del self.cards[name]
+                    self.suspects.pop(name, None)
+                    self.heard.pop(name, None)
 
     def count(self) -> int:
         """Return the number of known hosts."""
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -242,7 +242,7 @@
     def beat(self, now: float) -> None:
         """Tell the home what this host holds, and all hosts who is here."""
         self.beats += 1
-        home = self.homes.home(now)
+        home = self.homes.home()
         if home is None:
             return
         datagram = ttypes.Datagram(
@@ -252,20 +252,24 @@
         self.send(home.address, datagram)
         if home.name == self.homes.own.name and not self.beats % HOSTS_EVERY:
             self.homes.forget(now)
-            introduction = self.introduction(now)
-            for card in self.homes.fresh(now):
-                if card.name != home.name:
-                    self.send(card.address, introduction)
+            self.introduce_all(now)
+
+    def announce(self) -> None:
+        """Tell all hosts what this one says of itself."""
+        self.tell(self.introduce_all)
+
+    def introduce_all(self, now: float) -> None:
+        """Tell all hosts who is here."""
+        introduction = self.introduction(now)
+        for card in self.homes.fresh(now):
+            if card.name != self.homes.own.name:
+                self.send(card.address, introduction)
 
     def say_hello(self, now: float) -> None:
-        """Ask the seeds, and hosts that were silent, whether they are here."""
-        addresses = set()
+        """Ask hosts that are silent, or the seeds, whether they are here."""
+        addresses = {card.address for card in self.homes.unheard()}
         if self.homes.count() <= 1:
             addresses.update(self.seeds)
-        for name in list(self.homes.suspects):
-            card = self.homes.cards.get(name)
-            if card is not None:
-                addresses.add(card.address)
         hello = ttypes.Datagram(
             wire.card_to_wire(self.homes.own),
             hello=True,
--- a/trefoilspool/placeclient.py
+++ b/trefoilspool/placeclient.py
@@ -155,7 +155,7 @@
     ) -> Verdict:
         """Ask the home, then the next one, then decide alone."""
         for _ in range(2):
-            home = self.homes.home(time.monotonic())
+            home = self.homes.home()
             if home is None:
                 break
             verdict = self.ask_home(home.address, ask, inbox, gone)
@@ -260,7 +260,7 @@
         """Give a place back."""
         with self.lock:
             self.held.pop(ended.key.number, None)
-        home = self.homes.home(time.monotonic())
+        home = self.homes.home()
         if home is not None:
             self.mail(home.address, ended)
 
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -50,10 +50,14 @@
 __all__ = ['Order', 'Serving', 'Servings']
 
 MAX_UNSENT = 4  # places given that no request could be sent to
-FRESH_ONCE_S = 1.0  # idle time of connections for requests that run once
+# A kept connection may have been dropped; then nobody knows whether what is
+# sent on it runs, so that requests which run once get connections of their own.
+FRESH_ONCE_S = 0.0
 FRESH_S = 3.0
 RETRY_S = 0.3
 READ_SLACK_S = 0.5  # the watch ends a read at its deadline before this
+FIRST_SILENCE_S = 1.0  # then a request that may be repeated is sent elsewhere
+GAP_SILENCE_S = 0.8
 SERVER_ERROR = 500
 LAST_GOOD_STATUS = 299
 MIN_LEFT_S = 0.01
@@ -318,7 +322,7 @@
             raw = self.shared.exchange.send(
                 link,
                 message,
-                left + READ_SLACK_S,
+                self.silence_s(FIRST_SILENCE_S),
             )
             return self.judge(place, raw, sent_at)
         except SendFailedError as error:
@@ -328,6 +332,19 @@
             self.unwatch(place)
             return Fault(SendEnding.broken, True, str(error))
 
+    def silence_s(self, patience_s: float) -> float:
+        """Return the seconds after which a silent endpoint is given up.
+
+        Where no other may follow, that is when the deadline has passed.
+        """
+        order = self.order
+        left = order.deadline - time.monotonic() + READ_SLACK_S
+        if order.route.repeats is Repeats.never:
+            return left
+        if self.sends >= order.route.max_attempts:
+            return left
+        return min(left, patience_s)
+
     def unwatch(self, place: Place) -> None:
         """Stop to watch an attempt."""
         self.shared.watch.post(Unwatch(place.key.number))
@@ -343,7 +360,7 @@
         is_good = head.status <= LAST_GOOD_STATUS
         if head.not_run or head.other:
             self.unwatch(place)
-            raw.body()
+            raw.discard()
             ending = SendEnding.gone if head.other else SendEnding.refused
             return Fault(ending, False, f'status {head.status}, not run')
         if head.encoded or not head.proven:
@@ -378,6 +395,7 @@
         """Read the first event of a stream."""
         rest = split_events(raw.pieces())
         first = next(rest, b'')
+        raw.set_silence(self.silence_s(GAP_SILENCE_S))
         self.decode_from = time.monotonic()
         self.first_s = self.decode_from - sent_at
         return Opened(place, raw, first, rest, sent_at)
--- a/trefoilspool/store.py
+++ b/trefoilspool/store.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
-__all__ = ['KeyedRecord', 'KeyedSource', 'Page']
+__all__ = ['KeyedRecord', 'KeyedSource', 'KeyedTopic', 'Page']
 
 
 class KeyedRecord(NamedTuple):
@@ -54,3 +54,17 @@
         TrimmedError
             Some of these records are gone; read the newest.
         """
+
+
+class KeyedTopic(KeyedSource):
+    """A topic that this system may write to."""
+
+    @abstractmethod
+    def put(self, key: str, content: bytes) -> None:
+        """Write the newest content of a key; a repeat does no harm.
+
+        Raises
+        ------
+        LogOutageError
+            It may not have been written.
+        """
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -21,7 +21,9 @@
     'card_from_wire',
     'card_to_wire',
     'decode',
+    'decode_card',
     'encode',
+    'encode_card',
     'ended_from_wire',
     'ended_to_wire',
     'held_from_wire',
@@ -73,6 +75,17 @@
     )
 
 
+def encode_card(card: Card) -> bytes:
+    """Return a card's bytes."""
+    return encode(ttypes.Datagram(card_to_wire(card)))
+
+
+def decode_card(body: bytes) -> Card | None:
+    """Return the card of its bytes, None if it cannot be read."""
+    datagram = decode(body)
+    return card_from_wire(datagram.sender) if datagram else None
+
+
 def ms(seconds: float) -> int:
     """Return whole milliseconds."""
     return int(seconds * MS_PER_S)
