Count repeats for limits, let large requests through as often as small ones

Change: every attempt is charged and what did not run is given back; a bucket may owe what its last request had too much; a new home starts at half a burst and takes the levels that entries heard of the old one.

--- a/scripts/generate-wire.sh
+++ b/scripts/generate-wire.sh
@@ -3,9 +3,10 @@
 set -eu
 cd "$(dirname "$0")/.."
 out=$(mktemp -d)
-thrift --gen py -out "$out" trefoilspool/wire/peer.thrift
-rm -rf trefoilspool/wire/gen
-mkdir -p trefoilspool/wire/gen/peer
-cp "$out"/trefoilspool/wire/gen/peer/*.py trefoilspool/wire/gen/peer/
-: > trefoilspool/wire/gen/__init__.py
+for idl in peer mesh; do
+    thrift --gen py -out "$out" "trefoilspool/wire/$idl.thrift"
+    rm -rf "trefoilspool/wire/gen/$idl"
+    mkdir -p "trefoilspool/wire/gen/$idl"
+    cp "$out/trefoilspool/wire/gen/$idl"/*.py "trefoilspool/wire/gen/$idl/"
+done
 rm -rf "$out"
--- a/trefoilspool/allowance.py
+++ b/trefoilspool/allowance.py
@@ -11,17 +11,21 @@
 WINDOW_S = 10.0
 RETRY_SHARE = 0.15
 RETRY_BASE = 60
+START_SHARE = 0.5
 
 
 class Bucket:
-    """A token bucket that is full at first.
+    """A token bucket that may owe what its last request had too much.
+
+    So a large request is let through as often as a small one.
 
     Parameters
     ----------
     rate : float
         Tokens a second.
     burst : float
-        The most tokens that it holds.
+        The most tokens that it holds; at first it holds a half, since an
+        earlier home may have given the rest.
     now : float
         The present time in seconds.
     """
@@ -29,7 +33,7 @@
     def __init__(self, rate: float, burst: float, now: float) -> None:
         self.rate = rate
         self.burst = burst
-        self.level = burst
+        self.level = burst * START_SHARE
         self.filled = now
 
     def fill(self, now: float) -> None:
@@ -106,12 +110,13 @@
         if ask.attempt > 1:
             if not self.window(ask.service).allows(now):
                 return RefusalReason.budget
-        if ask.charge:
-            bucket = self.bucket(ask.workspace, now)
-            if bucket is not None:
-                if bucket.level < min(ask.charge, bucket.burst):
-                    return RefusalReason.over_limit
-                bucket.level -= ask.charge
+        bucket = self.bucket(ask.workspace, now)
+        if bucket is None:
+            return None
+        # A repeat runs again and counts again; its request was let through.
+        if bucket.level <= 0 and ask.attempt == 1:
+            return RefusalReason.over_limit
+        bucket.level -= ask.charge
         return None
 
     def wait_s(self, ask: PlaceAsk, now: float) -> float:
@@ -119,13 +124,13 @@
         bucket = self.bucket(ask.workspace, now)
         if bucket is None:
             return 0
-        return max(0, ask.charge - bucket.level) / bucket.rate
+        return max(0, -bucket.level) / bucket.rate
 
-    def give_back(self, ask: PlaceAsk, now: float) -> None:
-        """Take back the charge of a request that was not sent."""
-        bucket = self.bucket(ask.workspace, now)
+    def give_back(self, workspace: str, charge: int, now: float) -> None:
+        """Take back the charge of a request that did not run."""
+        bucket = self.bucket(workspace, now)
         if bucket is not None:
-            bucket.level = min(bucket.burst, bucket.level + ask.charge)
+            bucket.level = min(bucket.burst, bucket.level + charge)
 
     def spend(self, ask: PlaceAsk, now: float) -> None:
         """Count a send to a service."""
--- a/trefoilspool/desk.py
+++ b/trefoilspool/desk.py
@@ -18,6 +18,7 @@
     Queued,
     RefusalReason,
     Refused,
+    SendEnding,
     Station,
     Verdict,
 )
@@ -33,6 +34,16 @@
 RETRY_SHARE = 3  # callers come back within a third of the time left
 
 
+NOT_RUN = frozenset(
+    (
+        SendEnding.unused,
+        SendEnding.refused,
+        SendEnding.unreachable,
+        SendEnding.gone,
+    )
+)
+
+
 class Desk:
     """Gives out places, keeps limits over all hosts and the retry budget.
 
@@ -204,7 +215,8 @@
         """Forget a waiting request, which does not count for a limit."""
         waiting = self.waiting.get(key)
         if waiting is not None:
-            self.allowances.give_back(waiting.ask, now)
+            ask = waiting.ask
+            self.allowances.give_back(ask.workspace, ask.charge, now)
             self.drop_waiting(key)
 
     def on_ended(self, ended: Ended, now: float) -> None:
@@ -214,8 +226,15 @@
         if state is not None:
             state.learn(ended, now)
         booking = self.unbook(ended.key)
-        if booking is not None:
-            self.serve(booking.service, now)
+        if booking is None:
+            return
+        if ended.ending in NOT_RUN:
+            self.allowances.give_back(
+                booking.workspace,
+                booking.charge,
+                now,
+            )
+        self.serve(booking.service, now)
 
     def unbook(self, key: PlaceKey) -> Booking | None:
         """Free a place."""
@@ -255,6 +274,8 @@
             now - held.age_s,
             held.prompt_tokens,
             held.output_tokens,
+            '',
+            0,
         )
         self.bookings[held.key] = booking
         if held.endpoint in self.stations:
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -60,6 +60,8 @@
         self.hello_at = 0.0
         self.ticked_at = 0.0
         self.beats = 0
+        self.told_by = ('', 0)
+        self.beat_to = ''
 
     def mail(self, address: str, message: object) -> None:
         """Send an ask or an end; usable from any thread."""
@@ -212,7 +214,14 @@
         self.client.on_loads(
             {load.endpoint: load.held for load in digest.loads},
             frozenset(load.endpoint for load in digest.loads if load.ejected),
+            {level.workspace: level.tokens for level in digest.levels},
         )
+        self.told_by = (sender.name, sender.incarnation)
+
+    def on_levels(self, sender: Card, levels: list[Any], now: float) -> None:
+        """Take the levels of limits that an earlier home had."""
+        for one in levels:
+            self.desk.allowances.on_level(one.workspace, one.tokens, now)
 
     def on_hosts(self, sender: Card, hosts: list[Any], now: float) -> None:
         """Learn of hosts."""
@@ -232,7 +241,9 @@
     def tick(self, now: float) -> None:
         """Let waiting requests time out, and beat."""
         self.desk.tick(now)
-        if now - self.beat_at >= BEAT_S:
+        home = self.homes.home()
+        moved = home is not None and home.name != self.beat_to
+        if moved or now - self.beat_at >= BEAT_S:
             self.beat_at = now
             self.beat(now)
         if now - self.hello_at >= HELLO_S:
@@ -245,10 +256,21 @@
         home = self.homes.home()
         if home is None:
             return
+        if home.name != self.beat_to:
+            logger.info(
+                'home_changed',
+                extra={'home': home.name, 'before': self.beat_to},
+            )
+            self.beat_to = home.name
         datagram = ttypes.Datagram(
             wire.card_to_wire(self.homes.own),
             roll=[wire.held_to_wire(one) for one in self.client.roll()],
         )
+        if self.told_by != (home.name, home.incarnation):
+            datagram.levels = [
+                ttypes.Level(name, tokens)
+                for name, tokens in self.client.levels.items()
+            ]
         self.send(home.address, datagram)
         if home.name == self.homes.own.name and not self.beats % HOSTS_EVERY:
             self.homes.forget(now)
@@ -304,4 +326,5 @@
     'digest': MeshTask.on_digest,
     'hosts': MeshTask.on_hosts,
     'hello': MeshTask.on_hello,
+    'levels': MeshTask.on_levels,
 }
--- a/trefoilspool/placeclient.py
+++ b/trefoilspool/placeclient.py
@@ -93,6 +93,7 @@
         self.stations: Mapping[str, Station] = {}
         self.loads: Mapping[str, int] = {}
         self.ejected: frozenset[str] = frozenset()
+        self.levels: Mapping[str, int] = {}
         self.workspaces: Mapping[str, Workspace] = {}
         self.buckets: dict[str, Bucket] = {}
         self.window = RetryWindow()
@@ -118,10 +119,12 @@
         self,
         loads: Mapping[str, int],
         ejected: frozenset[str],
+        levels: Mapping[str, int],
     ) -> None:
-        """Take the home's counts of held places."""
+        """Take the home's counts of held places and levels of limits."""
         self.loads = loads
         self.ejected = ejected
+        self.levels = levels
 
     def acquire(self, ask: PlaceAsk, gone: Callable[[], bool]) -> Verdict:
         """Return a grant or a refusal; waits as long as the desk says.
@@ -243,7 +246,7 @@
                 bucket = Bucket(rate, burst, now)
                 self.buckets[ask.workspace] = bucket
             bucket.change(rate, burst, now)
-            if bucket.level < min(ask.charge, bucket.burst):
+            if bucket.level <= 0 and ask.attempt == 1:
                 return False
             bucket.level -= ask.charge
         return True
--- a/trefoilspool/placement.py
+++ b/trefoilspool/placement.py
@@ -65,7 +65,7 @@
         The prompt's parts; an endpoint that has read the same first parts
         need not read them again.
     charge : int
-        What counts towards the workspace's limit; 0 if it was counted.
+        What counts towards the workspace's limit.
     """
 
     key: PlaceKey
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -188,7 +188,6 @@
         self.may_have_run = False
         self.avoid: tuple[str, ...] = ()
         self.last_event = order.call.resume_after
-        self.charged = False
         self.first_s = 0.0
         self.events = 0
         self.decode_from = 0.0
@@ -244,14 +243,13 @@
             attempt=self.sends + 1,
             parts=order.call.parts,
             streams=order.route.streams,
-            charge=0 if self.charged else order.charge,
+            charge=order.charge,
             data_centre=self.shared.data_centre,
             repeatable=order.route.repeats is not Repeats.never,
         )
         verdict = self.shared.places.acquire(ask, order.gone)
         if isinstance(verdict, Refused):
             raise self.refused(verdict)
-        self.charged = True
         log_decision(
             'grant',
             order.call.request_id,
--- a/trefoilspool/stations.py
+++ b/trefoilspool/stations.py
@@ -29,6 +29,8 @@
     granted: float
     prompt_tokens: int
     output_tokens: int
+    workspace: str
+    charge: int
 
 
 class StationState:
@@ -107,6 +109,8 @@
             now,
             ask.prompt_tokens,
             ask.output_tokens,
+            ask.workspace,
+            ask.charge,
         )
 
     def forget_parts(self, now: float) -> None:
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -957,11 +957,12 @@
      - digest
      - hosts
      - hello
+     - levels
 
     """
 
 
-    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None,):
+    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None,):
         self.sender = sender
         self.asks = asks
         self.verdicts = verdicts
@@ -970,6 +971,7 @@
         self.digest = digest
         self.hosts = hosts
         self.hello = hello
+        self.levels = levels
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1052,6 +1054,17 @@
                     self.hello = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.levels = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = Level()
+                        _elem63.read(iprot)
+                        self.levels.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1069,29 +1082,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter58 in self.asks:
-                iter58.write(oprot)
+            for iter64 in self.asks:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter59 in self.verdicts:
-                iter59.write(oprot)
+            for iter65 in self.verdicts:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter60 in self.ends:
-                iter60.write(oprot)
+            for iter66 in self.ends:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.roll is not None:
             oprot.writeFieldBegin('roll', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.roll))
-            for iter61 in self.roll:
-                iter61.write(oprot)
+            for iter67 in self.roll:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1101,14 +1114,21 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter62 in self.hosts:
-                iter62.write(oprot)
+            for iter68 in self.hosts:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hello is not None:
             oprot.writeFieldBegin('hello', TType.BOOL, 8)
             oprot.writeBool(self.hello)
             oprot.writeFieldEnd()
+        if self.levels is not None:
+            oprot.writeFieldBegin('levels', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.levels))
+            for iter69 in self.levels:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1216,6 +1236,7 @@
     (6, TType.STRUCT, 'digest', [Digest, None], None, ),  # 6
     (7, TType.LIST, 'hosts', (TType.STRUCT, [HostCard, None], False), None, ),  # 7
     (8, TType.BOOL, 'hello', None, None, ),  # 8
+    (9, TType.LIST, 'levels', (TType.STRUCT, [Level, None], False), None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -74,4 +74,5 @@
   6: optional Digest digest
   7: optional list<HostCard> hosts
   8: optional bool hello    // the sender asks who is here
+  9: optional list<Level> levels  // what an earlier home told the sender
 }
