Call the store half as often, list every log event, tell stories of routed requests

Change: the settings are read with a wait of 8 s, since peers tell of newer ones, the endpoints every 1.1 s; a page of events that a test compares with the code; successes are left out while the log's writer is behind.

--- /dev/null
+++ b/tests/test_gatewaylogs.py
@@ -0,0 +1,138 @@
+"""Log lines of hosts that serve routed requests."""
+
+import json
+import os
+import re
+import threading
+
+import logbook
+import pytest
+from cluster import ROOT
+
+from trefoilspool.jsonlog import MAX_QUEUED, SAMPLE_ABOVE, QueuedJsonHandler
+from trefoilspool.telemetry import log_decision
+from trefoilspool.why import find_lines, tell
+
+MODULES = (
+    'directory',
+    'exchange',
+    'follow',
+    'gateway',
+    'gatewaydaemon',
+    'gatewayhost',
+    'introductions',
+    'jsonlog',
+    'mesh',
+    'placeclient',
+    'serving',
+)
+CALL = re.compile(r"(?:logger\.\w+|log_decision)\(\s*'([^']+)'")
+PAGE = ROOT / 'docs' / 'operators' / 'decision-log.md'
+
+
+def events_in_code() -> set[str]:
+    found = {'endpoint_here', 'log_lines_dropped'}
+    for module in MODULES:
+        text = (ROOT / 'trefoilspool' / f'{module}.py').read_text()
+        found.update(CALL.findall(text))
+    return found
+
+
+def events_on_page() -> set[str]:
+    routed = PAGE.read_text().partition('## Routed requests')[2]
+    return set(re.findall(r'^\| `(\w+)` \|', routed, re.MULTILINE))
+
+
+class TestSchema:
+    def test_every_event_has_an_entry_and_every_entry_an_event(self) -> None:
+        assert events_in_code() == events_on_page()
+
+
+class Piped:
+    """A handler that writes into a pipe."""
+
+    def __init__(self) -> None:
+        self.reader, self.writer = os.pipe()
+        self.handler = QueuedJsonHandler('h1', 7, 'INFO')
+        self.handler.descriptor = self.writer
+
+    def lines(self) -> list[dict[str, object]]:
+        self.handler.close()
+        os.close(self.writer)
+        with os.fdopen(self.reader) as stream:
+            return [json.loads(line) for line in stream]
+
+
+@pytest.fixture
+def piped() -> Piped:
+    return Piped()
+
+
+class TestQueuedJsonHandler:
+    def test_line_names_host_incarnation_and_event(self, piped: Piped) -> None:
+        with piped.handler.applicationbound():
+            log_decision('fault', 'q1', detail='cut')
+            logbook.Logger('x').info('started', extra={'listen': 'a'})
+        first, second = piped.lines()
+        assert (first['host'], first['incarnation']) == ('h1', 7)
+        assert (first['event'], first['request']) == ('fault', 'q1')
+        assert (second['event'], second['listen']) == ('started', 'a')
+
+    def test_reader_that_does_not_read_delays_nobody(
+        self, piped: Piped
+    ) -> None:
+        done = threading.Event()
+
+        def write_many() -> None:
+            with piped.handler.applicationbound():
+                for number in range(MAX_QUEUED * 2):
+                    log_decision('fault', f'q{number}', detail='x' * 200)
+            done.set()
+
+        threading.Thread(target=write_many, daemon=True).start()
+        assert done.wait(30)
+        assert piped.handler.dropped
+
+    def test_burst_keeps_failures_and_leaves_successes_out(
+        self, piped: Piped
+    ) -> None:
+        with piped.handler.applicationbound():
+            for number in range(SAMPLE_ABOVE * 2):
+                log_decision('settle', f'q{number}', status=503, pad='x' * 99)
+            while piped.handler.lines.qsize() <= SAMPLE_ABOVE:
+                log_decision('settle', 'more', status=503)
+            log_decision('settle', 'good', status=200)
+            log_decision('settle', 'bad', status=502)
+        drain = threading.Thread(target=piped.handler.close)
+        drain.start()
+        with os.fdopen(piped.reader) as stream:
+            threading.Thread(
+                target=lambda: (drain.join(), os.close(piped.writer)),
+            ).start()
+            found = [json.loads(line) for line in stream]
+        requests = [line.get('request') for line in found]
+        assert 'bad' in requests
+        assert 'good' not in requests
+        assert found[-1]['event'] == 'log_lines_dropped' or any(
+            line['event'] == 'log_lines_dropped' for line in found
+        )
+
+
+class TestWhy:
+    def test_story_from_lines_with_a_collector_in_front(self, tmp_path) -> None:  # type: ignore[no-untyped-def]
+        log = tmp_path / 'all.log'
+        facts = {
+            'time': '2026-01-01T00:00:00',
+            'host': 'h1',
+            'decision': 'fault',
+            'request': 'q1',
+            'endpoint': 'i-1',
+            'attempt': 1,
+            'ending': 'broken',
+            'detail': 'cut',
+            'may_have_run': True,
+            'left_s': 1.5,
+        }
+        log.write_text(f'   1.25 h1 {json.dumps(facts)}\nplain text\n')
+        story = tell(find_lines([str(log)], 'q1'), 'q1')
+        assert 'attempt 1 at i-1: broken (cut)' in story
--- a/trefoilspool/cmdline.py
+++ b/trefoilspool/cmdline.py
@@ -248,9 +248,10 @@
         save_trace(pathlib.Path(file), made)
         return f'{file}: {len(made.requests)} requests'
 
-    def why(self, request: str, logs: str) -> str:
+    def why(self, request: str, *files: str, logs: str = '') -> str:
         """Tell what was decided on a request, from decision logs."""
-        return tell(find_lines(split(logs), request), request)
+        found = find_lines([*files, *split(logs)], str(request))
+        return tell(found, str(request))
 
     def smoke(self, hosts: Any, token: str) -> str:
         """Send one request of every kind and print each outcome."""
--- a/trefoilspool/follow.py
+++ b/trefoilspool/follow.py
@@ -86,7 +86,7 @@
                 self.on_outage(error)
                 pause = RETRY_S * (1 + random.random())
             except Exception:
-                logger.exception('reading {} failed', self.topic)
+                logger.exception('follow_failed', extra={'topic': self.topic})
                 pause = RETRY_S
             self.stopping.wait(pause)
 
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -36,9 +36,11 @@
 TAKE_S = 2.8  # the balancer has taken a leaving host out by then
 MIN_DRAIN_S = 3.2
 LAST_EXIT_S = 7.5  # the platform kills after 8 s
-SETTINGS_WAIT_S = 1.5
+# A read of the settings waits for the next record. Where its connection has
+# fallen silent, the host learns from its peers meanwhile.
+SETTINGS_WAIT_S = 8.0
 SETTINGS_PAUSE_S = 0.02
-ENDPOINTS_PAUSE_S = 0.6
+ENDPOINTS_PAUSE_S = 1.1  # a leaving endpoint gets no work after two seconds
 SETTINGS_PACE = Pace(SETTINGS_WAIT_S, SETTINGS_PAUSE_S)
 ENDPOINTS_PACE = Pace(0, ENDPOINTS_PAUSE_S)
 CONFIGURATION_KEY = 'config'
--- a/trefoilspool/jsonlog.py
+++ b/trefoilspool/jsonlog.py
@@ -5,12 +5,15 @@
 import queue
 import sys
 import threading
+from collections.abc import Mapping
 
 import logbook
 
 __all__ = ['QueuedJsonHandler']
 
 MAX_QUEUED = 4096
+SAMPLE_ABOVE = 512  # queued lines beyond which ordinary ones are left out
+GOOD_STATUS = 300
 BATCH = 64
 STOP = ''
 
@@ -18,7 +21,8 @@
 class QueuedJsonHandler(logbook.Handler):  # type: ignore[misc]
     """Formats records as JSON; one thread writes them.
 
-    Lines beyond a bounded queue are dropped, and their number is logged.
+    While the writer is behind, lines of ordinary successes are left out; lines
+    beyond a bounded queue are dropped. The number of both is logged.
 
     Parameters
     ----------
@@ -42,6 +46,9 @@
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Queue a record's line; drop it when the queue is full."""
+        if self.lines.qsize() > SAMPLE_ABOVE and is_ordinary(record.extra):
+            self.dropped += 1
+            return
         try:
             self.lines.put_nowait(self.line(record))
         except queue.Full:
@@ -92,3 +99,12 @@
         """Write what is queued."""
         self.lines.put(STOP)
         self.writer.join(1)
+
+
+def is_ordinary(facts: Mapping[str, object]) -> bool:
+    """Tell whether a line is of a request that went as it should."""
+    decision = facts.get('decision')
+    if decision == 'settle':
+        status = facts.get('status')
+        return isinstance(status, int) and status < GOOD_STATUS
+    return decision == 'grant'
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -110,7 +110,7 @@
             try:
                 self.step()
             except Exception:
-                logger.exception('mesh step failed')
+                logger.exception('mesh_failed')
         self.socket.close()
 
     def step(self) -> None:
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -419,6 +419,7 @@
             ending=ending.name,
             may_have_run=fault.may_have_run,
             detail=fault.detail,
+            attempt=self.sends,
             left_s=round(order.deadline - time.monotonic(), 3),
         )
 
--- a/trefoilspool/why.py
+++ b/trefoilspool/why.py
@@ -27,6 +27,18 @@
     ),
 }
 
+# Of hosts that serve routed requests.
+ROUTED = {
+    'grant': 'got place {place} at {endpoint} after {waited_s} s, attempt '
+    '{attempt}',
+    'fault': 'attempt {attempt} at {endpoint}: {ending} ({detail}); may have '
+    'run: {may_have_run}; {left_s} s were left',
+    'reject': 'was turned away: {reason} ({detail}); configuration {version}',
+    'settle': 'ended: {outcome} {detail}, status {status}, {events} events, '
+    '{attempts} attempts, first byte after {first_s} s, {took_s} s in all, '
+    '{left_s} s left; configuration {version}',
+}
+
 
 def find_lines(files: Iterable[str], request: str) -> list[dict[str, Any]]:
     """Return the decisions on a request, in time order.
@@ -53,9 +65,13 @@
 
 
 def parse_line(text: str) -> dict[str, Any]:
-    """Return a log line's fields, none if it is not JSON."""
+    """Return a log line's fields, none if it is not JSON.
+
+    What stands before the JSON, such as a collector's time and host, is left
+    out.
+    """
     try:
-        line = json.loads(text)
+        line = json.loads(text[max(0, text.find('{')) :])
     except ValueError:
         return {}
     return line if isinstance(line, dict) else {}
@@ -74,9 +90,23 @@
     if line.get('cause') == request:
         victim = line['request']
         return f'{prefix} took the place of {victim} on {line["endpoint"]}'
-    text = DESCRIPTIONS.get(line['decision'], line['decision']).format(**line)
+    text = describe_decision(line)
     losers = line.get('losers')
     if losers:
         others = ', '.join(f'{name} {score} s' for name, score in losers)
         text = f'{text}; others: {others}'
     return f'{prefix} {text}'
+
+
+def describe_decision(line: dict[str, Any]) -> str:
+    """Return the text of what was decided."""
+    name = line['decision']
+    for text in (ROUTED.get(name, ''), DESCRIPTIONS.get(name, '')):
+        try:
+            found = text.format(**line)
+        except KeyError:
+            # Hosts of the two kinds log other facts under the same name.
+            continue
+        if found:
+            return found
+    return str(name)
