--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -147,6 +147,16 @@
         desk.on_ask(ask(12, asked=5), 5)
         assert desk.take_verdicts() == [Granted(PlaceKey('h1', 12), 'a')]
 
+    def test_service_that_fails_as_a_whole_is_still_used(
+        self, desk: Desk
+    ) -> None:
+        for name in ('a', 'b'):
+            for number in range(3):
+                desk.on_ended(ended(number, name, SendEnding.failed), 0)
+        for number in range(10, 14):
+            desk.on_ask(ask(number), 0)
+        assert kinds(desk) == [Granted] * 4
+
 
 class TestBurst:
     """More requests than places: some can be on time, not all."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,11 +1,14 @@
 """Whole requests through a gateway host, before stand-ins."""
 
+import socket
 import threading
 import time
 from collections.abc import Iterator
 
 import pytest
 from gatewaycluster import (
+    AUTHORITY,
+    KEY,
     GatewayCluster,
     configuration,
     route,
@@ -128,6 +131,77 @@
         ]
         assert bodies == [b'id0', b'id1', b'id2']
 
+    def test_answer_without_a_length_ends_with_its_connection(
+        self, cluster: GatewayCluster
+    ) -> None:
+        def unframed(one: Conversation) -> None:
+            one.head(200, 'Server-Stamp: s', 'Connection: close')
+            one.sock.sendall(b'all of it')
+            one.close()
+
+        cluster.add_endpoint().behaviour = unframed
+        reply = cluster.call(cluster.add_host(), '/book/1')
+        assert (reply.status, reply.body) == (200, b'all of it')
+
+    def test_answer_without_a_length_that_is_reset_is_not_whole(
+        self, cluster: GatewayCluster
+    ) -> None:
+        def unframed(one: Conversation) -> None:
+            one.head(200, 'Server-Stamp: s', 'Connection: close')
+            one.sock.sendall(b'a part')
+            time.sleep(0.05)
+            one.reset()
+
+        cluster.add_endpoint().behaviour = unframed
+        reply = cluster.call(cluster.add_host(), '/book/1')
+        assert reply.status == 502
+
+    def test_answer_before_a_long_body_is_in_ends_the_connection_or_body(
+        self, cluster: GatewayCluster
+    ) -> None:
+        endpoint = cluster.add_endpoint()
+        running = cluster.add_host()
+        body = b'x' * 2_000_000
+        for _ in range(2):
+            assert cluster.call(running, '/look/1', body=body).status == 200
+        assert [len(one.body) for one in endpoint.seen] == [len(body)] * 2
+
+
+class TestSmuggling:
+    """A request inside another one must reach no endpoint."""
+
+    @pytest.mark.parametrize(
+        'head',
+        [
+            'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n',
+            'Content-Length: 5\r\nContent-Length: 70\r\n',
+            'Transfer-Encoding: xchunked\r\nContent-Length: 3\r\n',
+            'Transfer-Encoding : chunked\r\nContent-Length: 3\r\n',
+            'Content-Length: +5\r\n',
+        ],
+    )
+    def test_hidden_request_does_not_run(
+        self, cluster: GatewayCluster, head: str
+    ) -> None:
+        endpoint = cluster.add_endpoint()
+        running = cluster.add_host()
+        hidden = (
+            f'POST /look/2 HTTP/1.1\r\nHost: {AUTHORITY}\r\n'
+            'Request-Id: hidden\r\nContent-Length: 0\r\n'
+            f'Authorization: Bearer {KEY}\r\n\r\n'
+        )
+        with socket.create_connection((running.address, running.port)) as sock:
+            sock.sendall(
+                f'POST /look/1 HTTP/1.1\r\nHost: {AUTHORITY}\r\n'
+                f'Request-Id: outer\r\nAuthorization: Bearer {KEY}\r\n'
+                f'{head}\r\n0\r\n\r\n{hidden}'.encode()
+            )
+            sock.settimeout(5)
+            answers = b''.join(iter(lambda: sock.recv(4096), b''))
+        # The connection ends, so that no later request can be misread.
+        assert answers.count(b'HTTP/1.') == 1
+        assert 'hidden' not in endpoint.runs
+
 
 class TestTruth:
     def test_not_run_says_when_to_come_back(
--- a/trefoilspool/desk.py
+++ b/trefoilspool/desk.py
@@ -28,6 +28,7 @@
 
 PATIENCE_S = 1.0  # callers leave a stream that is silent for 2 s
 PATIENCE_SHARE = 0.35  # of the time that a request has
+LEAST_WORKING = 0.5  # share of a service's endpoints that is never ejected
 SAFETY = 0.9  # share of the time left in which an answer has to end
 HOLD_TIMEOUT_S = 1.2  # entries repeat what they hold more often than this
 MIN_RETRY_S = 0.2
@@ -157,11 +158,7 @@
         An endpoint that is too slow to end the answer in time is taken only
         where all are.
         """
-        usable = [
-            one
-            for one in self.by_service.get(ask.service, ())
-            if one.station.name not in ask.avoid and one.takes_work(now)
-        ]
+        usable = self.usable(ask, now)
         left = (ask.deadline - now) * SAFETY
         able = [one for one in usable if one.finish_s(ask, now) <= left]
         free = [one for one in able or usable if one.free > 0]
@@ -171,6 +168,18 @@
             default=None,
         )
 
+    def usable(self, ask: PlaceAsk, now: float) -> list[StationState]:
+        """Return the endpoints that may get a request.
+
+        Where most of a service fail, passing them over would leave the rest
+        with more than they can do, so then all are used.
+        """
+        known = self.by_service.get(ask.service, ())
+        working = [one for one in known if one.takes_work(now)]
+        if len(working) < len(known) * LEAST_WORKING:
+            working = list(known)
+        return [one for one in working if one.station.name not in ask.avoid]
+
     def grant(self, ask: PlaceAsk, state: StationState, now: float) -> None:
         """Give a place at an endpoint to a request."""
         state.book(ask, now)
--- a/trefoilspool/gateway.py
+++ b/trefoilspool/gateway.py
@@ -25,6 +25,7 @@
 __all__ = ['Gateway', 'refusal_answer']
 
 START_RETRY_S = 0.5
+LEAVING_RETRY_S = 0.1  # callers come back to another host
 
 
 class Arrived(NamedTuple):
@@ -81,11 +82,18 @@
     ) -> Answer:
         """Pass a call through the filters."""
         configuration = self.configuration
-        if configuration is None or self.closed:
-            why = 'is leaving' if self.closed else 'knows no configuration'
+        if self.closed:
             return self.refuse(
                 call,
-                NotReadyError(f'this host {why}', START_RETRY_S),
+                NotReadyError('this host is leaving', LEAVING_RETRY_S),
+            )
+        if configuration is None:
+            return self.refuse(
+                call,
+                NotReadyError(
+                    'this host knows no configuration',
+                    START_RETRY_S,
+                ),
             )
         message = Arrived(call, arrived, gone, configuration)
         found = find_route(message).bind(identify)
--- a/trefoilspool/gatewaydaemon.py
+++ b/trefoilspool/gatewaydaemon.py
@@ -8,6 +8,7 @@
 
 from trefoilspool.gatewayapp import GatewayApp
 from trefoilspool.gatewayhost import GatewayHost, Platform
+from trefoilspool.jsonlog import QueuedJsonHandler
 from trefoilspool.listening import Listening
 from trefoilspool.options import GatewayOptions
 
@@ -37,11 +38,26 @@
         logger.info('reload', extra={'changed': 'nothing until a start'})
 
 
-def serve_gateway(options: GatewayOptions, platform: Platform) -> None:
-    """Run a host until SIGTERM or SIGINT, then drain and return."""
+def serve_gateway(
+    options: GatewayOptions,
+    platform: Platform,
+    handler: QueuedJsonHandler,
+) -> None:
+    """Run a host until SIGTERM or SIGINT, then drain and return.
+
+    Parameters
+    ----------
+    options : GatewayOptions
+        Process settings.
+    platform : Platform
+        How the platform is spoken to.
+    handler : QueuedJsonHandler
+        Writes the log; its lines name the host's incarnation.
+    """
     signals = Signals()
     signals.install()
     host = GatewayHost(options, platform)
+    handler.incarnation = host.incarnation
     listening = Listening(
         GatewayApp(host),
         (options.listen, options.ready, options.control),
@@ -53,7 +69,6 @@
         extra={
             'listen': options.listen,
             'data_centre': options.data_centre,
-            'incarnation': host.incarnation,
         },
     )
     signals.stopping.wait()
--- a/trefoilspool/listening.py
+++ b/trefoilspool/listening.py
@@ -5,6 +5,8 @@
 
 import waitress
 from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser, ParsingError
+from waitress.server import BaseWSGIServer
 from waitress.wasyncore import close_all
 
 __all__ = ['Listening']
@@ -20,6 +22,31 @@
 Application = Callable[..., Iterable[bytes]]
 
 
+class StrictParser(HTTPRequestParser):  # type: ignore[misc]
+    """Refuses requests whose body has two lengths.
+
+    What one side takes for a body, another could take for a request.
+    """
+
+    def parse_header(self, header_plus: bytes) -> None:
+        """Parse the head of a request.
+
+        Raises
+        ------
+        ParsingError
+            It is malformed.
+        """
+        super().parse_header(header_plus)
+        if self.chunked and 'CONTENT_LENGTH' in self.headers:
+            raise ParsingError('a chunked body has no Content-Length')
+
+
+class StrictChannel(HTTPChannel):  # type: ignore[misc]
+    """A caller's connection with the strict parser."""
+
+    parser_class = StrictParser
+
+
 class Listening:
     """A waitress server on several addresses.
 
@@ -54,6 +81,9 @@
             asyncore_use_poll=True,
             ident=None,
         )
+        for one in self.sockets.values():
+            if isinstance(one, BaseWSGIServer):
+                one.channel_class = StrictChannel
 
     def run(self) -> None:
         """Serve until the process ends."""
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -266,7 +266,9 @@
         if self.order.gone():
             return CallerGoneError('the caller hung up')
         if self.last_fault is not None and self.may_have_run:
-            return self.failed(self.last_fault)
+            fault = self.last_fault
+            why = f'{fault.detail}; no second place: {verdict.reason.name}'
+            return self.failed(fault._replace(detail=why))
         if verdict.reason is RefusalReason.over_limit and not self.sends:
             return OverLimitError(
                 f'workspace {self.order.workspace} is over its limit',
