--- a/trefoilspool/benches/__init__.py
+++ b/trefoilspool/benches/__init__.py
@@ -2,6 +2,12 @@
 
 from trefoilspool.bench import Bench
 from trefoilspool.benches.claims import ClaimBytes, ClaimFold, ClaimMemory
+from trefoilspool.benches.desk import (
+    DeskByEndpoints,
+    DeskByWaiting,
+    DeskMemory,
+    PlaceBytes,
+)
 from trefoilspool.benches.frames import FrameBytes, FrameTime
 from trefoilspool.benches.membership import BeatBytes, ViewMemory, ViewTime
 from trefoilspool.benches.scheduling import (
@@ -34,4 +40,8 @@
     BeatBytes,
     ViewTime,
     ViewMemory,
+    DeskByEndpoints,
+    DeskByWaiting,
+    DeskMemory,
+    PlaceBytes,
 )
