Run the tests of tier order alone

By the code, an engine whose tokens come more than 44 ms apart gets fewer requests at once, and while more run than that no freed place could be used, so that nothing is revoked; the stand-in's 4 ms grow with the machine's load. Ruled out: the check's count of chats (it failed as a wait too). Conclusion: kept; the gap was not logged, so this is read, not measured.

--- a/tests/test_tiers.py
+++ b/tests/test_tiers.py
@@ -10,6 +10,10 @@
 
 from trefoilspool.client import CallResult, KindCall
 
+# An engine whose tokens come slowly, as on a busy machine, takes fewer requests
+# at once; then no place of running work could be used, and none is revoked.
+pytestmark = pytest.mark.alone
+
 CHAT = '/v1/chat/completions'
 HOSTS = ('h0', 'h1', 'h2')
 SLOTS = 8
