Test the host as a process, restarts, lost writes and early answers

Change: tests only. One failed once beside others (address already in use): a listener that another thread polls keeps its address until the poll ends, up to a second; the test now waits until the addresses are free.

--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -4,6 +4,7 @@
 import http.client
 import itertools
 import os
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -123,6 +124,19 @@
         self.host.stop()
         self.listening.close()
 
+    def is_gone(self) -> bool:
+        """Tell whether another host may have this one's addresses."""
+        if self.host.mesh.socket.fileno() >= 0:
+            return False
+        listeners = (self.options.listen, self.options.ready)
+        for listener in (*listeners, self.options.control):
+            address, _, port = listener.partition(':')
+            try:
+                socket.create_server((address, int(port))).close()
+            except OSError:
+                return False
+        return True
+
 
 class GatewayCluster:
     """A store, endpoints and hosts; closed with ``close``."""
--- a/tests/platformendpoint.py
+++ b/tests/platformendpoint.py
@@ -5,7 +5,7 @@
 import struct
 import threading
 import time
-from typing import NamedTuple
+from typing import BinaryIO, NamedTuple
 
 STAMP = 'stamp.1'
 
@@ -17,6 +17,10 @@
     headers: dict[str, str]
     body: bytes
 
+    def with_body(self, reader: BinaryIO) -> 'Seen':
+        length = int(self.headers.get('content-length', 0))
+        return self._replace(body=reader.read(length))
+
     @property
     def request_id(self) -> str:
         return self.headers.get('request-id', '')
@@ -103,6 +107,7 @@
     def __init__(self, name: str, address: str = '127.0.0.1') -> None:
         self.name = name
         self.behaviour = Conversation.whole
+        self.answers_early = False
         self.seen: list[Seen] = []
         self.runs: list[str] = []
         self.connections = 0
@@ -141,14 +146,18 @@
         with contextlib.suppress(OSError):
             reader = sock.makefile('rb')
             for seen in iter(lambda: read_request(reader), None):
-                self.seen.append(seen)
                 conversation = Conversation(sock, seen, self.name)
+                if not self.answers_early:
+                    seen = seen.with_body(reader)
+                self.seen.append(seen)
                 expected = seen.headers.get('expect-instance', self.name)
                 if expected == self.name:
                     self.runs.append(seen.request_id)
                     self.behaviour(conversation)
                 else:
                     conversation.refuse(421)
+                if self.answers_early:
+                    self.seen[-1] = seen.with_body(reader)
                 if not conversation.open:
                     return
 
@@ -156,7 +165,8 @@
         self.listener.close()
 
 
-def read_request(reader) -> Seen | None:  # type: ignore[no-untyped-def]
+def read_request(reader: BinaryIO) -> Seen | None:
+    """Return the head of a request."""
     line = reader.readline().decode().strip()
     if not line:
         return None
@@ -164,8 +174,7 @@
     for header in iter(lambda: reader.readline().strip(), b''):
         name, _, text = header.decode().partition(':')
         headers[name.lower()] = text.strip()
-    body = reader.read(int(headers.get('content-length', 0)))
-    return Seen(line, headers, body)
+    return Seen(line, headers, b'')
 
 
 def slow(seconds: float) -> object:
--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -101,13 +101,17 @@
         """Append the record of a call."""
         query = parse_qs(urlsplit(handler.path).query)
         body = handler.rfile.read(int(handler.headers['Content-Length']))
-        if self.fault:
-            send(handler, 503, b'{}')
+        if isinstance(self.fault, int) and self.fault:
+            send(handler, self.fault, b'{}')
             return
         key_end = 5 + body[4]
         offset = self.put(
             query['topic'][0], body[5:key_end].decode(), body[key_end:]
         )
+        if self.fault == 'lost':
+            # The record is written; its writer does not hear of it.
+            handler.close_connection = True
+            return
         send(handler, 200, json.dumps({'offset': offset}).encode())
 
     def newest(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -19,6 +19,7 @@
 CONFIG_BOUND_S = 2.0
 LEAVING_BOUND_S = 2.0
 GONE_BOUND_S = 0.5
+RECOVER_BOUND_S = 12.0
 
 
 @pytest.fixture
@@ -156,15 +157,20 @@
         reply = cluster.call(cluster.add_host(), '/book/1')
         assert reply.status == 502
 
-    def test_answer_before_a_long_body_is_in_ends_the_connection_or_body(
-        self, cluster: GatewayCluster
+    @pytest.mark.parametrize('early', [False, True])
+    def test_endpoint_gets_all_of_a_long_body(
+        self, cluster: GatewayCluster, early: bool
     ) -> None:
         endpoint = cluster.add_endpoint()
+        endpoint.answers_early = early
         running = cluster.add_host()
         body = b'x' * 2_000_000
         for _ in range(2):
             assert cluster.call(running, '/look/1', body=body).status == 200
-        assert [len(one.body) for one in endpoint.seen] == [len(body)] * 2
+        wait_for(
+            lambda: [one.body for one in endpoint.seen] == [body] * 2,
+            'both bodies',
+        )
 
 
 class TestSmuggling:
@@ -542,3 +548,32 @@
         assert reply.status == 503
         assert reply.headers['connection'] == 'close'
         assert not endpoint.runs
+
+
+class TestRecovery:
+    def test_host_that_starts_without_the_store_learns_from_peers(
+        self, cluster: GatewayCluster
+    ) -> None:
+        cluster.add_endpoint()
+        first = cluster.add_host()
+        store = cluster.store.address
+        cluster.store.address = '127.0.0.1:1'
+        second = cluster.add_host()
+        cluster.store.address = store
+        assert first.host.is_ready()
+        assert cluster.call(second).status == 200
+
+    def test_all_hosts_killed_serve_again(
+        self, cluster: GatewayCluster
+    ) -> None:
+        cluster.add_endpoint()
+        for _ in range(3):
+            cluster.add_host()
+        for running in cluster.hosts:
+            running.stop()
+            wait_for(running.is_gone, 'the host to be gone')
+        cluster.hosts.clear()
+        started = time.monotonic()
+        again = [cluster.add_host() for _ in range(3)]
+        assert all(cluster.call(one).status == 200 for one in again)
+        assert time.monotonic() - started < RECOVER_BOUND_S
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,158 @@
+"""The host as a process of its own, started as the platform starts it."""
+
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator, Mapping
+
+import pytest
+from cluster import ADDRESS, ROOT, free_port
+from gatewaycluster import AUTHORITY, KEY, configuration, wait_for
+from platformendpoint import PlatformEndpoint
+from platformstore import PlatformStore
+
+GRACE_S = 8
+MEMORY_KB = 120_000
+
+
+class HostProcess:
+    """One host before a store with one endpoint."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.store = PlatformStore()
+        self.endpoint = PlatformEndpoint('i-1')
+        self.store.put('keyed.op', 'config', configuration())
+        self.store.put('keyed.servers', 'i-1', self.endpoint.record('engines'))
+        self.port, self.ready, self.control = (free_port() for _ in range(3))
+        self.log = folder / 'host.log'
+        self.process = self.spawn()
+
+    def settings(self, **changes: str) -> dict[str, str]:
+        found = {
+            'NAME': 'h1',
+            'DATA_CENTRE': 'z1',
+            'ADDRESS': ADDRESS,
+            'LISTEN': f'{ADDRESS}:{self.port}',
+            'READY': f'{ADDRESS}:{self.ready}',
+            'CONTROL': f'{ADDRESS}:{self.control}',
+            'MESH_PORT': str(free_port()),
+            'SEEDS': '',
+            'STORE': self.store.address,
+            **changes,
+        }
+        return {f'TREFOILSPOOL_{name}': one for name, one in found.items()}
+
+    def spawn(self, **changes: str) -> 'subprocess.Popen[bytes]':
+        with self.log.open('ab') as log:
+            return subprocess.Popen(
+                [sys.executable, 'platform/run_host.py'],
+                cwd=ROOT,
+                env={**os.environ, **self.settings(**changes)},
+                stdout=log,
+                stderr=subprocess.PIPE,
+            )
+
+    def get(
+        self,
+        port: int,
+        path: str,
+        headers: Mapping[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        link = http.client.HTTPConnection(ADDRESS, port, timeout=10)
+        try:
+            link.request('GET', path, headers=dict(headers or {}))
+            response = link.getresponse()
+            return response.status, response.read()
+        finally:
+            link.close()
+
+    def call(self, request_id: str) -> int:
+        status, _ = self.get(
+            self.port,
+            '/look/1',
+            {
+                'Host': AUTHORITY,
+                'Authorization': f'Bearer {KEY}',
+                'Request-Id': request_id,
+                'Deadline-Ms': '3000',
+            },
+        )
+        return status
+
+    def is_ready(self) -> bool:
+        try:
+            return self.get(self.ready, '/-/readyz')[0] == 200
+        except OSError:
+            return False
+
+    def lines(self) -> list[dict[str, object]]:
+        return [json.loads(one) for one in self.log.read_text().splitlines()]
+
+    def close(self) -> None:
+        self.process.kill()
+        self.process.wait()
+        self.endpoint.close()
+        self.store.close()
+
+
+@pytest.fixture
+def running(tmp_path: pathlib.Path) -> Iterator[HostProcess]:
+    made = HostProcess(tmp_path)
+    wait_for(made.is_ready, 'the host to be ready')
+    yield made
+    made.close()
+
+
+class TestProcess:
+    def test_serves_logs_and_leaves(self, running: HostProcess) -> None:
+        assert running.call('q1') == 200
+        status, metrics = running.get(running.ready, '/metrics')
+        assert status == 200
+        assert b'trefoilspool_requests_total{service="engines"' in metrics
+        text = pathlib.Path(f'/proc/{running.process.pid}/status').read_text()
+        peak = next(one for one in text.splitlines() if 'VmHWM' in one)
+        assert int(peak.split()[1]) < MEMORY_KB
+
+        running.process.send_signal(signal.SIGHUP)
+        started = time.monotonic()
+        running.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: not running.is_ready(), 'the host to leave')
+        assert running.process.wait(GRACE_S) == 0
+        assert time.monotonic() - started < GRACE_S
+
+        # Every line is JSON, and each belongs to this start of the host.
+        lines = running.lines()
+        events = [line['event'] for line in lines]
+        assert {'started', 'version_in_force', 'grant', 'settle'} < set(events)
+        assert {'reload', 'draining', 'drained', 'stopped'} < set(events)
+        assert len({line['incarnation'] for line in lines}) == 1
+
+    def test_requests_go_on_after_a_kill(self, running: HostProcess) -> None:
+        running.process.kill()
+        running.process.wait()
+        running.process = running.spawn()
+        wait_for(running.is_ready, 'the host to be ready again')
+        assert running.call('q2') == 200
+
+    @pytest.mark.parametrize(
+        ('name', 'bad', 'allowed'),
+        [
+            ('LISTEN', 'nowhere', "callers' IP:PORT"),
+            ('MESH_PORT', '0', 'datagrams port'),
+            ('STORE', '', "the store's IP:PORT"),
+        ],
+    )
+    def test_wrong_setting_is_named_and_ends_the_process(
+        self, running: HostProcess, name: str, bad: str, allowed: str
+    ) -> None:
+        ended = running.spawn(**{name: bad})
+        _, error = ended.communicate(timeout=20)
+        assert ended.returncode == 2
+        option = name.lower().replace('_', '-')
+        assert f'--{option}: {bad!r} is not allowed' in error.decode()
+        assert allowed in error.decode()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -11,6 +11,8 @@
 
 from trefoilspool.errors import LogOutageError, TrimmedError
 from trefoilspool.follow import FollowStoreTask, Pace
+from trefoilspool.homes import Card, Homes
+from trefoilspool.introductions import IntroduceTask
 from trefoilspool.replica import Replica
 from trefoilspool.store import KeyedRecord, Page
 
@@ -116,6 +118,34 @@
         assert time.monotonic() - started < 2
 
 
+class TestWriting:
+    def test_written_record_is_read(self, store: PlatformStore) -> None:
+        topic = StoreTopic(store.address, TOPIC)
+        topic.put('h1', b'card')
+        assert topic.newest().records == (KeyedRecord('h1', b'card', 0),)
+
+    @pytest.mark.parametrize('fault', [409, 412, 429, 503, 507, 'lost'])
+    def test_write_that_may_have_failed_is_an_outage(
+        self, store: PlatformStore, fault: int | str
+    ) -> None:
+        topic = StoreTopic(store.address, TOPIC)
+        with store.failing(fault), pytest.raises(LogOutageError):
+            topic.put('h1', b'card')
+
+    def test_write_whose_answer_was_lost_is_repeated_without_harm(
+        self, store: PlatformStore
+    ) -> None:
+        homes = Homes(Card('h1', '10.0.0.1', 1))
+        topic = StoreTopic(store.address, TOPIC)
+        task = IntroduceTask(topic, homes, threading.Event())
+        with store.failing('lost'), pytest.raises(LogOutageError):
+            task.step()
+        store.put(TOPIC, 'broken', b'\xff')
+        task.step()
+        assert [one.key for one in topic.newest().records] == ['broken', 'h1']
+        assert set(homes.cards) == {'h1'}
+
+
 class TestFollowStoreTask:
     @pytest.fixture
     def followed(
