Take signals that reach another thread than the main one

While a signal waits for the main thread the kernel gives the next one to another thread, whose handler only marks it, and the main thread slept without a limit. Ruled out: draining (it never began), the load (the host answered all the while). Change: the main thread wakes every 0.2 s, so that marked signals are handled. Figures: the test that sends SIGTERM to another thread timed out after 8 s before, passes after.

--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -1,5 +1,6 @@
 """The host as a process of its own, started as the platform starts it."""
 
+import ctypes
 import http.client
 import json
 import os
@@ -132,6 +133,17 @@
         assert {'reload', 'draining', 'drained', 'stopped'} < set(events)
         assert len({line['incarnation'] for line in lines}) == 1
 
+    def test_signal_that_reaches_another_thread_is_taken(
+        self, running: HostProcess
+    ) -> None:
+        # The kernel chooses another thread while a signal waits for the main
+        # one, as with two signals in quick succession.
+        pid = running.process.pid
+        threads = os.listdir(f'/proc/{pid}/task')
+        other = next(int(one) for one in threads if int(one) != pid)
+        assert not ctypes.CDLL(None).tgkill(pid, other, int(signal.SIGTERM))
+        assert running.process.wait(GRACE_S) == 0
+
     def test_requests_go_on_after_a_kill(self, running: HostProcess) -> None:
         running.process.kill()
         running.process.wait()
--- a/trefoilspool/gatewaydaemon.py
+++ b/trefoilspool/gatewaydaemon.py
@@ -14,6 +14,8 @@
 
 __all__ = ['serve_gateway']
 
+WAKE_S = 0.2
+
 logger = logbook.Logger('daemon')
 
 
@@ -29,6 +31,15 @@
         signal.signal(signal.SIGINT, self.on_stop)
         signal.signal(signal.SIGHUP, self.on_hangup)
 
+    def wait(self) -> None:
+        """Wait on the main thread for the signal to stop.
+
+        Signals in quick succession may reach another thread, which does not
+        wake this one; the handlers run when the wait ends by itself.
+        """
+        while not self.stopping.is_set():
+            self.stopping.wait(WAKE_S)
+
     def on_stop(self, number: int, frame: FrameType | None) -> None:
         """Begin to leave."""
         self.stopping.set()
@@ -71,7 +82,7 @@
             'data_centre': options.data_centre,
         },
     )
-    signals.stopping.wait()
+    signals.wait()
     host.drain(listening)
     listening.close()
     host.stop()
