--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -258,13 +258,16 @@
         assert reply.status == 503
         assert not endpoint.runs
 
+    @pytest.mark.alone
     def test_answer_in_time_or_a_timeout(self, cluster: GatewayCluster) -> None:
         cluster.add_endpoint().behaviour = Conversation.caller_left
+        running = cluster.add_host()
         started = time.monotonic()
-        reply = cluster.call(cluster.add_host(), '/book/1', Deadline_Ms='700')
+        reply = cluster.call(running, '/book/1', Deadline_Ms='700')
         assert reply.status == 504
         assert time.monotonic() - started < 0.7 + 0.5
 
+    @pytest.mark.alone
     def test_caller_that_left_frees_its_endpoint(
         self, cluster: GatewayCluster
     ) -> None:
@@ -442,6 +445,7 @@
             'one home of all hosts',
         )
 
+    @pytest.mark.alone
     def test_lost_home_delays_a_request_by_less_than_a_tenth_of_a_second(
         self, cluster: GatewayCluster
     ) -> None:
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -162,6 +162,7 @@
         assert client.acquire(wanted, stays) == Granted(wanted.key, 'a')
         assert [one.key for one in client.roll()] == [wanted.key]
 
+    @pytest.mark.alone
     def test_silent_home_costs_less_than_a_tenth_of_a_second(
         self, client: PlaceClient, homes: Homes
     ) -> None:
