Let failures cost time in the choice of an endpoint, and note silence

Ruled out: the health check, good all the while; the retry budget, not used up.

Change: `Reliability` keeps the share of failures and the time that a failure takes; their product is added to an endpoint's score, more for what runs only once. Three in a row eject as before, one request at a time tries it again, and what runs only once does so last. A silent endpoint counts as failing.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,6 @@
 """Whole requests through a gateway host, before stand-ins."""
 
+import http.client
 import socket
 import threading
 import time
@@ -581,3 +582,42 @@
         again = [cluster.add_host() for _ in range(3)]
         assert all(cluster.call(one).status == 200 for one in again)
         assert time.monotonic() - started < RECOVER_BOUND_S
+
+
+class TestSilentEndpoints:
+    def failures(self, cluster: GatewayCluster) -> float:
+        """Return the share of failures that the desk has seen."""
+        desk = cluster.hosts[0].host.mesh.desk
+        return max(one.reliability.share for one in desk.stations.values())
+
+    def test_silence_until_the_deadline_counts_against_it(
+        self, cluster: GatewayCluster
+    ) -> None:
+        cluster.add_endpoint().behaviour = Conversation.caller_left
+        running = cluster.add_host()
+        reply = cluster.call(running, '/book/1', Deadline_Ms='1500')
+        assert reply.status == 504
+        wait_for(lambda: self.failures(cluster) > 0, 'a failure at the desk')
+
+    def test_caller_that_left_soon_says_nothing_of_it(
+        self, cluster: GatewayCluster
+    ) -> None:
+        endpoint = cluster.add_endpoint()
+        endpoint.behaviour = Conversation.caller_left
+        running = cluster.add_host()
+        link = http.client.HTTPConnection(running.address, running.port)
+        link.request(
+            'POST',
+            '/book/1',
+            headers={
+                'Host': AUTHORITY,
+                'Request-Id': 'q',
+                'Deadline-Ms': '4000',
+                'Authorization': f'Bearer {KEY}',
+            },
+        )
+        wait_for(lambda: endpoint.seen, 'a request')
+        link.close()
+        desk = running.host.mesh.desk
+        wait_for(lambda: not desk.bookings, 'a place that is free again')
+        assert self.failures(cluster) == 0
--- a/trefoilspool/desk.py
+++ b/trefoilspool/desk.py
@@ -175,7 +175,11 @@
         with more than they can do, so then all are used.
         """
         known = self.by_service.get(ask.service, ())
-        working = [one for one in known if one.takes_work(now)]
+        working = [
+            one
+            for one in known
+            if one.reliability.takes_work(now, repeatable=ask.repeatable)
+        ]
         if len(working) < len(known) * LEAST_WORKING:
             working = list(known)
         return [one for one in working if one.station.name not in ask.avoid]
@@ -231,10 +235,11 @@
     def on_ended(self, ended: Ended, now: float) -> None:
         """Free a place and learn from its use."""
         self.withdraw(ended.key, now)
+        booking = self.unbook(ended.key)
         state = self.stations.get(ended.endpoint)
         if state is not None:
-            state.learn(ended, now)
-        booking = self.unbook(ended.key)
+            sent = now if booking is None else booking.granted
+            state.learn(ended, sent, now)
         if booking is None:
             return
         if ended.ending in NOT_RUN:
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -194,7 +194,7 @@
                 ttypes.Load(
                     name,
                     len(state.bookings),
-                    not state.takes_work(now),
+                    not state.reliability.takes_work(now),
                 )
                 for name, state in self.desk.stations.items()
             ],
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -57,6 +57,7 @@
 RETRY_S = 0.3
 READ_SLACK_S = 0.5  # the watch ends a read at its deadline before this
 FIRST_SILENCE_S = 1.0  # then a request that may be repeated is sent elsewhere
+SILENT_S = 0.9  # an endpoint that sent nothing for so long counts as failing
 GAP_SILENCE_S = 0.8
 SERVER_ERROR = 500
 LAST_GOOD_STATUS = 299
@@ -188,6 +189,7 @@
         self.may_have_run = False
         self.avoid: tuple[str, ...] = ()
         self.last_event = order.call.resume_after
+        self.sent_at = 0.0
         self.first_s = 0.0
         self.events = 0
         self.decode_from = 0.0
@@ -310,6 +312,8 @@
         )
         self.sends += 1
         sent_at = time.monotonic()
+        self.sent_at = sent_at
+        self.first_s = 0.0
         left = order.deadline - sent_at
         message = Send(
             order.call,
@@ -403,10 +407,7 @@
     def note(self, place: Place, fault: Fault) -> None:
         """Give a place back after a fault."""
         order = self.order
-        gone = order.gone()
-        ending = SendEnding.cancelled if gone else fault.ending
-        if time.monotonic() >= order.deadline and fault.may_have_run:
-            ending = SendEnding.cancelled
+        ending = self.ending_of(fault)
         self.may_have_run = self.may_have_run or fault.may_have_run
         self.unsent += ending in UNSENT
         self.avoid = (*self.avoid, place.endpoint)
@@ -425,6 +426,23 @@
             left_s=round(order.deadline - time.monotonic(), 3),
         )
 
+    def ending_of(self, fault: Fault) -> SendEnding:
+        """Return what a fault says of the endpoint.
+
+        Where the caller or the deadline ended the attempt it says nothing,
+        unless the endpoint had been silent for long.
+        """
+        now = time.monotonic()
+        ended_here = self.order.gone()
+        if now >= self.order.deadline and fault.may_have_run:
+            ended_here = True
+        if not ended_here:
+            return fault.ending
+        if fault.may_have_run and not self.first_s:
+            if now - self.sent_at >= SILENT_S:
+                return SendEnding.silent
+        return SendEnding.cancelled
+
     def end(self, place: Place, ending: SendEnding) -> None:
         """Tell the desk how a place was used."""
         decode_s = 0.0
--- a/trefoilspool/stations.py
+++ b/trefoilspool/stations.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple
 
-from trefoilspool.health import Health, HealthState
 from trefoilspool.placement import Ended, PlaceAsk, PlaceKey, Station
 from trefoilspool.placement import SendEnding as Ending
+from trefoilspool.reliability import Reliability
 
 __all__ = ['Booking', 'StationState']
 
@@ -45,7 +45,7 @@
     def __init__(self, station: Station) -> None:
         self.station = station
         self.bookings: dict[PlaceKey, Booking] = {}
-        self.health = Health()
+        self.reliability = Reliability()
         self.slowness = 1.0
         self.samples = 0
         self.prefill_free_at = 0.0
@@ -84,9 +84,11 @@
         """Return what a request costs here, in seconds; less is better.
 
         To the wait for its own first byte comes the time for which its prompt
-        holds up the tokens of the requests that run already.
+        holds up the tokens of the requests that run already, and what the
+        endpoint's failures cost.
         """
         first = self.first_token_s(ask, now)
+        first += self.reliability.cost_s(now, repeatable=ask.repeatable)
         if not self.is_engine:
             return first
         missed = self.missed_tokens(ask, now) / PREFILL_TOKENS_A_S
@@ -95,6 +97,7 @@
 
     def book(self, ask: PlaceAsk, now: float) -> None:
         """Take a place for a request."""
+        self.reliability.on_granted(now)
         if self.is_engine:
             own = self.missed_tokens(ask, now) / PREFILL_TOKENS_A_S
             start = max(now, self.prefill_free_at)
@@ -119,13 +122,29 @@
             part: until for part, until in self.parts.items() if until > now
         }
 
-    def learn(self, ended: Ended, now: float) -> None:
-        """Learn speed and health from how a place was used."""
-        if ended.ending in FAILURES:
-            self.health.observe_failure(now)
-        elif ended.ending is Ending.completed:
-            self.health.observe_success()
-            self.health.signal_recovered(now)
+    def learn(
+        self,
+        ended: Ended,
+        sent: float,
+        now: float,
+    ) -> None:
+        """Learn speed and reliability from how a place was used.
+
+        Parameters
+        ----------
+        ended : Ended
+            The end of its use.
+        sent, now : float
+            When the place was given and the present time, in seconds.
+        """
+        failed = ended.ending in FAILURES
+        if failed or ended.ending is Ending.completed:
+            self.reliability.observe(
+                failed=failed,
+                sent=sent,
+                now=now,
+            )
+        if ended.ending is Ending.completed:
             self.learn_speed(ended)
 
     def learn_speed(self, ended: Ended) -> None:
@@ -139,15 +158,6 @@
         gain = max(SPEED_GAIN, 1 / self.samples)
         self.slowness += gain * (sample - self.slowness)
 
-    def takes_work(self, now: float) -> bool:
-        """Tell whether the endpoint may get a request now."""
-        if self.health.state is not HealthState.ejected:
-            return True
-        if self.health.probe_due(now):
-            self.health.since = now
-            return True
-        return False
-
 
 FAILURES = frozenset(
     (
