Ask often who is here right after a start

Change: `HelloPace`: every 0.08 s and 0.002 s for each known host in the first three seconds, then every 0.5 s as before. The sum over many hosts is bounded.

The test failed before.

--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -6,6 +6,7 @@
 import pytest
 
 from trefoilspool.homes import FORGET_S, SUSPECT_S, Card, Homes
+from trefoilspool.mesh import MeshTask
 from trefoilspool.placeclient import PlaceClient
 from trefoilspool.placement import (
     Ended,
@@ -19,6 +20,7 @@
     Station,
 )
 from trefoilspool.routing import Workspace
+from trefoilspool.wire.gen.mesh import ttypes
 
 ALONE_BOUND_S = 0.1
 
@@ -236,3 +238,35 @@
         for thread in threads:
             thread.join()
         assert found == [True] * 20
+
+
+class TestStart:
+    """Seen in incident inc-cc4c of cabrera-ops: all hosts were killed."""
+
+    step_s = 0.02
+
+    def hellos(
+        self, mesh: MeshTask, monkeypatch: pytest.MonkeyPatch
+    ) -> list[float]:
+        """Return when hellos are sent in the first seconds."""
+        sent: list[float] = []
+        times = [one * self.step_s for one in range(300)]
+        now = 0.0
+
+        def send(address: str, datagram: ttypes.Datagram) -> None:
+            if datagram.hello:
+                sent.append(now)
+
+        monkeypatch.setattr(mesh, 'send', send)
+        for now in times:
+            mesh.tick(now)
+        return sent
+
+    def test_host_that_has_just_started_asks_often(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        mesh = MeshTask(Card('h1', '127.0.0.1', 1), 0, ['127.0.0.2'])
+        sent = self.hellos(mesh, monkeypatch)
+        mesh.socket.close()
+        assert len([one for one in sent if one < 0.5]) >= 4
+        assert len([one for one in sent if one >= 4]) <= 5
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -9,6 +9,7 @@
 import logbook
 
 from trefoilspool.desk import Desk
+from trefoilspool.hellos import HelloPace
 from trefoilspool.homes import Card, Homes
 from trefoilspool.placeclient import PlaceClient
 from trefoilspool.placement import Ended, PlaceAsk, Station
@@ -21,7 +22,6 @@
 TICK_S = 0.02
 BEAT_S = 0.25
 HOSTS_EVERY = 4  # beats between lists of hosts
-HELLO_S = 0.5
 MAX_DATAGRAM = 60_000
 RECEIVE_BYTES = 1_048_576
 
@@ -57,7 +57,7 @@
         self.socket.bind((own.address, port))
         self.socket.settimeout(TICK_S)
         self.beat_at = 0.0
-        self.hello_at = 0.0
+        self.hellos = HelloPace()
         self.ticked_at = 0.0
         self.beats = 0
         self.told_by = ('', 0)
@@ -246,8 +246,7 @@
         if moved or now - self.beat_at >= BEAT_S:
             self.beat_at = now
             self.beat(now)
-        if now - self.hello_at >= HELLO_S:
-            self.hello_at = now
+        if self.hellos.due(now, self.homes.count()):
             self.say_hello(now)
 
     def beat(self, now: float) -> None:
