Let small requests of a workspace pass a small debt

Cause (settle lines with `over_limit`): one large request of a limited workspace puts its bucket into debt, and all that the workspace asks after it is refused, its order confirmations too, which count 200 tokens each.

Change: a request of at most 0.02 s of its workspace's tokens passes while the debt is below one burst.

--- a/trefoilspool/allowance.py
+++ b/trefoilspool/allowance.py
@@ -12,6 +12,7 @@
 RETRY_SHARE = 0.15
 RETRY_BASE = 60
 START_SHARE = 0.5
+SMALL_S = 0.02  # a request of at most so many seconds' tokens is small
 
 
 class Bucket:
@@ -42,6 +43,16 @@
         self.level = min(self.burst, self.level + added)
         self.filled = now
 
+    def lets_through(self, charge: float) -> bool:
+        """Tell whether a request may be sent at the present level.
+
+        Small ones pass a debt below one burst: one large request would
+        otherwise turn away all that the workspace asks after it.
+        """
+        if charge <= self.rate * SMALL_S:
+            return self.level > -self.burst
+        return self.level > 0
+
     def change(self, rate: float, burst: float, now: float) -> None:
         """Put another rate and burst in force."""
         self.fill(now)
@@ -114,7 +125,7 @@
         if bucket is None:
             return None
         # A repeat runs again and counts again; its request was let through.
-        if bucket.level <= 0 and ask.attempt == 1:
+        if ask.attempt == 1 and not bucket.lets_through(ask.charge):
             return RefusalReason.over_limit
         bucket.level -= ask.charge
         return None
