Log what the desk decides, and which hosts it counts

Cause: a refusal's log line named a reason and none of its inputs; an endpoint that was ejected, or a host passed over, left no line; the HTTP server's texts were events that no page lists.

Change: the desk, which stays pure, hands notices to its task: place_refused with what was ahead, the rate of places, the level of the limit; endpoint_judged with the share of failures. host_answers, host_passed_over, host_forgotten. Texts of libraries are details of one event. settle names the place, by which why joins the home's lines. The tests of the schema, of the home's reason in a story and of a library's text failed before.

--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -388,3 +388,26 @@
         assert found.count(Granted) == 60
         desk.on_ask(ask(900, attempt=2, asked=11), 11)
         assert kinds(desk) == [Granted]
+
+
+class TestNotices:
+    """What the desk has logged."""
+
+    def test_refusal_names_what_decided_it(self, desk: Desk) -> None:
+        for number in range(60):
+            desk.on_ask(ask(number), 0)
+        notice = desk.take_notices()[0]
+        assert notice.event == 'place_refused'
+        assert notice.facts['reason'] == 'crowded'
+        assert notice.facts['ahead'] == len(desk.queue(SERVICE))
+        assert not desk.take_notices()
+
+    def test_ejection_is_noted_once(self, desk: Desk) -> None:
+        for number in range(5):
+            desk.on_ended(ended(number, 'a', SendEnding.broken), 0)
+        desk.on_ended(ended(9, 'a'), 0)
+        found = [
+            (one.facts['before'], one.facts['after'])
+            for one in desk.take_notices()
+        ]
+        assert found == [('trusted', 'ejected'), ('ejected', 'trusted')]
--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -1,6 +1,7 @@
 """Log lines of hosts that serve routed requests."""
 
 import json
+import logging
 import os
 import re
 import threading
@@ -8,30 +9,33 @@
 import logbook
 import pytest
 from cluster import ROOT
+from logbook.compat import redirected_logging
 
 from trefoilspool.jsonlog import MAX_QUEUED, SAMPLE_ABOVE, QueuedJsonHandler
 from trefoilspool.telemetry import log_decision
 from trefoilspool.why import find_lines, tell
 
 MODULES = (
+    'desk',
     'directory',
     'exchange',
     'follow',
     'gateway',
     'gatewaydaemon',
     'gatewayhost',
+    'homes',
     'introductions',
     'jsonlog',
     'mesh',
     'placeclient',
     'serving',
 )
-CALL = re.compile(r"(?:logger\.\w+|log_decision)\(\s*'([^']+)'")
+CALL = re.compile(r"(?:logger\.\w+|log_decision|Notice)\(\s*'([^']+)'")
 PAGE = ROOT / 'docs' / 'operators' / 'decision-log.md'
 
 
 def events_in_code() -> set[str]:
-    found = {'endpoint_here', 'log_lines_dropped'}
+    found = {'endpoint_here', 'library_message', 'log_lines_dropped'}
     for module in MODULES:
         text = (ROOT / 'trefoilspool' / f'{module}.py').read_text()
         found.update(CALL.findall(text))
@@ -78,6 +82,16 @@
         assert (first['event'], first['request']) == ('fault', 'q1')
         assert (second['event'], second['listen']) == ('started', 'a')
 
+    def test_text_of_a_library_is_a_detail(self, piped: Piped) -> None:
+        with (
+            piped.handler.applicationbound(),
+            redirected_logging(),
+        ):
+            logging.getLogger('waitress').warning('Client %s', 'left')
+        line = piped.lines()[0]
+        assert line['event'] == 'library_message'
+        assert (line['library'], line['detail']) == ('waitress', 'Client left')
+
     def test_reader_that_does_not_read_delays_nobody(
         self, piped: Piped
     ) -> None:
@@ -136,3 +150,33 @@
         log.write_text(f'   1.25 h1 {json.dumps(facts)}\nplain text\n')
         story = tell(find_lines([str(log)], 'q1'), 'q1')
         assert 'attempt 1 at i-1: broken (cut)' in story
+
+    def test_story_has_the_homes_reason_for_a_refusal(self, tmp_path) -> None:  # type: ignore[no-untyped-def]
+        entry, home = tmp_path / 'entry.log', tmp_path / 'home.log'
+        settle = {
+            'time': '2026-01-01T00:00:02',
+            'host': 'h1',
+            'event': 'settle',
+            'decision': 'settle',
+            'request': 'q1',
+            'place': 77,
+        }
+        refused = {
+            'time': '2026-01-01T00:00:01',
+            'host': 'h2',
+            'event': 'place_refused',
+            'entry': 'h1',
+            'number': 77,
+            'reason': 'crowded',
+            'ahead': 40,
+            'places_a_s': 20.0,
+            'waited_s': 0.0,
+            'workspace': 'w',
+            'level': None,
+            'endpoints': 6,
+        }
+        entry.write_text(f'{json.dumps(settle)}\n')
+        home.write_text(f'{json.dumps(refused)}\n')
+        lines = find_lines([str(entry), str(home)], 'q1')
+        story = tell(lines, 'q1')
+        assert 'gave no place 77: crowded; 40 were ahead' in story
--- a/trefoilspool/desk.py
+++ b/trefoilspool/desk.py
@@ -13,6 +13,7 @@
     Ended,
     Granted,
     Held,
+    Notice,
     PlaceAsk,
     PlaceKey,
     Queued,
@@ -68,6 +69,7 @@
         self.allowances = Allowances()
         self.rates = GrantRates()
         self.verdicts: list[Verdict] = []
+        self.notices: list[Notice] = []
 
     def take_verdicts(self) -> list[Verdict]:
         """Return what was decided since the last call."""
@@ -75,6 +77,12 @@
         self.verdicts = []
         return verdicts
 
+    def take_notices(self) -> list[Notice]:
+        """Return what there is to log since the last call."""
+        notices = self.notices
+        self.notices = []
+        return notices
+
     def on_stations(self, stations: Iterable[Station], now: float) -> None:
         """Take the endpoints that may get work."""
         known = self.stations
@@ -195,8 +203,33 @@
     def refuse(self, ask: PlaceAsk, reason: RefusalReason, now: float) -> None:
         """Refuse a request and say when to come back."""
         self.withdraw(ask.key, now)
-        self.verdicts.append(
-            Refused(ask.key, reason, self.retry_after(ask, reason, now)),
+        retry_after = self.retry_after(ask, reason, now)
+        self.verdicts.append(Refused(ask.key, reason, retry_after))
+        self.notices.append(self.refusal_notice(ask, reason, now))
+
+    def refusal_notice(
+        self,
+        ask: PlaceAsk,
+        reason: RefusalReason,
+        now: float,
+    ) -> Notice:
+        """Return why a request gets no place."""
+        bucket = self.allowances.buckets.get(ask.workspace)
+        return Notice(
+            'place_refused',
+            {
+                'entry': ask.key.entry,
+                'number': ask.key.number,
+                'reason': reason.name,
+                'service': ask.service,
+                'rank': ask.rank,
+                'ahead': self.queue(ask.service).ahead(ask, now),
+                'places_a_s': round(self.rates.of(ask.service, now), 1),
+                'waited_s': round(now - ask.asked, 3),
+                'workspace': ask.workspace,
+                'level': bucket and int(bucket.level),
+                'endpoints': len(self.by_service.get(ask.service, ())),
+            },
         )
 
     def retry_after(
@@ -239,7 +272,7 @@
         state = self.stations.get(ended.endpoint)
         if state is not None:
             sent = now if booking is None else booking.granted
-            state.learn(ended, sent, now)
+            self.learn(state, ended, sent, now)
         if booking is None:
             return
         if ended.ending in NOT_RUN:
@@ -250,6 +283,33 @@
             )
         self.serve(booking.service, now)
 
+    def learn(
+        self,
+        state: StationState,
+        ended: Ended,
+        sent: float,
+        now: float,
+    ) -> None:
+        """Let an endpoint's record learn; note whether it gets work."""
+        before = state.reliability.state
+        state.learn(ended, sent, now)
+        after = state.reliability.state
+        if after is not before:
+            self.notices.append(
+                Notice(
+                    'endpoint_judged',
+                    {
+                        'endpoint': state.station.name,
+                        'before': before.name,
+                        'after': after.name,
+                        'ending': ended.ending.name,
+                        'failure_share': round(
+                            state.reliability.failure_share(now), 3
+                        ),
+                    },
+                )
+            )
+
     def unbook(self, key: PlaceKey) -> Booking | None:
         """Free a place."""
         booking = self.bookings.pop(key, None)
--- a/trefoilspool/gatewaydaemon.py
+++ b/trefoilspool/gatewaydaemon.py
@@ -1,5 +1,6 @@
 """The process that serves routed requests on a host."""
 
+import logging
 import signal
 import threading
 from types import FrameType
@@ -65,6 +66,8 @@
     handler : QueuedJsonHandler
         Writes the log; its lines name the host's incarnation.
     """
+    # The HTTP server notes each caller that hangs up; `settle` lines do too.
+    logging.getLogger('waitress').setLevel(logging.WARNING)
     signals = Signals()
     signals.install()
     host = GatewayHost(options, platform)
--- a/trefoilspool/homes.py
+++ b/trefoilspool/homes.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+import logbook
 import xxhash
 
 __all__ = ['Card', 'Homes']
@@ -15,6 +16,8 @@
 FORGET_S = 30.0
 DESK = 'desk'
 
+logger = logbook.Logger('homes')
+
 
 class Card(NamedTuple):
     """What a host says of itself.
@@ -90,11 +93,18 @@
             known = self.cards.get(card.name)
             if known and card.incarnation < known.incarnation:
                 return False
+            before = self.answers(card.name)
             self.cards[card.name] = card
             self.heard[card.name] = now
             suspicion = self.suspects.get(card.name)
             if suspicion is not None and now >= suspicion.until:
                 self.pardoned[card.name] = self.suspects.pop(card.name)
+            is_back = not before and self.answers(card.name)
+        if is_back:
+            logger.info(
+                'host_answers',
+                extra={'peer': card.name, 'of': card.incarnation},
+            )
         return True
 
     def on_told(self, cards: Iterable[Card], now: float) -> None:
@@ -116,6 +126,7 @@
             if earlier is not None and now < earlier.until + CALM_S:
                 term = min(earlier.term * SUSPECT_FACTOR, MAX_SUSPECT_S)
             self.suspects[name] = Suspicion(now + term, term)
+        logger.info('host_passed_over', extra={'peer': name, 'for_s': term})
 
     def home(self) -> Card | None:
         """Return the host that gives places, None if there is none."""
@@ -167,6 +178,7 @@
                     del self.cards[name]
                     self.suspects.pop(name, None)
                     self.heard.pop(name, None)
+                    logger.info('host_forgotten', extra={'peer': name})
 
     def count(self) -> int:
         """Return the number of known hosts."""
--- a/trefoilspool/jsonlog.py
+++ b/trefoilspool/jsonlog.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 
 import logbook
+from logbook.compat import LoggingCompatRecord
 
 __all__ = ['QueuedJsonHandler']
 
@@ -61,7 +62,7 @@
             'level': record.level_name,
             'host': self.host,
             'incarnation': self.incarnation,
-            'event': record.message,
+            **event_fields(record),
             **record.extra,
         }
         if record.exc_info:
@@ -101,6 +102,20 @@
         self.writer.join(1)
 
 
+def event_fields(record: logbook.LogRecord) -> dict[str, str]:
+    """Return what names a record's event.
+
+    Libraries log texts; those are details of one event.
+    """
+    if isinstance(record, LoggingCompatRecord):
+        return {
+            'event': 'library_message',
+            'library': record.channel,
+            'detail': record.message,
+        }
+    return {'event': record.message}
+
+
 def is_ordinary(facts: Mapping[str, object]) -> bool:
     """Tell whether a line is of a request that went as it should."""
     decision = facts.get('decision')
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -300,6 +300,8 @@
 
     def deliver(self) -> None:
         """Send the desk's verdicts to their entry hosts."""
+        for notice in self.desk.take_notices():
+            logger.info(notice.event, extra=dict(notice.facts))
         by_entry: dict[str, list[Any]] = {}
         for verdict in self.desk.take_verdicts():
             by_entry.setdefault(verdict.key.entry, []).append(
--- a/trefoilspool/placeclient.py
+++ b/trefoilspool/placeclient.py
@@ -167,7 +167,7 @@
             self.homes.on_silence(home.name, time.monotonic())
             logger.info(
                 'home_silent',
-                extra={'home': home.name, 'request': ask.key.number},
+                extra={'home': home.name, 'number': ask.key.number},
             )
             if time.monotonic() - ask.asked < ALONE_S:
                 break
--- a/trefoilspool/placement.py
+++ b/trefoilspool/placement.py
@@ -1,5 +1,6 @@
 """Messages into the desk, which gives out places, and its verdicts."""
 
+from collections.abc import Mapping
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -7,6 +8,7 @@
     'Ended',
     'Granted',
     'Held',
+    'Notice',
     'PlaceAsk',
     'PlaceKey',
     'Queued',
@@ -162,3 +164,10 @@
 
 
 Verdict = Granted | Queued | Refused
+
+
+class Notice(NamedTuple):
+    """A decision of the desk for the log, with what decided it."""
+
+    event: str
+    facts: Mapping[str, object]
--- a/trefoilspool/reliability.py
+++ b/trefoilspool/reliability.py
@@ -1,5 +1,6 @@
 """How often an endpoint fails, learned from the ends of requests."""
 
+import math
 from collections.abc import Mapping
 from enum import Enum, auto
 
@@ -84,7 +85,8 @@
 
     def failure_share(self, now: float) -> float:
         """Return the share of requests that the endpoint fails."""
-        return self.share * 0.5 ** ((now - self.share_at) / HALF_LIFE_S)
+        halved = math.exp2((self.share_at - now) / HALF_LIFE_S)
+        return self.share * halved
 
     def cost_s(self, now: float, *, repeatable: bool) -> float:
         """Return the seconds that its failures cost a request on average.
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -190,6 +190,7 @@
         self.avoid: tuple[str, ...] = ()
         self.last_event = order.call.resume_after
         self.sent_at = 0.0
+        self.number = 0
         self.first_s = 0.0
         self.events = 0
         self.decode_from = 0.0
@@ -249,6 +250,7 @@
             data_centre=self.shared.data_centre,
             repeatable=order.route.repeats is not Repeats.never,
         )
+        self.number = ask.key.number
         verdict = self.shared.places.acquire(ask, order.gone)
         if isinstance(verdict, Refused):
             raise self.refused(verdict)
@@ -621,6 +623,7 @@
             workspace=order.workspace,
             rank=order.rank,
             version=order.version,
+            place=self.number,
             attempts=self.sends,
             first_s=round(self.first_s, 4),
             took_s=round(took, 4),
--- a/trefoilspool/why.py
+++ b/trefoilspool/why.py
@@ -2,7 +2,7 @@
 
 import json
 import pathlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from trefoilspool.errors import OptionError
@@ -37,6 +37,11 @@
     'settle': 'ended: {outcome} {detail}, status {status}, {events} events, '
     '{attempts} attempts, first byte after {first_s} s, {took_s} s in all, '
     '{left_s} s left; configuration {version}',
+    'place_refused': 'the home gave no place {number}: {reason}; {ahead} were '
+    'ahead, {places_a_s} places a second became free; waited {waited_s} s; '
+    'limit of {workspace} at {level}; {endpoints} endpoints',
+    'placed_alone': 'chose {endpoint} for place {number} alone',
+    'home_silent': 'the home {home} did not answer for place {number}',
 }
 
 
@@ -48,22 +53,32 @@
     OptionError
         When a file cannot be read.
     """
-    found: list[dict[str, Any]] = []
-    for name in files:
-        try:
-            text = pathlib.Path(name).read_text('utf-8')
-        except OSError as error:
-            raise OptionError(
-                'logs', name, f'readable files: {error}'
-            ) from None
-        found.extend(
-            line
-            for line in map(parse_line, text.splitlines())
-            if request in {line.get('request'), line.get('cause')}
-        )
+    lines = [line for name in files for line in read_lines(name)]
+    found = [
+        line
+        for line in lines
+        if request in {line.get('request'), line.get('cause')}
+    ]
+    places = {line['place'] for line in found if line.get('place')}
+    found += [line for line in lines if line.get('number') in places]
     return sorted(found, key=lambda line: str(line['time']))
 
 
+def read_lines(name: str) -> Iterator[dict[str, Any]]:
+    """Yield the lines of a log file.
+
+    Raises
+    ------
+    OptionError
+        When it cannot be read.
+    """
+    try:
+        text = pathlib.Path(name).read_text('utf-8')
+    except OSError as error:
+        raise OptionError('logs', name, f'readable files: {error}') from None
+    yield from map(parse_line, text.splitlines())
+
+
 def parse_line(text: str) -> dict[str, Any]:
     """Return a log line's fields, none if it is not JSON.
 
@@ -100,7 +115,7 @@
 
 def describe_decision(line: dict[str, Any]) -> str:
     """Return the text of what was decided."""
-    name = line['decision']
+    name = line.get('decision') or line['event']
     for text in (ROUTED.get(name, ''), DESCRIPTIONS.get(name, '')):
         try:
             found = text.format(**line)
