Give each rank a floor of its service's places

Change: `Floors` counts asks and places of each rank, fading with a half-life of 4 s. A rank that gets places less than 0.35 times as often as all goes first until it does not. Requests over a limit do not count.

In the test's crowd the lowest rank got 0.5% of what it asked for before, and a quarter of the common rate now.

--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -7,6 +7,7 @@
     PATIENCE_S,
     Desk,
 )
+from trefoilspool.floors import Floors
 from trefoilspool.placement import (
     Ended,
     Granted,
@@ -239,6 +240,69 @@
         assert kinds(desk) == [Queued]
 
 
+class TestFloor:
+    """A crowd of important requests that does not end."""
+
+    step_s = 0.05
+    rounds = 200
+
+    def serve_crowd(self, desk: Desk) -> dict[int, float]:
+        """Ask for twice what there is; return the share served by rank."""
+        asked = {0: 0, 5: 0}
+        served = {0: 0, 5: 0}
+        ranks = {}
+        running: list[Granted] = []
+        for turn in range(self.rounds):
+            now = turn * self.step_s
+            for one in running:
+                desk.on_ended(ended(one.key.number, one.endpoint), now)
+            for place in range(8):
+                rank = 5 if place < 2 else 0
+                number = turn * 10 + place
+                ranks[number] = rank
+                asked[rank] += 1
+                desk.on_ask(
+                    ask(
+                        number, rank=rank, asked=now, aim=now, deadline=now + 2
+                    ),
+                    now,
+                )
+            desk.tick(now)
+            running = [
+                one for one in desk.take_verdicts() if isinstance(one, Granted)
+            ]
+            for one in running:
+                served[ranks[one.key.number]] += 1
+            desk.on_roll(
+                'h1',
+                [
+                    Held(one.key, SERVICE, one.endpoint, 1, 1, 0)
+                    for one in running
+                ],
+                now,
+            )
+        return {rank: served[rank] / asked[rank] for rank in asked}
+
+    def test_lowest_rank_gets_a_quarter_of_the_common_rate(
+        self, desk: Desk
+    ) -> None:
+        shares = self.serve_crowd(desk)
+        common = (shares[0] * 6 + shares[5] * 2) / 8
+        assert shares[5] >= common / 4
+
+    def test_higher_rank_is_still_served_more(self, desk: Desk) -> None:
+        shares = self.serve_crowd(desk)
+        assert shares[0] > shares[5]
+
+    def test_small_share_of_a_rank_that_asks_little_is_no_sign(self) -> None:
+        floors = Floors()
+        for _ in range(100):
+            floors.on_ask(0, 0)
+            floors.on_grant(0, 0)
+        floors.on_ask(5, 0)
+        assert not floors.below(0)
+
+
 class TestWaiting:
     def test_hopeless_wait_ends_with_a_time_to_come_back(
         self, desk: Desk
--- a/trefoilspool/desk.py
+++ b/trefoilspool/desk.py
@@ -4,9 +4,11 @@
 thread here, so that a recorded day can be replayed.
 """
 
+from collections import defaultdict
 from collections.abc import Iterable
 
 from trefoilspool.allowance import Allowances
+from trefoilspool.floors import Floors
 from trefoilspool.grantrates import GrantRates
 from trefoilspool.lineup import Lineup, Waiting
 from trefoilspool.placement import (
@@ -68,6 +70,7 @@
         self.refreshed: dict[str, float] = {}
         self.allowances = Allowances()
         self.rates = GrantRates()
+        self.floors: defaultdict[str, Floors] = defaultdict(Floors)
         self.verdicts: list[Verdict] = []
         self.notices: list[Notice] = []
 
@@ -108,6 +111,8 @@
             self.verdicts.append(Queued(ask.key))
             return
         reason = self.refusal(ask, now)
+        if reason is not RefusalReason.over_limit:
+            self.floors[ask.service].on_ask(ask.rank, now)
         if reason is not None:
             self.refuse(ask, reason, now)
             return
@@ -123,11 +128,16 @@
 
     def wait_s(self, ask: PlaceAsk, now: float) -> float:
         """Predict the seconds until a new request gets a place."""
-        ahead = self.queue(ask.service).ahead(ask, now)
+        ahead = self.ahead(ask, now)
         if not ahead:
             return 0
         return ahead / self.rates.of(ask.service, now)
 
+    def ahead(self, ask: PlaceAsk, now: float) -> int:
+        """Count the requests that get a place before a new one."""
+        first = self.floors[ask.service].below(now)
+        return self.queue(ask.service).ahead(ask, now, first)
+
     def give_up_at(self, ask: PlaceAsk, now: float) -> float:
         """Return when a request has waited for long enough."""
         since = now if ask.attempt > 1 else ask.asked
@@ -148,7 +158,8 @@
     def serve(self, service: str, now: float) -> None:
         """Give free places to the waiting requests of a service."""
         queue = self.queue(service)
-        for ask in queue.candidates(now):
+        first = self.floors[service].below(now) if queue else frozenset()
+        for ask in queue.candidates(now, first):
             station = self.best_station(ask, now)
             if station is not None:
                 self.drop_waiting(ask.key)
@@ -198,6 +209,7 @@
         self.bookings[ask.key] = state.bookings[ask.key]
         self.allowances.spend(ask, now)
         self.rates.count(ask.service, now)
+        self.floors[ask.service].on_grant(ask.rank, now)
         self.verdicts.append(Granted(ask.key, state.station.name))
 
     def refuse(self, ask: PlaceAsk, reason: RefusalReason, now: float) -> None:
@@ -223,7 +235,7 @@
                 'reason': reason.name,
                 'service': ask.service,
                 'rank': ask.rank,
-                'ahead': self.queue(ask.service).ahead(ask, now),
+                'ahead': self.ahead(ask, now),
                 'places_a_s': round(self.rates.of(ask.service, now), 1),
                 'waited_s': round(now - ask.asked, 3),
                 'workspace': ask.workspace,
--- a/trefoilspool/lineup.py
+++ b/trefoilspool/lineup.py
@@ -1,5 +1,6 @@
 """The order in which waiting requests of a service get places."""
 
+import itertools
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -11,6 +12,7 @@
 
 FIRST_BYTE_S = 0.05  # least time from a place to the first byte
 MAX_CANDIDATES = 12
+NONE_FIRST: frozenset[int] = frozenset()
 
 
 class Waiting(NamedTuple):
@@ -54,30 +56,54 @@
         self.ranks[ask.rank].remove(ask)
         self.count -= 1
 
-    def ahead(self, ask: PlaceAsk, now: float) -> int:
-        """Count the requests that get a place before a new one."""
+    def ahead(
+        self,
+        ask: PlaceAsk,
+        now: float,
+        first: frozenset[int] = NONE_FIRST,
+    ) -> int:
+        """Count the requests that get a place before a new one.
+
+        Parameters
+        ----------
+        ask : PlaceAsk
+            The new request.
+        now : float
+            The present time in seconds.
+        first : frozenset of int
+            Ranks that go before all others.
+        """
         found = 0
+        own = turn(ask.rank, first)
         for rank, asks in self.ranks.items():
-            if rank < ask.rank:
+            if turn(rank, first) < own:
                 found += len(asks)
             elif rank == ask.rank:
                 on_time = asks.bisect_key_left((now + FIRST_BYTE_S,))
                 found += max(0, asks.bisect_key_left(by_aim(ask)) - on_time)
         return found
 
-    def candidates(self, now: float) -> list[PlaceAsk]:
+    def candidates(
+        self,
+        now: float,
+        first: frozenset[int] = NONE_FIRST,
+    ) -> list[PlaceAsk]:
         """Return the requests that are next, in order."""
-        found: list[PlaceAsk] = []
-        for ask in self.ordered(now):
-            found.append(ask)
-            if len(found) == MAX_CANDIDATES:
-                break
-        return found
+        return list(itertools.islice(self.ordered(now, first), MAX_CANDIDATES))
 
-    def ordered(self, now: float) -> Iterator[PlaceAsk]:
+    def ordered(
+        self,
+        now: float,
+        first: frozenset[int],
+    ) -> Iterator[PlaceAsk]:
         """Yield all requests in order."""
-        for rank in sorted(self.ranks):
+        for _, rank in sorted((turn(one, first), one) for one in self.ranks):
             asks = self.ranks[rank]
             on_time = asks.bisect_key_left((now + FIRST_BYTE_S,))
             yield from asks[on_time:]
             yield from asks[:on_time]
+
+
+def turn(rank: int, first: frozenset[int]) -> tuple[bool, int]:
+    """Return the key that sorts ranks."""
+    return rank not in first, rank
