Ignore a reload while the program is imported; pass over no unknown endpoint

Change: the first thing that the script does is to ignore SIGHUP. Only known endpoints are noted as gone. The test of the reload failed before; the other line is read from the log and has no test of its own.

--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -168,3 +168,25 @@
         option = name.lower().replace('_', '-')
         assert f'--{option}: {bad!r} is not allowed' in error.decode()
         assert allowed in error.decode()
+
+
+class TestStart:
+    """Seen in the fault soak, seed 4: a reload ended a starting host."""
+
+    def test_reload_while_the_program_is_imported_is_ignored(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        script = ROOT / 'platform' / 'run_host.py'
+        (tmp_path / script.name).write_text(script.read_text())
+        (tmp_path / 'launch.py').write_text(
+            'import os, signal\n'
+            'os.kill(os.getpid(), signal.SIGHUP)\n'
+            'def main(): print("alive")\n'
+        )
+        started = subprocess.run(
+            [sys.executable, tmp_path / script.name],
+            stdout=subprocess.PIPE,
+            timeout=20,
+            check=False,
+        )
+        assert started.stdout == b'alive\n'
--- a/trefoilspool/directory.py
+++ b/trefoilspool/directory.py
@@ -150,7 +150,8 @@
         A later record of its own brings it back.
         """
         with self.lock:
-            if name not in self.gone:
+            # The home may know an endpoint that this host has not read of.
+            if name in self.endpoints and name not in self.gone:
                 self.gone.add(name)
                 logger.info('endpoint_gone', extra={'endpoint': name})
                 self.publish()
