Start threads as they are needed, and say less between hosts

Most bytes were said between hosts: lists of all hosts to all each second, counts to each host four times a second, reads of peers that were ahead for a moment only.

Change: `Workers` starts a thread where none is idle. A host sleeps until its beat; the watch, while nothing is watched, for seconds. Peers are read for endpoints only while the store does not answer.

--- a/trefoilspool/follow.py
+++ b/trefoilspool/follow.py
@@ -15,7 +15,7 @@
 __all__ = ['FollowPeersTask', 'FollowStoreTask', 'Pace']
 
 RETRY_S = 0.3
-PEER_PAUSE_S = 0.1
+PEER_PAUSE_S = 0.2
 
 logger = logbook.Logger('follow')
 
@@ -67,6 +67,7 @@
         self.stopping = stopping
         self.lost_at: float | None = None
         self.regained_at = 0.0
+        self.answered_at = time.monotonic()
         self.trimmed = True
 
     def run(self) -> None:
@@ -102,6 +103,7 @@
 
     def on_answer(self) -> None:
         """Note that the store answers."""
+        self.answered_at = time.monotonic()
         if self.lost_at is not None:
             now = time.monotonic()
             logger.info(
--- a/trefoilspool/gatewaydaemon.py
+++ b/trefoilspool/gatewaydaemon.py
@@ -15,7 +15,7 @@
 
 __all__ = ['serve_gateway']
 
-WAKE_S = 0.2
+WAKE_S = 0.5
 
 logger = logbook.Logger('daemon')
 
@@ -68,6 +68,8 @@
     """
     # The HTTP server notes each caller that hangs up; `settle` lines do too.
     logging.getLogger('waitress').setLevel(logging.WARNING)
+    # Each thread that is started for a request would be a warning.
+    logging.getLogger('waitress.queue').setLevel(logging.ERROR)
     signals = Signals()
     signals.install()
     host = GatewayHost(options, platform)
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -41,6 +41,7 @@
 SETTINGS_WAIT_S = 8.0
 SETTINGS_PAUSE_S = 0.02
 ENDPOINTS_PAUSE_S = 1.1  # a leaving endpoint gets no work after two seconds
+ENDPOINTS_SILENT_S = 1.3
 SETTINGS_PACE = Pace(SETTINGS_WAIT_S, SETTINGS_PAUSE_S)
 ENDPOINTS_PACE = Pace(0, ENDPOINTS_PAUSE_S)
 CONFIGURATION_KEY = 'config'
@@ -221,7 +222,13 @@
         return ahead.settings if ahead else None
 
     def peer_ahead_in_endpoints(self, end: int) -> KeyedSource | None:
-        """Return a peer's endpoints if it has read much further."""
+        """Return a peer's endpoints if the store does not answer here.
+
+        While it does, peers are ahead for a moment only.
+        """
+        silent_s = time.monotonic() - self.endpoints_task.answered_at
+        if silent_s < ENDPOINTS_SILENT_S:
+            return None
         ahead = self.peer_ahead(lambda card: card.endpoints_end, end)
         return ahead.endpoints if ahead else None
 
@@ -271,6 +278,7 @@
             },
         )
         self.tell()
+        self.mesh.announce_version()
 
     def on_endpoints(self, records: tuple[KeyedRecord, ...]) -> None:
         """Take new records of endpoints."""
--- a/trefoilspool/listening.py
+++ b/trefoilspool/listening.py
@@ -9,9 +9,10 @@
 from waitress.server import BaseWSGIServer
 from waitress.wasyncore import close_all
 
+from trefoilspool.workers import Workers
+
 __all__ = ['Listening']
 
-WORKER_THREADS = 160
 BACKLOG = 512
 LOOKAHEAD = 1  # lets waitress notice that a caller has hung up
 CHANNEL_TIMEOUT_S = 600
@@ -64,11 +65,12 @@
         addresses: Iterable[str],
     ) -> None:
         self.sockets: dict[Any, Any] = {}
+        self.workers = Workers()
         self.server = waitress.create_server(
             application,
             map=self.sockets,
             listen=' '.join(addresses),
-            threads=WORKER_THREADS,
+            _dispatcher=self.workers,
             send_bytes=1,
             channel_request_lookahead=LOOKAHEAD,
             max_request_body_size=MAX_BODY_BYTES,
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -3,8 +3,9 @@
 import socket
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any
+from typing import Any, NamedTuple
 
 import logbook
 
@@ -21,13 +22,27 @@
 
 TICK_S = 0.02
 BEAT_S = 0.25
-HOSTS_EVERY = 4  # beats between lists of hosts
+BEAT_A_HOST_S = 0.002  # bounds what a home gets of all hosts
+MAX_BEAT_S = 0.5
+DIGEST_EVERY = 4  # rolls of an entry between the home's answers
+INTRODUCE_S = 8.0  # between lists of hosts; less where they change
+CHANGED_S = 0.5  # least time between two lists
+WAKE = b''
 MAX_DATAGRAM = 60_000
 RECEIVE_BYTES = 1_048_576
 
 logger = logbook.Logger('mesh')
 
 
+class HostId(NamedTuple):
+    """What others have to know of a host."""
+
+    name: str
+    address: str
+    incarnation: int
+    leaving: bool
+
+
 class MeshTask:
     """Receives datagrams, runs the desk where this host is home.
 
@@ -59,7 +74,9 @@
         self.beat_at = 0.0
         self.hellos = HelloPace()
         self.ticked_at = 0.0
-        self.beats = 0
+        self.rolls: Counter[str] = Counter()
+        self.introduced_at = 0.0
+        self.introduced: frozenset[HostId] = frozenset()
         self.told_by = ('', 0)
         self.beat_to = ''
 
@@ -90,6 +107,18 @@
         """Run a step on the task's thread; usable from any thread."""
         with self.news_lock:
             self.news.append(step)
+        self.wake()
+
+    def wake(self) -> None:
+        """Let the task take news now."""
+        try:
+            self.socket.sendto(WAKE, (self.homes.own.address, self.port))
+        except OSError as error:
+            # It then takes them with the next datagram or beat.
+            logger.info(
+                'datagram_not_sent',
+                extra={'to': self.homes.own.address, 'error': repr(error)},
+            )
 
     def set_stations(self, stations: list[Station]) -> None:
         """Take the endpoints that may get work."""
@@ -115,6 +144,7 @@
 
     def step(self) -> None:
         """Handle one datagram and what is due."""
+        self.socket.settimeout(self.pause_s(time.monotonic()))
         try:
             body, origin = self.socket.recvfrom(MAX_DATAGRAM)
         except TimeoutError:
@@ -129,6 +159,17 @@
             self.tick(now)
         self.deliver()
 
+    def pause_s(self, now: float) -> float:
+        """Return the seconds until something is due."""
+        if self.news or self.desk.waiting:
+            return TICK_S
+        due = min(self.beat_at + self.beat_s(), self.hellos.next_at)
+        return max(TICK_S, due - now)
+
+    def beat_s(self) -> float:
+        """Return the seconds between beats; more where there are many hosts."""
+        return min(MAX_BEAT_S, BEAT_S + BEAT_A_HOST_S * self.homes.count())
+
     def take_news(self, now: float) -> None:
         """Run the steps that other threads handed over."""
         with self.news_lock:
@@ -181,11 +222,14 @@
             wire.held_from_wire(roll, sender.name),
             now,
         )
-        answer = ttypes.Datagram(
-            wire.card_to_wire(self.homes.own),
-            digest=self.digest(now),
-        )
-        self.send(sender.address, answer)
+        due = not self.rolls[sender.name] % DIGEST_EVERY
+        self.rolls[sender.name] += 1
+        if due:
+            answer = ttypes.Datagram(
+                wire.card_to_wire(self.homes.own),
+                digest=self.digest(now),
+            )
+            self.send(sender.address, answer)
 
     def digest(self, now: float) -> ttypes.Digest:
         """Return the desk's counts and levels."""
@@ -243,7 +287,7 @@
         self.desk.tick(now)
         home = self.homes.home()
         moved = home is not None and home.name != self.beat_to
-        if moved or now - self.beat_at >= BEAT_S:
+        if moved or now - self.beat_at >= self.beat_s():
             self.beat_at = now
             self.beat(now)
         if self.hellos.due(now, self.homes.count()):
@@ -251,7 +295,6 @@
 
     def beat(self, now: float) -> None:
         """Tell the home what this host holds, and all hosts who is here."""
-        self.beats += 1
         home = self.homes.home()
         if home is None:
             return
@@ -271,13 +314,46 @@
                 for name, tokens in self.client.levels.items()
             ]
         self.send(home.address, datagram)
-        if home.name == self.homes.own.name and not self.beats % HOSTS_EVERY:
+        if home.name == self.homes.own.name:
             self.homes.forget(now)
-            self.introduce_all(now)
+            self.introduce_changes(now)
 
     def announce(self) -> None:
         """Tell all hosts what this one says of itself."""
-        self.tell(self.introduce_all)
+        self.tell(self.tell_card)
+
+    def announce_version(self) -> None:
+        """Let hosts that have an older configuration know of this one."""
+        self.tell(self.tell_version)
+
+    def tell_version(self, now: float) -> None:
+        """Tell the home, or all hosts where this one is home."""
+        home = self.homes.home()
+        if home is None or home.name == self.homes.own.name:
+            self.tell_card(now)
+            return
+        own = ttypes.Datagram(wire.card_to_wire(self.homes.own))
+        self.send(home.address, own)
+
+    def tell_card(self, now: float) -> None:
+        """Send this host's card to all hosts."""
+        own = ttypes.Datagram(wire.card_to_wire(self.homes.own))
+        for card in self.homes.fresh(now):
+            if card.name != self.homes.own.name:
+                self.send(card.address, own)
+
+    def introduce_changes(self, now: float) -> None:
+        """Tell all hosts who is here, where that has changed, or long ago."""
+        present = frozenset(
+            HostId(card.name, card.address, card.incarnation, card.leaving)
+            for card in self.homes.fresh(now)
+        )
+        since = now - self.introduced_at
+        changed = present != self.introduced and since >= CHANGED_S
+        if changed or since >= INTRODUCE_S:
+            self.introduced = present
+            self.introduced_at = now
+            self.introduce_all(now)
 
     def introduce_all(self, now: float) -> None:
         """Tell all hosts who is here."""
--- a/trefoilspool/task.py
+++ b/trefoilspool/task.py
@@ -1,5 +1,6 @@
 """Tasks that own their state and talk by messages."""
 
+import math
 import queue
 import time
 from abc import ABC, abstractmethod
@@ -43,6 +44,10 @@
     def batch_end(self) -> None:
         """Run after the inbox has been emptied once."""
 
+    def pause_s(self) -> float:
+        """Return the seconds until the next tick is due."""
+        return self.period_s
+
     def run(self) -> None:
         """Handle messages until a ``Stop`` arrives."""
         due = time.monotonic()
@@ -52,7 +57,8 @@
                 return
             if time.monotonic() >= due:
                 self.guard(self.tick)
-                due = time.monotonic() + self.period_s
+                due = math.inf
+            due = min(due, time.monotonic() + self.pause_s())
 
     def drain(self, wait_s: float) -> bool:
         """Handle what is queued; return False after a ``Stop``."""
--- a/trefoilspool/watch.py
+++ b/trefoilspool/watch.py
@@ -9,6 +9,7 @@
 __all__ = ['Unwatch', 'Watch', 'WatchTask']
 
 TICK_S = 0.1
+IDLE_S = 5.0  # between ticks while nothing is watched
 
 
 class Watch(NamedTuple):
@@ -33,6 +34,10 @@
         super().__init__(TICK_S)
         self.watched: dict[int, Watch] = {}
 
+    def pause_s(self) -> float:
+        """Return the seconds until the next tick is due."""
+        return TICK_S if self.watched else IDLE_S
+
     def handle(self, message: object) -> None:
         """Start or end a watch."""
         if isinstance(message, Watch):
