Let the strongest host be home

Cause (grown sites: 8 hosts of 2.15 cores and 115 of 0.361 behind links of 10 Mbit/s): the home has work for all hosts, and was drawn from all alike.

Change: a card says what processor its host has (two settings, filled in by the platform); the strongest are first in the order of homes, then the draw.

Where all hosts are alike nothing changes. The test of the strongest failed before (no such field).

--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -20,6 +20,7 @@
     Station,
 )
 from trefoilspool.routing import Workspace
+from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
 ALONE_BOUND_S = 0.1
@@ -93,6 +94,29 @@
         assert set(homes.cards) == {'h1'}
 
 
+class TestCapacity:
+    """A home has work for all hosts; small ones fell behind (grown days)."""
+
+    def test_strongest_host_is_home(self, homes: Homes) -> None:
+        homes.on_heard(card(4, capacity=2150), 1)
+        home = homes.home()
+        assert home is not None
+        assert home.name == 'h4'
+
+    def test_next_strongest_follows(self, homes: Homes) -> None:
+        homes.on_heard(card(4, capacity=2150), 1)
+        homes.on_heard(card(5, capacity=361), 1)
+        homes.on_silence('h4', 2)
+        home = homes.home()
+        assert home is not None
+        assert home.name == 'h5'
+
+    def test_capacity_is_passed_on(self) -> None:
+        known = card(4, capacity=2150)
+        body = wire.encode_card(known)
+        assert wire.decode_card(body) == known
+
+
 class Post:
     """Takes what a client sends; answers as it is told."""
 
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -135,7 +135,12 @@
         ) + secrets.randbits(INCARNATION_BITS)
         self.stopping = threading.Event()
         self.metrics = Metrics()
-        own = Card(options.name, options.address, self.incarnation)
+        own = Card(
+            options.name,
+            options.address,
+            self.incarnation,
+            capacity=options.capacity,
+        )
         self.mesh = MeshTask(own, options.mesh_port, options.seed_addresses)
         topics = platform.topics()
         self.settings = Replica(self.on_settings)
@@ -292,14 +297,11 @@
     def tell(self) -> None:
         """Let peers know how far this host has read."""
         self.mesh.homes.on_own(
-            Card(
-                self.options.name,
-                self.options.address,
-                self.incarnation,
-                self.gateway.draining,
-                self.gateway.version,
-                self.settings.end,
-                self.endpoints.end,
+            self.mesh.homes.own._replace(
+                leaving=self.gateway.draining,
+                settings_version=self.gateway.version,
+                settings_end=self.settings.end,
+                endpoints_end=self.endpoints.end,
             )
         )
 
--- a/trefoilspool/homes.py
+++ b/trefoilspool/homes.py
@@ -32,6 +32,8 @@
         Version of the configuration in force there.
     settings_end, endpoints_end : int
         How far it has read the operator's and the endpoints' records.
+    capacity : int
+        Processor that it may use, in thousandths of a core; 0 if unknown.
     """
 
     name: str
@@ -41,6 +43,7 @@
     settings_version: int = 0
     settings_end: int = 0
     endpoints_end: int = 0
+    capacity: int = 0
 
 
 class Suspicion(NamedTuple):
@@ -58,9 +61,13 @@
     term: float
 
 
-def rank(name: str) -> int:
-    """Return a host's place in the order of homes, highest first."""
-    return xxhash.xxh64_intdigest(f'{DESK}|{name}'.encode())
+def rank(card: Card) -> tuple[int, int]:
+    """Return a host's place in the order of homes, highest first.
+
+    A home has work for all other hosts, so the strongest go first.
+    """
+    drawn = xxhash.xxh64_intdigest(f'{DESK}|{card.name}'.encode())
+    return card.capacity, drawn
 
 
 class Homes:
@@ -136,7 +143,7 @@
                 for card in self.cards.values()
                 if not card.leaving and self.answers(card.name)
             ]
-        return max(usable, key=lambda card: rank(card.name), default=None)
+        return max(usable, key=rank, default=None)
 
     def answers(self, name: str) -> bool:
         """Tell whether a host was heard and has not fallen silent since."""
--- a/trefoilspool/options.py
+++ b/trefoilspool/options.py
@@ -13,6 +13,8 @@
 MAX_PORT = 65535
 ADDRESS = '^[0-9.]+:[0-9]+$'
 
+MILLI = 1000
+
 
 class ProcessOptions(BaseSettings):
     """Options that every process takes."""
@@ -73,6 +75,17 @@
     mesh_port: int = Field(gt=0, le=MAX_PORT, description='datagrams port')
     seeds: str = Field('', description='IP:PORT of hosts, with commas')
     store: str = Field(pattern=ADDRESS, description="the store's IP:PORT")
+    core_share: float = Field(
+        1, gt=0, description='share of a core that the process may use'
+    )
+    core_speed: float = Field(
+        1, gt=0, description="the core's speed, against other hosts'"
+    )
+
+    @property
+    def capacity(self) -> int:
+        """Return the processor of the host, in thousandths of a core."""
+        return int(self.core_share * self.core_speed * MILLI)
 
     @property
     def control_port(self) -> int:
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -26,11 +26,12 @@
      - settings_version
      - settings_end
      - endpoints_end
+     - capacity
 
     """
 
 
-    def __init__(self, name=None, address=None, incarnation=None, leaving=None, settings_version=None, settings_end=None, endpoints_end=None,):
+    def __init__(self, name=None, address=None, incarnation=None, leaving=None, settings_version=None, settings_end=None, endpoints_end=None, capacity=None,):
         self.name = name
         self.address = address
         self.incarnation = incarnation
@@ -38,6 +39,7 @@
         self.settings_version = settings_version
         self.settings_end = settings_end
         self.endpoints_end = endpoints_end
+        self.capacity = capacity
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -83,6 +85,11 @@
                     self.endpoints_end = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.capacity = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -121,6 +128,10 @@
             oprot.writeFieldBegin('endpoints_end', TType.I64, 7)
             oprot.writeI64(self.endpoints_end)
             oprot.writeFieldEnd()
+        if self.capacity is not None:
+            oprot.writeFieldBegin('capacity', TType.I32, 8)
+            oprot.writeI32(self.capacity)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1155,6 +1166,7 @@
     (5, TType.I64, 'settings_version', None, None, ),  # 5
     (6, TType.I64, 'settings_end', None, None, ),  # 6
     (7, TType.I64, 'endpoints_end', None, None, ),  # 7
+    (8, TType.I32, 'capacity', None, None, ),  # 8
 )
 all_structs.append(Ask)
 Ask.thrift_spec = (
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -72,6 +72,7 @@
         wire.settings_version,
         wire.settings_end,
         wire.endpoints_end,
+        wire.capacity or 0,
     )
 
 
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -9,6 +9,7 @@
   5: i64 settings_version   // configuration in force there
   6: i64 settings_end       // end offset of the operator's records there
   7: i64 endpoints_end      // end offset of the endpoints' records there
+  8: optional i32 capacity  // processor of the host, thousandths of a core
 }
 struct Ask {
   1: i64 request
