Let three hosts read the endpoints for all, and answer hellos without a list

Ruled out: request bodies (30 MB at most); configuration (one version).

Change: a hello asks for a sign of life, and for a list only where no other host is known. The first three in the order of homes read the endpoints and tell all after each read how far; others fetch what has changed from them, and read for themselves after 1.3 s without such word. A copy knows which records say something new.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,12 +11,15 @@
     AUTHORITY,
     KEY,
     GatewayCluster,
+    RunningHost,
     configuration,
     route,
     wait_for,
 )
 from platformendpoint import Conversation
 
+from trefoilspool.gatewayhost import ENDPOINTS_READERS
+
 CONFIG_BOUND_S = 2.0
 LEAVING_BOUND_S = 2.0
 GONE_BOUND_S = 0.5
@@ -555,6 +558,69 @@
         assert not endpoint.runs
 
 
+class TestReaders:
+    """A few hosts read the endpoints from the store for all."""
+
+    def cluster_of(self, cluster: GatewayCluster) -> list[RunningHost]:
+        cluster.add_endpoint()
+        cluster.add_endpoint()
+        hosts = [cluster.add_host() for _ in range(5)]
+        for running in hosts:
+            wait_for(
+                lambda homes=running.host.mesh.homes: (
+                    sum(map(homes.answers, homes.cards)) == len(hosts)
+                ),
+                'all hosts to hear each other',
+            )
+        return hosts
+
+    def readers(self, hosts: list[RunningHost]) -> list[RunningHost]:
+        return [
+            running
+            for running in hosts
+            if running.host.mesh.homes.is_among_first(ENDPOINTS_READERS)
+        ]
+
+    def test_others_learn_of_a_leaving_endpoint_in_time(
+        self, cluster: GatewayCluster
+    ) -> None:
+        hosts = self.cluster_of(cluster)
+        assert len(self.readers(hosts)) == ENDPOINTS_READERS
+        wait_for(
+            lambda: (
+                not any(
+                    one.host.endpoints_due()
+                    for one in hosts
+                    if one not in self.readers(hosts)
+                )
+            ),
+            'hosts that do not read',
+        )
+        changed = time.monotonic()
+        cluster.register(cluster.endpoints[0], state='draining')
+        for running in hosts:
+            wait_for(
+                lambda one=running: one.host.directory.get('i-1') is None,
+                'the host to know',
+            )
+        assert time.monotonic() - changed < LEAVING_BOUND_S
+
+    def test_host_that_hears_no_reader_reads_for_itself(
+        self, cluster: GatewayCluster
+    ) -> None:
+        hosts = self.cluster_of(cluster)
+        readers = self.readers(hosts)
+        for running in readers:
+            running.host.stopping.set()
+        other = next(one for one in hosts if one not in readers)
+        wait_for(other.host.endpoints_due, 'a host that reads for itself')
+        cluster.register(cluster.endpoints[0], state='draining')
+        wait_for(
+            lambda: other.host.directory.get('i-1') is None,
+            'the host to know',
+        )
+
+
 class TestRecovery:
     def test_host_that_starts_without_the_store_learns_from_peers(
         self, cluster: GatewayCluster
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -94,6 +94,27 @@
         assert set(homes.cards) == {'h1'}
 
 
+class TestListed:
+    def test_host_that_the_home_lists_is_not_forgotten(
+        self, homes: Homes
+    ) -> None:
+        homes.on_listed([card(2), card(9)], FORGET_S)
+        homes.forget(FORGET_S + 1)
+        assert set(homes.cards) == {'h1', 'h2', 'h9'}
+
+    def test_few_are_among_the_first(self, homes: Homes) -> None:
+        first = homes.home()
+        assert first is not None
+        for number in range(1, 6):
+            own = card(number)
+            view = Homes(own)
+            for other in range(1, 6):
+                if other != number:
+                    view.on_heard(card(other), 0)
+            assert view.is_among_first(1) == (own.name == first.name)
+            assert view.is_among_first(5)
+
+
 class TestCapacity:
     """A home has work for all hosts; small ones fell behind (grown days)."""
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -106,6 +106,29 @@
         assert [address for address, _ in sent] == [home.address]
 
 
+class TestHellos:
+    """A list for each of 122 hosts to each was 1.4 GB on a grown day."""
+
+    def test_sign_of_life_lists_nobody(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        mesh.on_hello(card(2), hello=False, now=1)
+        assert [datagram.hosts for _, datagram in sent] == [None]
+
+    def test_host_that_knows_nobody_gets_a_list(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        mesh.on_hello(card(2), hello=True, now=1)
+        assert len(sent[0][1].hosts) == mesh.homes.count()
+
+    def test_silent_hosts_are_asked_for_a_sign_of_life(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        mesh.homes.on_told([card(77)], 1)
+        mesh.say_hello(1)
+        assert [datagram.hello for _, datagram in sent] == [False]
+
+
 class TestPace:
     def test_idle_host_sleeps_until_its_beat(
         self, mesh: MeshTask, sent: Sent
--- a/trefoilspool/follow.py
+++ b/trefoilspool/follow.py
@@ -16,6 +16,7 @@
 
 RETRY_S = 0.3
 PEER_PAUSE_S = 0.2
+DUE_PAUSE_S = 0.1  # between looks whether this host reads
 
 logger = logbook.Logger('follow')
 
@@ -35,6 +36,15 @@
     pause_s: float
 
 
+def always() -> bool:
+    """Return true."""
+    return True
+
+
+def nothing() -> None:
+    """Do nothing."""
+
+
 class FollowStoreTask:
     """Reads a topic from the store, for as long as the host runs.
 
@@ -50,6 +60,10 @@
         How often to read.
     stopping : threading.Event
         Ends the task.
+    due : callable
+        Tells whether this host reads now; another may read for it.
+    done : callable
+        Called after each read.
     """
 
     def __init__(
@@ -59,12 +73,16 @@
         replica: Replica,
         pace: Pace,
         stopping: threading.Event,
+        due: Callable[[], bool] = always,
+        done: Callable[[], None] = nothing,
     ) -> None:
         self.topic = topic
         self.source = source
         self.replica = replica
         self.pace = pace
         self.stopping = stopping
+        self.due = due
+        self.done = done
         self.lost_at: float | None = None
         self.regained_at = 0.0
         self.answered_at = time.monotonic()
@@ -73,6 +91,9 @@
     def run(self) -> None:
         """Read until stopped."""
         while not self.stopping.is_set():
+            if self.replica.end >= 0 and not self.due():
+                self.stopping.wait(DUE_PAUSE_S)
+                continue
             pause = self.pace.pause_s
             try:
                 self.read()
@@ -100,6 +121,7 @@
         self.on_answer()
         self.replica.apply(page)
         self.trimmed = False
+        self.done()
 
     def on_answer(self) -> None:
         """Note that the store answers."""
@@ -136,6 +158,10 @@
         Takes what is read.
     stopping : threading.Event
         Ends the task.
+    looks : int
+        How many looks in a row find a peer ahead before it is read.
+    done : callable
+        Called after each read.
     """
 
     def __init__(
@@ -144,11 +170,15 @@
         ahead: Callable[[int], KeyedSource | None],
         replica: Replica,
         stopping: threading.Event,
+        looks: int = 2,
+        done: Callable[[], None] = nothing,
     ) -> None:
         self.topic = topic
         self.ahead = ahead
         self.replica = replica
         self.stopping = stopping
+        self.looks = looks
+        self.done = done
 
     def run(self) -> None:
         """Read until stopped."""
@@ -157,10 +187,11 @@
             source = self.ahead(self.replica.end)
             behind_since = behind_since + 1 if source else 0
             # The store usually delivers the same records a moment later.
-            if source is None or behind_since < 2:
+            if source is None or behind_since < self.looks:
                 continue
             try:
                 self.replica.apply(source.after(max(self.replica.end, 0), 0))
+                self.done()
             except LogOutageError as error:
                 logger.info(
                     'peer_not_read',
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -41,7 +41,8 @@
 SETTINGS_WAIT_S = 8.0
 SETTINGS_PAUSE_S = 0.02
 ENDPOINTS_PAUSE_S = 1.1  # a leaving endpoint gets no work after two seconds
-ENDPOINTS_SILENT_S = 1.3
+ENDPOINTS_SILENT_S = 1.3  # then a host reads for itself
+ENDPOINTS_READERS = 3
 SETTINGS_PACE = Pace(SETTINGS_WAIT_S, SETTINGS_PAUSE_S)
 ENDPOINTS_PACE = Pace(0, ENDPOINTS_PAUSE_S)
 CONFIGURATION_KEY = 'config'
@@ -156,13 +157,16 @@
             self.outage_ended_at,
             self.on_stations,
         )
-        self.endpoints = Replica(self.on_endpoints)
+        self.endpoints = Replica(self.on_endpoints, self.endpoint_of)
+        self.endpoints_known_at = 0.0
         self.endpoints_task = FollowStoreTask(
             'endpoints',
             topics.endpoints,
             self.endpoints,
             ENDPOINTS_PACE,
             self.stopping,
+            self.endpoints_due,
+            self.on_endpoints_read,
         )
         self.introduce_task = IntroduceTask(
             topics.hosts,
@@ -212,6 +216,8 @@
             self.peer_ahead_in_endpoints,
             self.endpoints,
             self.stopping,
+            looks=1,
+            done=self.on_endpoints_known,
         ).run
         yield self.sweep
 
@@ -226,16 +232,43 @@
         ahead = self.peer_ahead(lambda card: card.settings_end, end)
         return ahead.settings if ahead else None
 
-    def peer_ahead_in_endpoints(self, end: int) -> KeyedSource | None:
-        """Return a peer's endpoints if the store does not answer here.
+    def endpoints_due(self) -> bool:
+        """Tell whether this host reads the endpoints from the store.
 
-        While it does, peers are ahead for a moment only.
+        A few do for all, and each for itself where none of these is heard.
         """
-        silent_s = time.monotonic() - self.endpoints_task.answered_at
-        if silent_s < ENDPOINTS_SILENT_S:
+        if self.mesh.homes.is_among_first(ENDPOINTS_READERS):
+            return True
+        silent_s = time.monotonic() - self.endpoints_known_at
+        return silent_s >= ENDPOINTS_SILENT_S
+
+    def on_endpoints_read(self) -> None:
+        """Tell others that this host has read the endpoints."""
+        self.on_endpoints_known()
+        end = self.endpoints.changed_end
+        self.mesh.tell(lambda now: self.mesh.send_endpoints_read(end, now))
+
+    def on_endpoints_known(self) -> None:
+        """Note that this host has all records of endpoints."""
+        self.endpoints_known_at = time.monotonic()
+
+    def endpoint_of(self, record: KeyedRecord) -> object:
+        """Return what a record says of an endpoint."""
+        try:
+            return self.platform.endpoint(record.key, record.content)
+        except BadRecordError:
+            # The directory logs it.
+            return record.content
+
+    def peer_ahead_in_endpoints(self, end: int) -> KeyedSource | None:
+        """Return the endpoints of a peer that has read of changes."""
+        read = self.mesh.endpoints_read
+        if read is None:
             return None
-        ahead = self.peer_ahead(lambda card: card.endpoints_end, end)
-        return ahead.endpoints if ahead else None
+        if read.changed_end > end:
+            return self.platform.peer_topics(read.peer.address).endpoints
+        self.endpoints_known_at = max(self.endpoints_known_at, read.at)
+        return None
 
     def peer_ahead(
         self,
--- a/trefoilspool/homes.py
+++ b/trefoilspool/homes.py
@@ -123,6 +123,14 @@
                     self.cards[card.name] = card
                     self.told[card.name] = now
 
+    def on_listed(self, cards: Iterable[Card], now: float) -> None:
+        """Take the hosts that the home counts; those are not forgotten."""
+        cards = list(cards)
+        self.on_told(cards, now)
+        with self.lock:
+            for card in cards:
+                self.told[card.name] = now
+
     def on_silence(self, name: str, now: float) -> None:
         """Pass a host over until it is heard, longer each time."""
         with self.lock:
@@ -145,6 +153,18 @@
             ]
         return max(usable, key=rank, default=None)
 
+    def is_among_first(self, count: int) -> bool:
+        """Tell whether this host is one of the first in the order of homes."""
+        with self.lock:
+            ahead = [
+                card
+                for card in self.cards.values()
+                if rank(card) > rank(self.own)
+                and not card.leaving
+                and self.answers(card.name)
+            ]
+        return len(ahead) < count
+
     def answers(self, name: str) -> bool:
         """Tell whether a host was heard and has not fallen silent since."""
         if name == self.own.name:
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -25,7 +25,7 @@
 BEAT_A_HOST_S = 0.002  # bounds what a home gets of all hosts
 MAX_BEAT_S = 0.5
 DIGEST_EVERY = 4  # rolls of an entry between the home's answers
-INTRODUCE_S = 8.0  # between lists of hosts; less where they change
+INTRODUCE_S = 12.0  # between lists of hosts; less where they change
 CHANGED_S = 0.5  # least time between two lists
 WAKE = b''
 MAX_DATAGRAM = 60_000
@@ -43,6 +43,20 @@
     leaving: bool
 
 
+class EndpointsRead(NamedTuple):
+    """A peer has just read the endpoints' records from the store.
+
+    Attributes
+    ----------
+    changed_end : int
+        The offset after the newest record that changed there.
+    """
+
+    peer: Card
+    changed_end: int
+    at: float
+
+
 class MeshTask:
     """Receives datagrams, runs the desk where this host is home.
 
@@ -79,6 +93,7 @@
         self.introduced: frozenset[HostId] = frozenset()
         self.told_by = ('', 0)
         self.beat_to = ''
+        self.endpoints_read: EndpointsRead | None = None
 
     def mail(self, address: str, message: object) -> None:
         """Send an ask or an end; usable from any thread."""
@@ -269,11 +284,24 @@
 
     def on_hosts(self, sender: Card, hosts: list[Any], now: float) -> None:
         """Learn of hosts."""
-        self.homes.on_told(map(wire.card_from_wire, hosts), now)
+        self.homes.on_listed(map(wire.card_from_wire, hosts), now)
 
     def on_hello(self, sender: Card, hello: bool, now: float) -> None:
-        """Tell a host who is here."""
-        self.send(sender.address, self.introduction(now))
+        """Give a host a sign of life, or tell it who is here."""
+        answer = ttypes.Datagram(wire.card_to_wire(self.homes.own))
+        self.send(
+            sender.address,
+            self.introduction(now) if hello else answer,
+        )
+
+    def on_endpoints_read(
+        self,
+        sender: Card,
+        changed_end: int,
+        now: float,
+    ) -> None:
+        """Note that a peer has just read the endpoints' records."""
+        self.endpoints_read = EndpointsRead(sender, changed_end, now)
 
     def introduction(self, now: float) -> ttypes.Datagram:
         """Return a datagram that names the hosts."""
@@ -314,8 +342,8 @@
                 for name, tokens in self.client.levels.items()
             ]
         self.send(home.address, datagram)
+        self.homes.forget(now)
         if home.name == self.homes.own.name:
-            self.homes.forget(now)
             self.introduce_changes(now)
 
     def announce(self) -> None:
@@ -337,10 +365,10 @@
 
     def tell_card(self, now: float) -> None:
         """Send this host's card to all hosts."""
-        own = ttypes.Datagram(wire.card_to_wire(self.homes.own))
-        for card in self.homes.fresh(now):
-            if card.name != self.homes.own.name:
-                self.send(card.address, own)
+        self.send_all(
+            ttypes.Datagram(wire.card_to_wire(self.homes.own)),
+            now,
+        )
 
     def introduce_changes(self, now: float) -> None:
         """Tell all hosts who is here, where that has changed, or long ago."""
@@ -357,22 +385,33 @@
 
     def introduce_all(self, now: float) -> None:
         """Tell all hosts who is here."""
-        introduction = self.introduction(now)
-        for card in self.homes.fresh(now):
-            if card.name != self.homes.own.name:
-                self.send(card.address, introduction)
+        self.send_all(self.introduction(now), now)
 
     def say_hello(self, now: float) -> None:
-        """Ask hosts that are silent, or the seeds, whether they are here."""
-        addresses = {card.address for card in self.homes.unheard()}
+        """Ask silent hosts for a sign of life, seeds for a list of hosts."""
+        own = wire.card_to_wire(self.homes.own)
+        ping = ttypes.Datagram(own, hello=False)
+        for card in self.homes.unheard():
+            self.send(card.address, ping)
         if self.homes.count() <= 1:
-            addresses.update(self.seeds)
-        hello = ttypes.Datagram(
-            wire.card_to_wire(self.homes.own),
-            hello=True,
+            for seed in self.seeds:
+                self.send(seed, ttypes.Datagram(own, hello=True))
+
+    def send_endpoints_read(self, changed_end: int, now: float) -> None:
+        """Send to all hosts how far the endpoints' records were read."""
+        self.send_all(
+            ttypes.Datagram(
+                wire.card_to_wire(self.homes.own),
+                endpoints_read=changed_end,
+            ),
+            now,
         )
-        for address in addresses:
-            self.send(address, hello)
+
+    def send_all(self, datagram: ttypes.Datagram, now: float) -> None:
+        """Send a datagram to all other hosts."""
+        for card in self.homes.fresh(now):
+            if card.name != self.homes.own.name:
+                self.send(card.address, datagram)
 
     def deliver(self) -> None:
         """Send the desk's verdicts to their entry hosts."""
@@ -404,4 +443,5 @@
     'hosts': MeshTask.on_hosts,
     'hello': MeshTask.on_hello,
     'levels': MeshTask.on_levels,
+    'endpoints_read': MeshTask.on_endpoints_read,
 }
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -969,11 +969,12 @@
      - hosts
      - hello
      - levels
+     - endpoints_read
 
     """
 
 
-    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None,):
+    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None,):
         self.sender = sender
         self.asks = asks
         self.verdicts = verdicts
@@ -983,6 +984,7 @@
         self.hosts = hosts
         self.hello = hello
         self.levels = levels
+        self.endpoints_read = endpoints_read
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1076,6 +1078,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.endpoints_read = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1140,6 +1147,10 @@
                 iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.endpoints_read is not None:
+            oprot.writeFieldBegin('endpoints_read', TType.I64, 10)
+            oprot.writeI64(self.endpoints_read)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1249,6 +1260,7 @@
     (7, TType.LIST, 'hosts', (TType.STRUCT, [HostCard, None], False), None, ),  # 7
     (8, TType.BOOL, 'hello', None, None, ),  # 8
     (9, TType.LIST, 'levels', (TType.STRUCT, [Level, None], False), None, ),  # 9
+    (10, TType.I64, 'endpoints_read', None, None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -74,6 +74,10 @@
   5: optional list<Holding> roll
   6: optional Digest digest
   7: optional list<HostCard> hosts
-  8: optional bool hello    // the sender asks who is here
+  8: optional bool hello    // the sender asks for a sign of life; if true, for
+                            // a list of the hosts
   9: optional list<Level> levels  // what an earlier home told the sender
+  10: optional i64 endpoints_read // the sender has just read the endpoints'
+                                  // records; the offset after the newest that
+                                  // changed
 }
