--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -159,6 +159,30 @@
         assert kinds(desk) == [Granted] * 4
 
 
+class TestDataCentres:
+    def desk_of(self, *data_centres: str) -> Desk:
+        desk = Desk()
+        stations = [
+            station(f'e-{one}', data_centre=one) for one in data_centres
+        ]
+        desk.on_stations(stations, 0)
+        return desk
+
+    def test_endpoint_of_the_same_data_centre_goes_first(self) -> None:
+        desk = self.desk_of('z1', 'z2', 'z3')
+        for number, near in enumerate(('z3', 'z1', 'z2')):
+            desk.on_ask(ask(number, data_centre=near), 0)
+        found = [one.endpoint for one in desk.take_verdicts()]  # type: ignore[union-attr]
+        assert found == ['e-z3', 'e-z1', 'e-z2']
+
+    def test_it_is_passed_over_where_it_is_busy(self) -> None:
+        desk = self.desk_of('z1', 'z2')
+        desk.on_ask(ask(1, prompt_tokens=10_000), 0)
+        desk.on_ask(ask(2), 0)
+        found = [one.endpoint for one in desk.take_verdicts()]  # type: ignore[union-attr]
+        assert found == ['e-z1', 'e-z2']
+
+
 class TestBurst:
     """More requests than places: some can be on time, not all."""
 
--- a/trefoilspool/stations.py
+++ b/trefoilspool/stations.py
@@ -13,6 +13,7 @@
 FIRST_STEP_S = 0.03
 PLAIN_WORK_S = 0.05
 STALL_WEIGHT = 0.3
+FAR_S = 0.01  # what an endpoint of another data centre has to be better
 SPEED_GAIN = 0.4
 MIN_SLOWNESS = 0.2
 MAX_SLOWNESS = 50.0
@@ -84,11 +85,14 @@
         """Return what a request costs here, in seconds; less is better.
 
         To the wait for its own first byte comes the time for which its prompt
-        holds up the tokens of the requests that run already, and what the
-        endpoint's failures cost.
+        holds up the tokens of the requests that run already, what the
+        endpoint's failures cost, and something for another data centre, where
+        bytes are dear.
         """
         first = self.first_token_s(ask, now)
         first += self.reliability.cost_s(now, repeatable=ask.repeatable)
+        if self.station.data_centre != ask.data_centre:
+            first += FAR_S
         if not self.is_engine:
             return first
         missed = self.missed_tokens(ask, now) / PREFILL_TOKENS_A_S
