--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -29,7 +29,8 @@
         self.endpoint = PlatformEndpoint('i-1')
         self.store.put('keyed.op', 'config', configuration())
         self.store.put('keyed.servers', 'i-1', self.endpoint.record('engines'))
-        self.port, self.ready, self.control = (free_port() for _ in range(3))
+        ports = [free_port() for _ in range(4)]
+        self.port, self.ready, self.control, self.metrics = ports
         self.log = folder / 'host.log'
         self.process = self.spawn()
 
@@ -41,6 +42,7 @@
             'LISTEN': f'{ADDRESS}:{self.port}',
             'READY': f'{ADDRESS}:{self.ready}',
             'CONTROL': f'{ADDRESS}:{self.control}',
+            'METRICS': f'{ADDRESS}:{self.metrics}',
             'MESH_PORT': str(free_port()),
             'SEEDS': '',
             'STORE': self.store.address,
@@ -115,6 +117,7 @@
         status, metrics = running.get(running.ready, '/metrics')
         assert status == 200
         assert b'trefoilspool_requests_total{service="engines"' in metrics
+        assert running.get(running.metrics, '/metrics')[0] == 200
         text = pathlib.Path(f'/proc/{running.process.pid}/status').read_text()
         peak = next(one for one in text.splitlines() if 'VmHWM' in one)
         assert int(peak.split()[1]) < MEMORY_KB
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -34,6 +34,7 @@
             (port_of(host.options.ready), ready): self.ready,
             (port_of(host.options.ready), METRICS): self.metrics,
             (port_of(host.options.control), METRICS): self.metrics,
+            (port_of(host.options.metrics), METRICS): self.metrics,
             (port_of(host.options.control), '/settings'): self.settings,
             (port_of(host.options.control), '/endpoints'): self.endpoints,
         }
--- a/trefoilspool/gatewaydaemon.py
+++ b/trefoilspool/gatewaydaemon.py
@@ -74,10 +74,7 @@
     signals.install()
     host = GatewayHost(options, platform)
     handler.incarnation = host.incarnation
-    listening = Listening(
-        GatewayApp(host),
-        (options.listen, options.ready, options.control),
-    )
+    listening = Listening(GatewayApp(host), options.listeners)
     host.start()
     threading.Thread(target=listening.run, daemon=True).start()
     logger.info(
--- a/trefoilspool/options.py
+++ b/trefoilspool/options.py
@@ -75,6 +75,9 @@
     mesh_port: int = Field(gt=0, le=MAX_PORT, description='datagrams port')
     seeds: str = Field('', description='IP:PORT of hosts, with commas')
     store: str = Field(pattern=ADDRESS, description="the store's IP:PORT")
+    metrics: str = Field(
+        '', pattern=f'^$|{ADDRESS}', description="metrics' IP:PORT"
+    )
     core_share: float = Field(
         1, gt=0, description='share of a core that the process may use'
     )
@@ -82,6 +85,12 @@
         1, gt=0, description="the core's speed, against other hosts'"
     )
 
+    @property
+    def listeners(self) -> tuple[str, ...]:
+        """Return the IP:PORT of all listeners of HTTP."""
+        own = (self.listen, self.ready, self.control, self.metrics)
+        return tuple(listener for listener in own if listener)
+
     @property
     def capacity(self) -> int:
         """Return the processor of the host, in thousandths of a core."""
