--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -12,8 +12,8 @@
 from spelling import PlatformDialect
 
 from trefoilspool.callerrors import MalformedCallError
+from trefoilspool.dialect import Send
 from trefoilspool.errors import BadRecordError, OptionError
-from trefoilspool.exchange import Send
 from trefoilspool.options import GatewayOptions, load_options
 from trefoilspool.routing import Repeats
 
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -1,45 +1,21 @@
-"""Requests to endpoints over kept connections."""
+"""Requests to endpoints and the answers as they come."""
 
 import http.client
-import select
-import socket
-import threading
-import time
-from abc import ABC, abstractmethod
-from collections import deque
-from collections.abc import Iterator, Mapping
-from typing import NamedTuple
+from collections.abc import Iterator
 
 import logbook
 
+from trefoilspool.dialect import AnswerHead, Dialect, Send
 from trefoilspool.errors import (
     ConnectFailedError,
     EndpointRefusedConnectionError,
     SendFailedError,
     StreamCutError,
 )
+from trefoilspool.links import MAX_IDLE_S, Link, LinkPool
+
+__all__ = ['Exchange', 'RawAnswer', 'split_events']
 
-__all__ = [
-    'AnswerHead',
-    'Call',
-    'Dialect',
-    'Exchange',
-    'LinkPool',
-    'RawAnswer',
-    'Send',
-    'split_events',
-]
-
-CONNECT_TIMEOUT_S = 0.3
-UNACKED_TIMEOUT_MS = 1000
-# A silent network is noticed in three seconds while nothing is under way.
-KEEPALIVE: Mapping[int, int] = {
-    socket.TCP_KEEPIDLE: 1,
-    socket.TCP_KEEPINTVL: 1,
-    socket.TCP_KEEPCNT: 2,
-}
-MAX_IDLE_S = 4.0
-MAX_IDLE_LINKS = 8
 READ_BYTES = 65_536
 MAX_STRAYS = 2
 EVENT_END = b'\n\n'
@@ -47,203 +23,6 @@
 logger = logbook.Logger('exchange')
 
 
-class Call(NamedTuple):
-    """A caller's request, decoded.
-
-    Attributes
-    ----------
-    request_id : str
-        The caller's id of this attempt.
-    target : str
-        Path and query as they came.
-    passed : tuple
-        Headers that endpoints get as they came.
-    left_s : float
-        Seconds that the caller waits.
-    parts : tuple of str
-        The prompt's parts, in order.
-    expected_tokens : int
-        The caller's estimate of the answer's length; 0 if none.
-    resume_after : int
-        The last event that the caller has; -1 if none.
-    """
-
-    request_id: str
-    method: str
-    target: str
-    authority: str
-    path: str
-    passed: tuple[tuple[str, str], ...]
-    body: bytes
-    token: str
-    left_s: float
-    prompt_tokens: int
-    output_tokens: int
-    parts: tuple[str, ...]
-    expected_tokens: int
-    resume_after: int
-
-
-class Send(NamedTuple):
-    """One attempt of a call at an endpoint."""
-
-    call: Call
-    endpoint: str
-    workspace: str
-    left_s: float
-    resume_after: int
-
-
-class AnswerHead(NamedTuple):
-    """What the head of an endpoint's answer says.
-
-    Attributes
-    ----------
-    proven : bool
-        Whether the endpoint vouches for the answer.
-    not_run : bool
-        Whether it says that it has not run the request.
-    other : bool
-        Whether another endpoint has the address.
-    encoded : bool
-        Whether the body is not as the endpoint made it.
-    closes : bool
-        Whether the connection ends with the answer.
-    idle_s : float
-        How long the endpoint keeps an idle connection; 0 if unknown.
-    """
-
-    status: int
-    request_id: str
-    proven: bool
-    not_run: bool
-    other: bool
-    encoded: bool
-    closes: bool
-    idle_s: float
-    headers: tuple[tuple[str, str], ...]
-
-
-class Dialect(ABC):
-    """How callers and endpoints spell requests and answers."""
-
-    @abstractmethod
-    def read_call(self, environ: Mapping[str, object]) -> Call:
-        """Return a caller's request.
-
-        Raises
-        ------
-        Problem
-            It is malformed.
-        """
-
-    @abstractmethod
-    def send_headers(self, send: Send) -> dict[str, str]:
-        """Return the headers that an endpoint gets."""
-
-    @abstractmethod
-    def read_head(
-        self,
-        status: int,
-        headers: list[tuple[str, str]],
-    ) -> AnswerHead:
-        """Return the head of an endpoint's answer."""
-
-    @abstractmethod
-    def event_number(self, event: bytes) -> int | None:
-        """Return a stream event's number, None if it has none."""
-
-
-class Link(http.client.HTTPConnection):
-    """A connection to an endpoint that notices a silent network."""
-
-    def __init__(self, address: str, port: int) -> None:
-        super().__init__(address, port, timeout=CONNECT_TIMEOUT_S)
-        self.idle_since = 0.0
-        self.idle_limit_s = MAX_IDLE_S
-        self.raw: socket.socket | None = None
-
-    def connect(self) -> None:
-        """Open the connection."""
-        super().connect()
-        # http.client drops its socket while an answer that ends with the
-        # connection is still being read.
-        self.raw = self.sock
-        self.sock.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            UNACKED_TIMEOUT_MS,
-        )
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        for option, count in KEEPALIVE.items():
-            self.sock.setsockopt(socket.IPPROTO_TCP, option, count)
-
-    def is_clean(self) -> bool:
-        """Tell whether nothing came while the connection was idle."""
-        if self.sock is None:
-            return False
-        poller = select.poll()
-        poller.register(self.sock, select.POLLIN | select.POLLHUP)
-        return not poller.poll(0)
-
-    def abort(self) -> None:
-        """End a blocked read from another thread."""
-        if self.raw is not None:
-            try:
-                self.raw.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                # It has ended by itself.
-                return
-
-
-class LinkPool:
-    """Idle connections to endpoints; safe to use from any thread."""
-
-    def __init__(self) -> None:
-        self.lock = threading.Lock()
-        self.idle: dict[tuple[str, int], deque[Link]] = {}
-        self.opened = 0
-
-    def take(self, address: str, port: int, fresh_s: float) -> Link:
-        """Return a kept connection, or one that is not open yet.
-
-        Parameters
-        ----------
-        address, port : str, int
-            The endpoint.
-        fresh_s : float
-            The longest time that a kept one may have been idle.
-        """
-        now = time.monotonic()
-        with self.lock:
-            kept = self.idle.get((address, port), ())
-            while kept:
-                link = kept.pop()
-                limit = min(fresh_s, link.idle_limit_s)
-                if now - link.idle_since <= limit and link.is_clean():
-                    return link
-                link.close()
-        self.opened += 1
-        return Link(address, port)
-
-    def give(self, link: Link) -> None:
-        """Keep a connection whose answer has been read."""
-        link.idle_since = time.monotonic()
-        with self.lock:
-            kept = self.idle.setdefault((link.host, link.port), deque())
-            kept.append(link)
-            if len(kept) > MAX_IDLE_LINKS:
-                kept.popleft().close()
-
-    def sweep(self) -> None:
-        """Close connections that have been idle for too long."""
-        now = time.monotonic()
-        with self.lock:
-            for kept in self.idle.values():
-                while kept and now - kept[0].idle_since > MAX_IDLE_S:
-                    kept.popleft().close()
-
-
 class RawAnswer:
     """An answer whose head has been read.
 
--- a/trefoilspool/gateway.py
+++ b/trefoilspool/gateway.py
@@ -10,16 +10,17 @@
 from returns.result import Failure, Result, Success
 
 from trefoilspool.callerrors import UnknownRouteError
+from trefoilspool.dialect import Call
 from trefoilspool.errors import (
     BodyTooLargeError,
     NotReadyError,
     Problem,
     UnauthorizedError,
 )
-from trefoilspool.exchange import Call
 from trefoilspool.filter import Answer
+from trefoilspool.orders import Order
 from trefoilspool.routing import Configuration, Route, Workspace
-from trefoilspool.serving import Order, Servings
+from trefoilspool.serving import Servings
 from trefoilspool.telemetry import Metrics, log_decision
 
 __all__ = ['Gateway', 'refusal_answer']
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -9,9 +9,10 @@
 
 import logbook
 
+from trefoilspool.dialect import Dialect
 from trefoilspool.directory import Directory, EndpointRecord
 from trefoilspool.errors import BadRecordError
-from trefoilspool.exchange import Dialect, Exchange
+from trefoilspool.exchange import Exchange
 from trefoilspool.follow import FollowPeersTask, FollowStoreTask, Pace
 from trefoilspool.gateway import Gateway
 from trefoilspool.homes import Card
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -1,8 +1,7 @@
 """Attempts of one request at endpoints, and the relay of its answer."""
 
 import time
-from collections.abc import Callable, Generator, Iterator, Mapping
-from typing import NamedTuple
+from collections.abc import Generator, Iterator, Mapping
 
 from returns.result import Failure, Result, Success
 
@@ -10,6 +9,7 @@
     DeadlineAfterSendError,
     OverLimitError,
 )
+from trefoilspool.dialect import Call, Dialect, Send
 from trefoilspool.directory import Directory
 from trefoilspool.errors import (
     CallerGoneError,
@@ -23,31 +23,24 @@
     SendFailedError,
     StreamCutError,
 )
-from trefoilspool.exchange import (
-    Call,
-    Dialect,
-    Exchange,
-    Link,
-    RawAnswer,
-    Send,
-    split_events,
-)
+from trefoilspool.exchange import Exchange, RawAnswer, split_events
 from trefoilspool.filter import Answer
+from trefoilspool.links import Link
+from trefoilspool.orders import Fault, Opened, Order, Place
 from trefoilspool.placeclient import PlaceClient
 from trefoilspool.placement import (
     Ended,
     Granted,
     PlaceAsk,
-    PlaceKey,
     RefusalReason,
     Refused,
     SendEnding,
 )
-from trefoilspool.routing import Repeats, Route
+from trefoilspool.routing import Repeats
 from trefoilspool.telemetry import Metrics, log_decision
 from trefoilspool.watch import Unwatch, Watch, WatchTask
 
-__all__ = ['Order', 'Serving', 'Servings']
+__all__ = ['Serving', 'Servings']
 
 MAX_UNSENT = 4  # places given that no request could be sent to
 # A kept connection may have been dropped; then nobody knows whether what is
@@ -66,63 +59,6 @@
 GATEWAY_TIMEOUT = 504
 
 
-class Order(NamedTuple):
-    """A request with all that decides how it is served."""
-
-    call: Call
-    route: Route
-    service: str
-    workspace: str
-    rank: int
-    charge: int
-    arrived: float
-    deadline: float
-    gone: Callable[[], bool]
-    version: int
-
-
-class Place(NamedTuple):
-    """A granted place."""
-
-    key: PlaceKey
-    endpoint: str
-
-
-class Opened(NamedTuple):
-    """An answer that has begun.
-
-    Attributes
-    ----------
-    body : bytes
-        The whole body, or a stream's first event.
-    rest : iterator or None
-        The stream's further events.
-    """
-
-    place: Place
-    raw: RawAnswer
-    body: bytes
-    rest: Iterator[bytes] | None
-    sent_at: float
-
-
-class Fault(NamedTuple):
-    """An attempt that brought no answer.
-
-    Attributes
-    ----------
-    may_have_run : bool
-        Whether the endpoint may have run the request.
-    answer : Opened or None
-        An endpoint's own failure, which may be passed on.
-    """
-
-    ending: SendEnding
-    may_have_run: bool
-    detail: str
-    answer: Opened | None = None
-
-
 class Servings:
     """Makes servings; shared by all requests.
 
