End an outage that a host saw once others read the endpoints for it

Change: word of a reader ends the outage, but not at hosts that read themselves. The test failed before.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -620,6 +620,19 @@
             'the host to know',
         )
 
+    def test_outage_that_a_host_saw_ends_when_others_read(
+        self, cluster: GatewayCluster
+    ) -> None:
+        """Else a dropped endpoint would be taken for one that lapsed."""
+        hosts = self.cluster_of(cluster)
+        readers = self.readers(hosts)
+        other = next(one for one in hosts if one not in readers)
+        other.host.endpoints_task.lost_at = time.monotonic()
+        wait_for(
+            lambda: other.host.endpoints_task.lost_at is None,
+            'the end of the outage',
+        )
+
 
 class TestRecovery:
     def test_host_that_starts_without_the_store_learns_from_peers(
--- a/trefoilspool/follow.py
+++ b/trefoilspool/follow.py
@@ -85,7 +85,6 @@
         self.done = done
         self.lost_at: float | None = None
         self.regained_at = 0.0
-        self.answered_at = time.monotonic()
         self.trimmed = True
 
     def run(self) -> None:
@@ -125,7 +124,6 @@
 
     def on_answer(self) -> None:
         """Note that the store answers."""
-        self.answered_at = time.monotonic()
         if self.lost_at is not None:
             now = time.monotonic()
             logger.info(
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -251,7 +251,17 @@
 
     def on_endpoints_known(self) -> None:
         """Note that this host has all records of endpoints."""
-        self.endpoints_known_at = time.monotonic()
+        self.on_endpoints_known_at(time.monotonic())
+
+    def on_endpoints_known_at(self, now: float) -> None:
+        """Note when this host had all records of endpoints.
+
+        Where others read them for it, the store answers; an outage that this
+        host saw when it last read has ended.
+        """
+        self.endpoints_known_at = max(self.endpoints_known_at, now)
+        if not self.mesh.homes.is_among_first(ENDPOINTS_READERS):
+            self.endpoints_task.on_answer()
 
     def endpoint_of(self, record: KeyedRecord) -> object:
         """Return what a record says of an endpoint."""
@@ -268,7 +278,8 @@
             return None
         if read.changed_end > end:
             return self.platform.peer_topics(read.peer.address).endpoints
-        self.endpoints_known_at = max(self.endpoints_known_at, read.at)
+        if read.at > self.endpoints_known_at:
+            self.on_endpoints_known_at(read.at)
         return None
 
     def peer_ahead(
