--- a/tests/soak.py
+++ b/tests/soak.py
@@ -60,26 +60,29 @@
             time.sleep(self.random.uniform(0, PAUSE_S * 2))
 
     def call(self, kind: str) -> Sent:
-        """Send one request."""
+        """Send one request of a kind."""
+        return self.send(kind, kind)
+
+    def send(self, kind: str, folder: str) -> Sent:
+        """Send one request to a route and note what came of it."""
         self.count += 1
         request_id = f'{self.name}-{self.count}'
-        path = f'/{kind}/{request_id}'
+        path = f'/{folder}/{request_id}'
         began = time.monotonic()
         status, whole, body = self.exchange('POST', path, request_id)
+        ended = time.monotonic()
         sent = Sent(
             request_id,
             kind,
             path,
             self.host.name,
             began,
-            time.monotonic(),
+            ended,
             status,
             whole,
             body,
         )
         self.world.ledger.on_sent(sent)
-        if not status:
-            self.link = None
         return sent
 
     def exchange(
@@ -110,44 +113,32 @@
     def connected(self) -> http.client.HTTPConnection:
         """Return the kept connection, or a new one to any host."""
         if self.link is None:
-            self.host = self.random.choice(self.world.hosts)
-            address, _, port = self.host.listen.partition(':')
-            self.link = http.client.HTTPConnection(
-                address, int(port), timeout=CALL_TIMEOUT_S
-            )
+            self.go_to(self.random.choice(self.world.hosts))
+        assert self.link is not None
         return self.link
 
+    def go_to(self, host: SoakHost) -> None:
+        """Call a host from now on."""
+        self.host = host
+        address, _, port = host.listen.partition(':')
+        self.link = http.client.HTTPConnection(
+            address, int(port), timeout=CALL_TIMEOUT_S
+        )
+
     def ask_version(self) -> None:
         """See that a host never goes back to an older configuration."""
         version = self.world.version
         pid = self.host.process.pid
-        self.count += 1
-        request_id = f'{self.name}-{self.count}'
-        path = f'/v{version}/{request_id}'
-        began = time.monotonic()
-        status, whole, body = self.exchange('POST', path, request_id)
-        self.world.ledger.on_sent(
-            Sent(
-                request_id,
-                'look',
-                path,
-                self.host.name,
-                began,
-                time.monotonic(),
-                status,
-                whole,
-                body,
-            )
-        )
+        sent = self.send('look', f'v{version}')
         if pid != self.host.process.pid:
             return
         seen = self.seen_version.get(pid, 0)
-        if status == 404 and seen >= version:
+        if sent.status == 404 and seen >= version:
             self.world.ledger.on_broken(
                 f'CONFIG: {self.host.name} knew version {seen}, now not '
                 f'{version}',
             )
-        if status == 200:
+        if sent.status == 200:
             self.seen_version[pid] = max(seen, version)
 
 
@@ -198,7 +189,6 @@
         world.ledger.on_broken(f'RECOVER: {error}')
         return
     for host in world.hosts:
-        caller.host, caller.link = host, None
         served = [serve_at(caller, host) for _ in range(12)]
         if sum(served) < len(served) * LEAST_SERVED:
             world.ledger.on_broken(
@@ -208,11 +198,7 @@
 
 def serve_at(caller: Caller, host: SoakHost) -> bool:
     """Tell whether a host serves a request."""
-    if caller.link is None:
-        address, _, port = host.listen.partition(':')
-        caller.link = http.client.HTTPConnection(
-            address, int(port), timeout=CALL_TIMEOUT_S
-        )
+    caller.go_to(host)
     return caller.call('look').status == 200
 
 
