--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -17,7 +17,7 @@
 from soakproxy import Proxy
 
 GRACE_S = 8.0
-HOSTS = 3
+HOSTS = 5  # two of them read no endpoints from the store
 ENDPOINTS = 4
 EVENT_PAUSE_S = 0.02
 HANG_S = 3.0
