--- a/tests/platformendpoint.py
+++ b/tests/platformendpoint.py
@@ -36,6 +36,7 @@
         self.request = request
         self.name = name
         self.open = True
+        self.extra_headers: tuple[str, ...] = ()
 
     def head(self, status: int, *lines: str) -> None:
         text = '\r\n'.join(
@@ -43,6 +44,7 @@
                 f'HTTP/1.1 {status} Status',
                 f'Request-Id: {self.request.request_id}',
                 f'Instance-Id: {self.name}',
+                *self.extra_headers,
                 *lines,
             )
         )
@@ -59,6 +61,11 @@
     def refuse(self, status: int = 503) -> None:
         self.head(status, 'Not-Executed: 1', 'Content-Length: 0')
 
+    def refuse_for(self, retry_after: str) -> None:
+        """Refuse this request and all others for some seconds."""
+        self.extra_headers += (f'Retry-After: {retry_after}',)
+        self.refuse()
+
     def start_stream(self) -> None:
         self.head(
             200,
@@ -114,6 +121,8 @@
     def __init__(self, name: str, address: str = '127.0.0.1') -> None:
         self.name = name
         self.behaviour = ServedRequest.respond
+        # Lines that are in the head of each response.
+        self.extra_headers: tuple[str, ...] = ()
         self.responds_before_body = False
         self.requests: list[ReceivedRequest] = []
         self.runs: list[str] = []
@@ -154,6 +163,7 @@
             reader = sock.makefile('rb')
             for request in iter(lambda: read_request(reader), None):
                 served = ServedRequest(sock, request, self.name)
+                served.extra_headers = self.extra_headers
                 if not self.responds_before_body:
                     request = request.with_body(reader)
                 self.requests.append(request)
--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -65,6 +65,7 @@
         self.changed = threading.Condition()
         self.fault: int | str = 0
         self.calls = 0
+        self.era = 0
         self.server = StoreServer((address, 0), Handler)
         self.server.store = self
         self.server.daemon_threads = True
@@ -88,6 +89,20 @@
         with self.changed:
             self.topic(topic).first = self.topic(topic).end
 
+    def backup(self) -> dict[str, int]:
+        """Return the ends of all topics, to which a restore goes back."""
+        with self.changed:
+            return {name: topic.end for name, topic in self.topics.items()}
+
+    def restore(self, backup: dict[str, int]) -> None:
+        """Drop what was written since a backup and start a new era."""
+        with self.changed:
+            self.era += 1
+            for name, topic in self.topics.items():
+                del topic.records[backup.get(name, 0) :]
+                topic.first = min(topic.first, topic.end)
+            self.changed.notify_all()
+
     def get(self, handler: BaseHTTPRequestHandler) -> None:
         self.calls += 1
         parts = urlsplit(handler.path)
@@ -102,7 +117,7 @@
             handler.close_connection = True
             return
         if self.fault:
-            send(handler, int(self.fault), b'{}')
+            self.send(handler, int(self.fault), b'{}')
             return
         reads = {'/-/log-newest': self.newest, '/-/log-read': self.read}
         reads[parts.path](handler, query)
@@ -116,7 +131,7 @@
         query = parse_qs(urlsplit(handler.path).query)
         body = handler.rfile.read(int(handler.headers['Content-Length']))
         if isinstance(self.fault, int) and self.fault:
-            send(handler, self.fault, b'{}')
+            self.send(handler, self.fault, b'{}')
             return
         key_end = 5 + body[4]
         offset = self.put(
@@ -126,7 +141,7 @@
             # The record is written, but the writer gets no response.
             handler.close_connection = True
             return
-        send(handler, 200, json.dumps({'offset': offset}).encode())
+        self.send(handler, 200, json.dumps({'offset': offset}).encode())
 
     def newest(
         self,
@@ -151,7 +166,7 @@
                 'more': len(rest) > PAGE_RECORDS,
                 'end': topic.end,
             }
-        send(handler, 200, json.dumps(page).encode())
+        self.send(handler, 200, json.dumps(page).encode())
 
     def read(
         self,
@@ -162,8 +177,11 @@
         wait_s = int(query.get('waitMs', 0)) / 1000
         with self.changed:
             topic = self.topic(query['topic'])
-            self.changed.wait_for(lambda: topic.end > start, wait_s)
-            if start < topic.first:
+            era = self.era
+            self.changed.wait_for(
+                lambda: topic.end > start or self.era > era, wait_s
+            )
+            if start < topic.first or start > topic.end:
                 body = json.dumps({'first': topic.first}).encode()
                 status = 410
             else:
@@ -172,7 +190,16 @@
                 for key, content in topic.records[start:]:
                     record = bytes([len(key)]) + key.encode() + content
                     body += struct.pack('>I', len(record)) + record
-        send(handler, status, body)
+        self.send(handler, status, body)
+
+    def send(
+        self, handler: BaseHTTPRequestHandler, status: int, body: bytes
+    ) -> None:
+        handler.send_response(status)
+        handler.send_header('Content-Length', str(len(body)))
+        handler.send_header('Store-Era', str(self.era))
+        handler.end_headers()
+        handler.wfile.write(body)
 
     @contextmanager
     def failing(self, fault: int | str) -> Iterator[None]:
@@ -189,10 +216,3 @@
 
 def dump(content: object) -> bytes:
     return json.dumps(content).encode() if content else b''
-
-
-def send(handler: BaseHTTPRequestHandler, status: int, body: bytes) -> None:
-    handler.send_response(status)
-    handler.send_header('Content-Length', str(len(body)))
-    handler.end_headers()
-    handler.wfile.write(body)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from trefoilspool.mesh import HOST_LIST_S, MIN_HOST_LIST_S, TICK_S, MeshTask
+from trefoilspool.hostlists import HOST_LIST_S, MIN_HOST_LIST_S
+from trefoilspool.mesh import TICK_S, MeshTask
 from trefoilspool.peers import HostInfo
 from trefoilspool.slotmessages import SlotKey, SlotRequest
 from trefoilspool.wire import mesh as wire
@@ -81,12 +82,12 @@
         run_timers(mesh, 12, MIN_HOST_LIST_S + UPDATE_WAIT_S)
         assert count_host_lists(sent) >= mesh.peers.count() - 1
 
-    def test_read_offset_triggers_no_host_list(
+    def test_new_version_triggers_no_host_list(
         self, mesh: MeshTask, sent: Sent
     ) -> None:
         run_timers(mesh, 10, 2)
         sent.clear()
-        mesh.peers.on_heartbeat(host_info(2, endpoints_end=500), 12)
+        mesh.peers.on_heartbeat(host_info(2, settings_version=500), 12)
         run_timers(mesh, 12, MIN_HOST_LIST_S + UPDATE_WAIT_S)
         assert not count_host_lists(sent)
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -71,7 +71,7 @@
     def test_changes_survive_encoding_for_a_peer(self) -> None:
         replica = Replica(Changes())
         replica.apply(Page((record('a', 4), record('b', 7, b'')), 8, False))
-        page = decode_changes(encode_changes(replica, 5))
+        page = decode_changes(encode_changes(replica, '0.5'))
         assert page == Page((record('b', 7, b''),), 8, complete=False)
 
 
--- /dev/null
+++ b/trefoilspool/datagramsocket.py
@@ -0,0 +1,71 @@
+"""The UDP socket of a host."""
+
+import socket
+
+import logbook
+
+__all__ = ['MAX_DATAGRAM_BYTES', 'DatagramSocket']
+
+MAX_DATAGRAM_BYTES = 60_000
+RECEIVE_BUFFER_BYTES = 1_048_576
+WAKE_DATAGRAM = b''
+
+logger = logbook.Logger('mesh')
+
+
+class DatagramSocket:
+    """A bound UDP socket; one thread receives, any thread sends.
+
+    Parameters
+    ----------
+    address : str
+        IP address of this host.
+    port : int
+        UDP port, the same on all hosts.
+    """
+
+    def __init__(self, address: str, port: int) -> None:
+        self.address = address
+        self.port = port
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        self.socket.bind((address, port))
+
+    def send(self, address: str, body: bytes) -> None:
+        """Send a datagram; it may be lost."""
+        if len(body) > MAX_DATAGRAM_BYTES:
+            logger.warning('datagram_too_long', extra={'bytes': len(body)})
+            return
+        try:
+            self.socket.sendto(body, (address, self.port))
+        except OSError as error:
+            logger.info(
+                'datagram_not_sent',
+                extra={'to': address, 'error': repr(error)},
+            )
+
+    def wake(self) -> None:
+        """End a wait for a datagram."""
+        self.send(self.address, WAKE_DATAGRAM)
+
+    def receive(self, timeout_s: float) -> tuple[bytes, str]:
+        """Return the next datagram and its sender's address.
+
+        Both are empty after the timeout or a call of ``wake``.
+        """
+        self.socket.settimeout(timeout_s)
+        try:
+            body, origin = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
+        except TimeoutError:
+            return b'', ''
+        return body, origin[0]
+
+    def fileno(self) -> int:
+        """Return the file descriptor, -1 once closed."""
+        return self.socket.fileno()
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.socket.close()
--- a/trefoilspool/dialect.py
+++ b/trefoilspool/dialect.py
@@ -85,6 +85,11 @@
         Whether the endpoint closes the connection after the response.
     idle_s : float
         How long the endpoint keeps an idle connection; 0 if not given.
+    is_leaving : bool
+        Whether the endpoint reports that it is shutting down.
+    quiet_s : float
+        Seconds for which the endpoint wants no requests from this host; 0 if
+        it does not say so.
     headers : tuple of (str, str)
         Names and values that are relayed to the caller.
     """
@@ -97,6 +102,8 @@
     encoded: bool
     closes_connection: bool
     idle_s: float
+    is_leaving: bool
+    quiet_s: float
     headers: tuple[tuple[str, str], ...]
 
 
--- a/trefoilspool/directory.py
+++ b/trefoilspool/directory.py
@@ -2,16 +2,20 @@
 
 import threading
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 import logbook
 
+from trefoilspool.departures import (
+    Departures,
+    EndpointRecord,
+    EndpointRun,
+)
 from trefoilspool.errors import BadRecordError
 from trefoilspool.routing import Configuration
 from trefoilspool.slotmessages import EndpointSpec
 from trefoilspool.store import KeyedRecord
 
-__all__ = ['Directory', 'EndpointRecord']
+__all__ = ['Directory']
 
 # Time after the end of an outage of the store, within which endpoints whose
 # records expired during the outage register again.
@@ -20,31 +24,6 @@
 logger = logbook.Logger('directory')
 
 
-class EndpointRecord(NamedTuple):
-    """An endpoint's registration.
-
-    Attributes
-    ----------
-    name : str
-        Instance name, which is also the key of its record.
-    slots : int
-        Number of requests that it processes concurrently.
-    leaving : bool
-        Whether it is shutting down and takes no new requests.
-    started_ms : int
-        Unix time of its start in milliseconds; 0 if the record has none.
-    """
-
-    name: str
-    service: str
-    address: str
-    port: int
-    data_centre: str
-    slots: int
-    leaving: bool
-    started_ms: int
-
-
 class Directory:
     """Registered endpoints by name; safe to use from any thread.
 
@@ -67,6 +46,8 @@
     expiring : dict
         Endpoints whose record was deleted soon after an outage: the times at
         which they are removed, in monotonic seconds, by name.
+    departures : Departures
+        Endpoints that have left or are leaving.
     published : list of EndpointSpec
         The endpoints last reported to ``on_change``.
     """
@@ -84,6 +65,7 @@
         self.endpoints: dict[str, EndpointRecord] = {}
         self.displaced: set[str] = set()
         self.expiring: dict[str, float] = {}
+        self.departures = Departures()
         self.configuration: Configuration | None = None
         self.published: list[EndpointSpec] = []
 
@@ -91,20 +73,39 @@
         self,
         records: Iterable[KeyedRecord],
         now: float,
+        *,
+        restored: bool = False,
     ) -> None:
-        """Apply new endpoint records."""
+        """Apply new endpoint records.
+
+        Parameters
+        ----------
+        records : iterable of KeyedRecord
+            The records; without content if the key was deleted.
+        now : float
+            The present time in monotonic seconds.
+        restored : bool
+            Whether the store was just restored from a backup, so that the
+            records may be older than what is known.
+        """
         with self.lock:
             for record in records:
-                if record.content:
-                    self.on_update(record)
-                else:
+                if not record.content:
                     self.on_deletion(record.key, now)
+                    continue
+                endpoint = self.decoded(record)
+                if endpoint is None:
+                    continue
+                if restored:
+                    self.on_restored(endpoint, record.offset, now)
+                else:
+                    self.on_update(endpoint, record.offset)
             self.publish()
 
-    def on_update(self, record: KeyedRecord) -> None:
-        """Apply an endpoint record, unless it is malformed or outdated."""
+    def decoded(self, record: KeyedRecord) -> EndpointRecord | None:
+        """Return the endpoint of a record, None if it is malformed."""
         try:
-            endpoint = self.decode(record.key, record.content)
+            return self.decode(record.key, record.content)
         except BadRecordError as error:
             logger.warning(
                 'endpoint_record_unreadable',
@@ -114,13 +115,37 @@
                     'error': str(error),
                 },
             )
+            return None
+
+    def on_restored(
+        self, endpoint: EndpointRecord, offset: int, now: float
+    ) -> None:
+        """Apply a registration that may be older than what is known.
+
+        It does not bring back a run that was removed or found displaced. A
+        removed one returns once its record has stood for some seconds.
+        """
+        name = endpoint.name
+        if self.departures.hold_back(endpoint, offset, now):
             return
+        is_displaced = name in self.displaced
+        known = self.endpoints.get(name)
+        self.on_update(endpoint, offset)
+        if is_displaced and known and known.run == endpoint.run:
+            self.displaced.add(name)
+
+    def on_update(self, endpoint: EndpointRecord, offset: int) -> None:
+        """Apply a registration, unless it is of an earlier run."""
         previous = self.endpoints.get(endpoint.name)
-        if previous is not None:
-            if endpoint.started_ms < previous.started_ms:
+        last = previous or self.departures.last(endpoint.name)
+        if last is not None:
+            if endpoint.started_ms < last.started_ms:
                 return
-            if endpoint.started_ms == previous.started_ms and previous.leaving:
+            if endpoint.run == last.run and last.leaving:
                 endpoint = endpoint._replace(leaving=True)
+        if endpoint.run in self.departures.leaving_runs:
+            endpoint = endpoint._replace(leaving=True)
+        self.departures.on_registered(endpoint.name)
         self.expiring.pop(endpoint.name, None)
         self.displaced.discard(endpoint.name)
         self.endpoints[endpoint.name] = endpoint
@@ -131,39 +156,96 @@
                     'endpoint': endpoint.name,
                     'service': endpoint.service,
                     'address': f'{endpoint.address}:{endpoint.port}',
-                    'offset': record.offset,
+                    'offset': offset,
                 },
             )
 
+    def on_own_word(self, name: str, now: float) -> EndpointRun | None:
+        """Apply an endpoint's response that says that it is leaving.
+
+        Returns
+        -------
+        EndpointRun or None
+            The run that is leaving; None if this was known before.
+        """
+        with self.lock:
+            endpoint = self.endpoints.get(name) or self.departures.last(name)
+            if endpoint is None:
+                return None
+            is_new = self.on_leaving_run(endpoint.run, now, 'own_word')
+            return endpoint.run if is_new else None
+
+    def on_leaving_run(self, run: EndpointRun, now: float, source: str) -> bool:
+        """Exclude a run that reported that it is leaving.
+
+        Only a later run of the endpoint becomes available again.
+
+        Parameters
+        ----------
+        run : EndpointRun
+            The run.
+        now : float
+            The present time in monotonic seconds.
+        source : str
+            Who reported it, for the log line.
+
+        Returns
+        -------
+        bool
+            Whether this was not known before.
+        """
+        with self.lock:
+            if not self.departures.on_leaving_run(run, now):
+                return False
+            endpoint = self.endpoints.get(run.name)
+            if endpoint is not None and endpoint.run == run:
+                self.endpoints[run.name] = endpoint._replace(leaving=True)
+            logger.info(
+                'endpoint_leaving',
+                extra={
+                    'endpoint': run.name,
+                    'started_ms': run.started_ms,
+                    'source': source,
+                },
+            )
+            self.publish()
+            return True
+
     def on_deletion(self, name: str, now: float) -> None:
         """Remove an endpoint whose record was deleted.
 
         Soon after an outage the removal is delayed: the record may have
         expired only because the endpoint could not renew it.
         """
+        self.departures.drop_held_back(name)
         if name not in self.endpoints:
             return
         remove_at = self.outage_ended_at() + REREGISTRATION_S
         if now < remove_at:
             self.expiring[name] = remove_at
         else:
-            self.remove(name)
+            self.remove(name, now)
 
-    def remove(self, name: str) -> None:
+    def remove(self, name: str, now: float) -> None:
         """Remove an endpoint."""
         self.expiring.pop(name, None)
         self.displaced.discard(name)
-        if self.endpoints.pop(name, None) is not None:
+        endpoint = self.endpoints.pop(name, None)
+        if endpoint is not None:
+            self.departures.on_removed(endpoint, now)
             logger.info('endpoint_dropped', extra={'endpoint': name})
 
     def tick(self, now: float) -> None:
-        """Remove expired endpoints that have not registered again in time."""
+        """Apply what is due: removals, and records that were held back."""
         with self.lock:
-            expired = [name for name, at in self.expiring.items() if now >= at]
-            for name in expired:
-                self.remove(name)
-            if expired:
-                self.publish()
+            for name, remove_at in list(self.expiring.items()):
+                if now >= remove_at:
+                    self.remove(name, now)
+            for held in self.departures.due(now):
+                self.departures.drop_held_back(held.endpoint.name)
+                self.on_update(held.endpoint, held.offset)
+            self.departures.forget_old(now, frozenset(self.endpoints))
+            self.publish()
 
     def on_displaced(self, name: str) -> None:
         """Exclude an endpoint that an attempt found displaced or leaving.
@@ -191,6 +273,14 @@
             return None
         return endpoint
 
+    def names(self, service: str) -> list[str]:
+        """Return the names of a service's available endpoints."""
+        return [
+            endpoint.name
+            for endpoint in self.published
+            if endpoint.service == service
+        ]
+
     def publish(self) -> None:
         """Report the available endpoints, if they have changed."""
         available = self.available_endpoints()
--- a/trefoilspool/discovery.py
+++ b/trefoilspool/discovery.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from trefoilspool.errors import LogOutageError
+from trefoilspool.errors import LogOutageError, StoreRestoredError
 from trefoilspool.peers import PeerRegistry
 from trefoilspool.store import KeyedTopic
 from trefoilspool.wire import mesh as wire
@@ -15,12 +15,16 @@
 
 RETRY_S = 1.0
 PERIOD_S = 8.0
+# Spreads the writes of all hosts after a restore of the store.
+REREGISTRATION_JITTER_S = 1.0
 
 logger = logbook.Logger('introductions')
 
 
 class DiscoveryTask:
-    """Registers this host in the store once, and reads the other hosts.
+    """Registers this host in the store, and reads the other hosts.
+
+    The host registers once, and again when the store was restored.
 
     Hosts also exchange lists of hosts among themselves. The store is needed by
     a host that has no address of a running host.
@@ -45,18 +49,34 @@
         self.peers = peers
         self.stopping = stopping
         self.registered = False
+        self.restored = threading.Event()
 
     def run(self) -> None:
         """Register and read until stopped."""
         pause_s = 0.0
-        while not self.stopping.wait(pause_s):
-            try:
-                self.step()
-            except LogOutageError as error:
-                logger.info('hosts_not_read', extra={'error': str(error)})
-                pause_s = RETRY_S * (1 + random.random())
-            else:
-                pause_s = PERIOD_S * (1 + random.random())
+        while not self.stopping.is_set():
+            if self.restored.wait(pause_s):
+                self.restored.clear()
+                self.registered = False
+                self.stopping.wait(REREGISTRATION_JITTER_S * random.random())
+            if not self.stopping.is_set():
+                pause_s = self.try_step()
+
+    def on_store_restored(self) -> None:
+        """Register again: the restored store may lack this host's record."""
+        self.restored.set()
+
+    def try_step(self) -> float:
+        """Register and read once; return the seconds until the next time."""
+        try:
+            self.step()
+        except (LogOutageError, StoreRestoredError) as error:
+            logger.info('hosts_not_read', extra={'error': str(error)})
+            return RETRY_S * (1 + random.random())
+        except Exception:
+            logger.exception('hosts_not_read')
+            return PERIOD_S
+        return PERIOD_S * (1 + random.random())
 
     def step(self) -> None:
         """Register this host unless done before, then read the hosts."""
--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -35,6 +35,7 @@
     'Problem',
     'SettingsError',
     'SettingsConflictError',
+    'StoreRestoredError',
     'TicketError',
     'BoundError',
     'TraceError',
@@ -132,6 +133,20 @@
         self.first = first
 
 
+class StoreRestoredError(LogError):
+    """The store was restored from a backup, so known offsets are void.
+
+    Parameters
+    ----------
+    era : int
+        The era of the store's response.
+    """
+
+    def __init__(self, era: int) -> None:
+        super().__init__(f'the store is in era {era}')
+        self.era = era
+
+
 class BadRecordError(TrefoilspoolError):
     """A record of the platform has a field that cannot be used.
 
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -1,7 +1,7 @@
 """Requests to endpoints and their responses as received."""
 
 import http.client
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import logbook
 
@@ -22,7 +22,7 @@
 
 READ_BYTES = 65_536
 # A stray response to an earlier request may precede the expected one.
-MAX_RESPONSES_CHECKED = 2
+MAX_STRAY_RESPONSES = 1
 EVENT_END = b'\n\n'
 
 logger = logbook.Logger('exchange')
@@ -129,6 +129,10 @@
         self.connection.close()
 
 
+def no_op(endpoint: str, head: ResponseHead) -> None:
+    """Do nothing."""
+
+
 class EndpointClient:
     """Sends requests to endpoints and reads the heads of their responses.
 
@@ -136,10 +140,18 @@
     ----------
     dialect : Dialect
         Encodes requests and decodes heads.
+    on_head : callable
+        Called with the endpoint's name and each head that it sends, also the
+        head of a stray response.
     """
 
-    def __init__(self, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        dialect: Dialect,
+        on_head: Callable[[str, ResponseHead], None] = no_op,
+    ) -> None:
         self.dialect = dialect
+        self.on_head = on_head
         self.pool = ConnectionPool()
 
     def connect(
@@ -198,18 +210,22 @@
             raise SendFailedError(
                 f'no response from {outbound.endpoint}: {error!r}',
             ) from error
-        for _ in range(MAX_RESPONSES_CHECKED):
+        for strays in range(MAX_STRAY_RESPONSES + 1):
             head = self.dialect.decode_response_head(
                 response.status,
                 response.getheaders(),
             )
+            self.on_head(outbound.endpoint, head)
             if head.request_id in {'', request.request_id}:
                 return EndpointResponse(self.pool, connection, response, head)
             # No response can follow one that has no length or that closed the
             # connection.
             if response.length is None or connection.sock is None:
                 break
-            response = self.skip_stray_response(connection, response, outbound)
+            if strays < MAX_STRAY_RESPONSES:
+                response = self.skip_stray_response(
+                    connection, response, outbound
+                )
         connection.abort()
         connection.close()
         raise SendFailedError(
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -35,7 +35,10 @@
             (port_of(host.options.ready), METRICS_PATH): self.metrics,
             (port_of(host.options.control), METRICS_PATH): self.metrics,
             (port_of(host.options.metrics), METRICS_PATH): self.metrics,
-            (port_of(host.options.control), '/settings'): self.settings,
+            (
+                port_of(host.options.control),
+                '/configuration',
+            ): self.configuration,
             (port_of(host.options.control), '/endpoints'): self.endpoints,
         }
 
@@ -76,16 +79,16 @@
             HTTPStatus.OK, self.host.metrics.render().encode()
         )
 
-    def settings(self, query: str) -> Response:
-        """Return the settings records from an offset on, for a peer."""
-        body = self.host.platform.encode_changes(self.host.settings, int(query))
-        return sized_response(HTTPStatus.OK, body)
+    def configuration(self, query: str) -> Response:
+        """Return the configuration in force, for a peer."""
+        return sized_response(HTTPStatus.OK, self.host.configuration_content)
 
     def endpoints(self, query: str) -> Response:
-        """Return the endpoint records from an offset on, for a peer."""
-        body = self.host.platform.encode_changes(
-            self.host.endpoints, int(query)
-        )
+        """Return the endpoint records from a position on, for a peer."""
+        try:
+            body = self.host.platform.encode_changes(self.host.endpoints, query)
+        except ValueError:
+            return sized_response(HTTPStatus.BAD_REQUEST, b'')
         return sized_response(HTTPStatus.OK, body)
 
 
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -9,8 +9,9 @@
 
 import logbook
 
-from trefoilspool.dialect import Dialect
-from trefoilspool.directory import Directory, EndpointRecord
+from trefoilspool.departures import EndpointRecord, EndpointRun
+from trefoilspool.dialect import Dialect, ResponseHead
+from trefoilspool.directory import Directory
 from trefoilspool.discovery import DiscoveryTask
 from trefoilspool.errors import BadRecordError
 from trefoilspool.exchange import EndpointClient
@@ -19,9 +20,10 @@
 from trefoilspool.mesh import MeshTask
 from trefoilspool.options import GatewayOptions
 from trefoilspool.peers import HostInfo
-from trefoilspool.replica import Replica
+from trefoilspool.quietperiods import QuietPeriods
+from trefoilspool.replica import NO_ERA, Position, Replica
 from trefoilspool.replication import (
-    PeerReplicationTask,
+    PeerFetchTask,
     PollInterval,
     StoreReplicationTask,
 )
@@ -32,7 +34,7 @@
 from trefoilspool.telemetry import Metrics
 from trefoilspool.watch import WatchTask
 
-__all__ = ['GatewayHost', 'Platform', 'ReplicaSources', 'StoreTopics']
+__all__ = ['GatewayHost', 'Platform', 'StoreTopics']
 
 NS_PER_US = 1000
 # Below the start time, so that two starts in one microsecond differ.
@@ -60,13 +62,6 @@
 logger = logbook.Logger('gateway')
 
 
-class ReplicaSources(NamedTuple):
-    """Sources of the two topics that every host replicates."""
-
-    settings: KeyedSource
-    endpoints: KeyedSource
-
-
 class StoreTopics(NamedTuple):
     """The topics of the store.
 
@@ -95,12 +90,28 @@
         """Return the topics of the store."""
 
     @abstractmethod
-    def peer_topics(self, address: str) -> ReplicaSources:
-        """Return sources that read a peer's replicas of the topics."""
+    def peer_endpoints(self, address: str) -> KeyedSource:
+        """Return a source that reads a peer's replica of the endpoints."""
+
+    @abstractmethod
+    def peer_configuration(self, address: str) -> bytes:
+        """Return the content of the configuration in force at a peer.
+
+        Raises
+        ------
+        LogOutageError
+            The peer did not respond.
+        """
 
     @abstractmethod
-    def encode_changes(self, replica: Replica, start: int) -> bytes:
-        """Encode a replica's records from offset ``start`` on, for a peer."""
+    def encode_changes(self, replica: Replica, position: str) -> bytes:
+        """Encode a replica's records from a peer's position on.
+
+        Raises
+        ------
+        ValueError
+            The position is malformed.
+        """
 
     @abstractmethod
     def decode_configuration(self, content: bytes) -> Configuration:
@@ -141,8 +152,17 @@
     ----------
     incarnation : int
         Number of this run of the process; later runs have larger ones.
+    configuration_content : bytes
+        Content of the record of the configuration in force, for peers.
     endpoints_current_at : float
         When this host last had all endpoint records, in monotonic seconds.
+    endpoints_era : int
+        Era of the store in which the directory's records were read.
+    store_restored_at : float
+        When this host learned that the store was restored from a backup, in
+        monotonic seconds.
+    quiet_periods : QuietPeriods
+        Endpoints that get no requests of this host for a while.
     """
 
     def __init__(self, options: GatewayOptions, platform: Platform) -> None:
@@ -162,7 +182,10 @@
         self.mesh = MeshTask(
             own_info, options.mesh_port, options.seed_addresses
         )
+        self.mesh.on_leaving_runs = self.on_leaving_runs
         topics = platform.topics()
+        self.configuration_content = b''
+        self.configuration_lock = threading.Lock()
         self.settings = Replica(self.on_settings)
         self.settings_task = StoreReplicationTask(
             'settings',
@@ -170,6 +193,7 @@
             self.settings,
             SETTINGS_POLLING,
             self.stopping,
+            on_restored=self.on_settings_restored,
         )
         self.directory = Directory(
             platform.decode_endpoint,
@@ -178,6 +202,8 @@
         )
         self.endpoints = Replica(self.on_endpoints, self.endpoint_value)
         self.endpoints_current_at = 0.0
+        self.endpoints_era = NO_ERA
+        self.store_restored_at = 0.0
         self.endpoints_task = StoreReplicationTask(
             'endpoints',
             topics.endpoints,
@@ -193,11 +219,15 @@
             self.stopping,
         )
         self.watch = WatchTask()
-        self.endpoint_client = EndpointClient(platform.dialect())
+        self.quiet_periods = QuietPeriods()
+        self.endpoint_client = EndpointClient(
+            platform.dialect(), self.on_endpoint_head
+        )
         self.gateway = Gateway(
             RequestServer(
                 self.mesh.client,
                 self.directory,
+                self.quiet_periods,
                 self.endpoint_client,
                 self.watch,
                 self.metrics,
@@ -207,10 +237,14 @@
         )
 
     def outage_ended_at(self) -> float:
-        """Return when the last outage of the store ended; during one, now."""
+        """Return when the last outage of the store ended; during one, now.
+
+        A restore counts as the end of an outage: endpoints whose records it
+        has undone register again.
+        """
         if self.endpoints_task.outage_began_at is not None:
             return time.monotonic()
-        return self.endpoints_task.outage_ended_at
+        return max(self.endpoints_task.outage_ended_at, self.store_restored_at)
 
     def start(self) -> None:
         """Start the tasks."""
@@ -224,19 +258,14 @@
         yield self.settings_task.run
         yield self.endpoints_task.run
         yield self.discovery_task.run
-        yield PeerReplicationTask(
-            'settings',
-            self.peer_ahead_in_settings,
-            self.settings,
-            self.stopping,
+        yield PeerFetchTask(
+            'settings', self.find_newer_configuration, self.stopping
         ).run
-        yield PeerReplicationTask(
+        yield PeerFetchTask(
             'endpoints',
-            self.peer_ahead_in_endpoints,
-            self.endpoints,
+            self.find_newer_endpoints,
             self.stopping,
             min_polls_behind=1,
-            on_read=self.on_endpoints_current,
         ).run
         yield self.clean_up
 
@@ -245,11 +274,53 @@
         while not self.stopping.wait(CLEANUP_INTERVAL_S):
             self.endpoint_client.pool.close_expired()
             self.directory.tick(time.monotonic())
+            self.quiet_periods.forget_ended(time.monotonic())
+
+    def on_endpoint_head(self, endpoint: str, head: ResponseHead) -> None:
+        """Apply what the head of an endpoint's response says of its state."""
+        if head.is_other_endpoint:
+            return
+        now = time.monotonic()
+        if head.is_leaving:
+            run = self.directory.on_own_word(endpoint, now)
+            if run is not None:
+                self.count_leaving('own_word')
+                self.mesh.call_soon(
+                    lambda now: self.mesh.send_leaving(run, now)
+                )
+        if head.quiet_s:
+            self.metrics.count('trefoilspool_endpoint_quiet_total')
+            self.quiet_periods.on_request(endpoint, head.quiet_s, now)
+
+    def on_leaving_runs(self, runs: list[EndpointRun]) -> list[EndpointRun]:
+        """Apply the runs that a peer reports as leaving; return the new."""
+        now = time.monotonic()
+        new = [
+            run
+            for run in runs
+            if self.directory.on_leaving_run(run, now, 'peer')
+        ]
+        for _ in new:
+            self.count_leaving('peer')
+        return new
+
+    def count_leaving(self, source: str) -> None:
+        """Count an endpoint's run that is leaving, by who reported it."""
+        self.metrics.count(
+            f'trefoilspool_endpoint_leaving_total{{source="{source}"}}'
+        )
 
-    def peer_ahead_in_settings(self, end: int) -> KeyedSource | None:
-        """Return the settings of a peer that has read further, or None."""
-        ahead = self.peer_ahead(lambda host: host.settings_end, end)
-        return ahead.settings if ahead else None
+    def find_newer_configuration(self) -> Callable[[], None] | None:
+        """Return a function that adopts a peer's configuration if newer."""
+        peer = max(
+            list(self.mesh.peers.hosts.values()),
+            key=lambda host: host.settings_version,
+        )
+        if peer.settings_version <= self.gateway.version:
+            return None
+        return lambda: self.on_configuration(
+            self.platform.peer_configuration(peer.address), peer.name
+        )
 
     def should_read_endpoints(self) -> bool:
         """Return whether this host reads the endpoints from the store.
@@ -266,8 +337,10 @@
     def on_endpoints_read(self) -> None:
         """Announce to peers that this host has read the endpoints."""
         self.on_endpoints_current()
-        end = self.endpoints.changed_end
-        self.mesh.call_soon(lambda now: self.mesh.send_endpoints_read(end, now))
+        changed_to = self.endpoints.changed_to()
+        self.mesh.call_soon(
+            lambda now: self.mesh.send_endpoints_read(changed_to, now)
+        )
 
     def on_endpoints_current(self) -> None:
         """Record that this host now has all endpoint records."""
@@ -294,51 +367,74 @@
             # The directory logs the error.
             return record.content
 
-    def peer_ahead_in_endpoints(self, end: int) -> KeyedSource | None:
-        """Return the endpoints of a peer that has read changes, or None.
+    def find_newer_endpoints(self) -> Callable[[], None] | None:
+        """Return a function that reads the changes of a peer, or None.
 
         Also records that this host's endpoint records are current if the peer
-        has no further changes.
+        that was heard last has no further changes.
         """
         read = self.mesh.endpoints_read
         if read is None:
             return None
-        if read.changed_end > end:
-            return self.platform.peer_topics(read.peer.address).endpoints
-        if read.received_at > self.endpoints_current_at:
+        own = self.endpoints.position()
+        if read.changed_to > own:
+            return lambda: self.read_endpoints(
+                read.peer.address, read.changed_to
+            )
+        is_same_era = read.changed_to.era == own.era
+        if is_same_era and read.received_at > self.endpoints_current_at:
             self.mark_endpoints_current(read.received_at)
         return None
 
-    def peer_ahead(
-        self,
-        position: Callable[[HostInfo], int],
-        end: int,
-    ) -> ReplicaSources | None:
-        """Return the topics of the peer that has read furthest past ``end``."""
-        hosts = list(self.mesh.peers.hosts.values())
-        best = max(hosts, key=position)
-        if position(best) <= max(end, 0) or best.name == self.options.name:
-            return None
-        return self.platform.peer_topics(best.address)
+    def read_endpoints(self, address: str, changed_to: Position) -> None:
+        """Read the endpoint records that a peer has and this host lacks."""
+        own = self.endpoints.position()
+        source = self.platform.peer_endpoints(address)
+        self.endpoints.apply(source.read_from(max(own.offset, 0), 0, own.era))
+        if self.endpoints.position() >= changed_to:
+            self.on_endpoints_current()
 
     def on_settings(self, records: tuple[KeyedRecord, ...]) -> None:
         """Apply the configuration among new records."""
         for record in records:
             if record.key == CONFIGURATION_KEY and record.content:
-                self.on_configuration(record)
+                self.on_configuration(record.content, 'store')
+
+    def on_settings_restored(self) -> None:
+        """Write this host's own record again: the store may have lost it."""
+        self.metrics.count('trefoilspool_store_restored_total')
+        self.discovery_task.on_store_restored()
+
+    def on_configuration(self, content: bytes, source: str) -> None:
+        """Apply a configuration if it is valid and newer.
 
-    def on_configuration(self, record: KeyedRecord) -> None:
-        """Apply a configuration if it is valid and newer."""
+        A restored store may show an earlier version for a while, which stays
+        without effect.
+
+        Parameters
+        ----------
+        content : bytes
+            Content of the configuration's record.
+        source : str
+            Where it was read, for the log line: the store or a peer.
+        """
         try:
-            configuration = self.platform.decode_configuration(record.content)
+            configuration = self.platform.decode_configuration(content)
         except BadRecordError as error:
             logger.warning(
                 'configuration_unreadable',
-                extra={'offset': record.offset, 'error': str(error)},
+                extra={'source': source, 'error': str(error)},
             )
             return
-        if configuration.version <= self.gateway.version:
-            return
+        with self.configuration_lock:
+            if configuration.version > self.gateway.version:
+                self.configuration_content = content
+                self.set_configuration(configuration, source)
+
+    def set_configuration(
+        self, configuration: Configuration, source: str
+    ) -> None:
+        """Put a configuration in force and announce it to peers."""
         self.gateway.configuration = configuration
         self.mesh.set_configuration(configuration)
         self.directory.on_configuration(configuration)
@@ -346,7 +442,7 @@
             'version_in_force',
             extra={
                 'version': configuration.version,
-                'offset': record.offset,
+                'source': source,
                 'routes': len(configuration.routes.routes),
                 'limits': {
                     workspace.name: (workspace.rate, workspace.burst)
@@ -359,8 +455,14 @@
 
     def on_endpoints(self, records: tuple[KeyedRecord, ...]) -> None:
         """Pass new endpoint records to the directory."""
-        self.directory.on_records(records, time.monotonic())
-        self.publish_own_info()
+        now = time.monotonic()
+        era = self.endpoints.era
+        restored = NO_ERA < self.endpoints_era < era
+        self.endpoints_era = era
+        if restored:
+            self.store_restored_at = now
+            logger.warning('endpoints_restored', extra={'era': era})
+        self.directory.on_records(records, now, restored=restored)
 
     def on_available_endpoints(self, endpoints: list[EndpointSpec]) -> None:
         """Set the endpoints to which the mesh may grant slots."""
@@ -372,8 +474,6 @@
             self.mesh.peers.own._replace(
                 leaving=self.gateway.draining,
                 settings_version=self.gateway.version,
-                settings_end=self.settings.end,
-                endpoints_end=self.endpoints.end,
             )
         )
 
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -6,7 +6,6 @@
 its caller. The slot client runs on every host.
 """
 
-import socket
 import threading
 import time
 from collections import Counter
@@ -15,8 +14,13 @@
 
 import logbook
 
+from trefoilspool.datagramsocket import DatagramSocket
+from trefoilspool.departures import EndpointRun
 from trefoilspool.helloschedule import HelloSchedule
+from trefoilspool.hostlists import HostListSchedule
+from trefoilspool.leavingreports import LeavingReports
 from trefoilspool.peers import HostInfo, PeerRegistry
+from trefoilspool.replica import Position
 from trefoilspool.routing import Configuration
 from trefoilspool.slotclient import SlotClient
 from trefoilspool.slotmessages import EndpointSpec, SlotRelease, SlotRequest
@@ -33,24 +37,15 @@
 MAX_HEARTBEAT_S = 0.5
 # The home host replies with a digest to every n-th heartbeat of an entry host.
 HEARTBEATS_PER_DIGEST = 4
-# Period while no host changes; below peers.HOST_RETENTION_S, so that listed
-# hosts are not forgotten.
-HOST_LIST_S = 12.0
-MIN_HOST_LIST_S = 0.5  # least period when hosts change
-WAKE_DATAGRAM = b''
-MAX_DATAGRAM_BYTES = 60_000
-RECEIVE_BUFFER_BYTES = 1_048_576
 
 logger = logbook.Logger('mesh')
 
+LeavingRunsHandler = Callable[[list[EndpointRun]], list[EndpointRun]]
 
-class ListedHost(NamedTuple):
-    """The state of a host whose change triggers a new host list."""
 
-    name: str
-    address: str
-    incarnation: int
-    leaving: bool
+def no_runs(runs: list[EndpointRun]) -> list[EndpointRun]:
+    """Return no runs: none of them is new."""
+    return []
 
 
 class EndpointsRead(NamedTuple):
@@ -58,14 +53,14 @@
 
     Attributes
     ----------
-    changed_end : int
-        `Replica.changed_end` of the peer: the offset after its latest change.
+    changed_to : Position
+        Position after the latest change that the peer has read.
     received_at : float
         When the notice was received, in seconds.
     """
 
     peer: HostInfo
-    changed_end: int
+    changed_to: Position
     received_at: float
 
 
@@ -80,10 +75,17 @@
         UDP port, the same on all hosts.
     seeds : iterable of str
         Addresses to which hellos are sent while no other host is known.
+
+    Attributes
+    ----------
+    on_leaving_runs : callable
+        Called with the endpoints' runs that a peer reports as leaving; returns
+        those that were not known before.
+    leaving_reports : LeavingReports
+        Runs that told this host that they are leaving.
     """
 
     def __init__(self, own: HostInfo, port: int, seeds: Iterable[str]) -> None:
-        self.port = port
         self.seeds = [seed for seed in seeds if seed != own.address]
         self.peers = PeerRegistry(own)
         self.client = SlotClient(own.name, self.peers, self.send_message)
@@ -91,22 +93,18 @@
         self.stopping = threading.Event()
         self.callbacks: list[Callable[[float], None]] = []
         self.callbacks_lock = threading.Lock()
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-        self.socket.bind((own.address, port))
-        self.socket.settimeout(TICK_S)
+        self.socket = DatagramSocket(own.address, port)
         self.heartbeat_at = 0.0
         self.hello_schedule = HelloSchedule()
         self.ticked_at = 0.0
         self.heartbeat_counts: Counter[str] = Counter()
-        self.host_list_sent_at = 0.0
-        self.listed_hosts: frozenset[ListedHost] = frozenset()
+        self.host_list_schedule = HostListSchedule()
         # Name and incarnation of the home host that sent the last digest.
         self.digest_source = ('', 0)
         self.heartbeat_home = ''
         self.endpoints_read: EndpointsRead | None = None
+        self.on_leaving_runs: LeavingRunsHandler = no_runs
+        self.leaving_reports = LeavingReports()
 
     def send_message(self, address: str, message: object) -> None:
         """Send a slot request or a release; usable from any thread."""
@@ -119,36 +117,14 @@
 
     def send(self, address: str, datagram: ttypes.Datagram) -> None:
         """Send a datagram; it may be lost, so important ones are repeated."""
-        body = wire.encode(datagram)
-        if len(body) > MAX_DATAGRAM_BYTES:
-            logger.warning('datagram_too_long', extra={'bytes': len(body)})
-            return
-        try:
-            self.socket.sendto(body, (address, self.port))
-        except OSError as error:
-            logger.info(
-                'datagram_not_sent',
-                extra={'to': address, 'error': repr(error)},
-            )
+        self.socket.send(address, wire.encode(datagram))
 
     def call_soon(self, callback: Callable[[float], None]) -> None:
         """Run a callback on the task's thread; usable from any thread."""
         with self.callbacks_lock:
             self.callbacks.append(callback)
-        self.wake()
-
-    def wake(self) -> None:
-        """Wake the task to run callbacks now."""
-        try:
-            self.socket.sendto(
-                WAKE_DATAGRAM, (self.peers.own.address, self.port)
-            )
-        except OSError as error:
-            # The callbacks then run after the next datagram or timeout.
-            logger.info(
-                'datagram_not_sent',
-                extra={'to': self.peers.own.address, 'error': repr(error)},
-            )
+        # If this fails, they run after the next datagram or timeout.
+        self.socket.wake()
 
     def set_available_endpoints(self, endpoints: list[EndpointSpec]) -> None:
         """Replace the endpoints that may get requests."""
@@ -176,14 +152,10 @@
 
     def step(self) -> None:
         """Handle one datagram, then callbacks and timers that are due."""
-        self.socket.settimeout(self.pause_s(time.monotonic()))
-        try:
-            body, origin = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
-        except TimeoutError:
-            body = b''
+        body, origin = self.socket.receive(self.pause_s(time.monotonic()))
         now = time.monotonic()
         if body:
-            self.on_datagram(body, origin[0], now)
+            self.on_datagram(body, origin, now)
         if self.callbacks:
             self.run_callbacks(now)
         if now - self.ticked_at >= TICK_S:
@@ -332,11 +304,39 @@
     def on_endpoints_read(
         self,
         sender: HostInfo,
-        changed_end: int,
+        changed_to: Any,
         now: float,
     ) -> None:
         """Record that a peer has just read the endpoint records."""
-        self.endpoints_read = EndpointsRead(sender, changed_end, now)
+        self.endpoints_read = EndpointsRead(
+            sender, wire.position_from_wire(changed_to), now
+        )
+
+    def on_leaving(self, sender: HostInfo, runs: list[Any], now: float) -> None:
+        """Apply the runs that a peer reports; the home host tells all others."""
+        new = self.on_leaving_runs(list(map(wire.endpoint_run_from_wire, runs)))
+        home = self.peers.home()
+        if new and home is not None and home.name == self.peers.own.name:
+            self.send_all(self.leaving_datagram(new), now)
+
+    def leaving_datagram(self, runs: Iterable[EndpointRun]) -> ttypes.Datagram:
+        """Return a datagram with endpoints' runs that are leaving."""
+        return ttypes.Datagram(
+            wire.host_info_to_wire(self.peers.own),
+            leaving=list(map(wire.endpoint_run_to_wire, runs)),
+        )
+
+    def send_leaving(self, run: EndpointRun, now: float) -> None:
+        """Report a run that is leaving to the home host, or from there to all.
+
+        Heartbeats repeat it for a while, as datagrams may be lost.
+        """
+        self.leaving_reports.add(run, now)
+        home = self.peers.home()
+        if home is None or home.name == self.peers.own.name:
+            self.send_all(self.leaving_datagram([run]), now)
+        else:
+            self.send(home.address, self.leaving_datagram([run]))
 
     def host_list(self, now: float) -> ttypes.Datagram:
         """Return a datagram with the list of hosts."""
@@ -376,6 +376,9 @@
             wire.host_info_to_wire(self.peers.own),
             roll=[wire.held_to_wire(slot) for slot in self.client.held_slots()],
         )
+        leaving = self.leaving_reports.current(now)
+        if leaving:
+            datagram.leaving = list(map(wire.endpoint_run_to_wire, leaving))
         if self.digest_source != (home.name, home.incarnation):
             datagram.levels = [
                 ttypes.Level(name, tokens)
@@ -383,8 +386,9 @@
             ]
         self.send(home.address, datagram)
         self.peers.forget(now)
-        if home.name == self.peers.own.name:
-            self.send_host_list_if_due(now)
+        is_home = home.name == self.peers.own.name
+        if is_home and self.host_list_schedule.due(self.peers.recent(now), now):
+            self.send_all(self.host_list(now), now)
 
     def announce(self) -> None:
         """Send this host's state to all hosts; usable from any thread."""
@@ -413,23 +417,6 @@
             now,
         )
 
-    def send_host_list_if_due(self, now: float) -> None:
-        """Send the list of hosts if it has changed or its period is over."""
-        present = frozenset(
-            ListedHost(host.name, host.address, host.incarnation, host.leaving)
-            for host in self.peers.recent(now)
-        )
-        elapsed_s = now - self.host_list_sent_at
-        changed = present != self.listed_hosts and elapsed_s >= MIN_HOST_LIST_S
-        if changed or elapsed_s >= HOST_LIST_S:
-            self.listed_hosts = present
-            self.host_list_sent_at = now
-            self.send_host_list(now)
-
-    def send_host_list(self, now: float) -> None:
-        """Send the list of hosts to all hosts."""
-        self.send_all(self.host_list(now), now)
-
     def send_hellos(self, now: float) -> None:
         """Request heartbeats from unresponsive hosts, host lists from seeds."""
         own = wire.host_info_to_wire(self.peers.own)
@@ -440,12 +427,12 @@
             for seed in self.seeds:
                 self.send(seed, ttypes.Datagram(own, hello=True))
 
-    def send_endpoints_read(self, changed_end: int, now: float) -> None:
+    def send_endpoints_read(self, changed_to: Position, now: float) -> None:
         """Notify all hosts that this one has read the endpoint records."""
         self.send_all(
             ttypes.Datagram(
                 wire.host_info_to_wire(self.peers.own),
-                endpoints_read=changed_end,
+                endpoints_read=wire.position_to_wire(changed_to),
             ),
             now,
         )
@@ -490,4 +477,5 @@
     'hello': MeshTask.on_hello,
     'levels': MeshTask.on_levels,
     'endpoints_read': MeshTask.on_endpoints_read,
+    'leaving': MeshTask.on_leaving,
 }
--- a/trefoilspool/peers.py
+++ b/trefoilspool/peers.py
@@ -32,8 +32,6 @@
         Larger after each start.
     settings_version : int
         Version of the configuration in force there.
-    settings_end, endpoints_end : int
-        End offsets of the operator's and the endpoints' records read there.
     capacity : int
         CPU that it may use, in thousandths of a core; 0 if unknown.
     """
@@ -43,8 +41,6 @@
     incarnation: int
     leaving: bool = False
     settings_version: int = 0
-    settings_end: int = 0
-    endpoints_end: int = 0
     capacity: int = 0
 
 
--- a/trefoilspool/replica.py
+++ b/trefoilspool/replica.py
@@ -2,10 +2,13 @@
 
 import threading
 from collections.abc import Callable
+from typing import NamedTuple
 
 from trefoilspool.store import KeyedRecord, Page
 
-__all__ = ['Replica']
+__all__ = ['NO_ERA', 'Position', 'Replica']
+
+NO_ERA = -1  # before the first page
 
 
 def record_content(record: KeyedRecord) -> object:
@@ -13,9 +16,28 @@
     return record.content
 
 
+class Position(NamedTuple):
+    """How far a topic has been read; a later position compares greater.
+
+    Attributes
+    ----------
+    era : int
+        Number of times that the store has been restored from a backup.
+    offset : int
+        Offset after the latest record that was read.
+    """
+
+    era: int
+    offset: int
+
+
 class Replica:
     """The latest record of each key; an older record never replaces a newer.
 
+    A restored store may lack records that this replica has, and reuses their
+    offsets. So the first page of a new era must be complete: it replaces all
+    records, and pages of earlier eras are ignored from then on.
+
     Parameters
     ----------
     on_change : callable
@@ -27,6 +49,11 @@
 
     Attributes
     ----------
+    era : int
+        Era of the records; `NO_ERA` until the first page is applied.
+    first_end : int
+        End of the first page of the era. What changed before it in this era
+        is not known.
     end : int
         The replica covers all records before this offset; -1 until the first
         page is applied.
@@ -46,12 +73,20 @@
         self.records: dict[str, KeyedRecord] = {}
         self.comparison_values: dict[str, object] = {}
         self.change_offsets: dict[str, int] = {}
+        self.era = NO_ERA
+        self.first_end = 0
         self.end = -1
         self.changed_end = 0
 
     def apply(self, page: Page) -> None:
         """Store the records of a page that are newer than the stored ones."""
         with self.lock:
+            if page.era < self.era:
+                return
+            if page.era > self.era:
+                if self.era != NO_ERA and not page.complete:
+                    return
+                self.start_era(page)
             newer = [
                 record
                 for record in page.records
@@ -65,6 +100,20 @@
             if newer:
                 self.on_change(tuple(newer))
 
+    def start_era(self, page: Page) -> None:
+        """Void the offsets of the stored records; their content stays."""
+        self.era = page.era
+        self.first_end = page.end if page.complete else 0
+        self.end = -1
+        # Peers that have read less of the era may lack any of the records.
+        self.changed_end = page.end if page.complete else 0
+        self.records = {
+            key: record._replace(offset=-1)
+            for key, record in self.records.items()
+            if record.content
+        }
+        self.change_offsets = dict.fromkeys(self.records, max(0, page.end - 1))
+
     def store(self, record: KeyedRecord) -> None:
         """Store a record and note whether its comparison value changed."""
         value = self.comparison_value(record)
@@ -88,17 +137,30 @@
         """
         listed = {record.key for record in page.records}
         return [
-            KeyedRecord(key, b'', max(record.offset, page.end - 1))
+            KeyedRecord(key, b'', max(record.offset, page.end - 1, 0))
             for key, record in self.records.items()
             if key not in listed and record.content
         ]
 
-    def changes_from(self, start: int) -> Page:
-        """Return the changes from an offset on, including deletions."""
+    def position(self) -> Position:
+        """Return how far the topic has been read."""
+        return Position(self.era, self.end)
+
+    def changed_to(self) -> Position:
+        """Return the position after the latest change."""
+        return Position(self.era, self.changed_end)
+
+    def changes_from(self, start: int, era: int = 0) -> Page:
+        """Return the changes from an offset on, including deletions.
+
+        The page is complete if the offset belongs to another era, or if the
+        changes after it are not all known.
+        """
         with self.lock:
+            complete = era != self.era or start < self.first_end
             records = tuple(
                 record
                 for record in self.records.values()
-                if self.change_offsets[record.key] >= start
+                if complete or self.change_offsets[record.key] >= start
             )
-            return Page(records, self.end, complete=False)
+            return Page(records, self.end, complete, self.era)
--- a/trefoilspool/replication.py
+++ b/trefoilspool/replication.py
@@ -8,11 +8,16 @@
 
 import logbook
 
-from trefoilspool.errors import LogOutageError, TrimmedError
-from trefoilspool.replica import Replica
-from trefoilspool.store import KeyedSource
+from trefoilspool.errors import (
+    LogError,
+    LogOutageError,
+    StoreRestoredError,
+    TrimmedError,
+)
+from trefoilspool.replica import NO_ERA, Replica
+from trefoilspool.store import KeyedSource, Page
 
-__all__ = ['PeerReplicationTask', 'PollInterval', 'StoreReplicationTask']
+__all__ = ['PeerFetchTask', 'PollInterval', 'StoreReplicationTask']
 
 RETRY_S = 0.3
 PEER_POLL_S = 0.2
@@ -65,6 +70,8 @@
         regardless until the replica has been filled for the first time.
     on_read : callable
         Called after each read.
+    on_restored : callable
+        Called after the first read of a new era of the store.
     """
 
     def __init__(
@@ -76,6 +83,7 @@
         stopping: threading.Event,
         should_read: Callable[[], bool] = always_true,
         on_read: Callable[[], None] = no_op,
+        on_restored: Callable[[], None] = no_op,
     ) -> None:
         self.topic = topic
         self.source = source
@@ -84,6 +92,7 @@
         self.stopping = stopping
         self.should_read = should_read
         self.on_read = on_read
+        self.on_restored = on_restored
         self.outage_began_at: float | None = None
         self.outage_ended_at = 0.0
         self.needs_full_read = True
@@ -94,23 +103,34 @@
             if self.replica.end >= 0 and not self.should_read():
                 self.stopping.wait(READER_CHECK_S)
                 continue
-            pause = self.poll_interval.pause_s
-            try:
-                self.read()
-            except TrimmedError as error:
-                logger.info(
-                    'records_trimmed',
-                    extra={'topic': self.topic, 'first': error.first},
-                )
-                self.needs_full_read = True
-                pause = 0
-            except LogOutageError as error:
-                self.on_outage(error)
-                pause = RETRY_S * (1 + random.random())
-            except Exception:
-                logger.exception('follow_failed', extra={'topic': self.topic})
-                pause = RETRY_S
-            self.stopping.wait(pause)
+            self.stopping.wait(self.try_read())
+
+    def try_read(self) -> float:
+        """Read once; return the seconds until the next read."""
+        try:
+            self.read()
+        except LogError as error:
+            return self.on_error(error)
+        except Exception:
+            logger.exception('follow_failed', extra={'topic': self.topic})
+            return RETRY_S
+        return self.poll_interval.pause_s
+
+    def on_error(self, error: LogError) -> float:
+        """Handle a failed read; return the seconds until the next read."""
+        if isinstance(error, TrimmedError):
+            logger.info(
+                'records_trimmed',
+                extra={'topic': self.topic, 'first': error.first},
+            )
+            self.needs_full_read = True
+            return 0
+        if isinstance(error, StoreRestoredError):
+            self.needs_full_read = True
+            # An earlier era is a late response; the next one may be too.
+            return 0 if error.era > self.replica.era else RETRY_S
+        self.on_outage(error)
+        return RETRY_S * (1 + random.random())
 
     def read(self) -> None:
         """Read once; the whole topic at first and after a trimmed read."""
@@ -120,12 +140,29 @@
             page = self.source.read_from(
                 self.replica.end,
                 self.poll_interval.wait_s,
+                self.replica.era,
             )
         self.on_store_available()
-        self.replica.apply(page)
+        self.apply(page)
         self.needs_full_read = False
         self.on_read()
 
+    def apply(self, page: Page) -> None:
+        """Apply a page and report a new era of the store."""
+        era_before = self.replica.era
+        self.replica.apply(page)
+        if NO_ERA < era_before < self.replica.era:
+            logger.warning(
+                'store_restored',
+                extra={
+                    'topic': self.topic,
+                    'era': self.replica.era,
+                    'era_before': era_before,
+                    'end': self.replica.end,
+                },
+            )
+            self.on_restored()
+
     def on_store_available(self) -> None:
         """Record the end of an outage, if there was one."""
         if self.outage_began_at is not None:
@@ -140,7 +177,7 @@
             self.outage_ended_at = now
             self.outage_began_at = None
 
-    def on_outage(self, error: LogOutageError) -> None:
+    def on_outage(self, error: LogError) -> None:
         """Record the start of an outage, unless one is in progress."""
         if self.outage_began_at is None:
             self.outage_began_at = time.monotonic()
@@ -150,60 +187,56 @@
             )
 
 
-class PeerReplicationTask:
-    """Reads from peers the records that this host lacks.
+class PeerFetchTask:
+    """Fetches from peers what this host lacks.
 
     Parameters
     ----------
     topic : str
         Name of the topic in log lines.
-    find_source : callable
-        Returns the source of a peer that has read beyond an offset, None if
-        there is no such peer.
-    replica : Replica
-        Replica to which the records are applied.
+    find_update : callable
+        Returns a function that fetches what a peer is ahead by, None if no
+        peer is ahead. The function raises ``LogOutageError`` if the peer
+        cannot be read.
     stopping : threading.Event
         Ends the task when set.
     min_polls_behind : int
         Number of consecutive polls that must find a peer ahead before it is
         read.
-    on_read : callable
-        Called after each read.
     """
 
     def __init__(
         self,
         topic: str,
-        find_source: Callable[[int], KeyedSource | None],
-        replica: Replica,
+        find_update: Callable[[], Callable[[], None] | None],
         stopping: threading.Event,
         min_polls_behind: int = 2,
-        on_read: Callable[[], None] = no_op,
     ) -> None:
         self.topic = topic
-        self.find_source = find_source
-        self.replica = replica
+        self.find_update = find_update
         self.stopping = stopping
         self.min_polls_behind = min_polls_behind
-        self.on_read = on_read
+        self.polls_behind = 0
 
     def run(self) -> None:
-        """Read until stopped."""
-        polls_behind = 0
+        """Fetch until stopped."""
         while not self.stopping.wait(PEER_POLL_S):
-            source = self.find_source(self.replica.end)
-            polls_behind = polls_behind + 1 if source else 0
-            # Waits for min_polls_behind polls, as the store usually delivers
-            # the same records a moment later.
-            if source is None or polls_behind < self.min_polls_behind:
-                continue
             try:
-                self.replica.apply(
-                    source.read_from(max(self.replica.end, 0), 0),
-                )
-                self.on_read()
+                self.step()
             except LogOutageError as error:
                 logger.info(
                     'peer_not_read',
                     extra={'topic': self.topic, 'error': str(error)},
                 )
+            except Exception:
+                logger.exception('follow_failed', extra={'topic': self.topic})
+
+    def step(self) -> None:
+        """Fetch if a peer has been ahead for ``min_polls_behind`` polls.
+
+        The store usually delivers the same records a moment later.
+        """
+        update = self.find_update()
+        self.polls_behind = self.polls_behind + 1 if update else 0
+        if update is not None and self.polls_behind >= self.min_polls_behind:
+            update()
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -26,6 +26,7 @@
 )
 from trefoilspool.exchange import EndpointClient, EndpointResponse, split_events
 from trefoilspool.filter import Response
+from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.routedrequests import (
     AttemptFailure,
     RoutedRequest,
@@ -39,6 +40,7 @@
     Granted,
     RefusalReason,
     Refused,
+    SlotDecision,
     SlotRelease,
     SlotRequest,
 )
@@ -82,6 +84,8 @@
         Acquires and releases slots.
     directory : Directory
         Endpoints by name.
+    quiet_periods : QuietPeriods
+        Endpoints that get no requests of this host for a while.
     endpoint_client : EndpointClient
         Sends requests to endpoints.
     watch : WatchTask
@@ -96,6 +100,7 @@
         self,
         slot_client: SlotClient,
         directory: Directory,
+        quiet_periods: QuietPeriods,
         endpoint_client: EndpointClient,
         watch: WatchTask,
         metrics: Metrics,
@@ -103,6 +108,7 @@
     ) -> None:
         self.slot_client = slot_client
         self.directory = directory
+        self.quiet_periods = quiet_periods
         self.endpoint_client = endpoint_client
         self.watch = watch
         self.metrics = metrics
@@ -191,6 +197,7 @@
         """
         request = self.request
         now = time.monotonic()
+        quiet = self.quiet_endpoints(now)
         slot_request = SlotRequest(
             key=self.server.slot_client.new_key(),
             service=request.service,
@@ -201,7 +208,7 @@
             first_byte_due=request.arrived_at + request.route.target_latency_s,
             deadline=request.deadline,
             arrived_at=request.arrived_at,
-            avoid=self.avoid,
+            avoid=tuple(dict.fromkeys((*self.avoid, *quiet))),
             attempt=self.sent_attempts + 1,
             prompt_prefixes=request.caller_request.prompt_prefixes,
             streams=request.route.streams,
@@ -210,22 +217,53 @@
             repeatable=request.route.repeats is not RepeatPolicy.never,
         )
         self.slot_number = slot_request.key.number
-        decision = self.server.slot_client.acquire(
-            slot_request, request.client_disconnected
-        )
+        decision: SlotDecision
+        if self.all_avoided(slot_request):
+            wait = min(quiet.values(), default=RETRY_AFTER_S)
+            log_decision(
+                'no_endpoint',
+                request.caller_request.request_id,
+                quiet=quiet,
+                failed=self.avoid,
+                retry_after_s=wait,
+            )
+            decision = Refused(
+                slot_request.key, RefusalReason.no_endpoint, wait
+            )
+        else:
+            decision = self.server.slot_client.acquire(
+                slot_request, request.client_disconnected
+            )
         if isinstance(decision, Refused):
             raise self.refusal_problem(decision)
+        assert isinstance(decision, Granted)
         log_decision(
             'grant',
             request.caller_request.request_id,
-            endpoint=decision.endpoint,  # type: ignore[union-attr]
+            endpoint=decision.endpoint,
             place=slot_request.key.number,
             waited_s=round(time.monotonic() - now, 4),
             attempt=slot_request.attempt,
         )
-        assert isinstance(decision, Granted)
         return Slot(slot_request.key, decision.endpoint)
 
+    def quiet_endpoints(self, now: float) -> dict[str, float]:
+        """Return the service's endpoints that want no requests of this host.
+
+        Returns
+        -------
+        dict
+            Seconds left, by endpoint.
+        """
+        return self.server.quiet_periods.quiet(
+            self.server.directory.names(self.request.service), now
+        )
+
+    def all_avoided(self, slot_request: SlotRequest) -> bool:
+        """Return whether no endpoint of the service may get the request."""
+        names = self.server.directory.names(slot_request.service)
+        return bool(names) and set(names) <= set(slot_request.avoid)
+
     def refusal_problem(self, decision: Refused) -> Problem:
         """Return the problem of a request that was refused a slot."""
         if self.request.client_disconnected():
@@ -259,7 +297,15 @@
                 False,
                 f'endpoint {slot.endpoint} is unknown, leaving or displaced',
             )
-        remaining_s = request.deadline - time.monotonic()
+        now = time.monotonic()
+        quiet_s = self.server.quiet_periods.remaining_s(slot.endpoint, now)
+        if quiet_s:
+            return AttemptFailure(
+                AttemptEnding.unused,
+                False,
+                f'{slot.endpoint} wants no requests for {quiet_s:.3f} s',
+            )
+        remaining_s = request.deadline - now
         if remaining_s < MIN_REMAINING_S:
             return AttemptFailure(
                 AttemptEnding.unused,
--- a/trefoilspool/store.py
+++ b/trefoilspool/store.py
@@ -24,11 +24,15 @@
     complete : bool
         Whether the page lists every key, so that a key that it does not list
         has been deleted.
+    era : int
+        Number of times that the store has been restored from a backup, which
+        takes offsets back. Offsets are comparable only within an era.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
     complete: bool
+    era: int = 0
 
 
 class KeyedSource(ABC):
@@ -42,10 +46,12 @@
         ------
         LogOutageError
             The source did not respond.
+        StoreRestoredError
+            The store was restored during the read.
         """
 
     @abstractmethod
-    def read_from(self, start: int, wait_s: float) -> Page:
+    def read_from(self, start: int, wait_s: float, era: int = 0) -> Page:
         """Read the records from an offset on.
 
         Parameters
@@ -54,11 +60,15 @@
             Offset of the first record to read.
         wait_s : float
             Seconds to wait for a record if there is none yet.
+        era : int
+            Era of the offset.
 
         Raises
         ------
         LogOutageError
             The source did not respond.
+        StoreRestoredError
+            The store is in another era; call `read_latest` instead.
         TrimmedError
             Some of these records have been trimmed; call `read_latest` instead.
         """
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -24,21 +24,17 @@
      - incarnation
      - leaving
      - settings_version
-     - settings_end
-     - endpoints_end
      - capacity
 
     """
 
 
-    def __init__(self, name=None, address=None, incarnation=None, leaving=None, settings_version=None, settings_end=None, endpoints_end=None, capacity=None,):
+    def __init__(self, name=None, address=None, incarnation=None, leaving=None, settings_version=None, capacity=None,):
         self.name = name
         self.address = address
         self.incarnation = incarnation
         self.leaving = leaving
         self.settings_version = settings_version
-        self.settings_end = settings_end
-        self.endpoints_end = endpoints_end
         self.capacity = capacity
 
     def read(self, iprot):
@@ -75,16 +71,6 @@
                     self.settings_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.I64:
-                    self.settings_end = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.I64:
-                    self.endpoints_end = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.I32:
                     self.capacity = iprot.readI32()
@@ -120,14 +106,6 @@
             oprot.writeFieldBegin('settings_version', TType.I64, 5)
             oprot.writeI64(self.settings_version)
             oprot.writeFieldEnd()
-        if self.settings_end is not None:
-            oprot.writeFieldBegin('settings_end', TType.I64, 6)
-            oprot.writeI64(self.settings_end)
-            oprot.writeFieldEnd()
-        if self.endpoints_end is not None:
-            oprot.writeFieldBegin('endpoints_end', TType.I64, 7)
-            oprot.writeI64(self.endpoints_end)
-            oprot.writeFieldEnd()
         if self.capacity is not None:
             oprot.writeFieldBegin('capacity', TType.I32, 8)
             oprot.writeI32(self.capacity)
@@ -150,6 +128,142 @@
         return not (self == other)
 
 
+class Position(object):
+    """
+    Attributes:
+     - era
+     - offset
+
+    """
+
+
+    def __init__(self, era=None, offset=None,):
+        self.era = era
+        self.offset = offset
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Position')
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 1)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 2)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndpointRun(object):
+    """
+    Attributes:
+     - name
+     - started_ms
+
+    """
+
+
+    def __init__(self, name=None, started_ms=None,):
+        self.name = name
+        self.started_ms = started_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointRun')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Ask(object):
     """
     Attributes:
@@ -970,11 +1084,12 @@
      - hello
      - levels
      - endpoints_read
+     - leaving
 
     """
 
 
-    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None,):
+    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None, leaving=None,):
         self.sender = sender
         self.asks = asks
         self.verdicts = verdicts
@@ -985,6 +1100,7 @@
         self.hello = hello
         self.levels = levels
         self.endpoints_read = endpoints_read
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1078,9 +1194,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.I64:
-                    self.endpoints_read = iprot.readI64()
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.endpoints_read = Position()
+                    self.endpoints_read.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = EndpointRun()
+                        _elem69.read(iprot)
+                        self.leaving.append(_elem69)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1100,29 +1228,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter64 in self.asks:
-                iter64.write(oprot)
+            for iter70 in self.asks:
+                iter70.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter65 in self.verdicts:
-                iter65.write(oprot)
+            for iter71 in self.verdicts:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter66 in self.ends:
-                iter66.write(oprot)
+            for iter72 in self.ends:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.roll is not None:
             oprot.writeFieldBegin('roll', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.roll))
-            for iter67 in self.roll:
-                iter67.write(oprot)
+            for iter73 in self.roll:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1132,8 +1260,8 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter68 in self.hosts:
-                iter68.write(oprot)
+            for iter74 in self.hosts:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hello is not None:
@@ -1143,13 +1271,20 @@
         if self.levels is not None:
             oprot.writeFieldBegin('levels', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.levels))
-            for iter69 in self.levels:
-                iter69.write(oprot)
+            for iter75 in self.levels:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_read is not None:
-            oprot.writeFieldBegin('endpoints_read', TType.I64, 10)
-            oprot.writeI64(self.endpoints_read)
+            oprot.writeFieldBegin('endpoints_read', TType.STRUCT, 11)
+            self.endpoints_read.write(oprot)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter76 in self.leaving:
+                iter76.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1175,10 +1310,22 @@
     (3, TType.I64, 'incarnation', None, None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
     (5, TType.I64, 'settings_version', None, None, ),  # 5
-    (6, TType.I64, 'settings_end', None, None, ),  # 6
-    (7, TType.I64, 'endpoints_end', None, None, ),  # 7
+    None,  # 6
+    None,  # 7
     (8, TType.I32, 'capacity', None, None, ),  # 8
 )
+all_structs.append(Position)
+Position.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'era', None, None, ),  # 1
+    (2, TType.I64, 'offset', None, None, ),  # 2
+)
+all_structs.append(EndpointRun)
+EndpointRun.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+)
 all_structs.append(Ask)
 Ask.thrift_spec = (
     None,  # 0
@@ -1260,7 +1407,9 @@
     (7, TType.LIST, 'hosts', (TType.STRUCT, [HostCard, None], False), None, ),  # 7
     (8, TType.BOOL, 'hello', None, None, ),  # 8
     (9, TType.LIST, 'levels', (TType.STRUCT, [Level, None], False), None, ),  # 9
-    (10, TType.I64, 'endpoints_read', None, None, ),  # 10
+    None,  # 10
+    (11, TType.STRUCT, 'endpoints_read', [Position, None], None, ),  # 11
+    (12, TType.LIST, 'leaving', (TType.STRUCT, [EndpointRun, None], False), None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -13,7 +13,9 @@
 from thrift.TSerialization import deserialize, serialize
 
 from trefoilspool import slotmessages
+from trefoilspool.departures import EndpointRun
 from trefoilspool.peers import HostInfo
+from trefoilspool.replica import Position
 from trefoilspool.wire.gen.mesh import ttypes
 
 __all__ = [
@@ -25,10 +27,14 @@
     'decode_host_info',
     'encode',
     'encode_host_info',
+    'endpoint_run_from_wire',
+    'endpoint_run_to_wire',
     'held_from_wire',
     'held_to_wire',
     'host_info_from_wire',
     'host_info_to_wire',
+    'position_from_wire',
+    'position_to_wire',
     'slot_release_from_wire',
     'slot_release_to_wire',
 ]
@@ -71,12 +77,30 @@
         wire.incarnation,
         bool(wire.leaving),
         wire.settings_version,
-        wire.settings_end,
-        wire.endpoints_end,
         wire.capacity or 0,
     )
 
 
+def position_to_wire(position: Position) -> ttypes.Position:
+    """Build the Thrift struct of a position."""
+    return ttypes.Position(position.era, position.offset)
+
+
+def position_from_wire(wire: ttypes.Position) -> Position:
+    """Build a position from its Thrift struct."""
+    return Position(wire.era, wire.offset)
+
+
+def endpoint_run_to_wire(run: EndpointRun) -> ttypes.EndpointRun:
+    """Build the Thrift struct of an endpoint's run."""
+    return ttypes.EndpointRun(run.name, run.started_ms)
+
+
+def endpoint_run_from_wire(wire: ttypes.EndpointRun) -> EndpointRun:
+    """Build an endpoint's run from its Thrift struct."""
+    return EndpointRun(wire.name, wire.started_ms)
+
+
 def encode_host_info(host: HostInfo) -> bytes:
     """Encode host info."""
     return encode(ttypes.Datagram(host_info_to_wire(host)))
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -7,10 +7,18 @@
   3: i64 incarnation
   4: bool leaving
   5: i64 settings_version   // configuration in force there
-  6: i64 settings_end       // end offset of the operator's records there
-  7: i64 endpoints_end      // end offset of the endpoints' records there
   8: optional i32 capacity  // processor of the host, thousandths of a core
 }
+// How far a topic of the store has been read.
+struct Position {
+  1: i64 era                // restores of the store so far
+  2: i64 offset
+}
+// One run of an endpoint's process.
+struct EndpointRun {
+  1: string name
+  2: i64 started_ms         // Unix time of its start
+}
 struct Ask {
   1: i64 request
   2: string service_name
@@ -77,7 +85,9 @@
   8: optional bool hello    // the sender asks for a sign of life; if true, for
                             // a list of the hosts
   9: optional list<Level> levels  // what an earlier home told the sender
-  10: optional i64 endpoints_read // the sender has just read the endpoints'
-                                  // records; the offset after the newest that
-                                  // changed
+  11: optional Position endpoints_read // the sender has just read the
+                                       // endpoints' records; the position after
+                                       // the newest that changed
+  12: optional list<EndpointRun> leaving // runs that told the sender that they
+                                         // are leaving
 }
