Tell callers the truth where an attempt ends badly, and count suspensions

Reads are bounded by whole events and by the stream's own pace. An answer without an id counts only on a connection's first request, and bytes after an answer close its connection. A drain waits for every request that a connection has. Durations use a clock that counts suspensions, and a slot is used for 1.2 s at most, after which the home may have granted it anew.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -28,9 +28,13 @@
     'gatewayhost',
     'jsonlog',
     'mesh',
+    'datagramsocket',
     'peers',
+    'quietperiods',
     'replication',
+    'requestoutcomes',
     'serving',
+    'slotacquisition',
     'slotclient',
     'slotscheduler',
 )
--- a/trefoilspool/connections.py
+++ b/trefoilspool/connections.py
@@ -4,10 +4,11 @@
 import select
 import socket
 import threading
-import time
 from collections import deque
 from collections.abc import Mapping
 
+from trefoilspool import clock
+
 __all__ = ['ConnectionPool', 'EndpointConnection']
 
 CONNECT_TIMEOUT_S = 0.3
@@ -34,12 +35,15 @@
         When the connection returned to the pool, in monotonic seconds.
     idle_limit_s : float
         Longest time that the endpoint is expected to keep it open.
+    is_reused : bool
+        Whether it has carried an earlier request.
     """
 
     def __init__(self, address: str, port: int) -> None:
         super().__init__(address, port, timeout=CONNECT_TIMEOUT_S)
         self.idle_since = 0.0
         self.idle_limit_s = MAX_IDLE_S
+        self.is_reused = False
         self.tcp_socket: socket.socket | None = None
 
     def connect(self) -> None:
@@ -95,7 +99,7 @@
         max_idle_s : float
             Longest time that a reused connection may have been idle.
         """
-        now = time.monotonic()
+        now = clock.now()
         with self.lock:
             idle = self.idle.get((address, port), ())
             while idle:
@@ -112,7 +116,8 @@
 
     def release(self, connection: EndpointConnection) -> None:
         """Put a connection whose response has been read back into the pool."""
-        connection.idle_since = time.monotonic()
+        connection.idle_since = clock.now()
+        connection.is_reused = True
         with self.lock:
             idle = self.idle.setdefault(
                 (connection.host, connection.port), deque()
@@ -123,7 +128,7 @@
 
     def close_expired(self) -> None:
         """Close connections that have been idle longer than ``MAX_IDLE_S``."""
-        now = time.monotonic()
+        now = clock.now()
         with self.lock:
             for idle in self.idle.values():
                 while idle and now - idle[0].idle_since > MAX_IDLE_S:
--- a/trefoilspool/discovery.py
+++ b/trefoilspool/discovery.py
@@ -2,10 +2,10 @@
 
 import random
 import threading
-import time
 
 import logbook
 
+from trefoilspool import clock
 from trefoilspool.errors import LogOutageError, StoreRestoredError
 from trefoilspool.peers import PeerRegistry
 from trefoilspool.store import KeyedTopic
@@ -90,5 +90,5 @@
         )
         self.peers.on_reported(
             [host for host in hosts if host is not None],
-            time.monotonic(),
+            clock.now(),
         )
--- /dev/null
+++ b/trefoilspool/endpointattempts.py
@@ -0,0 +1,222 @@
+"""One attempt of a request at the endpoint of its slot."""
+
+from trefoilspool import clock
+from trefoilspool.connections import EndpointConnection
+from trefoilspool.departures import EndpointRecord
+from trefoilspool.dialect import OutboundRequest
+from trefoilspool.directory import Directory
+from trefoilspool.errors import (
+    ConnectFailedError,
+    SendFailedError,
+    StreamCutError,
+)
+from trefoilspool.exchange import EndpointClient, EndpointResponse, split_events
+from trefoilspool.quietperiods import QuietPeriods
+from trefoilspool.requestprogress import (
+    EVENT_GAP_TIMEOUT_S,
+    RequestProgress,
+)
+from trefoilspool.routedrequests import AttemptFailure, Slot, StartedResponse
+from trefoilspool.routing import RepeatPolicy
+from trefoilspool.slotmessages import AttemptEnding
+from trefoilspool.watch import Unwatch, Watch, WatchTask
+
+__all__ = ['FIRST_SERVER_ERROR_STATUS', 'EndpointAttempts']
+
+# The endpoint may already have closed a reused connection. Whether a request
+# sent on it ran is then unknown, so at-most-once requests get new connections.
+AT_MOST_ONCE_MAX_IDLE_S = 0.0
+REPEATABLE_MAX_IDLE_S = 3.0
+# A slot that was granted longer ago may have been granted to another request:
+# the home host frees the slots of a host that has been silent for so long.
+SLOT_LIFETIME_S = 1.2
+# Without an event or body for this long, a repeatable request is retried at
+# another endpoint.
+FIRST_BYTE_TIMEOUT_S = 1.0
+FIRST_SERVER_ERROR_STATUS = 500
+LAST_SUCCESS_STATUS = 299
+MIN_REMAINING_S = 0.01
+
+
+class EndpointAttempts:
+    """Sends the attempts of one request.
+
+    Parameters
+    ----------
+    progress : RequestProgress
+        The request and its attempts so far.
+    directory : Directory
+        Endpoints by name.
+    quiet_periods : QuietPeriods
+        Endpoints that get no requests of this host for a while.
+    endpoint_client : EndpointClient
+        Sends requests to endpoints.
+    watch : WatchTask
+        Aborts attempts whose caller disconnected or whose deadline passed.
+    """
+
+    def __init__(
+        self,
+        progress: RequestProgress,
+        directory: Directory,
+        quiet_periods: QuietPeriods,
+        endpoint_client: EndpointClient,
+        watch: WatchTask,
+    ) -> None:
+        self.progress = progress
+        self.request = progress.request
+        self.directory = directory
+        self.quiet_periods = quiet_periods
+        self.endpoint_client = endpoint_client
+        self.watch = watch
+
+    def attempt(self, slot: Slot) -> StartedResponse | AttemptFailure:
+        """Send the request to the endpoint of a slot."""
+        endpoint = self.directory.get(slot.endpoint)
+        if endpoint is None:
+            return AttemptFailure(
+                AttemptEnding.gone,
+                False,
+                f'endpoint {slot.endpoint} is unknown, leaving or displaced',
+            )
+        obstacle = self.obstacle(slot, clock.now())
+        if obstacle:
+            return AttemptFailure(AttemptEnding.unused, False, obstacle)
+        try:
+            connection = self.connect(endpoint)
+        except ConnectFailedError as error:
+            return AttemptFailure(AttemptEnding.unreachable, False, str(error))
+        return self.send(slot, connection)
+
+    def obstacle(self, slot: Slot, now: float) -> str:
+        """Return why a slot cannot be used, an empty text if it can."""
+        remaining_s = self.request.deadline - now
+        if remaining_s < MIN_REMAINING_S:
+            return f'{remaining_s:.3f} s left before the deadline'
+        age_s = now - slot.granted_at
+        if age_s > SLOT_LIFETIME_S:
+            return f'the slot was granted {age_s:.3f} s ago'
+        quiet_s = self.quiet_periods.remaining_s(slot.endpoint, now)
+        if quiet_s:
+            return f'{slot.endpoint} wants no requests for {quiet_s:.3f} s'
+        return ''
+
+    def connect(self, endpoint: EndpointRecord) -> EndpointConnection:
+        """Return an open connection to an endpoint.
+
+        Raises
+        ------
+        ConnectFailedError
+            When no connection could be made; nothing was sent.
+        """
+        at_most_once = self.request.route.repeats is RepeatPolicy.never
+        return self.endpoint_client.connect(
+            endpoint.address,
+            endpoint.port,
+            AT_MOST_ONCE_MAX_IDLE_S if at_most_once else REPEATABLE_MAX_IDLE_S,
+        )
+
+    def send(
+        self, slot: Slot, connection: EndpointConnection
+    ) -> StartedResponse | AttemptFailure:
+        """Send the request and read the start of the response."""
+        request = self.request
+        progress = self.progress
+        self.watch.post(
+            Watch(
+                slot.key.number,
+                request.client_disconnected,
+                request.deadline,
+                connection.abort,
+            ),
+        )
+        progress.on_sent(clock.now())
+        outbound = OutboundRequest(
+            request.caller_request,
+            slot.endpoint,
+            request.workspace,
+            request.deadline - progress.sent_at,
+            progress.last_event_number,
+        )
+        try:
+            response = self.endpoint_client.send(
+                connection,
+                outbound,
+                progress.read_until(FIRST_BYTE_TIMEOUT_S, progress.sent_at),
+            )
+            return self.classify_response(slot, response)
+        except (SendFailedError, StreamCutError) as error:
+            self.unwatch(slot)
+            return AttemptFailure(AttemptEnding.broken, True, str(error))
+
+    def unwatch(self, slot: Slot) -> None:
+        """Stop the watch on an attempt."""
+        self.watch.post(Unwatch(slot.key.number))
+
+    def classify_response(
+        self, slot: Slot, response: EndpointResponse
+    ) -> StartedResponse | AttemptFailure:
+        """Return the response, or a failure if its head shows one.
+
+        Raises
+        ------
+        StreamCutError
+            When the response is cut short.
+        """
+        head = response.head
+        if head.not_run or head.is_other_endpoint:
+            self.unwatch(slot)
+            response.discard()
+            ending = (
+                AttemptEnding.gone
+                if head.is_other_endpoint
+                else AttemptEnding.refused
+            )
+            return AttemptFailure(
+                ending, False, f'status {head.status}, not run'
+            )
+        if head.encoded or not head.is_stamped:
+            self.unwatch(slot)
+            response.close()
+            return AttemptFailure(
+                AttemptEnding.broken,
+                True,
+                f'status {head.status}: the response is encoded or lacks '
+                "the endpoint's stamp",
+            )
+        is_success = head.status <= LAST_SUCCESS_STATUS
+        if is_success and self.request.route.streams:
+            return self.open_stream(slot, response)
+        return self.read_body(slot, response)
+
+    def read_body(
+        self, slot: Slot, response: EndpointResponse
+    ) -> StartedResponse | AttemptFailure:
+        """Read a whole response; one with a server error is a failure."""
+        body = response.read_body()
+        self.unwatch(slot)
+        self.progress.on_first_event(clock.now())
+        started = StartedResponse(slot, response, body, None)
+        status = response.head.status
+        if status < FIRST_SERVER_ERROR_STATUS:
+            return started
+        return AttemptFailure(
+            AttemptEnding.failed, True, f'status {status}', started
+        )
+
+    def open_stream(
+        self, slot: Slot, response: EndpointResponse
+    ) -> StartedResponse:
+        """Read a stream up to the end of its first event."""
+        progress = self.progress
+        head_at = clock.now()
+        first_due = progress.read_until(FIRST_BYTE_TIMEOUT_S, progress.sent_at)
+        response.read_until = max(
+            first_due, progress.read_until(EVENT_GAP_TIMEOUT_S, head_at)
+        )
+        rest = split_events(response.chunks())
+        first = next(rest, b'')
+        now = clock.now()
+        progress.on_first_event(now)
+        response.read_until = progress.next_event_due(now)
+        return StartedResponse(slot, response, first, rest)
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from trefoilspool import clock
 from trefoilspool.connections import (
     MAX_IDLE_S,
     ConnectionPool,
@@ -24,6 +25,7 @@
 # A stray response to an earlier request may precede the expected one.
 MAX_STRAY_RESPONSES = 1
 EVENT_END = b'\n\n'
+MIN_TIMEOUT_S = 0.001  # zero would make a socket non-blocking
 
 logger = logbook.Logger('exchange')
 
@@ -41,6 +43,9 @@
         The response as the standard library reads it.
     head : ResponseHead
         The decoded head.
+    read_until : float
+        Time, in seconds, until which the next event or the end of the body is
+        waited for, whatever bytes come before it.
     """
 
     def __init__(
@@ -49,11 +54,13 @@
         connection: EndpointConnection,
         http_response: http.client.HTTPResponse,
         head: ResponseHead,
+        read_until: float,
     ) -> None:
         self.pool = pool
         self.connection = connection
         self.http_response = http_response
         self.head = head
+        self.read_until = read_until
 
     def read_body(self) -> bytes:
         """Return the whole body and release the connection.
@@ -63,13 +70,7 @@
         StreamCutError
             When the body is cut short.
         """
-        try:
-            body = self.http_response.read()
-        except (OSError, http.client.HTTPException) as error:
-            self.close()
-            raise StreamCutError(f'the body was cut: {error!r}') from error
-        self.return_connection()
-        return body
+        return b''.join(self.chunks())
 
     def discard(self) -> None:
         """Read and drop the body; close the connection if the body is cut."""
@@ -78,11 +79,6 @@
         except StreamCutError as error:
             logger.info('refusal_cut', extra={'error': str(error)})
 
-    def set_read_timeout(self, seconds: float) -> None:
-        """Set the timeout of each read from the socket."""
-        if self.connection.tcp_socket is not None:
-            self.connection.tcp_socket.settimeout(seconds)
-
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it is received, then release the connection.
 
@@ -95,25 +91,43 @@
             yield from self.read_chunks()
         except (OSError, http.client.HTTPException, ValueError) as error:
             self.close()
-            raise StreamCutError(f'the stream was cut: {error!r}') from error
+            raise StreamCutError(f'the response was cut: {error!r}') from error
         if self.http_response.length:
             self.close()
             raise StreamCutError(
-                f'the stream was cut {self.http_response.length} bytes early'
+                f'the response was cut {self.http_response.length} bytes early'
             )
         self.return_connection()
 
     def read_chunks(self) -> Iterator[bytes]:
-        """Yield the bytes of each read."""
+        """Yield the bytes of each read.
+
+        Raises
+        ------
+        TimeoutError
+            When ``read_until`` has passed.
+        """
         while True:
+            remaining_s = self.read_until - clock.now()
+            if remaining_s <= 0:
+                raise TimeoutError('no whole event or body in time')
+            if self.connection.tcp_socket is not None:
+                self.connection.tcp_socket.settimeout(remaining_s)
             chunk = self.http_response.read1(READ_BYTES)
             if not chunk:
                 return
             yield chunk
 
     def return_connection(self) -> None:
-        """Release the connection, or close it if the endpoint will close it."""
-        if self.head.closes_connection or self.http_response.will_close:
+        """Release the connection, or close it if the endpoint will close it.
+
+        A connection with bytes after the response is closed as well: they
+        belong to no request.
+        """
+        closes = self.head.closes_connection or self.http_response.will_close
+        closes = closes or self.has_extra_bytes()
+        self.http_response.close()
+        if closes:
             self.connection.close()
             return
         if self.head.idle_s:
@@ -122,6 +136,14 @@
             self.connection.idle_limit_s = min(MAX_IDLE_S, self.head.idle_s / 2)
         self.pool.release(self.connection)
 
+    def has_extra_bytes(self) -> bool:
+        """Return whether bytes have arrived after the end of the body."""
+        reader = self.http_response.fp
+        if reader is None or self.connection.tcp_socket is None:
+            return False
+        self.connection.tcp_socket.settimeout(0)
+        return bool(reader.peek(1))
+
     def close(self) -> None:
         """Close the connection, which cancels a response in progress."""
         self.connection.abort()
@@ -189,10 +211,19 @@
         self,
         connection: EndpointConnection,
         outbound: OutboundRequest,
-        timeout_s: float,
+        read_until: float,
     ) -> EndpointResponse:
         """Send a request and read the head of its response.
 
+        Parameters
+        ----------
+        connection : EndpointConnection
+            An open connection.
+        outbound : OutboundRequest
+            The request.
+        read_until : float
+            Time, in seconds, until which the response is waited for.
+
         Raises
         ------
         SendFailedError
@@ -200,7 +231,7 @@
             endpoint.
         """
         request = outbound.caller_request
-        connection.sock.settimeout(timeout_s)
+        connection.sock.settimeout(max(MIN_TIMEOUT_S, read_until - clock.now()))
         try:
             self.write_request(connection, outbound)
             response = connection.getresponse()
@@ -216,8 +247,10 @@
                 response.getheaders(),
             )
             self.on_head(outbound.endpoint, head)
-            if head.request_id in {'', request.request_id}:
-                return EndpointResponse(self.pool, connection, response, head)
+            if is_response_to(request.request_id, head, connection):
+                return EndpointResponse(
+                    self.pool, connection, response, head, read_until
+                )
             # No response can follow one that has no length or that closed the
             # connection.
             if response.length is None or connection.sock is None:
@@ -282,6 +315,19 @@
         return response
 
 
+def is_response_to(
+    request_id: str, head: ResponseHead, connection: EndpointConnection
+) -> bool:
+    """Return whether a head is that of the response to a request.
+
+    One without an id may be a late copy of an earlier response, unless the
+    request is the first on its connection.
+    """
+    if not head.request_id:
+        return not connection.is_reused
+    return head.request_id == request_id
+
+
 def split_events(
     chunks: Iterator[bytes],
 ) -> Iterator[bytes]:
--- a/trefoilspool/gateway.py
+++ b/trefoilspool/gateway.py
@@ -3,12 +3,12 @@
 import json
 import random
 import threading
-import time
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
+from trefoilspool import clock
 from trefoilspool.callerrors import UnknownRouteError
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.errors import (
@@ -97,7 +97,7 @@
         client_disconnected : callable
             Returns whether the caller has closed its connection.
         """
-        arrived_at = time.monotonic()
+        arrived_at = clock.now()
         with self.lock:
             self.open_count += 1
         response = self.respond(request, arrived_at, client_disconnected)
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -9,6 +9,7 @@
 
 import logbook
 
+from trefoilspool import clock
 from trefoilspool.departures import EndpointRecord, EndpointRun
 from trefoilspool.dialect import Dialect, ResponseHead
 from trefoilspool.directory import Directory
@@ -243,7 +244,7 @@
         has undone register again.
         """
         if self.endpoints_task.outage_began_at is not None:
-            return time.monotonic()
+            return clock.now()
         return max(self.endpoints_task.outage_ended_at, self.store_restored_at)
 
     def start(self) -> None:
@@ -273,14 +274,14 @@
         """Close idle connections and drop expired endpoints periodically."""
         while not self.stopping.wait(CLEANUP_INTERVAL_S):
             self.endpoint_client.pool.close_expired()
-            self.directory.tick(time.monotonic())
-            self.quiet_periods.forget_ended(time.monotonic())
+            self.directory.tick(clock.now())
+            self.quiet_periods.forget_ended(clock.now())
 
     def on_endpoint_head(self, endpoint: str, head: ResponseHead) -> None:
         """Apply what the head of an endpoint's response says of its state."""
         if head.is_other_endpoint:
             return
-        now = time.monotonic()
+        now = clock.now()
         if head.is_leaving:
             run = self.directory.on_own_word(endpoint, now)
             if run is not None:
@@ -294,7 +295,7 @@
 
     def on_leaving_runs(self, runs: list[EndpointRun]) -> list[EndpointRun]:
         """Apply the runs that a peer reports as leaving; return the new."""
-        now = time.monotonic()
+        now = clock.now()
         new = [
             run
             for run in runs
@@ -331,7 +332,7 @@
         """
         if self.mesh.peers.is_preferred_home(ENDPOINTS_READERS):
             return True
-        stale_s = time.monotonic() - self.endpoints_current_at
+        stale_s = clock.now() - self.endpoints_current_at
         return stale_s >= ENDPOINTS_STALE_S
 
     def on_endpoints_read(self) -> None:
@@ -344,7 +345,7 @@
 
     def on_endpoints_current(self) -> None:
         """Record that this host now has all endpoint records."""
-        self.mark_endpoints_current(time.monotonic())
+        self.mark_endpoints_current(clock.now())
 
     def mark_endpoints_current(self, at: float) -> None:
         """Record when this host had all endpoint records.
@@ -455,7 +456,7 @@
 
     def on_endpoints(self, records: tuple[KeyedRecord, ...]) -> None:
         """Pass new endpoint records to the directory."""
-        now = time.monotonic()
+        now = clock.now()
         era = self.endpoints.era
         restored = NO_ERA < self.endpoints_era < era
         self.endpoints_era = era
@@ -494,17 +495,19 @@
             Server whose idle connections are closed, so that their callers
             connect to other hosts.
         """
-        started = time.monotonic()
+        started = clock.now()
         gateway = self.gateway
         gateway.draining = True
         self.publish_own_info()
         self.mesh.announce()
         logger.info('draining', extra={'open': gateway.open_count})
-        while time.monotonic() < started + MAX_DRAIN_S:
-            elapsed_s = time.monotonic() - started
+        while clock.now() < started + MAX_DRAIN_S:
+            elapsed_s = clock.now() - started
             gateway.closed = elapsed_s >= ACCEPT_DURING_DRAIN_S
             server.close_idle()
-            if elapsed_s >= MIN_DRAIN_S and not gateway.open_count:
+            # The gateway does not count a request that no thread has taken.
+            is_busy = gateway.open_count or server.has_requests()
+            if elapsed_s >= MIN_DRAIN_S and not is_busy:
                 break
             time.sleep(DRAIN_POLL_S)
         logger.info('drained', extra={'open': gateway.open_count})
--- a/trefoilspool/httpserver.py
+++ b/trefoilspool/httpserver.py
@@ -116,6 +116,13 @@
             channel.server.pull_trigger()
         return closed
 
+    def has_requests(self) -> bool:
+        """Return whether any request is being read, waits or is answered."""
+        return any(
+            channel.requests or channel.request or channel.total_outbufs_len
+            for channel in self.channels()
+        )
+
     def close(self) -> None:
         """Close all sockets."""
         close_all(self.sockets, ignore_all=True)
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -7,13 +7,13 @@
 """
 
 import threading
-import time
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NamedTuple
 
 import logbook
 
+from trefoilspool import clock
 from trefoilspool.datagramsocket import DatagramSocket
 from trefoilspool.departures import EndpointRun
 from trefoilspool.helloschedule import HelloSchedule
@@ -110,7 +110,7 @@
         """Send a slot request or a release; usable from any thread."""
         datagram = ttypes.Datagram(wire.host_info_to_wire(self.peers.own))
         if isinstance(message, SlotRequest):
-            datagram.asks = [wire.ask_to_wire(message, time.monotonic())]
+            datagram.asks = [wire.ask_to_wire(message, clock.now())]
         elif isinstance(message, SlotRelease):
             datagram.ends = [wire.slot_release_to_wire(message)]
         self.send(address, datagram)
@@ -152,8 +152,8 @@
 
     def step(self) -> None:
         """Handle one datagram, then callbacks and timers that are due."""
-        body, origin = self.socket.receive(self.pause_s(time.monotonic()))
-        now = time.monotonic()
+        body, origin = self.socket.receive(self.pause_s(clock.now()))
+        now = clock.now()
         if body:
             self.on_datagram(body, origin, now)
         if self.callbacks:
--- a/trefoilspool/replication.py
+++ b/trefoilspool/replication.py
@@ -2,12 +2,12 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable
 from typing import NamedTuple
 
 import logbook
 
+from trefoilspool import clock
 from trefoilspool.errors import (
     LogError,
     LogOutageError,
@@ -166,7 +166,7 @@
     def on_store_available(self) -> None:
         """Record the end of an outage, if there was one."""
         if self.outage_began_at is not None:
-            now = time.monotonic()
+            now = clock.now()
             logger.info(
                 'store_regained',
                 extra={
@@ -180,7 +180,7 @@
     def on_outage(self, error: LogError) -> None:
         """Record the start of an outage, unless one is in progress."""
         if self.outage_began_at is None:
-            self.outage_began_at = time.monotonic()
+            self.outage_began_at = clock.now()
             logger.warning(
                 'store_lost',
                 extra={'topic': self.topic, 'error': str(error)},
--- /dev/null
+++ b/trefoilspool/requestprogress.py
@@ -0,0 +1,198 @@
+"""What is known of a request's attempts, and what may be said of it.
+
+Pure: each call passes the time, so that the decisions can be tested alone.
+"""
+
+from trefoilspool.callerrors import DeadlineAfterSendError
+from trefoilspool.errors import (
+    EndpointFailedError,
+    MayHaveRunError,
+    OverloadedError,
+    Problem,
+)
+from trefoilspool.routedrequests import AttemptFailure, RoutedRequest
+from trefoilspool.routing import RepeatPolicy
+from trefoilspool.slotmessages import AttemptEnding
+
+__all__ = ['RequestProgress']
+
+MAX_UNPROCESSED_RETRIES = 4  # after endings in UNPROCESSED_ENDINGS
+RETRY_AFTER_S = 0.3
+# An endpoint that has sent no whole event or body for this long counts as
+# failing, even if the caller or the deadline ended the attempt.
+SILENT_AFTER_S = 0.9
+# Longest gap between events of a stream that can be retried, if none of its
+# earlier gaps was long.
+EVENT_GAP_TIMEOUT_S = 0.8
+# A gap of a slow stream may be this many times its longest earlier one.
+GAP_FACTOR = 4.0
+# Reads time out this long after the deadline, at which the watch task aborts
+# them.
+READ_SLACK_S = 0.5
+
+# After these endings MAX_UNPROCESSED_RETRIES bounds the retries, not the
+# route's max_attempts: the request was not sent, or the endpoint responded that
+# it has another name (421).
+UNPROCESSED_ENDINGS = frozenset(
+    (AttemptEnding.unreachable, AttemptEnding.gone, AttemptEnding.unused)
+)
+
+
+class RequestProgress:
+    """Progress of one request; owned by the request's thread.
+
+    Parameters
+    ----------
+    request : RoutedRequest
+        The request.
+
+    Attributes
+    ----------
+    sent_attempts : int
+        Attempts of which a byte may have reached an endpoint.
+    unprocessed_attempts : int
+        Attempts with an ending in ``UNPROCESSED_ENDINGS``.
+    may_have_run : bool
+        Whether any endpoint may have run the request.
+    avoid : tuple of str
+        Endpoints at which an attempt has failed.
+    last_event_number : int
+        Number of the last event that the caller has; -1 if none.
+    slot_number : int
+        Number of the last slot asked for.
+    sent_at : float
+        When the last attempt was sent, in seconds.
+    first_byte_s : float
+        Seconds from the last send to the end of the first event, or of a body
+        that is not a stream; 0 before it.
+    event_count : int
+        Events received in the last attempt.
+    first_event_at, last_event_at : float
+        When these events were received, in seconds.
+    longest_gap_s : float
+        Longest time between two events of the last attempt, in seconds.
+    last_failure : AttemptFailure or None
+        The last failed attempt.
+    """
+
+    def __init__(self, request: RoutedRequest) -> None:
+        self.request = request
+        self.sent_attempts = 0
+        self.unprocessed_attempts = 0
+        self.may_have_run = False
+        self.avoid: tuple[str, ...] = ()
+        self.last_event_number = request.caller_request.resume_after
+        self.slot_number = 0
+        self.sent_at = 0.0
+        self.first_byte_s = 0.0
+        self.event_count = 0
+        self.first_event_at = 0.0
+        self.last_event_at = 0.0
+        self.longest_gap_s = 0.0
+        self.last_failure: AttemptFailure | None = None
+
+    def on_sent(self, now: float) -> None:
+        """Count an attempt that is about to be sent."""
+        self.sent_attempts += 1
+        self.sent_at = now
+        self.first_byte_s = 0.0
+        self.event_count = 0
+        self.longest_gap_s = 0.0
+
+    def on_first_event(self, now: float) -> None:
+        """Note the end of the first event, or of a body."""
+        self.first_event_at = now
+        self.last_event_at = now
+        self.first_byte_s = now - self.sent_at
+
+    def on_event(self, now: float) -> None:
+        """Note the end of a further event."""
+        self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
+        self.last_event_at = now
+
+    def is_new(self, number: int | None) -> bool:
+        """Count an event; return whether the caller does not have it yet."""
+        self.event_count += 1
+        if number is None:
+            return True
+        if number <= self.last_event_number:
+            return False
+        self.last_event_number = number
+        return True
+
+    def decode_s(self, now: float) -> float:
+        """Return the seconds since the first event, 0 without events."""
+        return now - self.first_event_at if self.event_count else 0.0
+
+    def read_until(self, limit_s: float, now: float) -> float:
+        """Return the time until which an attempt is waited for.
+
+        At-most-once requests and the last allowed attempt are waited for until
+        the deadline; ``limit_s`` bounds the others.
+        """
+        request = self.request
+        last = request.deadline + READ_SLACK_S
+        if request.route.repeats is RepeatPolicy.never:
+            return last
+        if self.sent_attempts >= request.route.max_attempts:
+            return last
+        return min(last, now + limit_s)
+
+    def next_event_due(self, now: float) -> float:
+        """Return the time until which the next event is waited for.
+
+        A slow stream that keeps its pace is not cut.
+        """
+        limit_s = max(EVENT_GAP_TIMEOUT_S, self.longest_gap_s * GAP_FACTOR)
+        return self.read_until(limit_s, now)
+
+    def on_failure(
+        self, failure: AttemptFailure, ending: AttemptEnding, endpoint: str
+    ) -> None:
+        """Note a failed attempt."""
+        self.may_have_run = self.may_have_run or failure.may_have_run
+        self.unprocessed_attempts += ending in UNPROCESSED_ENDINGS
+        self.avoid = (*self.avoid, endpoint)
+        self.last_failure = failure
+
+    def reported_ending(
+        self, failure: AttemptFailure, now: float
+    ) -> AttemptEnding:
+        """Return the ending to report to the slot scheduler.
+
+        An attempt that the caller or the deadline ended does not count against
+        the endpoint, unless the endpoint had sent no whole event or body for
+        ``SILENT_AFTER_S``.
+        """
+        cancelled = self.request.client_disconnected()
+        if now >= self.request.deadline and failure.may_have_run:
+            cancelled = True
+        if not cancelled:
+            return failure.ending
+        if failure.may_have_run and not self.first_byte_s:
+            if now - self.sent_at >= SILENT_AFTER_S:
+                return AttemptEnding.silent
+        return AttemptEnding.cancelled
+
+    def may_retry(self, failure: AttemptFailure, now: float) -> bool:
+        """Return whether another attempt may follow a failed one."""
+        request = self.request
+        if request.client_disconnected() or now >= request.deadline:
+            return False
+        if failure.may_have_run and request.route.repeats is RepeatPolicy.never:
+            return False
+        if failure.ending in UNPROCESSED_ENDINGS:
+            return self.unprocessed_attempts <= MAX_UNPROCESSED_RETRIES
+        return self.sent_attempts < request.route.max_attempts
+
+    def problem(self, failure: AttemptFailure, now: float) -> Problem:
+        """Return the problem of a request that got no response."""
+        if not self.may_have_run:
+            return OverloadedError(f'not run: {failure.detail}', RETRY_AFTER_S)
+        if now >= self.request.deadline:
+            return DeadlineAfterSendError(
+                'the deadline passed before a response'
+            )
+        if failure.ending is AttemptEnding.failed:
+            return EndpointFailedError(failure.detail)
+        return MayHaveRunError(failure.detail)
--- a/trefoilspool/routedrequests.py
+++ b/trefoilspool/routedrequests.py
@@ -41,10 +41,17 @@
 
 
 class Slot(NamedTuple):
-    """A granted slot: the right to send one attempt to the endpoint."""
+    """A granted slot: the right to send one attempt to the endpoint.
+
+    Attributes
+    ----------
+    granted_at : float
+        When this host got the grant, in seconds.
+    """
 
     key: SlotKey
     endpoint: str
+    granted_at: float
 
 
 class StartedResponse(NamedTuple):
@@ -56,15 +63,12 @@
         The whole body, or the first event of a stream.
     rest : iterator of bytes or None
         The further events of a stream; None for a whole body.
-    sent_at : float
-        When the request was sent, in monotonic seconds.
     """
 
     slot: Slot
     response: EndpointResponse
     body: bytes
     rest: Iterator[bytes] | None
-    sent_at: float
 
 
 class AttemptFailure(NamedTuple):
--- /dev/null
+++ b/trefoilspool/slotacquisition.py
@@ -0,0 +1,190 @@
+"""Slots for the attempts of one request, from the request to the release."""
+
+from trefoilspool import clock
+from trefoilspool.callerrors import OverLimitError
+from trefoilspool.dialect import CallerRequest
+from trefoilspool.directory import Directory
+from trefoilspool.errors import CallerGoneError, OverloadedError, Problem
+from trefoilspool.quietperiods import QuietPeriods
+from trefoilspool.requestprogress import RETRY_AFTER_S, RequestProgress
+from trefoilspool.routedrequests import Slot
+from trefoilspool.routing import RepeatPolicy
+from trefoilspool.slotclient import SlotClient
+from trefoilspool.slotmessages import (
+    AttemptEnding,
+    Granted,
+    RefusalReason,
+    Refused,
+    SlotDecision,
+    SlotRelease,
+    SlotRequest,
+)
+from trefoilspool.telemetry import log_decision
+
+__all__ = ['SlotAcquirer']
+
+# Ratio of the output limit to the estimated length of a response; most
+# responses are far shorter than their limit.
+OUTPUT_LIMIT_TO_MEAN = 8
+
+
+class SlotAcquirer:
+    """Asks for the slots of one request and releases them.
+
+    Parameters
+    ----------
+    progress : RequestProgress
+        The request and its attempts so far.
+    slot_client : SlotClient
+        Acquires and releases slots.
+    directory : Directory
+        Endpoints by name.
+    quiet_periods : QuietPeriods
+        Endpoints that get no requests of this host for a while.
+    data_centre : str
+        Data centre of this host.
+    """
+
+    def __init__(
+        self,
+        progress: RequestProgress,
+        slot_client: SlotClient,
+        directory: Directory,
+        quiet_periods: QuietPeriods,
+        data_centre: str,
+    ) -> None:
+        self.progress = progress
+        self.request = progress.request
+        self.slot_client = slot_client
+        self.directory = directory
+        self.quiet_periods = quiet_periods
+        self.data_centre = data_centre
+
+    def acquire(self) -> Slot:
+        """Acquire a slot for the next attempt.
+
+        Raises
+        ------
+        Problem
+            When none is granted.
+        """
+        started = clock.now()
+        quiet = self.quiet_endpoints(started)
+        slot_request = self.slot_request(quiet)
+        self.progress.slot_number = slot_request.key.number
+        decision = self.decide(slot_request, quiet)
+        if isinstance(decision, Refused):
+            raise self.refusal_problem(decision)
+        assert isinstance(decision, Granted)
+        now = clock.now()
+        log_decision(
+            'grant',
+            self.request.caller_request.request_id,
+            endpoint=decision.endpoint,
+            place=slot_request.key.number,
+            waited_s=round(now - started, 4),
+            attempt=slot_request.attempt,
+        )
+        return Slot(slot_request.key, decision.endpoint, now)
+
+    def slot_request(self, quiet: dict[str, float]) -> SlotRequest:
+        """Return the slot request of the next attempt."""
+        request = self.request
+        return SlotRequest(
+            key=self.slot_client.new_key(),
+            service=request.service,
+            workspace=request.workspace,
+            rank=request.rank,
+            prompt_tokens=request.caller_request.prompt_tokens,
+            output_tokens=expected_tokens(request.caller_request),
+            first_byte_due=request.arrived_at + request.route.target_latency_s,
+            deadline=request.deadline,
+            arrived_at=request.arrived_at,
+            avoid=tuple(dict.fromkeys((*self.progress.avoid, *quiet))),
+            attempt=self.progress.sent_attempts + 1,
+            prompt_prefixes=request.caller_request.prompt_prefixes,
+            streams=request.route.streams,
+            charge=request.charge,
+            data_centre=self.data_centre,
+            repeatable=request.route.repeats is not RepeatPolicy.never,
+        )
+
+    def decide(
+        self, slot_request: SlotRequest, quiet: dict[str, float]
+    ) -> SlotDecision:
+        """Return the decision on a slot request.
+
+        If no endpoint of the service may get the request, it is refused here,
+        until the first quiet period ends.
+        """
+        names = self.directory.names(slot_request.service)
+        if not names or set(names) - set(slot_request.avoid):
+            return self.slot_client.acquire(
+                slot_request, self.request.client_disconnected
+            )
+        wait = min(quiet.values(), default=RETRY_AFTER_S)
+        log_decision(
+            'no_endpoint',
+            self.request.caller_request.request_id,
+            quiet=quiet,
+            failed=self.progress.avoid,
+            retry_after_s=round(wait, 3),
+        )
+        return Refused(slot_request.key, RefusalReason.no_endpoint, wait)
+
+    def quiet_endpoints(self, now: float) -> dict[str, float]:
+        """Return the service's endpoints that want no requests of this host.
+
+        Returns
+        -------
+        dict
+            Seconds left, by endpoint.
+        """
+        return self.quiet_periods.quiet(
+            self.directory.names(self.request.service), now
+        )
+
+    def refusal_problem(self, decision: Refused) -> Problem:
+        """Return the problem of a request that was refused a slot."""
+        if self.request.client_disconnected():
+            return CallerGoneError('the caller closed its connection')
+        progress = self.progress
+        if progress.last_failure is not None and progress.may_have_run:
+            failure = progress.last_failure
+            detail = (
+                f'{failure.detail}; no slot for a retry: {decision.reason.name}'
+            )
+            return progress.problem(
+                failure._replace(detail=detail), clock.now()
+            )
+        over_limit = decision.reason is RefusalReason.over_limit
+        if over_limit and not progress.sent_attempts:
+            return OverLimitError(
+                f'workspace {self.request.workspace} is over its limit',
+                decision.retry_after,
+            )
+        return OverloadedError(
+            f'no slot: {decision.reason.name}',
+            decision.retry_after,
+        )
+
+    def release(self, slot: Slot, ending: AttemptEnding) -> None:
+        """Release a slot and report how its attempt ended."""
+        self.slot_client.release(
+            SlotRelease(
+                slot.key,
+                ending,
+                slot.endpoint,
+                self.progress.first_byte_s,
+                self.progress.event_count,
+                self.progress.decode_s(clock.now()),
+                self.request.caller_request.prompt_tokens,
+            )
+        )
+
+
+def expected_tokens(request: CallerRequest) -> int:
+    """Return the estimated length of a response in tokens."""
+    if request.expected_tokens:
+        return min(request.expected_tokens, request.output_tokens)
+    return request.output_tokens // OUTPUT_LIMIT_TO_MEAN
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -4,12 +4,12 @@
 import queue
 import random
 import threading
-import time
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 import logbook
 
+from trefoilspool import clock
 from trefoilspool.peers import PeerRegistry
 from trefoilspool.ratelimits import RetryWindow, TokenBucket
 from trefoilspool.routing import Workspace
@@ -171,7 +171,7 @@
         if isinstance(decision, Granted):
             with self.lock:
                 self.held[number] = GrantedSlot(
-                    ask, decision.endpoint, time.monotonic()
+                    ask, decision.endpoint, clock.now()
                 )
         return decision
 
@@ -197,12 +197,12 @@
             )
             if decision is not None:
                 return decision
-            self.peers.on_timeout(home.name, time.monotonic())
+            self.peers.on_timeout(home.name, clock.now())
             logger.info(
                 'home_silent',
                 extra={'home': home.name, 'number': ask.key.number},
             )
-            if time.monotonic() - ask.arrived_at < SECOND_HOME_AGE_S:
+            if clock.now() - ask.arrived_at < SECOND_HOME_AGE_S:
                 break
         return self.choose_locally(ask)
 
@@ -245,7 +245,7 @@
         The less loaded of two random endpoints is chosen, by the home host's
         last counts and this host's own slots.
         """
-        now = time.monotonic()
+        now = clock.now()
         if not self.try_charge_locally(ask, now):
             return Refused(ask.key, RefusalReason.over_limit, RETRY_AFTER_S)
         candidates = [
@@ -325,7 +325,7 @@
 
     def held_slots(self) -> list[HeldSlot]:
         """Return all slots that this host holds."""
-        now = time.monotonic()
+        now = clock.now()
         with self.lock:
             return [
                 HeldSlot(
--- a/trefoilspool/watch.py
+++ b/trefoilspool/watch.py
@@ -1,9 +1,9 @@
 """The task that aborts attempts at a disconnect or the deadline."""
 
-import time
 from collections.abc import Callable
 from typing import NamedTuple
 
+from trefoilspool import clock
 from trefoilspool.task import Task
 
 __all__ = ['Unwatch', 'Watch', 'WatchTask']
@@ -50,7 +50,7 @@
 
     def tick(self) -> None:
         """Abort attempts that are past their deadline or disconnected."""
-        now = time.monotonic()
+        now = clock.now()
         for watch in list(self.watched.values()):
             if watch.client_disconnected() or now >= watch.deadline:
                 del self.watched[watch.number]
