Receive signals as messages, and refuse what records must not hold

Closing the log blocked for ever behind a reader that had stopped. Records with NaN, Infinity, huge numbers, a text for a list of keys or an address that is none were taken; ranks of routes above 8 crossed into the next workspace rank, and large ones did not fit into a message.

Change: signal handlers only append to a deque, and a wake-up descriptor ends the main thread's wait, in both daemons. The end of the log has a time limit and its count a lock. Decoders refuse such values by field; ranks are bounded where they are composed. What hosts serve to each other moves from platform/ to peertopics, since it is the product's own.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -119,6 +119,17 @@
         assert done.wait(30)
         assert piped.handler.dropped
 
+    def test_blocked_reader_does_not_block_the_end(
+        self, piped: PipedHandler
+    ) -> None:
+        with piped.handler.applicationbound():
+            while not piped.handler.lines.full():
+                log_decision('fault', 'q', detail='x' * 999)
+        ended = threading.Thread(target=piped.handler.close, daemon=True)
+        ended.start()
+        ended.join(10)
+        assert not ended.is_alive()
+
     def test_burst_keeps_failures_and_drops_successes(
         self, piped: PipedHandler
     ) -> None:
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -105,6 +105,9 @@
             ('routeTable', {}),
             ('backends', [1]),
             ('limits', 3),
+            ('tenants', [{'name': 'w', 'apiKeys': 'abc'}]),
+            ('tenants', [{'name': 'w', 'apiKeys': [7]}]),
+            ('tenants', [{'name': 'w', 'ratePerS': 1e300}]),
         ],
     )
     def test_wrong_field_is_named(self, field: str, bad: object) -> None:
@@ -119,6 +122,12 @@
         with pytest.raises(BadRecordError):
             decode_configuration(body)
 
+    @pytest.mark.parametrize('number', ['NaN', 'Infinity', '-Infinity'])
+    def test_number_that_is_not_json(self, number: str) -> None:
+        source = json.dumps(configuration()).replace(': 5000', f': {number}')
+        with pytest.raises(BadRecordError):
+            decode_configuration(source.encode())
+
 
 class TestEndpointRecord:
     good = {
@@ -141,6 +150,10 @@
             ('backend', None),
             ('address', 'nowhere'),
             ('address', 7),
+            ('address', 'host.example:80'),
+            ('address', '10.0.0.1:0'),
+            ('address', '10.0.0.1:70000'),
+            ('address', '10.0.0.1:²'),
             ('zone', []),
             ('capacity', 'many'),
             ('capacity', True),
@@ -191,7 +204,8 @@
         assert (request.prompt_tokens, request.output_tokens) == (30, 5)
 
     @pytest.mark.parametrize(
-        ('hint', 'tokens'), [('120', 120), ('', 0), ('many', 0), ('-3', 0)]
+        ('hint', 'tokens'),
+        [('120', 120), ('', 0), ('many', 0), ('-3', 0), ('²', 0)],
     )
     def test_malformed_length_hint_is_ignored(
         self, hint: str, tokens: int
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -17,6 +17,10 @@
 from platformendpoint import PlatformEndpoint
 from platformstore import PlatformStore
 
+HANGUP_PAIRS = 400
+HANGUP_PAUSE_S = 0.002
+HANGUP_STEPS = 12  # pairs are up to 1.2 ms apart
+HANGUP_STEP_S = 0.0001
 GRACE_S = 8
 MAX_MEMORY_KB = 120_000
 
@@ -147,6 +151,19 @@
         assert not ctypes.CDLL(None).tgkill(pid, other, int(signal.SIGTERM))
         assert running.process.wait(GRACE_S) == 0
 
+    def test_hangups_in_quick_succession_do_not_stall_the_host(
+        self, running: HostProcess
+    ) -> None:
+        # A handler that logs can interrupt itself within the log queue's lock.
+        for number in range(HANGUP_PAIRS):
+            running.process.send_signal(signal.SIGHUP)
+            time.sleep(number % HANGUP_STEPS * HANGUP_STEP_S)
+            running.process.send_signal(signal.SIGHUP)
+            time.sleep(HANGUP_PAUSE_S)
+        assert running.call('q3') == 200
+        running.process.send_signal(signal.SIGTERM)
+        assert running.process.wait(GRACE_S) == 0
+
     def test_requests_succeed_after_a_kill(self, running: HostProcess) -> None:
         running.process.kill()
         running.process.wait()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -7,11 +7,12 @@
 import pytest
 from gatewaycluster import wait_for
 from platformstore import PlatformStore
-from storecalls import StoreTopic, decode_changes, encode_changes
+from storecalls import StoreTopic
 
 from trefoilspool.discovery import DiscoveryTask
 from trefoilspool.errors import LogOutageError, TrimmedError
 from trefoilspool.peers import HostInfo, PeerRegistry
+from trefoilspool.peertopics import decode_changes, encode_changes
 from trefoilspool.replica import Replica
 from trefoilspool.replication import PollInterval, StoreReplicationTask
 from trefoilspool.store import KeyedRecord, Page
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -7,12 +7,13 @@
 import pytest
 from gatewaycluster import GatewayCluster, RunningHost, route, wait_for
 from platformstore import PlatformStore
-from storecalls import StoreTopic, decode_changes, encode_changes
+from storecalls import StoreTopic
 
 from trefoilspool.departures import RESTORED_RECORD_S
 from trefoilspool.discovery import DiscoveryTask
 from trefoilspool.errors import StoreRestoredError
 from trefoilspool.peers import HostInfo, PeerRegistry
+from trefoilspool.peertopics import decode_changes, encode_changes
 from trefoilspool.replica import Replica
 from trefoilspool.replication import PollInterval, StoreReplicationTask
 from trefoilspool.store import KeyedRecord, Page
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -93,6 +93,17 @@
         )
         assert made.rank(urgent, preferred) < made.rank(ordinary, preferred)
 
+    def test_any_route_rank_stays_within_its_workspace_rank(self) -> None:
+        made = self.configuration(self.workspace)
+        last, lower = make_route('/', rank=400), make_route('/', rank=0)
+        following = self.workspace._replace(rank=2)
+        assert made.rank(last, self.workspace) < made.rank(lower, following)
+
+    def test_any_rank_fits_into_a_message(self) -> None:
+        made = self.configuration(self.workspace)
+        extreme = self.workspace._replace(rank=10**9)
+        assert made.rank(make_route('/', rank=10**9), extreme) < 1 << 15
+
     def test_key_identifies_its_workspace(self) -> None:
         by_key = self.configuration(self.workspace).workspaces_by_key
         assert by_key['k'].name == 'w'
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -8,6 +8,11 @@
 from trefoilspool.filter import Response
 from trefoilspool.gateway import problem_response
 from trefoilspool.gatewayhost import GatewayHost
+from trefoilspool.peertopics import (
+    CONFIGURATION_PATH,
+    ENDPOINTS_PATH,
+    encode_changes,
+)
 from trefoilspool.web import status_line
 
 __all__ = ['GatewayApp']
@@ -37,9 +42,9 @@
             (port_of(host.options.metrics), METRICS_PATH): self.metrics,
             (
                 port_of(host.options.control),
-                '/configuration',
+                CONFIGURATION_PATH,
             ): self.configuration,
-            (port_of(host.options.control), '/endpoints'): self.endpoints,
+            (port_of(host.options.control), ENDPOINTS_PATH): self.endpoints,
         }
 
     def __call__(
@@ -86,7 +91,7 @@
     def endpoints(self, query: str) -> Response:
         """Return the endpoint records from a position on, for a peer."""
         try:
-            body = self.host.platform.encode_changes(self.host.endpoints, query)
+            body = encode_changes(self.host.endpoints, query)
         except ValueError:
             return sized_response(HTTPStatus.BAD_REQUEST, b'')
         return sized_response(HTTPStatus.OK, body)
--- a/trefoilspool/gatewaydaemon.py
+++ b/trefoilspool/gatewaydaemon.py
@@ -3,7 +3,6 @@
 import logging
 import signal
 import threading
-from types import FrameType
 
 import logbook
 
@@ -12,43 +11,15 @@
 from trefoilspool.httpserver import HttpServer
 from trefoilspool.jsonlog import QueuedJsonHandler
 from trefoilspool.options import GatewayOptions
+from trefoilspool.signals import SignalQueue
 
 __all__ = ['serve_gateway']
 
-SIGNAL_POLL_S = 0.5
 
 logger = logbook.Logger('daemon')
 
 
-class Signals:
-    """Handlers of SIGTERM, SIGINT and SIGHUP."""
-
-    def __init__(self) -> None:
-        self.stopping = threading.Event()
-
-    def install(self) -> None:
-        """Install the signal handlers of this process."""
-        signal.signal(signal.SIGTERM, self.on_stop)
-        signal.signal(signal.SIGINT, self.on_stop)
-        signal.signal(signal.SIGHUP, self.on_hangup)
-
-    def wait(self) -> None:
-        """Block the main thread until SIGTERM or SIGINT.
-
-        Python runs signal handlers on the main thread. A signal delivered to
-        another thread does not wake it, so the wait ends every
-        ``SIGNAL_POLL_S`` seconds.
-        """
-        while not self.stopping.is_set():
-            self.stopping.wait(SIGNAL_POLL_S)
-
-    def on_stop(self, number: int, frame: FrameType | None) -> None:
-        """Start the shutdown."""
-        self.stopping.set()
-
-    def on_hangup(self, number: int, frame: FrameType | None) -> None:
-        """Log that flags and environment variables are read only at start."""
-        logger.info('reload', extra={'changed': 'nothing until a restart'})
+STOP_SIGNALS = frozenset((signal.SIGTERM, signal.SIGINT))
 
 
 def serve_gateway(
@@ -71,8 +42,7 @@
     logging.getLogger('waitress').setLevel(logging.WARNING)
     # waitress would log a warning whenever a request starts a thread.
     logging.getLogger('waitress.queue').setLevel(logging.ERROR)
-    signals = Signals()
-    signals.install()
+    signals = SignalQueue((*STOP_SIGNALS, signal.SIGHUP))
     host = GatewayHost(options, platform)
     handler.incarnation = host.incarnation
     server = HttpServer(GatewayApp(host), options.listeners)
@@ -85,7 +55,9 @@
             'data_centre': options.data_centre,
         },
     )
-    signals.wait()
+    while signals.get() not in STOP_SIGNALS:
+        # Flags and environment variables are read only at the start.
+        logger.info('reload', extra={'changed': 'nothing until a restart'})
     host.drain(server)
     server.close()
     host.stop()
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -21,6 +21,12 @@
 from trefoilspool.mesh import MeshTask
 from trefoilspool.options import GatewayOptions
 from trefoilspool.peers import HostInfo
+from trefoilspool.peertopics import (
+    CONFIGURATION_PATH,
+    ENDPOINTS_PATH,
+    PeerTopic,
+    peer_page,
+)
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.replica import NO_ERA, Position, Replica
 from trefoilspool.replication import (
@@ -90,30 +96,6 @@
     def topics(self) -> StoreTopics:
         """Return the topics of the store."""
 
-    @abstractmethod
-    def peer_endpoints(self, address: str) -> KeyedSource:
-        """Return a source that reads a peer's replica of the endpoints."""
-
-    @abstractmethod
-    def peer_configuration(self, address: str) -> bytes:
-        """Return the content of the configuration in force at a peer.
-
-        Raises
-        ------
-        LogOutageError
-            The peer did not respond.
-        """
-
-    @abstractmethod
-    def encode_changes(self, replica: Replica, position: str) -> bytes:
-        """Encode a replica's records from a peer's position on.
-
-        Raises
-        ------
-        ValueError
-            The position is malformed.
-        """
-
     @abstractmethod
     def decode_configuration(self, content: bytes) -> Configuration:
         """Decode the configuration from the content of its record.
@@ -320,7 +302,10 @@
         if peer.settings_version <= self.gateway.version:
             return None
         return lambda: self.on_configuration(
-            self.platform.peer_configuration(peer.address), peer.name
+            peer_page(
+                peer.address, self.options.control_port, CONFIGURATION_PATH
+            ),
+            peer.name,
         )
 
     def should_read_endpoints(self) -> bool:
@@ -390,7 +375,7 @@
     def read_endpoints(self, address: str, changed_to: Position) -> None:
         """Read the endpoint records that a peer has and this host lacks."""
         own = self.endpoints.position()
-        source = self.platform.peer_endpoints(address)
+        source = PeerTopic(address, self.options.control_port, ENDPOINTS_PATH)
         self.endpoints.apply(source.read_from(max(own.offset, 0), 0, own.era))
         if self.endpoints.position() >= changed_to:
             self.on_endpoints_current()
--- a/trefoilspool/host.py
+++ b/trefoilspool/host.py
@@ -7,7 +7,6 @@
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
-from types import FrameType
 
 import logbook
 import waitress
@@ -37,6 +36,7 @@
 from trefoilspool.roster import Leave, ReportTask, RosterTask
 from trefoilspool.router import Destinations, FrameRouter
 from trefoilspool.settingstask import SettingsTask
+from trefoilspool.signals import SignalQueue
 from trefoilspool.task import Stop, Task, TaskGroup
 from trefoilspool.telemetry import Metrics
 from trefoilspool.tickets import TicketRegistry
@@ -301,17 +301,11 @@
         clear_untrusted_proxy_headers=True,
         ident='trefoilspool',
     )
-    stopping = threading.Event()
-
-    def on_signal(number: int, frame: FrameType | None) -> None:
-        stopping.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, on_signal)
+    signals = SignalQueue((signal.SIGTERM, signal.SIGINT))
     runner = threading.Thread(target=server.run, daemon=True)
     runner.start()
     logger.info('host {} listening on port {}', host.name, options.port)
-    stopping.wait()
+    signals.get()
     host.drain()
     server.close()
     host.stop()
--- a/trefoilspool/jsonlog.py
+++ b/trefoilspool/jsonlog.py
@@ -17,6 +17,7 @@
 SUCCESS_STATUS_END = 300
 BATCH_LINES = 64
 STOP_LINE = ''  # ends the writer
+CLOSE_TIMEOUT_S = 1.0
 
 
 class QueuedJsonHandler(logbook.Handler):  # type: ignore[misc]
@@ -42,6 +43,7 @@
         self.incarnation = incarnation
         self.lines: queue.Queue[str] = queue.Queue(MAX_QUEUED_LINES)
         self.dropped = 0
+        self.dropped_lock = threading.Lock()
         self.descriptor = sys.stdout.fileno()
         self.writer = threading.Thread(target=self.write_all, daemon=True)
         self.writer.start()
@@ -49,11 +51,16 @@
     def emit(self, record: logbook.LogRecord) -> None:
         """Queue the line of a record, or count it as dropped."""
         if self.lines.qsize() > SAMPLE_ABOVE_LINES and is_routine(record.extra):
-            self.dropped += 1
+            self.count_dropped()
             return
         try:
             self.lines.put_nowait(self.line(record))
         except queue.Full:
+            self.count_dropped()
+
+    def count_dropped(self) -> None:
+        """Count a line that is not written."""
+        with self.dropped_lock:
             self.dropped += 1
 
     def line(self, record: logbook.LogRecord) -> str:
@@ -85,8 +92,9 @@
 
     def dropped_count_line(self) -> str:
         """Return a line with the number of dropped lines; reset the count."""
-        dropped = self.dropped
-        self.dropped = 0
+        with self.dropped_lock:
+            dropped = self.dropped
+            self.dropped = 0
         return json.dumps(
             {
                 'level': 'WARNING',
@@ -99,8 +107,12 @@
 
     def close(self) -> None:
         """Write the queued lines and end the writer."""
-        self.lines.put(STOP_LINE)
-        self.writer.join(1)
+        try:
+            self.lines.put(STOP_LINE, timeout=CLOSE_TIMEOUT_S)
+        except queue.Full:
+            # Nobody reads the output; the process ends without these lines.
+            return
+        self.writer.join(CLOSE_TIMEOUT_S)
 
 
 def event_fields(record: logbook.LogRecord) -> dict[str, str]:
--- a/trefoilspool/routing.py
+++ b/trefoilspool/routing.py
@@ -17,8 +17,11 @@
     'Workspace',
 ]
 
-# Number of route ranks (0 to 8) within one workspace rank.
+# Number of route ranks within one workspace rank. Routes of a higher rank count
+# as the last, so that they do not go after workspaces of a lower priority.
 WORKSPACE_RANK_STEP = 9
+MAX_ROUTE_RANK = WORKSPACE_RANK_STEP - 1
+MAX_WORKSPACE_RANK = 3000  # keeps ranks within 16 bits on the wire
 
 
 class RepeatPolicy(IntEnum):
@@ -240,6 +243,8 @@
 
     def rank(self, route: Route, workspace: Workspace | None) -> int:
         """Return the priority class of a request; 0 is the highest."""
+        route_rank = min(route.rank, MAX_ROUTE_RANK)
         if workspace is None or workspace.rank is None:
-            return route.rank
-        return workspace.rank * WORKSPACE_RANK_STEP + route.rank
+            return route_rank
+        workspace_rank = min(workspace.rank, MAX_WORKSPACE_RANK)
+        return workspace_rank * WORKSPACE_RANK_STEP + route_rank
