Keep the retry budget of each service when hosts decide alone

Cause: an entry that decides without the home kept one retry window for all services, without its lock, and compared it before it dropped what had expired: retries of one service used up those of another, and a budget that was used up did not return. A slot that an entry placed itself lost the charge of the grant it replaced, so an attempt that did not run was not refunded.

Change: a window for each service, under the lock, trimmed first, with the base of the budget divided by the hosts. The reservation takes over the charge.

Result: three tests, each of which fails on the code before.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from trefoilspool import clock
 from trefoilspool.mesh import MeshTask
 from trefoilspool.peers import (
     HOST_RETENTION_S,
@@ -12,6 +13,7 @@
     HostInfo,
     PeerRegistry,
 )
+from trefoilspool.ratelimits import BASE_RETRIES, WINDOW_S
 from trefoilspool.routing import Workspace
 from trefoilspool.slotclient import SlotClient
 from trefoilspool.slotmessages import (
@@ -280,6 +282,34 @@
         assert isinstance(decisions[1], Refused)
         assert decisions[1].reason is RefusalReason.over_limit
 
+    def use_up_retries(self, client: SlotClient, service: str) -> int:
+        """Choose for retries until one is refused; return their number."""
+        granted = 0
+        retry = slot_request(client, service=service, attempt=2)
+        while isinstance(client.choose_locally(retry), Granted):
+            granted += 1
+        return granted
+
+    def test_local_retries_have_a_budget_by_service(
+        self, client: SlotClient
+    ) -> None:
+        client.on_available_endpoints(
+            [EndpointSpec(name, name, 'z', 4, 1, 7) for name in ('s', 't')],
+        )
+        hosts = client.peers.count()
+        assert self.use_up_retries(client, 's') <= BASE_RETRIES / hosts + 1
+        retry = slot_request(client, service='t', attempt=2)
+        assert isinstance(client.choose_locally(retry), Granted)
+
+    def test_local_retry_budget_returns_after_its_window(
+        self, client: SlotClient, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        assert self.use_up_retries(client, 's')
+        later = clock.now() + WINDOW_S + 1
+        monkeypatch.setattr(clock, 'now', lambda: later)
+        retry = slot_request(client, attempt=2)
+        assert isinstance(client.choose_locally(retry), Granted)
+
     def test_local_decision_prefers_less_loaded_endpoint(
         self, client: SlotClient
     ) -> None:
--- a/tests/test_slotscheduler.py
+++ b/tests/test_slotscheduler.py
@@ -495,6 +495,18 @@
         scheduler.on_ask(ask(2, charge=10), 0)
         assert decision_types(scheduler) == [Granted, Granted]
 
+    def test_attempt_placed_elsewhere_is_refunded(
+        self, scheduler: SlotScheduler
+    ) -> None:
+        scheduler.rate_limits.on_workspaces({'w': self.limited}, 0)
+        scheduler.on_ask(ask(1, charge=1000), 0)
+        # The grant was lost, so the entry host chose an endpoint itself.
+        held = HeldSlot(SlotKey('h1', 1), SERVICE, 'b', 10, 10, 0)
+        scheduler.on_held_slots('h1', [held], 0)
+        scheduler.on_release(slot_release(1, 'b', AttemptEnding.refused), 0)
+        scheduler.on_ask(ask(2, charge=100), 0)
+        assert decision_types(scheduler) == [Granted, Granted]
+
     def test_new_home_host_adopts_the_level_of_the_old_one(
         self, scheduler: SlotScheduler
     ) -> None:
--- a/trefoilspool/ratelimits.py
+++ b/trefoilspool/ratelimits.py
@@ -79,15 +79,22 @@
         self.first_attempts += not retry
         self.retries += retry
 
-    def allows_retry(self, now: float) -> bool:
-        """Return whether one more retry stays within the budget."""
+    def allows_retry(self, now: float, hosts: int = 1) -> bool:
+        """Return whether one more retry stays within the budget.
+
+        Parameters
+        ----------
+        now : float
+            The present time in seconds.
+        hosts : int
+            Number of hosts over which the base of the budget is divided.
+        """
         while self.attempts and self.attempts[0][0] < now - WINDOW_S:
             _, retry = self.attempts.popleft()
             self.first_attempts -= not retry
             self.retries -= retry
-        return (
-            self.retries < self.first_attempts * MAX_RETRY_SHARE + BASE_RETRIES
-        )
+        base = BASE_RETRIES / hosts
+        return self.retries < self.first_attempts * MAX_RETRY_SHARE + base
 
 
 class RateLimits:
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -4,6 +4,7 @@
 import queue
 import random
 import threading
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
@@ -105,7 +106,9 @@
         self.levels: Mapping[str, int] = {}
         self.workspaces: Mapping[str, Workspace] = {}
         self.buckets: dict[str, TokenBucket] = {}
-        self.retry_window = RetryWindow()
+        self.retry_windows: defaultdict[str, RetryWindow] = defaultdict(
+            RetryWindow
+        )
 
     def new_key(self) -> SlotKey:
         """Return the key of a new attempt."""
@@ -284,14 +287,12 @@
             the request.
         """
         hosts = max(1, self.peers.count())
-        if ask.attempt > 1:
-            if (
-                self.retry_window.retries
-                > 2 + self.retry_window.first_attempts / hosts
-            ):
+        is_retry = ask.attempt > 1
+        with self.lock:
+            window = self.retry_windows[ask.service]
+            if not window.allows_retry(now, hosts) and is_retry:
                 return False
-        self.retry_window.allows_retry(now)  # drops expired attempts
-        self.retry_window.record(retry=ask.attempt > 1, now=now)
+            window.record(retry=is_retry, now=now)
         limit = self.workspaces.get(ask.workspace)
         if limit is None or not limit.rate or not ask.charge:
             return True
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -422,17 +422,17 @@
         granted the slot.
         """
         self.dequeue(held.key)
-        self.cancel_reservation(held.key)
+        replaced = self.cancel_reservation(held.key)
         reservation = Reservation(
             held.service,
             held.endpoint,
             now - held.age_s,
             held.prompt_tokens,
             held.output_tokens,
-            # No workspace or charge: nothing is refunded here when the slot
-            # is released.
-            '',
-            0,
+            # A slot that another host granted was not charged here, so nothing
+            # is refunded when it is released.
+            replaced.workspace if replaced else '',
+            replaced.charge if replaced else 0,
         )
         self.reservations[held.key] = reservation
         if held.endpoint in self.available_endpoints:
