Check restores of the store with a state machine

Cause: what hosts hold after a restore depends on the order of reads, late answers, writes and peers; single tests show few of the orders.

Change: EndpointView takes a host's replica, directory and their age out of GatewayHost, so that all of it runs without sockets; a Hypothesis machine runs two hosts, a store that is restored, late pages, peers and endpoints that leave, vanish and restart. It holds: positions never go back, an endpoint known to be leaving gets nothing, all hosts end on the newest state. Hosts take a newer configuration only from peers that answer.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -29,6 +29,7 @@
     'jsonlog',
     'mesh',
     'datagramsocket',
+    'endpointview',
     'peers',
     'quietperiods',
     'replication',
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -12,8 +12,8 @@
 from trefoilspool import clock
 from trefoilspool.departures import EndpointRecord, EndpointRun
 from trefoilspool.dialect import Dialect, ResponseHead
-from trefoilspool.directory import Directory
 from trefoilspool.discovery import DiscoveryTask
+from trefoilspool.endpointview import EndpointsRead, EndpointView
 from trefoilspool.errors import BadRecordError
 from trefoilspool.exchange import EndpointClient
 from trefoilspool.gateway import Gateway
@@ -28,7 +28,7 @@
     peer_page,
 )
 from trefoilspool.quietperiods import QuietPeriods
-from trefoilspool.replica import NO_ERA, Position, Replica
+from trefoilspool.replica import Replica
 from trefoilspool.replication import (
     PeerFetchTask,
     PollInterval,
@@ -36,7 +36,6 @@
 )
 from trefoilspool.routing import Configuration
 from trefoilspool.serving import RequestServer
-from trefoilspool.slotmessages import EndpointSpec
 from trefoilspool.store import KeyedRecord, KeyedSource, KeyedTopic
 from trefoilspool.telemetry import Metrics
 from trefoilspool.watch import WatchTask
@@ -58,8 +57,6 @@
 SETTINGS_PAUSE_S = 0.02
 # A leaving endpoint must get no new requests after 2 s.
 ENDPOINTS_PAUSE_S = 1.1
-# A host whose endpoint records are older reads the store itself.
-ENDPOINTS_STALE_S = 1.3
 # Hosts that read the endpoint records from the store and notify the others.
 ENDPOINTS_READERS = 3
 SETTINGS_POLLING = PollInterval(SETTINGS_LONG_POLL_S, SETTINGS_PAUSE_S)
@@ -137,13 +134,8 @@
         Number of this run of the process; later runs have larger ones.
     configuration_content : bytes
         Content of the record of the configuration in force, for peers.
-    endpoints_current_at : float
-        When this host last had all endpoint records, in monotonic seconds.
-    endpoints_era : int
-        Era of the store in which the directory's records were read.
-    store_restored_at : float
-        When this host learned that the store was restored from a backup, in
-        monotonic seconds.
+    endpoint_view : EndpointView
+        The endpoints' records.
     quiet_periods : QuietPeriods
         Endpoints that get no requests of this host for a while.
     """
@@ -178,15 +170,13 @@
             self.stopping,
             on_restored=self.on_settings_restored,
         )
-        self.directory = Directory(
+        self.endpoint_view = EndpointView(
             platform.decode_endpoint,
             self.outage_ended_at,
-            self.on_available_endpoints,
+            self.mesh.set_available_endpoints,
         )
-        self.endpoints = Replica(self.on_endpoints, self.endpoint_value)
-        self.endpoints_current_at = 0.0
-        self.endpoints_era = NO_ERA
-        self.store_restored_at = 0.0
+        self.directory = self.endpoint_view.directory
+        self.endpoints = self.endpoint_view.replica
         self.endpoints_task = StoreReplicationTask(
             'endpoints',
             topics.endpoints,
@@ -220,14 +210,10 @@
         )
 
     def outage_ended_at(self) -> float:
-        """Return when the last outage of the store ended; during one, now.
-
-        A restore counts as the end of an outage: endpoints whose records it
-        has undone register again.
-        """
+        """Return when the last outage of the store ended; during one, now."""
         if self.endpoints_task.outage_began_at is not None:
             return clock.now()
-        return max(self.endpoints_task.outage_ended_at, self.store_restored_at)
+        return self.endpoints_task.outage_ended_at
 
     def start(self) -> None:
         """Start the tasks."""
@@ -295,12 +281,14 @@
 
     def find_newer_configuration(self) -> Callable[[], None] | None:
         """Return a function that adopts a peer's configuration if newer."""
-        peer = max(
-            list(self.mesh.peers.hosts.values()),
-            key=lambda host: host.settings_version,
-        )
-        if peer.settings_version <= self.gateway.version:
+        ahead = [
+            host
+            for host in self.mesh.peers.responsive()
+            if host.settings_version > self.gateway.version
+        ]
+        if not ahead:
             return None
+        peer = max(ahead, key=lambda host: host.settings_version)
         return lambda: self.on_configuration(
             peer_page(
                 peer.address, self.options.control_port, CONFIGURATION_PATH
@@ -317,8 +305,7 @@
         """
         if self.mesh.peers.is_preferred_home(ENDPOINTS_READERS):
             return True
-        stale_s = clock.now() - self.endpoints_current_at
-        return stale_s >= ENDPOINTS_STALE_S
+        return self.endpoint_view.is_stale()
 
     def on_endpoints_read(self) -> None:
         """Announce to peers that this host has read the endpoints."""
@@ -338,21 +325,10 @@
         If other hosts read the store for this host, the store is available, so
         an outage seen in this host's own last read has ended.
         """
-        self.endpoints_current_at = max(self.endpoints_current_at, at)
+        self.endpoint_view.mark_current(at)
         if not self.mesh.peers.is_preferred_home(ENDPOINTS_READERS):
             self.endpoints_task.on_store_available()
 
-    def endpoint_value(self, record: KeyedRecord) -> object:
-        """Return the comparison value of an endpoint record.
-
-        This is the decoded endpoint, or the raw content if it is invalid.
-        """
-        try:
-            return self.platform.decode_endpoint(record.key, record.content)
-        except BadRecordError:
-            # The directory logs the error.
-            return record.content
-
     def find_newer_endpoints(self) -> Callable[[], None] | None:
         """Return a function that reads the changes of a peer, or None.
 
@@ -362,22 +338,18 @@
         read = self.mesh.endpoints_read
         if read is None:
             return None
-        own = self.endpoints.position()
-        if read.changed_to > own:
-            return lambda: self.read_endpoints(
-                read.peer.address, read.changed_to
-            )
-        is_same_era = read.changed_to.era == own.era
-        if is_same_era and read.received_at > self.endpoints_current_at:
+        if self.endpoint_view.lacks(read):
+            return lambda: self.fetch_endpoints(read)
+        if self.endpoint_view.confirms(read):
             self.mark_endpoints_current(read.received_at)
         return None
 
-    def read_endpoints(self, address: str, changed_to: Position) -> None:
+    def fetch_endpoints(self, read: EndpointsRead) -> None:
         """Read the endpoint records that a peer has and this host lacks."""
-        own = self.endpoints.position()
-        source = PeerTopic(address, self.options.control_port, ENDPOINTS_PATH)
-        self.endpoints.apply(source.read_from(max(own.offset, 0), 0, own.era))
-        if self.endpoints.position() >= changed_to:
+        source = PeerTopic(
+            read.peer.address, self.options.control_port, ENDPOINTS_PATH
+        )
+        if self.endpoint_view.fetch(source, read.changed_to):
             self.on_endpoints_current()
 
     def on_settings(self, records: tuple[KeyedRecord, ...]) -> None:
@@ -439,21 +411,6 @@
         self.publish_own_info()
         self.mesh.announce_version()
 
-    def on_endpoints(self, records: tuple[KeyedRecord, ...]) -> None:
-        """Pass new endpoint records to the directory."""
-        now = clock.now()
-        era = self.endpoints.era
-        restored = NO_ERA < self.endpoints_era < era
-        self.endpoints_era = era
-        if restored:
-            self.store_restored_at = now
-            logger.warning('endpoints_restored', extra={'era': era})
-        self.directory.on_records(records, now, restored=restored)
-
-    def on_available_endpoints(self, endpoints: list[EndpointSpec]) -> None:
-        """Set the endpoints to which the mesh may grant slots."""
-        self.mesh.set_available_endpoints(endpoints)
-
     def publish_own_info(self) -> None:
         """Update what peers see of this host, such as how far it has read."""
         self.mesh.peers.update_own(
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -9,13 +9,14 @@
 import threading
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any, NamedTuple
+from typing import Any
 
 import logbook
 
 from trefoilspool import clock
 from trefoilspool.datagramsocket import DatagramSocket
 from trefoilspool.departures import EndpointRun
+from trefoilspool.endpointview import EndpointsRead
 from trefoilspool.helloschedule import HelloSchedule
 from trefoilspool.hostlists import HostListSchedule
 from trefoilspool.leavingreports import LeavingReports
@@ -48,22 +49,6 @@
     return []
 
 
-class EndpointsRead(NamedTuple):
-    """A notice that a peer has read the endpoint records from the store.
-
-    Attributes
-    ----------
-    changed_to : Position
-        Position after the latest change that the peer has read.
-    received_at : float
-        When the notice was received, in seconds.
-    """
-
-    peer: HostInfo
-    changed_to: Position
-    received_at: float
-
-
 class MeshTask:
     """Handles datagrams; runs the slot scheduler on the home host.
 
--- a/trefoilspool/peers.py
+++ b/trefoilspool/peers.py
@@ -193,6 +193,15 @@
             return True
         return name in self.last_heartbeat_at and name not in self.suspects
 
+    def responsive(self) -> list[HostInfo]:
+        """Return the hosts that have sent a heartbeat and are not suspected."""
+        with self.lock:
+            return [
+                host
+                for host in self.hosts.values()
+                if self.is_responsive(host.name)
+            ]
+
     def unresponsive(self) -> list[HostInfo]:
         """Return the hosts that are suspected or have sent no heartbeat."""
         with self.lock:
