Share each limit among the home hosts of a starting fleet

Change: in the first three seconds of its life a home host grants that part of each limit that is the share of the known hosts which it has heard from.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from trefoilspool.helloschedule import STARTUP_S
 from trefoilspool.hostlists import HOST_LIST_S, MIN_HOST_LIST_S
 from trefoilspool.mesh import TICK_S, MeshTask
 from trefoilspool.peers import HostInfo
@@ -92,6 +93,31 @@
         assert not count_host_lists(sent)
 
 
+class TestLimitsAtTheStart:
+    def share(self, mesh: MeshTask, now: float) -> float:
+        mesh.tick(now)
+        return mesh.scheduler.rate_limits.share
+
+    def test_home_grants_for_the_hosts_that_it_has_heard(
+        self, sent: Sent
+    ) -> None:
+        mesh = MeshTask(host_info(1), 0, [])
+        mesh.peers.on_reported([host_info(n) for n in range(2, 11)], 10)
+        assert self.share(mesh, 10) == 0.1
+        mesh.peers.on_heartbeat(host_info(2), 10.1)
+        assert self.share(mesh, 10.1) == 0.2
+        mesh.socket.close()
+
+    def test_silent_hosts_do_not_bound_the_limits_for_long(
+        self, sent: Sent
+    ) -> None:
+        mesh = MeshTask(host_info(1), 0, [])
+        mesh.peers.on_reported([host_info(n) for n in range(2, 11)], 10)
+        assert self.share(mesh, 10) < 1
+        assert self.share(mesh, 10 + STARTUP_S) == 1
+        mesh.socket.close()
+
+
 class TestVersions:
     def test_home_sends_new_version_to_all(
         self, mesh: MeshTask, sent: Sent
--- a/trefoilspool/helloschedule.py
+++ b/trefoilspool/helloschedule.py
@@ -38,6 +38,11 @@
         self.next_at = now + self.period_s(now - self.started_at, hosts)
         return True
 
+    def is_starting(self, now: float) -> bool:
+        """Return whether this host has started less than ``STARTUP_S`` ago."""
+        started_at = now if self.started_at is None else self.started_at
+        return now - started_at < STARTUP_S
+
     def period_s(self, age_s: float, hosts: int) -> float:
         """Return the seconds between hellos, ``age_s`` after the start."""
         if age_s >= STARTUP_S:
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -334,6 +334,11 @@
 
     def tick(self, now: float) -> None:
         """Run the scheduler's timers; send heartbeats and hellos if due."""
+        # While all hosts start, several are home host, each for those that it
+        # has heard from.
+        is_starting = self.hello_schedule.is_starting(now)
+        share = self.peers.heard_share() if is_starting else 1.0
+        self.scheduler.rate_limits.on_share(share, now)
         self.scheduler.tick(now)
         home = self.peers.home()
         home_changed = home is not None and home.name != self.heartbeat_home
--- a/trefoilspool/peers.py
+++ b/trefoilspool/peers.py
@@ -202,6 +202,12 @@
                 if self.is_responsive(host.name)
             ]
 
+    def heard_share(self) -> float:
+        """Return the share of the known hosts that have sent a heartbeat."""
+        with self.lock:
+            heard = sum(map(self.is_responsive, self.hosts))
+            return heard / len(self.hosts)
+
     def unresponsive(self) -> list[HostInfo]:
         """Return the hosts that are suspected or have sent no heartbeat."""
         with self.lock:
--- a/trefoilspool/ratelimits.py
+++ b/trefoilspool/ratelimits.py
@@ -98,9 +98,17 @@
 
 
 class RateLimits:
-    """Rate limits of all workspaces and retry budgets of all services."""
+    """Rate limits of all workspaces and retry budgets of all services.
+
+    Attributes
+    ----------
+    share : float
+        Part of each limit that may be granted here. Below 1 while other hosts
+        may grant the rest.
+    """
 
     def __init__(self) -> None:
+        self.share = 1.0
         self.workspaces: Mapping[str, Workspace] = {}
         self.buckets: dict[str, TokenBucket] = {}
         self.retry_windows: dict[str, RetryWindow] = {}
@@ -112,10 +120,22 @@
     ) -> None:
         """Apply the limits of a new configuration."""
         self.workspaces = workspaces
-        for name, workspace in workspaces.items():
-            bucket = self.buckets.get(name)
-            if bucket is not None:
-                bucket.set_limit(workspace.rate, workspace.burst, now)
+        self.update_buckets(now)
+
+    def on_share(self, share: float, now: float) -> None:
+        """Grant only a part of each limit from now on."""
+        if share != self.share:
+            self.share = share
+            self.update_buckets(now)
+
+    def update_buckets(self, now: float) -> None:
+        """Apply the present limits and share to all buckets."""
+        for name, bucket in self.buckets.items():
+            limit = self.workspaces.get(name)
+            if limit is not None:
+                bucket.set_limit(
+                    limit.rate * self.share, limit.burst * self.share, now
+                )
 
     def bucket(self, workspace: str, now: float) -> TokenBucket | None:
         """Return a workspace's bucket, None if it has no limit."""
@@ -124,7 +144,9 @@
             return None
         bucket = self.buckets.get(workspace)
         if bucket is None:
-            bucket = TokenBucket(limit.rate, limit.burst, now)
+            bucket = TokenBucket(
+                limit.rate * self.share, limit.burst * self.share, now
+            )
             self.buckets[workspace] = bucket
         bucket.refill(now)
         return bucket
