Restore the store, leave by word and ask for quiet in the fault soak

Cause: the soak injected none of the three faults that the new rules are about.

Change: a store restored from a backup while it resets connections, an endpoint that says only in its responses that it leaves, one that turns requests away for 1.5 s; the ledger holds each host to what it was told. Seeds from 100 on choose from them too, so that the choices of earlier seeds stay.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,7 +18,7 @@
 
 import fire
 from gatewaycluster import AUTHORITY, KEY
-from soakfaults import ALL_FAULTS, PLANNED_FAULTS, inject_fault
+from soakfaults import fault_table, inject_fault
 from soakledger import MAX_RUNS, SentRequest
 from soakworld import SoakHost, World
 
@@ -167,9 +167,8 @@
     faults = []
     with ThreadPoolExecutor(64) as pool:
         futures = [pool.submit(caller.run, until) for caller in callers]
-        table = (
-            PLANNED_FAULTS if rng.random() < PLANNED_ONLY_SHARE else ALL_FAULTS
-        )
+        planned_only = rng.random() < PLANNED_ONLY_SHARE
+        table = fault_table(seed, planned_only=planned_only)
         while time.monotonic() < until:
             name = rng.choice(tuple(table))
             faults.append(name)
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -101,6 +101,38 @@
     return 'trim'
 
 
+def store_restores(world: World, rng: random.Random) -> str:
+    """Restore the store from a backup; what it lost is written again."""
+    backup = world.store.backup()
+    time.sleep(rng.uniform(0.2, 3))
+    with world.store.failing('reset'):
+        time.sleep(rng.uniform(0, 1))
+        world.store.restore(backup)
+    time.sleep(rng.uniform(0, 1.5))
+    world.write_again()
+    return 'restore'
+
+
+def say_leaving(world: World, rng: random.Random) -> str:
+    """Replace an endpoint that says only in its responses that it leaves."""
+    number = rng.randrange(len(world.endpoints))
+    leaving = world.endpoints[number]
+    world.endpoints[number] = world.add_endpoint()
+    leaving.says_leaving = True
+    world.replaced_endpoints.append(leaving)
+    time.sleep(rng.uniform(2, 4))
+    return 'says leaving'
+
+
+def ask_for_quiet(world: World, rng: random.Random) -> str:
+    """Make an endpoint turn half of its requests away for a while."""
+    endpoint = rng.choice(world.endpoints)
+    endpoint.fault = 'quiet'
+    time.sleep(rng.uniform(1, 3))
+    endpoint.fault = ''
+    return f'quiet {endpoint.name}'
+
+
 def store_cut(world: World, rng: random.Random) -> str:
     """Impair the connections of a host to the store."""
     host = rng.choice(world.hosts)
@@ -173,12 +205,28 @@
     'link_reset': link_reset,
     'endpoint_fails': endpoint_fails,
 }
+# The choices of a seed depend on the tables, so those of earlier seeds stay.
+FIRST_SEED_WITH_ALL = 100
+NEWER_FAULTS: Mapping[str, Fault] = {
+    'store_restores': store_restores,
+    'say_leaving': say_leaving,
+    'ask_for_quiet': ask_for_quiet,
+}
+
+
+def fault_table(seed: int, *, planned_only: bool) -> Mapping[str, Fault]:
+    """Return the faults from which a seed chooses."""
+    table = PLANNED_FAULTS if planned_only else ALL_FAULTS
+    if seed < FIRST_SEED_WITH_ALL:
+        return table
+    return {**table, **NEWER_FAULTS}
 
 
 def inject_fault(world: World, name: str, seed: int) -> None:
     """Run a fault to its end and record the time it was active."""
     started = time.monotonic()
-    description = ALL_FAULTS[name](world, random.Random(seed))
+    faults = {**ALL_FAULTS, **NEWER_FAULTS}
+    description = faults[name](world, random.Random(seed))
     world.ledger.on_span(FaultSpan(description, started, time.monotonic()))
     for host in world.hosts:
         host.restart_if_ended()
--- a/tests/soakledger.py
+++ b/tests/soakledger.py
@@ -14,6 +14,11 @@
 STREAM_KINDS = frozenset(('chat', 'talk'))
 WORKSPACE = 'acme'
 LEAVING_LIMIT_S = 2.0  # a leaving endpoint gets no new requests after this
+# An endpoint that asked for quiet may get so many requests of the host after
+# this time.
+QUIET_SLACK_S = 0.5
+QUIET_ALLOWANCE = 2
+HOST_START_S = 2.0  # a host may still start so long after its fault has ended
 
 
 class SentRequest(NamedTuple):
@@ -53,6 +58,27 @@
     ended: float
 
 
+class Sign(NamedTuple):
+    """What an endpoint said of itself in a response.
+
+    ``quiet_s`` is the time for which it wants no requests of that host; 0 if
+    it said that it is leaving.
+    """
+
+    request_id: str
+    endpoint: str
+    time: float
+    quiet_s: float
+
+
+class Arrival(NamedTuple):
+    """A request as it reached an endpoint, whether it ran or not."""
+
+    request_id: str
+    endpoint: str
+    time: float
+
+
 class Ledger:
     """All observations of a run; safe to use from any thread."""
 
@@ -64,6 +90,8 @@
         # Start of leaving on the monotonic clock, by endpoint.
         self.leaving: dict[str, float] = {}
         self.violations: list[str] = []
+        self.signs: list[Sign] = []
+        self.arrivals: list[Arrival] = []
 
     def on_sent(self, sent: SentRequest) -> None:
         with self.lock:
@@ -73,6 +101,14 @@
         with self.lock:
             self.runs[run.request_id].append(run)
 
+    def on_sign(self, sign: Sign) -> None:
+        with self.lock:
+            self.signs.append(sign)
+
+    def on_arrival(self, arrival: Arrival) -> None:
+        with self.lock:
+            self.arrivals.append(arrival)
+
     def on_span(self, span: FaultSpan) -> None:
         with self.lock:
             self.spans.append(span)
@@ -94,6 +130,7 @@
         violations = list(self.violations)
         violations.extend(self.check_stops())
         violations.extend(self.check_leaving())
+        violations.extend(self.check_signs())
         for request_id, runs in list(self.runs.items()):
             violations.extend(check_runs(self.sent.get(request_id), runs))
         for sent in self.sent.values():
@@ -132,6 +169,53 @@
                         'after leaving began'
                     )
 
+    def check_signs(self) -> Iterator[str]:
+        """Check that a host keeps to what an endpoint told it."""
+        for sign in self.signs:
+            sent = self.sent.get(sign.request_id)
+            # An incomplete response may not have reached the host.
+            if sent is None or not sent.status or not sent.complete:
+                continue
+            late = self.late_arrivals(sign, sent)
+            allowed = QUIET_ALLOWANCE if sign.quiet_s else 0
+            if len(late) > allowed and self.host_ran(sent.host, sign, late):
+                yield f'SIGN: {late} reached {sign} from {sent.host}'
+
+    def late_arrivals(self, sign: Sign, sent: SentRequest) -> list[Arrival]:
+        """Return what the same host sent in spite of a sign."""
+        since = sign.time + LEAVING_LIMIT_S
+        until = float('inf')
+        if sign.quiet_s:
+            since = sign.time + QUIET_SLACK_S
+            until = sign.time + sign.quiet_s
+        return [
+            arrival
+            for arrival in self.arrivals
+            if arrival.endpoint == sign.endpoint
+            and since < arrival.time < until
+            and self.is_from(sent.host, arrival, sign)
+        ]
+
+    def is_from(self, host: str, arrival: Arrival, sign: Sign) -> bool:
+        """Return whether a host took a request after a sign."""
+        sent = self.sent.get(arrival.request_id)
+        return (
+            sent is not None
+            and sent.host == host
+            and (bool(sign.quiet_s) or sent.started > sign.time)
+        )
+
+    def host_ran(self, host: str, sign: Sign, late: list[Arrival]) -> bool:
+        """Return whether a host was neither restarted nor paused."""
+        until = max(arrival.time for arrival in late)
+        excuses = {'kill_all', f'kill {host}', f'term {host}', f'pause {host}'}
+        return not any(
+            span.name in excuses
+            and span.started < until
+            and span.ended > sign.time - HOST_START_S
+            for span in self.spans
+        )
+
 
 def check_runs(sent: SentRequest | None, runs: list[Run]) -> Iterator[str]:
     """Check that a request ran as it was sent, and not too often."""
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -13,7 +13,15 @@
 from gatewaycluster import configuration, route
 from platformendpoint import PlatformEndpoint, ServedRequest
 from platformstore import PlatformStore
-from soakledger import STREAM_EVENTS, STREAM_KINDS, Ledger, Run, stream_event
+from soakledger import (
+    STREAM_EVENTS,
+    STREAM_KINDS,
+    Arrival,
+    Ledger,
+    Run,
+    Sign,
+    stream_event,
+)
 from soakproxy import Proxy
 
 GRACE_S = 8.0
@@ -25,6 +33,7 @@
 HANG_S = 3.0
 MAX_WORK_S = 0.04
 KEPT_VERSIONS = 3
+QUIET_S = 1.5
 
 
 class SoakEndpoint:
@@ -34,6 +43,7 @@
         self.name = name
         self.ledger = ledger
         self.fault = ''
+        self.says_leaving = False
         self.random = random.Random(name)
         self.server = PlatformEndpoint(name)
         self.server.behaviour = self.handle_request  # type: ignore[assignment]
@@ -46,10 +56,20 @@
     def handle_request(self, served: ServedRequest) -> None:
         """Serve a request, or fail it according to the current fault."""
         fault = self.fault if self.random.random() < 0.5 else ''
+        request = served.request
+        self.ledger.on_arrival(
+            Arrival(request.request_id, self.name, time.monotonic())
+        )
         if fault == 'refuse':
             served.refuse()
             return
-        request = served.request
+        if fault == 'quiet':
+            self.say(served, QUIET_S)
+            served.refuse_for(str(QUIET_S))
+            return
+        if self.says_leaving:
+            served.extra_headers = ('Server-Leaving: 1',)
+            self.say(served, 0)
         self.ledger.on_run(
             Run(
                 request.request_id,
@@ -69,6 +89,13 @@
             time.sleep(self.random.random() * MAX_WORK_S)
             self.respond(served, cut=fault == 'cut')
 
+    def say(self, served: ServedRequest, quiet_s: float) -> None:
+        """Note what the response to a request says of this endpoint."""
+        request_id = served.request.request_id
+        self.ledger.on_sign(
+            Sign(request_id, self.name, time.monotonic(), quiet_s)
+        )
+
     def respond(self, served: ServedRequest, *, cut: bool) -> None:
         request = served.request
         if request.line.split('/')[1] not in STREAM_KINDS:
@@ -184,6 +211,7 @@
         oldest = max(1, version - KEPT_VERSIONS)
         for kept in range(oldest, version + 1):
             routes.append(route(f'v{kept}', 'idempotent'))
+        self.document = document
         self.store.put('keyed.op', 'config', document)
         self.version = version
         return version
@@ -204,6 +232,16 @@
         self.ledger.leaving[leaving.name] = time.monotonic()
         self.replaced_endpoints.append(leaving)
 
+    def write_again(self) -> None:
+        """Write again what a restore of the store may have undone."""
+        document = self.document
+        self.store.put('keyed.op', 'config', document)
+        for endpoint in list(self.endpoints):
+            self.store.put('keyed.servers', endpoint.name, endpoint.record())
+        for endpoint in list(self.replaced_endpoints):
+            record = endpoint.record(state='draining')
+            self.store.put('keyed.servers', endpoint.name, record)
+
     def close(self) -> None:
         for host in self.hosts:
             host.close()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,16 @@
 
 import pytest
 from soak import soak
-from soakledger import FaultSpan, Ledger, Run, SentRequest, stream_body
+from soakfaults import FIRST_SEED_WITH_ALL
+from soakledger import (
+    Arrival,
+    FaultSpan,
+    Ledger,
+    Run,
+    SentRequest,
+    Sign,
+    stream_body,
+)
 
 SOAK_S = 6
 
@@ -81,6 +90,29 @@
         assert self.violation_code(ledger) == 'DRAIN'
 
 
+class TestSigns:
+    def ledger_of(self, quiet_s: float, *late: float) -> Ledger:
+        made = Ledger()
+        made.on_sent(sent_request())
+        made.on_run(run())
+        made.on_sign(Sign('q1', 'i-1', 2, quiet_s))
+        for number, at in enumerate(late):
+            name = f'r{number}'
+            made.on_sent(sent_request(request_id=name, started=at, status=503))
+            made.on_arrival(Arrival(name, 'i-1', at))
+        return made
+
+    def test_request_after_the_word_that_it_leaves(self) -> None:
+        made = self.ledger_of(0, 4.1)
+        assert 'SIGN' in made.check()[0]
+        made.on_span(FaultSpan('kill h1', 3, 3.1))
+        assert not made.check()
+
+    def test_requests_within_a_quiet_period(self) -> None:
+        assert not self.ledger_of(2, 2.6, 2.7, 4.5).check()
+        assert 'SIGN' in self.ledger_of(2, 2.6, 2.7, 2.8).check()[0]
+
+
 @pytest.mark.alone
 class TestSoak:
     def test_short_run_has_no_violations(self, tmp_path: pathlib.Path) -> None:
@@ -88,6 +120,13 @@
         assert not result.violations
         assert result.statuses[200] > 0
 
+    def test_short_run_with_restores_and_signs(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        result = soak(FIRST_SEED_WITH_ALL, SOAK_S, tmp_path)
+        assert not result.violations
+        assert result.statuses[200] > 0
+
     @pytest.mark.parametrize('seed', REGRESSIONS)
     def test_regression_seed(self, seed: int, tmp_path: pathlib.Path) -> None:
         assert not soak(seed, SOAK_S * 2, tmp_path).violations
