--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -10,12 +10,15 @@
 import pytest
 from cluster import ROOT
 from logbook.compat import redirected_logging
+from test_slotscheduler import ask
 
 from trefoilspool.jsonlog import (
     MAX_QUEUED_LINES,
     SAMPLE_ABOVE_LINES,
     QueuedJsonHandler,
 )
+from trefoilspool.slotmessages import RefusalReason
+from trefoilspool.slotscheduler import SlotScheduler
 from trefoilspool.telemetry import log_decision
 from trefoilspool.why import explain, find_lines
 
@@ -57,6 +60,13 @@
 
 
 class TestSchema:
+    def test_no_event_replaces_a_field_of_every_line(self) -> None:
+        """A workspace's level once replaced the level of the line."""
+        scheduler = SlotScheduler()
+        scheduler.refuse(ask(1), RefusalReason.crowded, 0)
+        fields = scheduler.take_events()[0].fields
+        assert not {'time', 'level', 'host', 'incarnation'} & set(fields)
+
     def test_every_event_has_an_entry_and_every_entry_an_event(self) -> None:
         assert events_in_code() == events_on_page()
 
@@ -200,7 +210,7 @@
             'places_a_s': 20.0,
             'waited_s': 0.0,
             'workspace': 'w',
-            'level': None,
+            'limit_level': None,
             'endpoints': 6,
         }
         entry.write_text(f'{json.dumps(settle)}\n')
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -294,7 +294,7 @@
                 ),
                 'waited_s': round(now - ask.arrived_at, 3),
                 'workspace': ask.workspace,
-                'level': bucket and int(bucket.level),
+                'limit_level': bucket and int(bucket.level),
                 'endpoints': len(self.by_service.get(ask.service, ())),
             },
         )
--- a/trefoilspool/why.py
+++ b/trefoilspool/why.py
@@ -39,7 +39,7 @@
     '{left_s} s left; configuration {version}',
     'place_refused': 'the home host refused slot {number}: {reason}; {ahead} '
     'requests were ahead, {places_a_s} slots a second became free; waited '
-    '{waited_s} s; limit of {workspace} at {level}; {endpoints} endpoints',
+    '{waited_s} s; limit of {workspace} at {limit_level}; {endpoints} endpoints',
     'placed_alone': 'chose {endpoint} for slot {number} without the home host',
     'home_silent': 'the home host {home} did not answer for slot {number}',
 }
