Keep a whole answer whose connection is reset after it

Cause: the check for bytes after an answer raised when the endpoint had reset the connection by then, so a whole answer was lost; found by reading the diff.

Change: a reset after the body means that the connection is closed, no more. The test of a planned stop waits until the request has been read: before that its connection may be closed, which a busy machine showed once.

Result: a new test, which failed on the code before.

--- a/tests/test_truth.py
+++ b/tests/test_truth.py
@@ -1,14 +1,18 @@
 """Callers get the truth: whole responses, their own, and what became of them."""
 
+import socket
 import threading
 import time
 from collections.abc import Iterator
+from types import SimpleNamespace
 
 import pytest
 from gatewaycluster import GatewayCluster, RunningHost, wait_for
 from platformendpoint import ServedRequest
 
 from trefoilspool import clock
+from trefoilspool.connections import ConnectionPool
+from trefoilspool.exchange import EndpointResponse
 from trefoilspool.slotacquisition import SlotAcquirer
 from trefoilspool.slotmessages import Granted
 
@@ -150,6 +154,28 @@
             assert response.body == name.encode()
 
 
+class ResetReader:
+    """A reader whose connection was reset after the body."""
+
+    def peek(self, size: int) -> bytes:
+        raise ConnectionResetError
+
+
+class TestResetAfterTheResponse:
+    def test_body_counts_and_the_connection_is_closed(self) -> None:
+        tcp_socket = socket.socket()
+        http_response = SimpleNamespace(fp=ResetReader())
+        response = EndpointResponse(
+            ConnectionPool(),
+            SimpleNamespace(tcp_socket=tcp_socket),  # type: ignore[arg-type]
+            http_response,  # type: ignore[arg-type]
+            SimpleNamespace(),  # type: ignore[arg-type]
+            0,
+        )
+        assert response.has_extra_bytes()
+        tcp_socket.close()
+
+
 class TestPace:
     def test_slow_stream_that_keeps_its_pace_is_not_cut(
         self, cluster: GatewayCluster
@@ -199,9 +225,11 @@
         running = hosts_with(cluster, 1)
         pool = running.server.worker_pool
         delayed = threading.Event()
+        was_read = threading.Event()
         add_task = pool.add_task
 
         def add_later(task: object) -> None:
+            was_read.set()
             threading.Thread(
                 target=lambda: (delayed.wait(6), add_task(task)), daemon=True
             ).start()
@@ -212,6 +240,8 @@
             target=lambda: responses.append(cluster.call(running, '/book/1')),
         )
         caller.start()
+        # A connection of which nothing was read may be closed.
+        assert was_read.wait(5)
         drain = threading.Thread(
             target=running.host.drain, args=(running.server,)
         )
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -137,12 +137,16 @@
         self.pool.release(self.connection)
 
     def has_extra_bytes(self) -> bool:
-        """Return whether bytes have arrived after the end of the body."""
+        """Return whether anything has arrived after the end of the body."""
         reader = self.http_response.fp
         if reader is None or self.connection.tcp_socket is None:
             return False
         self.connection.tcp_socket.settimeout(0)
-        return bool(reader.peek(1))
+        try:
+            return bool(reader.peek(1))
+        except OSError:
+            # The endpoint has reset the connection; the body was whole.
+            return True
 
     def close(self) -> None:
         """Close the connection, which cancels a response in progress."""
