--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,5 +1,6 @@
 """Tests of replicas of the store's topics and of their replication."""
 
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -7,7 +8,7 @@
 import pytest
 from gatewaycluster import wait_for
 from platformstore import PlatformStore
-from storecalls import StoreTopic
+from storecalls import MAX_IDLE_S, RESPONSE_TIMEOUT_S, StoreTopic
 
 from trefoilspool.discovery import DiscoveryTask
 from trefoilspool.errors import LogOutageError, TrimmedError
@@ -142,6 +143,20 @@
             topic.read_from(0, 0)
         assert topic.read_from(0, 0).end == 0
 
+    def test_idle_connection_that_went_silent_is_not_used(
+        self, store: PlatformStore
+    ) -> None:
+        topic = StoreTopic(store.address, TOPIC)
+        topic.read_latest()
+        silent = socket.create_server(('127.0.0.1', 0))
+        topic.connection.sock.close()
+        topic.connection.sock = socket.create_connection(silent.getsockname())
+        topic.used_at -= MAX_IDLE_S
+        started = time.monotonic()
+        assert topic.read_latest().end == 0
+        assert time.monotonic() - started < RESPONSE_TIMEOUT_S
+        silent.close()
+
     def test_silent_store_is_an_outage_within_two_seconds(
         self, store: PlatformStore
     ) -> None:
--- a/tests/test_restore_machine.py
+++ b/tests/test_restore_machine.py
@@ -210,14 +210,14 @@
         model.apply(replica.changes_from(max(offset, 0), era))
 
     @rule(host=HOST_NUMBERS, name=NAMES)
-    def hear_own_word(self, host: int, name: str) -> None:
+    def hear_leaving_response(self, host: int, name: str) -> None:
         """Get a response of an endpoint, which says whether it is leaving."""
         model = self.hosts[host]
         known = model.view.directory.endpoints.get(name)
         run = self.run_of(name)
         if self.endpoints[name].state == 'draining' and known:
             if known.run == run:
-                model.view.directory.on_own_word(name, self.now.time)
+                model.view.directory.on_leaving_response(name, self.now.time)
                 model.known_leaving.add(run)
 
     @rule(seconds=st.floats(0.1, 4))
--- a/trefoilspool/directory.py
+++ b/trefoilspool/directory.py
@@ -160,7 +160,7 @@
                 },
             )
 
-    def on_own_word(self, name: str, now: float) -> EndpointRun | None:
+    def on_leaving_response(self, name: str, now: float) -> EndpointRun | None:
         """Apply an endpoint's response that says that it is leaving.
 
         Returns
@@ -172,7 +172,7 @@
             endpoint = self.endpoints.get(name) or self.departures.last(name)
             if endpoint is None:
                 return None
-            is_new = self.on_leaving_run(endpoint.run, now, 'own_word')
+            is_new = self.on_leaving_run(endpoint.run, now, 'response')
             return endpoint.run if is_new else None
 
     def on_leaving_run(self, run: EndpointRun, now: float, source: str) -> bool:
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -251,9 +251,9 @@
             return
         now = clock.now()
         if head.is_leaving:
-            run = self.directory.on_own_word(endpoint, now)
+            run = self.directory.on_leaving_response(endpoint, now)
             if run is not None:
-                self.count_leaving('own_word')
+                self.count_leaving('response')
                 self.mesh.call_soon(
                     lambda now: self.mesh.send_leaving(run, now)
                 )
