--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -15,7 +15,11 @@
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.peertopics import decode_changes, encode_changes
 from trefoilspool.replica import Replica
-from trefoilspool.replication import PollInterval, StoreReplicationTask
+from trefoilspool.replication import (
+    PeerFetchTask,
+    PollInterval,
+    StoreReplicationTask,
+)
 from trefoilspool.store import KeyedRecord, Page
 
 TOPIC = 'keyed.servers'
@@ -239,3 +243,32 @@
             wait_for(lambda: task.outage_began_at, 'the outage')
         wait_for(lambda: task.outage_began_at is None, 'its end')
         assert time.monotonic() - task.outage_ended_at < 5
+
+
+class TestPeerFetchTask:
+    """All hosts hear of a change at once, and read the peer that told it."""
+
+    def fetch_times(self, spread_s: float) -> list[float]:
+        times: list[float] = []
+        tasks = [
+            PeerFetchTask(
+                TOPIC,
+                lambda: lambda: times.append(time.monotonic()),
+                threading.Event(),
+                min_polls_behind=1,
+                spread_s=spread_s,
+            )
+            for _ in range(40)
+        ]
+        threads = [threading.Thread(target=task.step) for task in tasks]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return sorted(times)
+
+    def test_fetches_of_many_hosts_are_spread(self) -> None:
+        times = self.fetch_times(spread_s=0.6)
+        assert len(times) == 40
+        # Half of them take far less than this if all start at once.
+        assert times[30] - times[10] > 0.1
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -61,6 +61,7 @@
 ENDPOINTS_READERS = 3
 SETTINGS_POLLING = PollInterval(SETTINGS_LONG_POLL_S, SETTINGS_PAUSE_S)
 ENDPOINTS_POLLING = PollInterval(0, ENDPOINTS_PAUSE_S)
+FETCH_SPREAD_S = 0.3
 CONFIGURATION_KEY = 'config'
 
 logger = logbook.Logger('gateway')
@@ -235,6 +236,7 @@
             self.find_newer_endpoints,
             self.stopping,
             min_polls_behind=1,
+            spread_s=FETCH_SPREAD_S,
         ).run
         yield self.clean_up
 
--- a/trefoilspool/replication.py
+++ b/trefoilspool/replication.py
@@ -203,6 +203,9 @@
     min_polls_behind : int
         Number of consecutive polls that must find a peer ahead before it is
         read.
+    spread_s : float
+        Longest random delay of a fetch. All hosts hear of a change at once and
+        would otherwise read the same peer at once.
     """
 
     def __init__(
@@ -211,11 +214,13 @@
         find_update: Callable[[], Callable[[], None] | None],
         stopping: threading.Event,
         min_polls_behind: int = 2,
+        spread_s: float = 0,
     ) -> None:
         self.topic = topic
         self.find_update = find_update
         self.stopping = stopping
         self.min_polls_behind = min_polls_behind
+        self.spread_s = spread_s
         self.polls_behind = 0
 
     def run(self) -> None:
@@ -239,4 +244,5 @@
         update = self.find_update()
         self.polls_behind = self.polls_behind + 1 if update else 0
         if update is not None and self.polls_behind >= self.min_polls_behind:
+            self.stopping.wait(self.spread_s * random.random())
             update()
