Keep a silent attempt until another endpoint has taken its request

Callers saw a stream without an end, or a 502, beside changes of the configuration, though the endpoint was sound and only paused for a second.

Cause: an attempt was closed after 0.8 s without an event or 1 s without a first byte, and only then a slot for the next one was asked for. If that was refused, or the endpoint turned the request away, nothing was left. The class: giving up what one has before one has what replaces it. The kernel did the same after one second with unacknowledged bytes.

Change: waits for an endpoint's bytes ask before they give up (ReadWait). The Replacer then asks for a slot elsewhere, sends the request there, and closes the silent attempt only when that endpoint has begun to answer, or has not refused for 0.25 s. If it refuses, or the silent endpoint goes on first, the silent attempt is kept; so both work on it for 0.25 s at most. Once attempts are used up, an endpoint is waited for until the deadline. The gap after which a replacement is sought is 1.1 s, since a sound endpoint may pause for a second and callers leave after two.

--- a/trefoilspool/connections.py
+++ b/trefoilspool/connections.py
@@ -1,20 +1,23 @@
 """Pooled connections to endpoints, with detection of a dead peer."""
 
 import http.client
+import math
 import select
 import socket
 import threading
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from trefoilspool import clock
 
-__all__ = ['ConnectionPool', 'EndpointConnection']
+__all__ = ['ConnectionPool', 'EndpointConnection', 'first_readable']
 
+MS_PER_S = 1000
 CONNECT_TIMEOUT_S = 0.3
-UNACKED_TIMEOUT_MS = 1000
-# With no data in flight a dead peer is detected within three seconds: after one
-# idle second, two probes at intervals of a second get no reply.
+# A sound endpoint may stop for more than a second and go on.
+UNACKED_TIMEOUT_MS = 3000
+# With no data in flight a dead peer is detected within three seconds as well:
+# after one idle second, two probes at intervals of a second get no reply.
 KEEPALIVE_OPTIONS: Mapping[int, int] = {
     socket.TCP_KEEPIDLE: 1,
     socket.TCP_KEEPINTVL: 1,
@@ -63,11 +66,11 @@
 
     def is_reusable(self) -> bool:
         """Return whether the idle connection is open with no bytes unread."""
-        if self.sock is None:
-            return False
-        poller = select.poll()
-        poller.register(self.sock, select.POLLIN | select.POLLHUP)
-        return not poller.poll(0)
+        return self.sock is not None and not self.wait_readable(0)
+
+    def wait_readable(self, timeout_s: float) -> bool:
+        """Return whether bytes or the end of the connection arrive in time."""
+        return first_readable((self,), timeout_s) is not None
 
     def abort(self) -> None:
         """End a blocked read from another thread."""
@@ -79,6 +82,31 @@
                 return
 
 
+def first_readable(
+    connections: Sequence[EndpointConnection], timeout_s: float
+) -> EndpointConnection | None:
+    """Wait for the first of some connections to have bytes or to be closed.
+
+    Returns
+    -------
+    EndpointConnection or None
+        The first one in order, if several have; None after the timeout.
+    """
+    poller = select.poll()
+    sockets = [connection.tcp_socket for connection in connections]
+    for tcp_socket in sockets:
+        if tcp_socket is not None and tcp_socket.fileno() >= 0:
+            poller.register(tcp_socket, select.POLLIN | select.POLLHUP)
+    ready = {
+        number for number, _ in poller.poll(math.ceil(timeout_s * MS_PER_S))
+    }
+    for connection, tcp_socket in zip(connections, sockets, strict=True):
+        # A closed socket has the number -1, and nothing more arrives on it.
+        if tcp_socket is None or tcp_socket.fileno() in {-1, *ready}:
+            return connection
+    return None
+
+
 class ConnectionPool:
     """Idle connections to endpoints; safe to use from any thread."""
 
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -1,17 +1,24 @@
 """One attempt of a request at the endpoint of its slot."""
 
+from collections.abc import Callable
+from typing import NamedTuple
+
 from trefoilspool import clock
+from trefoilspool.attempttimes import AttemptTimes
 from trefoilspool.connections import EndpointConnection
 from trefoilspool.departures import EndpointRecord
 from trefoilspool.dialect import OutboundRequest
 from trefoilspool.directory import Directory
 from trefoilspool.errors import (
     ConnectFailedError,
+    EndpointError,
+    EndpointReplacedError,
     SendFailedError,
     StreamCutError,
 )
 from trefoilspool.exchange import EndpointClient, EndpointResponse, split_events
 from trefoilspool.quietperiods import QuietPeriods
+from trefoilspool.readwait import ReadWait
 from trefoilspool.requestprogress import (
     EVENT_GAP_TIMEOUT_S,
     RequestProgress,
@@ -21,7 +28,13 @@
 from trefoilspool.slotmessages import AttemptEnding
 from trefoilspool.watch import Unwatch, Watch, WatchTask
 
-__all__ = ['FIRST_SERVER_ERROR_STATUS', 'EndpointAttempts']
+__all__ = [
+    'FIRST_SERVER_ERROR_STATUS',
+    'EndpointAttempts',
+    'SentAttempt',
+    'SilentAttemptHandler',
+    'ending_after',
+]
 
 # The endpoint may already have closed a reused connection. Whether a request
 # sent on it ran is then unknown, so at-most-once requests get new connections.
@@ -30,14 +43,41 @@
 # A slot that was granted longer ago may have been granted to another request:
 # the home host frees the slots of a host that has been silent for so long.
 SLOT_LIFETIME_S = 1.2
-# Without an event or body for this long, a repeatable request is retried at
-# another endpoint.
+# Without an event or body for this long, a replacement of a repeatable request
+# is sought.
 FIRST_BYTE_TIMEOUT_S = 1.0
 FIRST_SERVER_ERROR_STATUS = 500
 LAST_SUCCESS_STATUS = 299
 MIN_REMAINING_S = 0.01
 
 
+# Ending of an attempt that the endpoint refused, by whether it has another
+# name than the request expects.
+REFUSED_ENDINGS = {
+    False: AttemptEnding.refused,
+    True: AttemptEnding.gone,
+}
+
+
+class SentAttempt(NamedTuple):
+    """An attempt that has been sent.
+
+    Attributes
+    ----------
+    response : EndpointResponse or None
+        The response, once its head has been read.
+    """
+
+    slot: Slot
+    connection: EndpointConnection
+    outbound: OutboundRequest
+    times: AttemptTimes
+    response: EndpointResponse | None = None
+
+
+SilentAttemptHandler = Callable[[SentAttempt, ReadWait], float]
+
+
 class EndpointAttempts:
     """Sends the attempts of one request.
 
@@ -70,7 +110,16 @@
         self.endpoint_client = endpoint_client
         self.watch = watch
 
-    def attempt(self, slot: Slot) -> StartedResponse | AttemptFailure:
+    def attempt(
+        self, slot: Slot, on_silence: SilentAttemptHandler
+    ) -> StartedResponse | AttemptFailure:
+        """Send the request to the endpoint of a slot; read the response."""
+        sent = self.begin(slot)
+        if isinstance(sent, AttemptFailure):
+            return sent
+        return self.finish(sent, on_silence)
+
+    def begin(self, slot: Slot) -> SentAttempt | AttemptFailure:
         """Send the request to the endpoint of a slot."""
         endpoint = self.directory.get(slot.endpoint)
         if endpoint is None:
@@ -118,8 +167,8 @@
 
     def send(
         self, slot: Slot, connection: EndpointConnection
-    ) -> StartedResponse | AttemptFailure:
-        """Send the request and read the start of the response."""
+    ) -> SentAttempt | AttemptFailure:
+        """Send the request on a connection."""
         request = self.request
         progress = self.progress
         self.watch.post(
@@ -130,30 +179,69 @@
                 connection.abort,
             ),
         )
-        progress.on_sent(clock.now())
+        sent_at = clock.now()
+        progress.sent_attempts += 1
         outbound = OutboundRequest(
             request.caller_request,
             slot.endpoint,
             request.workspace,
-            request.deadline - progress.sent_at,
+            request.deadline - sent_at,
             progress.last_event_number,
         )
         try:
-            response = self.endpoint_client.send(
-                connection,
-                outbound,
-                progress.read_until(FIRST_BYTE_TIMEOUT_S, progress.sent_at),
-            )
-            return self.classify_response(slot, response)
-        except (SendFailedError, StreamCutError) as error:
+            self.endpoint_client.send(connection, outbound)
+        except SendFailedError as error:
             self.unwatch(slot)
             return AttemptFailure(AttemptEnding.broken, True, str(error))
+        return SentAttempt(slot, connection, outbound, AttemptTimes(sent_at))
+
+    def finish(
+        self, sent: SentAttempt, on_silence: SilentAttemptHandler
+    ) -> StartedResponse | AttemptFailure:
+        """Read the start of the response to a sent attempt."""
+        self.progress.times = sent.times
+        try:
+            response = sent.response or self.read_head(sent, on_silence)
+            refusal = self.refusal(response)
+            if refusal is not None:
+                self.unwatch(sent.slot)
+                return refusal
+            return self.start_response(sent.slot, response)
+        except (SendFailedError, StreamCutError) as error:
+            self.unwatch(sent.slot)
+            return AttemptFailure(ending_after(error), True, str(error))
+
+    def read_head(
+        self, sent: SentAttempt, on_silence: SilentAttemptHandler
+    ) -> EndpointResponse:
+        """Read the head of the response to a sent attempt.
+
+        Raises
+        ------
+        SendFailedError, EndpointReplacedError
+            When there is no response, or another attempt has replaced this one.
+        """
+        wait = ReadWait(
+            sent.connection,
+            self.progress.read_until(FIRST_BYTE_TIMEOUT_S, sent.times.sent_at),
+            lambda wait: on_silence(sent, wait),
+        )
+        return self.endpoint_client.read_head(sent.outbound, wait)
 
     def unwatch(self, slot: Slot) -> None:
         """Stop the watch on an attempt."""
         self.watch.post(Unwatch(slot.key.number))
 
-    def classify_response(
+    def refusal(self, response: EndpointResponse) -> AttemptFailure | None:
+        """Return the failure if the endpoint did not run the request."""
+        head = response.head
+        if not head.not_run and not head.is_other_endpoint:
+            return None
+        response.discard()
+        ending = REFUSED_ENDINGS[head.is_other_endpoint]
+        return AttemptFailure(ending, False, f'status {head.status}, not run')
+
+    def start_response(
         self, slot: Slot, response: EndpointResponse
     ) -> StartedResponse | AttemptFailure:
         """Return the response, or a failure if its head shows one.
@@ -164,17 +252,6 @@
             When the response is cut short.
         """
         head = response.head
-        if head.not_run or head.is_other_endpoint:
-            self.unwatch(slot)
-            response.discard()
-            ending = (
-                AttemptEnding.gone
-                if head.is_other_endpoint
-                else AttemptEnding.refused
-            )
-            return AttemptFailure(
-                ending, False, f'status {head.status}, not run'
-            )
         if head.encoded or not head.is_stamped:
             self.unwatch(slot)
             response.close()
@@ -195,7 +272,7 @@
         """Read a whole response; one with a server error is a failure."""
         body = response.read_body()
         self.unwatch(slot)
-        self.progress.on_first_event(clock.now())
+        self.progress.times.on_first_event(clock.now())
         started = StartedResponse(slot, response, body, None)
         status = response.head.status
         if status < FIRST_SERVER_ERROR_STATUS:
@@ -210,13 +287,22 @@
         """Read a stream up to the end of its first event."""
         progress = self.progress
         head_at = clock.now()
-        first_due = progress.read_until(FIRST_BYTE_TIMEOUT_S, progress.sent_at)
-        response.read_until = max(
+        first_due = progress.read_until(
+            FIRST_BYTE_TIMEOUT_S, progress.times.sent_at
+        )
+        response.wait.until = max(
             first_due, progress.read_until(EVENT_GAP_TIMEOUT_S, head_at)
         )
         rest = split_events(response.chunks())
         first = next(rest, b'')
         now = clock.now()
-        progress.on_first_event(now)
-        response.read_until = progress.next_event_due(now)
+        progress.times.on_first_event(now)
+        response.wait.until = progress.next_event_due(now)
         return StartedResponse(slot, response, first, rest)
+
+
+def ending_after(error: EndpointError) -> AttemptEnding:
+    """Return the ending of an attempt whose response an error has ended."""
+    if isinstance(error, EndpointReplacedError):
+        return AttemptEnding.silent
+    return AttemptEnding.broken
--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -10,6 +10,7 @@
     'BadRecordError',
     'CutResponseError',
     'EndpointRefusedConnectionError',
+    'EndpointReplacedError',
     'BadTimeoutError',
     'BodyTooLargeError',
     'CallerGoneError',
@@ -200,6 +201,10 @@
     """The response ended before it was complete."""
 
 
+class EndpointReplacedError(StreamCutError):
+    """The attempt was given up, as another one has replaced it."""
+
+
 class Problem(TrefoilspoolError):
     """A final response to a caller, sent as ``application/problem+json``.
 
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -2,10 +2,10 @@
 
 import http.client
 from collections.abc import Callable, Iterator
+from io import BufferedReader
 
 import logbook
 
-from trefoilspool import clock
 from trefoilspool.connections import (
     MAX_IDLE_S,
     ConnectionPool,
@@ -15,9 +15,11 @@
 from trefoilspool.errors import (
     ConnectFailedError,
     EndpointRefusedConnectionError,
+    EndpointReplacedError,
     SendFailedError,
     StreamCutError,
 )
+from trefoilspool.readwait import ReadWait
 
 __all__ = ['EndpointClient', 'EndpointResponse', 'split_events']
 
@@ -25,7 +27,10 @@
 # A stray response to an earlier request may precede the expected one.
 MAX_STRAY_RESPONSES = 1
 EVENT_END = b'\n\n'
-MIN_TIMEOUT_S = 0.001  # zero would make a socket non-blocking
+CHUNK_END = b'\r\n'
+# The rest of a head or of a chunk's size line follows its first bytes within
+# this time; http.client cannot go on with it after a timeout.
+MIN_PARTIAL_READ_S = 2.0
 
 logger = logbook.Logger('exchange')
 
@@ -43,9 +48,8 @@
         The response as the standard library reads it.
     head : ResponseHead
         The decoded head.
-    read_until : float
-        Time, in seconds, until which the next event or the end of the body is
-        waited for, whatever bytes come before it.
+    wait : ReadWait
+        Waits for the next event or the end of the body.
     """
 
     def __init__(
@@ -54,13 +58,13 @@
         connection: EndpointConnection,
         http_response: http.client.HTTPResponse,
         head: ResponseHead,
-        read_until: float,
+        wait: ReadWait,
     ) -> None:
         self.pool = pool
         self.connection = connection
         self.http_response = http_response
         self.head = head
-        self.read_until = read_until
+        self.wait = wait
 
     def read_body(self) -> bytes:
         """Return the whole body and release the connection.
@@ -89,6 +93,9 @@
         """
         try:
             yield from self.read_chunks()
+        except EndpointReplacedError:
+            self.close()
+            raise
         except (OSError, http.client.HTTPException, ValueError) as error:
             self.close()
             raise StreamCutError(f'the response was cut: {error!r}') from error
@@ -105,19 +112,36 @@
         Raises
         ------
         TimeoutError
-            When ``read_until`` has passed.
+            When bytes are no longer waited for.
+        EndpointReplacedError
+            When another attempt has replaced this one.
         """
-        while True:
-            remaining_s = self.read_until - clock.now()
-            if remaining_s <= 0:
-                raise TimeoutError('no whole event or body in time')
-            if self.connection.tcp_socket is not None:
-                self.connection.tcp_socket.settimeout(remaining_s)
+        while not self.is_read():
+            self.wait.next_bytes(self.has_buffered)
+            set_partial_read_timeout(self.connection, self.wait)
             chunk = self.http_response.read1(READ_BYTES)
             if not chunk:
                 return
             yield chunk
 
+    def is_read(self) -> bool:
+        """Return whether the end of the body has been read."""
+        return self.http_response.fp is None or self.http_response.length == 0
+
+    def has_buffered(self) -> bool:
+        """Return whether bytes of the body have been received but not read.
+
+        The line end after a chunk does not count, since the next chunk may
+        be long in coming.
+        """
+        buffered = peek(self.connection, self.http_response.fp)
+        if self.http_response.chunk_left == 0 and buffered == CHUNK_END:
+            self.http_response.fp.read(len(CHUNK_END))
+            # The state of http.client before the size line of a chunk.
+            self.http_response.chunk_left = None
+            return False
+        return bool(buffered)
+
     def return_connection(self) -> None:
         """Release the connection, or close it if the endpoint will close it.
 
@@ -141,9 +165,8 @@
         reader = self.http_response.fp
         if reader is None or self.connection.tcp_socket is None:
             return False
-        self.connection.tcp_socket.settimeout(0)
         try:
-            return bool(reader.peek(1))
+            return bool(peek(self.connection, reader))
         except OSError:
             # The endpoint has reset the connection; the body was whole.
             return True
@@ -212,62 +235,89 @@
         return connection
 
     def send(
-        self,
-        connection: EndpointConnection,
-        outbound: OutboundRequest,
-        read_until: float,
-    ) -> EndpointResponse:
-        """Send a request and read the head of its response.
+        self, connection: EndpointConnection, outbound: OutboundRequest
+    ) -> None:
+        """Send a request.
 
-        Parameters
-        ----------
-        connection : EndpointConnection
-            An open connection.
-        outbound : OutboundRequest
-            The request.
-        read_until : float
-            Time, in seconds, until which the response is waited for.
+        Raises
+        ------
+        SendFailedError
+            When the connection fails; the request may have reached the
+            endpoint.
+        """
+        connection.sock.settimeout(outbound.remaining_s)
+        try:
+            self.write_request(connection, outbound)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            abandon(connection)
+            raise SendFailedError(
+                f'not sent to {outbound.endpoint} as a whole: {error!r}',
+            ) from error
+
+    def read_head(
+        self, outbound: OutboundRequest, wait: ReadWait
+    ) -> EndpointResponse:
+        """Read the head of the response to a request.
 
         Raises
         ------
         SendFailedError
             When there is no response; the request may have reached the
             endpoint.
+        EndpointReplacedError
+            When another attempt has replaced this one.
         """
-        request = outbound.caller_request
-        connection.sock.settimeout(max(MIN_TIMEOUT_S, read_until - clock.now()))
+        connection = wait.connection
         try:
-            self.write_request(connection, outbound)
-            response = connection.getresponse()
+            wait.next_bytes(nothing_buffered)
+            set_partial_read_timeout(connection, wait)
+            return self.matching_response(
+                connection.getresponse(), outbound, wait
+            )
+        except EndpointReplacedError:
+            abandon(connection)
+            raise
         except (OSError, http.client.HTTPException, ValueError) as error:
-            connection.abort()
-            connection.close()
+            abandon(connection)
             raise SendFailedError(
                 f'no response from {outbound.endpoint}: {error!r}',
             ) from error
+
+    def matching_response(
+        self,
+        response: http.client.HTTPResponse,
+        outbound: OutboundRequest,
+        wait: ReadWait,
+    ) -> EndpointResponse:
+        """Return the response to a request; skip a stray one before it.
+
+        Raises
+        ------
+        SendFailedError
+            When the responses belong to other requests.
+        """
+        connection = wait.connection
+        request_id = outbound.caller_request.request_id
         for strays in range(MAX_STRAY_RESPONSES + 1):
             head = self.dialect.decode_response_head(
                 response.status,
                 response.getheaders(),
             )
             self.on_head(outbound.endpoint, head)
-            if is_response_to(request.request_id, head, connection):
+            if is_response_to(request_id, head, connection):
                 return EndpointResponse(
-                    self.pool, connection, response, head, read_until
+                    self.pool, connection, response, head, wait
                 )
             # No response can follow one that has no length or that closed the
             # connection.
             if response.length is None or connection.sock is None:
                 break
             if strays < MAX_STRAY_RESPONSES:
-                response = self.skip_stray_response(
-                    connection, response, outbound
-                )
-        connection.abort()
-        connection.close()
+                response = skip_stray_response(response, outbound, wait)
+        abandon(connection)
         raise SendFailedError(
             f'{outbound.endpoint} sent a response to {head.request_id!r} '
-            f'instead of {request.request_id!r}'
+            f'instead of {request_id!r}'
         )
 
     def write_request(
@@ -291,32 +341,59 @@
             if not request.body or connection.sock is None:
                 raise
 
-    def skip_stray_response(
-        self,
-        connection: EndpointConnection,
-        stray: http.client.HTTPResponse,
-        outbound: OutboundRequest,
-    ) -> http.client.HTTPResponse:
-        """Skip a response to an earlier request and return the next one."""
-        reader = stray.fp
-        # The buffered reader may already hold the start of the next response.
-        stray.fp = None  # type: ignore[assignment]
-        response = http.client.HTTPResponse(
-            connection.sock,
-            method=outbound.caller_request.method,
+
+def skip_stray_response(
+    stray: http.client.HTTPResponse, outbound: OutboundRequest, wait: ReadWait
+) -> http.client.HTTPResponse:
+    """Skip a response to an earlier request and return the next one."""
+    reader = stray.fp
+    # The buffered reader may already hold the start of the next response.
+    stray.fp = None  # type: ignore[assignment]
+    response = http.client.HTTPResponse(
+        wait.connection.sock,
+        method=outbound.caller_request.method,
+    )
+    response.fp.close()
+    response.fp = reader
+    reader.read(stray.length)
+    wait.next_bytes(lambda: bool(peek(wait.connection, reader)))
+    set_partial_read_timeout(wait.connection, wait)
+    response.begin()
+    return response
+
+
+def nothing_buffered() -> bool:
+    """Return False, as for a response of which nothing has been read."""
+    return False
+
+
+def peek(connection: EndpointConnection, reader: BufferedReader) -> bytes:
+    """Return received bytes that have not been read, without waiting.
+
+    Raises
+    ------
+    OSError
+        When the connection was reset.
+    """
+    if connection.tcp_socket is not None:
+        connection.tcp_socket.settimeout(0)
+    return reader.peek(1)
+
+
+def set_partial_read_timeout(
+    connection: EndpointConnection, wait: ReadWait
+) -> None:
+    """Set the socket's timeout for a read of which bytes have arrived."""
+    if connection.tcp_socket is not None:
+        connection.tcp_socket.settimeout(
+            max(MIN_PARTIAL_READ_S, wait.remaining_s())
         )
-        response.fp.close()
-        response.fp = reader
-        try:
-            reader.read(stray.length)
-            response.begin()
-        except (OSError, http.client.HTTPException, ValueError) as error:
-            connection.abort()
-            connection.close()
-            raise SendFailedError(
-                f'no response after a stray one: {error!r}',
-            ) from error
-        return response
+
+
+def abandon(connection: EndpointConnection) -> None:
+    """Close a connection, which cancels the request on it."""
+    connection.abort()
+    connection.close()
 
 
 def is_response_to(
--- a/trefoilspool/requestoutcomes.py
+++ b/trefoilspool/requestoutcomes.py
@@ -50,13 +50,13 @@
         place=progress.slot_number,
         attempts=progress.sent_attempts,
         may_have_run=progress.may_have_run,
-        first_s=round(progress.first_byte_s, 4),
+        first_s=round(progress.times.first_byte_s, 4),
         took_s=round(took_s, 4),
         left_s=round(request.deadline - now, 3),
         prompt_tokens=request.caller_request.prompt_tokens,
         output_tokens=request.caller_request.output_tokens,
         expected_tokens=request.caller_request.expected_tokens,
-        events=progress.event_count,
+        events=progress.times.event_count,
     )
     labels = f'service="{request.service}",rank="{request.rank}"'
     metrics.count(
@@ -64,7 +64,9 @@
         f'status="{status}"}}',
     )
     metrics.record('trefoilspool_request_seconds', labels, took_s)
-    if progress.first_byte_s:
+    if progress.times.first_byte_s:
         metrics.record(
-            'trefoilspool_first_byte_seconds', labels, progress.first_byte_s
+            'trefoilspool_first_byte_seconds',
+            labels,
+            progress.times.first_byte_s,
         )
--- a/trefoilspool/requestprogress.py
+++ b/trefoilspool/requestprogress.py
@@ -3,6 +3,7 @@
 Pure: each call passes the time, so that the decisions can be tested alone.
 """
 
+from trefoilspool.attempttimes import AttemptTimes
 from trefoilspool.callerrors import DeadlineAfterSendError
 from trefoilspool.errors import (
     EndpointFailedError,
@@ -21,9 +22,10 @@
 # An endpoint that has sent no whole event or body for this long counts as
 # failing, even if the caller or the deadline ended the attempt.
 SILENT_AFTER_S = 0.9
-# Longest gap between events of a stream that can be retried, if none of its
-# earlier gaps was long.
-EVENT_GAP_TIMEOUT_S = 0.8
+# After this gap between events a replacement is sought, if none of the earlier
+# gaps was long. A sound endpoint may pause for a second; callers give up after
+# two.
+EVENT_GAP_TIMEOUT_S = 1.1
 # A gap of a slow stream may be this many times its longest earlier one.
 GAP_FACTOR = 4.0
 # Reads time out this long after the deadline, at which the watch task aborts
@@ -60,17 +62,8 @@
         Number of the last event that the caller has; -1 if none.
     slot_number : int
         Number of the last slot asked for.
-    sent_at : float
-        When the last attempt was sent, in seconds.
-    first_byte_s : float
-        Seconds from the last send to the end of the first event, or of a body
-        that is not a stream; 0 before it.
-    event_count : int
-        Events received in the last attempt.
-    first_event_at, last_event_at : float
-        When these events were received, in seconds.
-    longest_gap_s : float
-        Longest time between two events of the last attempt, in seconds.
+    times : AttemptTimes
+        Times of the attempt whose response is read.
     last_failure : AttemptFailure or None
         The last failed attempt.
     """
@@ -83,36 +76,12 @@
         self.avoid: tuple[str, ...] = ()
         self.last_event_number = request.caller_request.resume_after
         self.slot_number = 0
-        self.sent_at = 0.0
-        self.first_byte_s = 0.0
-        self.event_count = 0
-        self.first_event_at = 0.0
-        self.last_event_at = 0.0
-        self.longest_gap_s = 0.0
+        self.times = AttemptTimes()
         self.last_failure: AttemptFailure | None = None
 
-    def on_sent(self, now: float) -> None:
-        """Count an attempt that is about to be sent."""
-        self.sent_attempts += 1
-        self.sent_at = now
-        self.first_byte_s = 0.0
-        self.event_count = 0
-        self.longest_gap_s = 0.0
-
-    def on_first_event(self, now: float) -> None:
-        """Note the end of the first event, or of a body."""
-        self.first_event_at = now
-        self.last_event_at = now
-        self.first_byte_s = now - self.sent_at
-
-    def on_event(self, now: float) -> None:
-        """Note the end of a further event."""
-        self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
-        self.last_event_at = now
-
     def is_new(self, number: int | None) -> bool:
         """Count an event; return whether the caller does not have it yet."""
-        self.event_count += 1
+        self.times.event_count += 1
         if number is None:
             return True
         if number <= self.last_event_number:
@@ -120,30 +89,30 @@
         self.last_event_number = number
         return True
 
-    def decode_s(self, now: float) -> float:
-        """Return the seconds since the first event, 0 without events."""
-        return now - self.first_event_at if self.event_count else 0.0
-
     def read_until(self, limit_s: float, now: float) -> float:
         """Return the time until which an attempt is waited for.
 
         At-most-once requests and the last allowed attempt are waited for until
         the deadline; ``limit_s`` bounds the others.
         """
-        request = self.request
-        last = request.deadline + READ_SLACK_S
-        if request.route.repeats is RepeatPolicy.never:
-            return last
-        if self.sent_attempts >= request.route.max_attempts:
-            return last
-        return min(last, now + limit_s)
+        last = self.request.deadline + READ_SLACK_S
+        return min(last, now + limit_s) if self.may_replace() else last
+
+    def may_replace(self) -> bool:
+        """Return whether another attempt may replace one that is silent."""
+        route = self.request.route
+        if route.repeats is RepeatPolicy.never:
+            return False
+        return self.sent_attempts < route.max_attempts
 
     def next_event_due(self, now: float) -> float:
         """Return the time until which the next event is waited for.
 
         A slow stream that keeps its pace is not cut.
         """
-        limit_s = max(EVENT_GAP_TIMEOUT_S, self.longest_gap_s * GAP_FACTOR)
+        limit_s = max(
+            EVENT_GAP_TIMEOUT_S, self.times.longest_gap_s * GAP_FACTOR
+        )
         return self.read_until(limit_s, now)
 
     def on_failure(
@@ -156,7 +125,7 @@
         self.last_failure = failure
 
     def reported_ending(
-        self, failure: AttemptFailure, now: float
+        self, failure: AttemptFailure, times: AttemptTimes, now: float
     ) -> AttemptEnding:
         """Return the ending to report to the slot scheduler.
 
@@ -169,8 +138,8 @@
             cancelled = True
         if not cancelled:
             return failure.ending
-        if failure.may_have_run and not self.first_byte_s:
-            if now - self.sent_at >= SILENT_AFTER_S:
+        if failure.may_have_run and not times.first_byte_s:
+            if now - times.sent_at >= SILENT_AFTER_S:
                 return AttemptEnding.silent
         return AttemptEnding.cancelled
 
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -5,11 +5,13 @@
 from returns.result import Failure, Result, Success
 
 from trefoilspool import clock
+from trefoilspool.attempttimes import AttemptTimes
 from trefoilspool.dialect import Dialect
 from trefoilspool.directory import Directory
 from trefoilspool.endpointattempts import (
     FIRST_SERVER_ERROR_STATUS,
     EndpointAttempts,
+    ending_after,
 )
 from trefoilspool.errors import (
     CallerGoneError,
@@ -20,6 +22,7 @@
 from trefoilspool.exchange import EndpointClient
 from trefoilspool.filter import Response
 from trefoilspool.quietperiods import QuietPeriods
+from trefoilspool.replacement import Replacer
 from trefoilspool.requestoutcomes import record_outcome
 from trefoilspool.requestprogress import RequestProgress
 from trefoilspool.routedrequests import (
@@ -37,6 +40,9 @@
 
 __all__ = ['RequestExecution', 'RequestServer']
 
+# A stream whose attempt ended so may be resumed.
+FAILED_STREAM_ENDINGS = frozenset((AttemptEnding.broken, AttemptEnding.silent))
+
 
 class RequestServer:
     """Serves routed requests; shared by all of them.
@@ -105,6 +111,8 @@
         Gets the slots of the attempts.
     attempts : EndpointAttempts
         Sends the attempts.
+    replacer : Replacer
+        Replaces attempts whose endpoint is silent.
     """
 
     def __init__(self, server: RequestServer, request: RoutedRequest) -> None:
@@ -125,6 +133,9 @@
             server.endpoint_client,
             server.watch,
         )
+        self.replacer = Replacer(
+            self.progress, self.slots, self.attempts, self.record_failure
+        )
 
     def run(self) -> Result[Response, Problem]:
         """Return the response, or the final problem."""
@@ -158,16 +169,37 @@
         """
         while True:
             try:
-                slot = self.slots.acquire()
+                slot, result = self.next_attempt()
             except Problem as problem:
                 return self.earlier_response(problem)
-            result = self.attempts.attempt(slot)
             if isinstance(result, StartedResponse):
                 return result
-            self.record_failure(slot, result)
-            if not self.progress.may_retry(result, clock.now()):
+            self.record_failure(slot, result, self.progress.times)
+            if not self.may_retry(result):
                 return self.final_response(result)
 
+    def next_attempt(self) -> tuple[Slot, StartedResponse | AttemptFailure]:
+        """Make the next attempt, or read the response to a pending one.
+
+        Raises
+        ------
+        Problem
+            When no slot is granted.
+        """
+        on_silence = self.replacer.on_silence
+        pending = self.replacer.take()
+        if pending is not None:
+            return pending.slot, self.attempts.finish(pending, on_silence)
+        slot = self.slots.acquire()
+        self.progress.times = AttemptTimes()
+        return slot, self.attempts.attempt(slot, on_silence)
+
+    def may_retry(self, failure: AttemptFailure) -> bool:
+        """Return whether an attempt may follow or has followed already."""
+        if self.replacer.pending is not None:
+            return True
+        return self.progress.may_retry(failure, clock.now())
+
     def earlier_response(self, problem: Problem) -> StartedResponse:
         """Return an endpoint's own error response if no retry is possible.
 
@@ -181,14 +213,16 @@
             raise problem
         return failure.response
 
-    def record_failure(self, slot: Slot, failure: AttemptFailure) -> None:
+    def record_failure(
+        self, slot: Slot, failure: AttemptFailure, times: AttemptTimes
+    ) -> None:
         """Log a failed attempt and release its slot."""
         now = clock.now()
-        ending = self.progress.reported_ending(failure, now)
+        ending = self.progress.reported_ending(failure, times, now)
         self.progress.on_failure(failure, ending, slot.endpoint)
         if failure.ending is AttemptEnding.gone:
             self.server.directory.on_displaced(slot.endpoint)
-        self.slots.release(slot, ending)
+        self.slots.release(slot, ending, times)
         log_decision(
             'fault',
             self.request.caller_request.request_id,
@@ -237,7 +271,9 @@
         failed.
         """
         if started.response.head.status < FIRST_SERVER_ERROR_STATUS:
-            self.slots.release(started.slot, AttemptEnding.completed)
+            self.slots.release(
+                started.slot, AttemptEnding.completed, self.progress.times
+            )
 
     def relay_stream(self, started: StartedResponse) -> Iterator[bytes]:
         """Yield a stream's events, resuming a cut stream where allowed.
@@ -265,10 +301,10 @@
             yield from self.relayed_events(started)
             ending = AttemptEnding.completed
         except StreamCutError as error:
-            ending = AttemptEnding.broken
+            ending = ending_after(error)
             return AttemptFailure(ending, may_have_run=True, detail=str(error))
         finally:
-            if ending is not AttemptEnding.broken:
+            if ending not in FAILED_STREAM_ENDINGS:
                 self.close_stream(started, ending)
         return None
 
@@ -279,7 +315,7 @@
         self.attempts.unwatch(started.slot)
         if ending is not AttemptEnding.completed:
             started.response.close()
-        self.slots.release(started.slot, ending)
+        self.slots.release(started.slot, ending, self.progress.times)
         self.record_outcome(
             started.response.head.status,
             ending.name,
@@ -294,8 +330,8 @@
             yield started.body
         for event in started.rest or ():
             now = clock.now()
-            progress.on_event(now)
-            started.response.read_until = progress.next_event_due(now)
+            progress.times.on_event(now)
+            started.response.wait.until = progress.next_event_due(now)
             if progress.is_new(event_number(event)):
                 yield event
 
@@ -310,10 +346,10 @@
             When the route does not allow it or no endpoint resumes it.
         """
         self.attempts.unwatch(started.slot)
-        self.record_failure(started.slot, failure)
+        self.record_failure(started.slot, failure, self.progress.times)
         if (
             self.request.route.repeats is RepeatPolicy.resumed
-            and self.progress.may_retry(failure, clock.now())
+            and self.may_retry(failure)
         ):
             try:
                 return self.resumed_stream()
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -1,6 +1,9 @@
 """Slots for the attempts of one request, from the request to the release."""
 
+from collections.abc import Callable
+
 from trefoilspool import clock
+from trefoilspool.attempttimes import AttemptTimes
 from trefoilspool.callerrors import OverLimitError
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.directory import Directory
@@ -28,6 +31,11 @@
 OUTPUT_LIMIT_TO_MEAN = 8
 
 
+def never() -> bool:
+    """Return False: the slot remains wanted."""
+    return False
+
+
 class SlotAcquirer:
     """Asks for the slots of one request and releases them.
 
@@ -60,9 +68,20 @@
         self.quiet_periods = quiet_periods
         self.data_centre = data_centre
 
-    def acquire(self) -> Slot:
+    def acquire(
+        self,
+        avoid: tuple[str, ...] = (),
+        is_unneeded: Callable[[], bool] = never,
+    ) -> Slot:
         """Acquire a slot for the next attempt.
 
+        Parameters
+        ----------
+        avoid : tuple of str
+            Endpoints that may not get it, besides those that have failed.
+        is_unneeded : callable
+            Returns whether the slot is no longer wanted.
+
         Raises
         ------
         Problem
@@ -70,9 +89,9 @@
         """
         started = clock.now()
         quiet = self.quiet_endpoints(started)
-        slot_request = self.slot_request(quiet)
+        slot_request = self.slot_request((*self.progress.avoid, *avoid, *quiet))
         self.progress.slot_number = slot_request.key.number
-        decision = self.decide(slot_request, quiet)
+        decision = self.decide(slot_request, quiet, is_unneeded)
         if isinstance(decision, Refused):
             raise self.refusal_problem(decision)
         assert isinstance(decision, Granted)
@@ -87,7 +106,7 @@
         )
         return Slot(slot_request.key, decision.endpoint, now)
 
-    def slot_request(self, quiet: dict[str, float]) -> SlotRequest:
+    def slot_request(self, avoid: tuple[str, ...]) -> SlotRequest:
         """Return the slot request of the next attempt."""
         request = self.request
         return SlotRequest(
@@ -100,7 +119,7 @@
             first_byte_due=request.arrived_at + request.route.target_latency_s,
             deadline=request.deadline,
             arrived_at=request.arrived_at,
-            avoid=tuple(dict.fromkeys((*self.progress.avoid, *quiet))),
+            avoid=tuple(dict.fromkeys(avoid)),
             attempt=self.progress.sent_attempts + 1,
             prompt_prefixes=request.caller_request.prompt_prefixes,
             streams=request.route.streams,
@@ -110,7 +129,10 @@
         )
 
     def decide(
-        self, slot_request: SlotRequest, quiet: dict[str, float]
+        self,
+        slot_request: SlotRequest,
+        quiet: dict[str, float],
+        is_unneeded: Callable[[], bool],
     ) -> SlotDecision:
         """Return the decision on a slot request.
 
@@ -120,7 +142,8 @@
         names = self.directory.names(slot_request.service)
         if not names or set(names) - set(slot_request.avoid):
             return self.slot_client.acquire(
-                slot_request, self.request.client_disconnected
+                slot_request,
+                lambda: self.request.client_disconnected() or is_unneeded(),
             )
         wait = min(quiet.values(), default=RETRY_AFTER_S)
         log_decision(
@@ -168,16 +191,18 @@
             decision.retry_after,
         )
 
-    def release(self, slot: Slot, ending: AttemptEnding) -> None:
+    def release(
+        self, slot: Slot, ending: AttemptEnding, times: AttemptTimes
+    ) -> None:
         """Release a slot and report how its attempt ended."""
         self.slot_client.release(
             SlotRelease(
                 slot.key,
                 ending,
                 slot.endpoint,
-                self.progress.first_byte_s,
-                self.progress.event_count,
-                self.progress.decode_s(clock.now()),
+                times.first_byte_s,
+                times.event_count,
+                times.decode_s(clock.now()),
                 self.request.caller_request.prompt_tokens,
             )
         )
