Ask again for a slot while the caller of a begun stream still waits

A host now asks again every 0.2 s until 1.5 s after the last event, as callers leave after two. Attempts that reach an endpoint stay bounded by the route.

Measured: the new case failed before (1 failed) and passes; test_truth, test_gateway and test_silence pass (72 passed).

--- a/tests/test_truth.py
+++ b/tests/test_truth.py
@@ -14,7 +14,7 @@
 from trefoilspool.connections import ConnectionPool
 from trefoilspool.exchange import EndpointResponse
 from trefoilspool.slotacquisition import SlotAcquirer
-from trefoilspool.slotmessages import Granted
+from trefoilspool.slotmessages import Granted, RefusalReason, Refused
 
 SLOW_GAP_S = 0.5
 LONG_GAP_S = 1.2
@@ -81,6 +81,34 @@
         wait_for(lambda: len(released) == 2, 'both slots to be released')
         assert len(set(released)) == 2
 
+    def test_momentary_refusal_of_a_slot_does_not_end_a_begun_stream(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def cut(served: ServedRequest) -> None:
+            if 'last-event-id' in served.request.headers:
+                served.stream()
+                return
+            served.start_stream()
+            served.event(0)
+            served.reset()
+
+        running = hosts_with(cluster, 2)
+        for endpoint in cluster.endpoints:
+            endpoint.behaviour = cut
+        client = running.host.mesh.client
+        acquire = client.acquire
+        retries = iter((False, False, True))
+
+        def refuse_retries(ask: object, disconnected: object) -> object:
+            if ask.attempt > 1 and not next(retries):  # type: ignore[attr-defined]
+                return Refused(ask.key, RefusalReason.crowded, 0.3)  # type: ignore[attr-defined]
+            return acquire(ask, disconnected)  # type: ignore[arg-type]
+
+        monkeypatch.setattr(client, 'acquire', refuse_retries)
+        response = cluster.call(running, '/chat/1')
+        assert response.complete
+        assert events(response.body) == [0, 1, 2, 3, 4]
+
 
 class TestOwnErrors:
     def test_error_of_an_endpoint_is_kept_if_no_retry_is_possible(
--- a/trefoilspool/requestprogress.py
+++ b/trefoilspool/requestprogress.py
@@ -154,6 +154,17 @@
             return self.unprocessed_attempts <= MAX_UNPROCESSED_RETRIES
         return self.sent_attempts < request.route.max_attempts
 
+    def may_ask_again(self, now: float, until: float) -> bool:
+        """Return whether a slot may be asked for after a refusal.
+
+        This starts a new series of attempts that reach no endpoint.
+        """
+        request = self.request
+        if request.client_disconnected() or now >= min(until, request.deadline):
+            return False
+        self.unprocessed_attempts = 0
+        return self.sent_attempts < request.route.max_attempts
+
     def problem(self, failure: AttemptFailure, now: float) -> Problem:
         """Return the problem of a request that got no response."""
         if not self.may_have_run:
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -1,5 +1,6 @@
 """Routed requests, from the first attempt to the end of the response."""
 
+import time
 from collections.abc import Generator, Iterator
 
 from returns.result import Failure, Result, Success
@@ -40,6 +41,9 @@
 
 __all__ = ['RequestExecution', 'RequestServer']
 
+# Callers give up a stream two seconds after an event.
+RESUMPTION_S = 1.5
+RESUMPTION_INTERVAL_S = 0.2
 # A stream whose attempt ended so may be resumed.
 FAILED_STREAM_ENDINGS = frozenset((AttemptEnding.broken, AttemptEnding.silent))
 
@@ -379,7 +383,7 @@
             When the response is not a stream, so that its body must not follow
             the events that the caller has.
         """
-        started = self.open_response()
+        started = self.open_begun_response()
         if started.rest is None:
             self.release_body(started)
             raise StreamCutError(
@@ -387,3 +391,28 @@
                 f'{started.response.head.status} to a resumption'
             )
         return started
+
+    def open_begun_response(self) -> StartedResponse:
+        """Attempt a request of which the caller has events already.
+
+        Slots may be scarce just after an endpoint has ended, so one is asked
+        for until the caller is about to give up.
+
+        Raises
+        ------
+        Problem
+            When no endpoint responds.
+        """
+        ask_until = self.progress.times.last_event_at + RESUMPTION_S
+        while True:
+            try:
+                return self.open_response()
+            except Problem as problem:
+                if not self.progress.may_ask_again(clock.now(), ask_until):
+                    raise
+                log_decision(
+                    'resumption_delayed',
+                    self.request.caller_request.request_id,
+                    reason=problem.detail,
+                )
+            time.sleep(RESUMPTION_INTERVAL_S)
