--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -19,6 +19,8 @@
     RunningHost,
     wait_for,
 )
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 from platformendpoint import PlatformEndpoint, ServedRequest
 
 ANSWER_BOUND_S = 3.0  # for a request that no endpoint needs to answer
@@ -179,7 +181,11 @@
     'absolute target': (head(path=f'http://{AUTHORITY}/look/1'), {200, 404}),
     'target of two slashes': (head(path='//[x/look/1'), {400, 404}),
     'asterisk': (head(path='*'), {400, 404}),
+    'target with a control character': (head(path='/look/\x01'), {400}),
+    'target with a DEL': (head(path='/look/\x7f'), {400}),
+    'target with a tab': (head(path='/look/\t'), {400}),
     'target with raw bytes': (head(path='/look/\xe9'), {400}),
+    'two slashes with raw bytes': (head(path='//look/\xe9'), {400, 404}),
     'target of 60 kB': (head(path=f'/look/{"x" * 60_000}'), {200}),
     'bad escapes': (head(path='/look/%zz%'), {200}),
     'empty host': (
@@ -202,9 +208,19 @@
     'length of 5000 digits': (head(f'Content-Length: {"9" * 5000}'), {400}),
     'folded header': (head('X-A: b', ' c'), {200, 400}),
     'no colon': (head('nothing'), {400}),
+    'deadline of 400 digits': (head(f'Deadline-Ms: {"9" * 400}'), {200, 400}),
     'deadline of 5000 digits': (head(f'Deadline-Ms: {"9" * 5000}'), {200, 400}),
     'no time left': (head('Deadline-Ms: 0'), {503}),
     'negative deadline': (head('Deadline-Ms: -5'), {400, 503}),
+    'counts of 30 digits': (head(f'Token-Counts: {"9" * 30},1'), {200, 400}),
+    'counts of 5000 digits': (head(f'Token-Counts: {"9" * 5000},1'), {400}),
+    'negative counts': (head('Token-Counts: -5,-5'), {200, 400}),
+    'three counts': (head('Token-Counts: 1,2,3'), {400}),
+    'odd hint': (head('Token-Counts: 1,9', 'Length-Hint: \xb2'), {200}),
+    'hint of 5000 digits': (
+        head('Token-Counts: 1,9', f'Length-Hint: {"9" * 5000}'),
+        {200},
+    ),
     'odd prefix': (head('Prefix-Hash: ,:,\xff:x,,'), {200, 400}),
     'prefix of 16 kB': (head(f'Prefix-Hash: {"a:1," * 4000}a:1'), {200}),
     'last event of 400 digits': (
@@ -242,3 +258,41 @@
             assert b' 100 ' in caller.sock.recv(100)
             caller.send(b'abc')
             assert caller.response().status == 200
+
+    @settings(
+        max_examples=150,
+        deadline=None,
+        derandomize=True,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(
+        target=st.text(
+            st.characters(max_codepoint=255, blacklist_characters='\n'),
+            max_size=12,
+        ),
+        name=st.sampled_from(
+            (
+                'Connection',
+                'Content-Type',
+                'Deadline-Ms',
+                'Expect',
+                'Last-Event-Id',
+                'Length-Hint',
+                'Model',
+                'Prefix-Hash',
+                'Token-Counts',
+                'X-Other',
+            ),
+        ),
+        text=st.text(st.characters(max_codepoint=255), max_size=20),
+    )
+    def test_any_head_is_answered(
+        self, running: RunningHost, target: str, name: str, text: str
+    ) -> None:
+        sent = head(
+            f'{name}: {text}',
+            'X: y' if name == 'Deadline-Ms' else 'Deadline-Ms: 2000',
+            EMPTY_BODY,
+            path=f'/look/{target}',
+        )
+        assert 200 <= exchange(running, sent).status < 600
