End requests in an answer when an unexpected exception strikes

Callers got a bare 500 from waitress, or none; the request stayed counted as open, so that a drain lasted its full time, and no line of the log had its id. The gateway now answers 503 (not run) for a failure before the request is served and 502 (may have run) after it, logs request_failed with the id, and always counts the request as ended: an iterator with a close takes the place of a generator, whose clean-up does not run if it was never started. Requests rejected while they are decoded get their reject line.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -37,6 +37,8 @@
     'quietperiods',
     'replication',
     'requestoutcomes',
+    'requestparser',
+    'responsechunks',
     'serving',
     'slotacquisition',
     'slotclient',
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -7,7 +7,7 @@
 import http.client
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import logbook
 import pytest
@@ -139,6 +139,97 @@
         return caller.response()
 
 
+class TestUnexpectedFailure:
+    """An exception that nobody foresaw, between the socket and an attempt."""
+
+    def break_routing(
+        self, running: RunningHost, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def find(authority: str, path: str) -> None:
+            raise RuntimeError('unforeseen')
+
+        routes = running.host.gateway.configuration.routes
+        monkeypatch.setattr(routes, 'find', find)
+
+    def break_serving(
+        self, running: RunningHost, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def serve(request: object) -> None:
+            raise RuntimeError('unforeseen')
+
+        server = running.host.gateway.request_server
+        monkeypatch.setattr(server, 'serve', serve)
+
+    @pytest.mark.parametrize(
+        ('broken', 'status', 'outcome'),
+        [
+            (break_routing, 503, 'not_run'),
+            (break_serving, 502, 'may_have_run'),
+        ],
+    )
+    def test_exception_is_answered_and_released(
+        self,
+        cluster: GatewayCluster,
+        log: logbook.TestHandler,
+        monkeypatch: pytest.MonkeyPatch,
+        broken: Callable[..., None],
+        status: int,
+        outcome: str,
+    ) -> None:
+        running, _ = host_with_endpoint(cluster)
+        broken(self, running, monkeypatch)
+        response = cluster.call(running, Request_Id='q')
+        assert response.status == status
+        assert f'"outcome": "{outcome}"'.encode() in response.body
+        assert running.host.gateway.open_count == 0
+        assert 'request_failed' in lines_about(log, 'q')
+
+    def test_exception_in_a_stream_cuts_it(
+        self,
+        cluster: GatewayCluster,
+        log: logbook.TestHandler,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        running, _ = host_with_endpoint(cluster, ServedRequest.stream)
+        self.break_events(running, monkeypatch, after=2)
+        response = cluster.call(running, '/talk/1', Request_Id='q')
+        assert (response.status, response.complete) == (200, False)
+        wait_for(lambda: not running.host.gateway.open_count, 'the end')
+        assert 'request_failed' in lines_about(log, 'q')
+
+    def test_exception_before_the_first_event_is_answered(
+        self,
+        cluster: GatewayCluster,
+        log: logbook.TestHandler,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        running, _ = host_with_endpoint(cluster, ServedRequest.stream)
+        self.break_events(running, monkeypatch, after=0)
+        response = cluster.call(running, '/talk/1', Request_Id='q')
+        assert response.status == 502
+        assert running.host.gateway.open_count == 0
+        assert 'request_failed' in lines_about(log, 'q')
+
+    def break_events(
+        self,
+        running: RunningHost,
+        monkeypatch: pytest.MonkeyPatch,
+        after: int,
+    ) -> None:
+        """Let the number of a stream's event raise after some events."""
+        dialect = running.host.endpoint_client.dialect
+        numbered = dialect.event_number
+        seen = []
+
+        def event_number(event: bytes) -> int | None:
+            seen.append(event)
+            if len(seen) > after:
+                raise RuntimeError('unforeseen')
+            return numbered(event)
+
+        monkeypatch.setattr(dialect, 'event_number', event_number)
+
+
 # Name of the case, bytes sent, allowed statuses.
 ODD_REQUESTS = {
     'chunked body': (
--- a/trefoilspool/dialect.py
+++ b/trefoilspool/dialect.py
@@ -110,6 +110,10 @@
 class Dialect(ABC):
     """Codec for the requests and responses of a platform."""
 
+    @abstractmethod
+    def request_id(self, environ: Mapping[str, object]) -> str:
+        """Return the id of a caller's request, empty if it has none."""
+
     @abstractmethod
     def decode_request(self, environ: Mapping[str, object]) -> CallerRequest:
         """Decode a caller's request from its WSGI environment.
--- a/trefoilspool/gateway.py
+++ b/trefoilspool/gateway.py
@@ -3,9 +3,10 @@
 import json
 import random
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import NamedTuple
 
+import logbook
 from returns.result import Failure, Result, Success
 
 from trefoilspool import clock
@@ -13,11 +14,14 @@
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.errors import (
     BodyTooLargeError,
+    MayHaveRunError,
     NotReadyError,
+    OverloadedError,
     Problem,
     UnauthorizedError,
 )
 from trefoilspool.filter import Response
+from trefoilspool.responsechunks import StartedChunks, TrackedChunks
 from trefoilspool.routedrequests import RoutedRequest
 from trefoilspool.routing import Configuration, Route, Workspace
 from trefoilspool.serving import RequestServer
@@ -27,6 +31,9 @@
 
 STARTING_RETRY_AFTER_S = 0.5
 LEAVING_RETRY_AFTER_S = 0.1  # the retry reaches another host
+FAILED_RETRY_AFTER_S = 0.3
+
+logger = logbook.Logger('gateway')
 
 
 class ReceivedRequest(NamedTuple):
@@ -100,12 +107,24 @@
         arrived_at = clock.now()
         with self.lock:
             self.open_count += 1
-        response = self.respond(request, arrived_at, client_disconnected)
+        try:
+            response = self.respond(request, arrived_at, client_disconnected)
+        except Exception:
+            response = self.fail(
+                request.request_id,
+                OverloadedError(
+                    'not run: this host failed', FAILED_RETRY_AFTER_S
+                ),
+            )
         if self.draining:
             response = response._replace(
                 headers=without_content_length(response.headers)
             )
-        return response._replace(chunks=self.track_open(response.chunks))
+        return response._replace(
+            chunks=TrackedChunks(
+                request.request_id, response.chunks, self.on_end
+            )
+        )
 
     def respond(
         self,
@@ -117,12 +136,12 @@
         configuration = self.configuration
         if self.closed:
             return self.reject(
-                request,
+                request.request_id,
                 NotReadyError('this host is leaving', LEAVING_RETRY_AFTER_S),
             )
         if configuration is None:
             return self.reject(
-                request,
+                request.request_id,
                 NotReadyError(
                     'this host has not read a configuration yet',
                     STARTING_RETRY_AFTER_S,
@@ -133,18 +152,45 @@
         )
         routed = find_route(received).bind(authenticate)
         if isinstance(routed, Failure):
-            return self.reject(request, routed.failure())
-        served = self.request_server.serve(routed.unwrap())
+            return self.reject(request.request_id, routed.failure())
+        return self.serve(routed.unwrap())
+
+    def serve(self, routed: RoutedRequest) -> Response:
+        """Serve a routed request up to the first bytes of its response."""
+        try:
+            return self.started_response(routed)
+        except Exception:
+            return self.fail(
+                routed.caller_request.request_id,
+                MayHaveRunError('this host failed while it served the request'),
+            )
+
+    def started_response(self, routed: RoutedRequest) -> Response:
+        """Return the response, whose first bytes have been received.
+
+        Raises
+        ------
+        CutResponseError
+            When a stream was cut before an event that the caller lacks.
+        """
+        served = self.request_server.serve(routed)
         if isinstance(served, Failure):
             return problem_response(served.failure())
         response: Response = served.unwrap()
-        return response
+        first = next(response.chunks, b'')
+        return response._replace(chunks=StartedChunks(first, response.chunks))
 
-    def reject(self, request: CallerRequest, problem: Problem) -> Response:
+    def fail(self, request_id: str, problem: Problem) -> Response:
+        """Log the exception being handled and return its response."""
+        logger.exception('request_failed', extra={'request': request_id})
+        self.metrics.count('trefoilspool_failed_total')
+        return problem_response(problem)
+
+    def reject(self, request_id: str, problem: Problem) -> Response:
         """Log a request that is not served and return its response."""
         log_decision(
             'reject',
-            request.request_id,
+            request_id,
             reason=problem.slug,
             detail=problem.detail,
             version=self.version,
@@ -159,13 +205,10 @@
         """Return the version of the configuration in force, 0 if none."""
         return self.configuration.version if self.configuration else 0
 
-    def track_open(self, chunks: Iterator[bytes]) -> Iterator[bytes]:
-        """Yield the chunks, then stop counting the request as open."""
-        try:
-            yield from chunks
-        finally:
-            with self.lock:
-                self.open_count -= 1
+    def on_end(self) -> None:
+        """Stop counting a request as open."""
+        with self.lock:
+            self.open_count -= 1
 
 
 def find_route(received: ReceivedRequest) -> Result[MatchedRequest, Problem]:
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -4,15 +4,16 @@
 from http import HTTPStatus
 from typing import Any
 
-from trefoilspool.errors import Problem
+from trefoilspool.errors import OverloadedError, Problem
 from trefoilspool.filter import Response
-from trefoilspool.gateway import problem_response
+from trefoilspool.gateway import FAILED_RETRY_AFTER_S
 from trefoilspool.gatewayhost import GatewayHost
 from trefoilspool.peertopics import (
     CONFIGURATION_PATH,
     ENDPOINTS_PATH,
     encode_changes,
 )
+from trefoilspool.responsechunks import close_chunks
 from trefoilspool.web import status_line
 
 __all__ = ['GatewayApp']
@@ -54,7 +55,11 @@
     ) -> Iterable[bytes]:
         """Return the body of the response to a request."""
         response = self.respond(environ)
-        start_response(status_line(response.status), list(response.headers))
+        try:
+            start_response(status_line(response.status), list(response.headers))
+        except Exception:
+            close_chunks(response.chunks)
+            raise
         return response.chunks
 
     def respond(self, environ: Environ) -> Response:
@@ -65,14 +70,20 @@
             if page is None:
                 return sized_response(HTTPStatus.NOT_FOUND, b'')
             return page(environ['QUERY_STRING'])
+        gateway = self.host.gateway
+        request_id = self.dialect.request_id(environ)
         try:
             request = self.dialect.decode_request(environ)
         except Problem as problem:
-            return problem_response(problem)
-        return self.host.gateway.handle(
-            request,
-            environ['waitress.client_disconnected'],
-        )
+            return gateway.reject(request_id, problem)
+        except Exception:
+            return gateway.fail(
+                request_id,
+                OverloadedError(
+                    'not run: this host failed', FAILED_RETRY_AFTER_S
+                ),
+            )
+        return gateway.handle(request, environ['waitress.client_disconnected'])
 
     def ready(self, query: str) -> Response:
         """Return the readiness of this host, for the load balancer."""
