Answer 502 when a stream is cut before its caller got anything

A caller that resumes a stream got its connection closed without any response when the endpoint's stream was cut before an event that the caller lacked: waitress sends the head with the first bytes, and swallows the OSError by which a cut is reported.

Seen to fail before: TestResponseWithoutNewEvents (closed, no response).

--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -230,6 +230,24 @@
         monkeypatch.setattr(dialect, 'event_number', event_number)
 
 
+class TestResponseWithoutNewEvents:
+    """A resumed stream that is cut before an event that the caller lacks."""
+
+    def test_stream_is_cut_before_anything_is_sent(
+        self, cluster: GatewayCluster
+    ) -> None:
+        def repeat_and_reset(served: ServedRequest) -> None:
+            served.start_stream()
+            served.event(0)
+            time.sleep(0.1)
+            served.reset()
+
+        running, _ = host_with_endpoint(cluster, repeat_and_reset)
+        response = cluster.call(running, '/talk/1', Last_Event_Id='3')
+        assert response.status == 502
+        assert b'may_have_run' in response.body
+
+
 # Name of the case, bytes sent, allowed statuses.
 ODD_REQUESTS = {
     'chunked body': (
--- a/trefoilspool/gateway.py
+++ b/trefoilspool/gateway.py
@@ -14,6 +14,7 @@
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.errors import (
     BodyTooLargeError,
+    CutResponseError,
     MayHaveRunError,
     NotReadyError,
     OverloadedError,
@@ -159,6 +160,9 @@
         """Serve a routed request up to the first bytes of its response."""
         try:
             return self.started_response(routed)
+        except CutResponseError as error:
+            # Nothing of the response has been sent, so it can be another one.
+            return problem_response(MayHaveRunError(str(error)))
         except Exception:
             return self.fail(
                 routed.caller_request.request_id,
