Relay responses whose headers WSGI does not let pass

An endpoint's response with a folded header, or one named Trailers, ended in a bare 500 though the request had run; a stream also kept its slot and its connection, since its generator was never started, and the request stayed open.

Seen to fail before: TestOddResponseHeaders, both headers, plain and stream (500).

--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -248,6 +248,26 @@
         assert b'may_have_run' in response.body
 
 
+class TestOddResponseHeaders:
+    """Headers of an endpoint that WSGI does not let pass."""
+
+    @pytest.mark.parametrize(
+        'line',
+        ['X-Long: one\r\n two', 'Trailers: x', 'X-Odd: caf\xe9'],
+    )
+    @pytest.mark.parametrize('path', ['/book/1', '/talk/1'])
+    def test_response_is_relayed(
+        self, cluster: GatewayCluster, line: str, path: str
+    ) -> None:
+        running, endpoint = host_with_endpoint(cluster, ServedRequest.respond)
+        if path == '/talk/1':
+            endpoint.behaviour = ServedRequest.stream
+        endpoint.extra_headers = (line,)
+        response = cluster.call(running, path)
+        assert (response.status, response.complete) == (200, True)
+        wait_for(lambda: not running.host.gateway.open_count, 'the end')
+
+
 # Name of the case, bytes sent, allowed statuses.
 ODD_REQUESTS = {
     'chunked body': (
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -1,9 +1,12 @@
 """The WSGI application of a gateway host."""
 
+import re
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from typing import Any
 
+from waitress.task import hop_by_hop
+
 from trefoilspool.errors import OverloadedError, Problem
 from trefoilspool.filter import Response
 from trefoilspool.gateway import FAILED_RETRY_AFTER_S
@@ -21,6 +24,8 @@
 Environ = Mapping[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 METRICS_PATH = '/metrics'
+# A line break within a header of a response, which is sent as a space.
+FOLD = re.compile(r'\s*[\r\n]+\s*')
 
 
 class GatewayApp:
@@ -56,7 +61,9 @@
         """Return the body of the response to a request."""
         response = self.respond(environ)
         try:
-            start_response(status_line(response.status), list(response.headers))
+            start_response(
+                status_line(response.status), sendable_headers(response.headers)
+            )
         except Exception:
             close_chunks(response.chunks)
             raise
@@ -113,6 +120,17 @@
     return listener.rpartition(':')[2]
 
 
+def sendable_headers(
+    headers: Iterable[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Return the headers that WSGI lets pass, each on one line."""
+    return [
+        (name, FOLD.sub(' ', text))
+        for name, text in headers
+        if name.lower() not in hop_by_hop
+    ]
+
+
 def sized_response(status: int, body: bytes) -> Response:
     """Return a response with its Content-Length."""
     return Response(
