Refuse requests that no thread takes in time, and count their wait

With all 160 threads waiting for silent endpoints, further requests, read whole, waited without bound; their deadline began only when a thread took them, so that an endpoint could be told more time than the caller had left; the readiness page waited as well. One more thread now never waits: it answers the pages of the other listeners, and refuses with 503 (not run, Retry-After) a request that waited 0.5 s while no thread was idle. The time at which a request was read whole is when it arrived. Its settle line says how long it waited for a thread (queued_s).

In test_workerpool the stand-in request gets the two new members, and the bound on threads is tested with a longer timeout, so that it cannot meet the new one.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -43,6 +43,7 @@
     'slotacquisition',
     'slotclient',
     'slotscheduler',
+    'workerpool',
 )
 CALL = re.compile(r"(?:logger\.\w+|log_decision|DecisionEvent)\(\s*'([^']+)'")
 PAGE = ROOT / 'docs' / 'operators' / 'decision-log.md'
--- a/tests/test_workerpool.py
+++ b/tests/test_workerpool.py
@@ -12,9 +12,12 @@
 class Request:
     """A request whose service blocks until it is released."""
 
+    never_waits = False
+
     def __init__(self) -> None:
         self.began = threading.Event()
         self.released = threading.Event()
+        self.refused = threading.Event()
 
     def service(self) -> None:
         self.began.set()
@@ -23,6 +26,9 @@
     def cancel(self) -> None:
         self.released.set()
 
+    def refuse(self) -> None:
+        self.refused.set()
+
 
 @pytest.fixture
 def pool() -> Iterator[WorkerPool]:
@@ -61,8 +67,20 @@
         self, pool: WorkerPool, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         monkeypatch.setattr('trefoilspool.workerpool.MAX_WORKERS', 3)
+        monkeypatch.setattr('trefoilspool.workerpool.QUEUE_TIMEOUT_S', 60)
         requests = self.serve(pool, 5)
         assert len(pool.threads) == 3
         for request in requests:
             request.released.set()
         assert all(request.began.wait(20) for request in requests)
+
+    def test_request_without_a_thread_is_refused(
+        self, pool: WorkerPool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr('trefoilspool.workerpool.MAX_WORKERS', 2)
+        requests = self.serve(pool, 5)
+        assert all(request.refused.wait(20) for request in requests[2:])
+        assert not any(request.began.is_set() for request in requests[2:])
+        assert not any(request.refused.is_set() for request in requests[:2])
+        for request in requests:
+            request.released.set()
--- a/trefoilspool/gateway.py
+++ b/trefoilspool/gateway.py
@@ -28,29 +28,45 @@
 from trefoilspool.serving import RequestServer
 from trefoilspool.telemetry import Metrics, log_decision
 
-__all__ = ['Gateway', 'problem_response']
+__all__ = ['Arrival', 'Gateway', 'problem_response']
 
 STARTING_RETRY_AFTER_S = 0.5
 LEAVING_RETRY_AFTER_S = 0.1  # the retry reaches another host
-FAILED_RETRY_AFTER_S = 0.3
+BUSY_RETRY_AFTER_S = 0.3
 
 logger = logbook.Logger('gateway')
 
 
-class ReceivedRequest(NamedTuple):
-    """A request with the configuration in force when it arrived.
+class Arrival(NamedTuple):
+    """How a request arrived.
 
     Attributes
     ----------
-    arrived_at : float
-        Monotonic seconds.
+    read_at : float
+        When it had been read whole, in monotonic seconds.
+    overdue : bool
+        Whether no thread became free for it in time.
     client_disconnected : callable
         Returns whether the caller has closed its connection.
     """
 
-    caller_request: CallerRequest
-    arrived_at: float
+    read_at: float
+    overdue: bool
     client_disconnected: Callable[[], bool]
+
+
+class ReceivedRequest(NamedTuple):
+    """A request with the configuration in force when it arrived.
+
+    Attributes
+    ----------
+    queued_s : float
+        Seconds for which the request waited for a thread.
+    """
+
+    caller_request: CallerRequest
+    arrival: Arrival
+    queued_s: float
     configuration: Configuration
 
 
@@ -93,28 +109,17 @@
         self.open_count = 0
         self.lock = threading.Lock()
 
-    def handle(
-        self, request: CallerRequest, client_disconnected: Callable[[], bool]
-    ) -> Response:
-        """Return the response; a stream is relayed while it is consumed.
-
-        Parameters
-        ----------
-        request : CallerRequest
-            The request.
-        client_disconnected : callable
-            Returns whether the caller has closed its connection.
-        """
-        arrived_at = clock.now()
+    def handle(self, request: CallerRequest, arrival: Arrival) -> Response:
+        """Return the response; a stream is relayed while it is consumed."""
         with self.lock:
             self.open_count += 1
         try:
-            response = self.respond(request, arrived_at, client_disconnected)
+            response = self.respond(request, arrival)
         except Exception:
             response = self.fail(
                 request.request_id,
                 OverloadedError(
-                    'not run: this host failed', FAILED_RETRY_AFTER_S
+                    'not run: this host failed', BUSY_RETRY_AFTER_S
                 ),
             )
         if self.draining:
@@ -127,12 +132,7 @@
             )
         )
 
-    def respond(
-        self,
-        request: CallerRequest,
-        arrived_at: float,
-        client_disconnected: Callable[[], bool],
-    ) -> Response:
+    def respond(self, request: CallerRequest, arrival: Arrival) -> Response:
         """Route, authenticate and serve a request."""
         configuration = self.configuration
         if self.closed:
@@ -148,9 +148,16 @@
                     STARTING_RETRY_AFTER_S,
                 ),
             )
-        received = ReceivedRequest(
-            request, arrived_at, client_disconnected, configuration
-        )
+        queued_s = clock.now() - arrival.read_at
+        if arrival.overdue:
+            return self.reject(
+                request.request_id,
+                OverloadedError(
+                    f'no thread became free in {queued_s:.3f} s',
+                    BUSY_RETRY_AFTER_S,
+                ),
+            )
+        received = ReceivedRequest(request, arrival, queued_s, configuration)
         routed = find_route(received).bind(authenticate)
         if isinstance(routed, Failure):
             return self.reject(request.request_id, routed.failure())
@@ -239,6 +246,7 @@
 def authenticate(matched: MatchedRequest) -> Result[RoutedRequest, Problem]:
     """Return the request with its workspace, or the problem (401)."""
     received, route = matched
+    arrival = received.arrival
     configuration = received.configuration
     request = received.caller_request
     workspace: Workspace | None = configuration.workspaces_by_key.get(
@@ -257,10 +265,11 @@
             workspace=workspace.name if workspace else '',
             rank=configuration.rank(route, workspace),
             charge=workspace.charge(tokens) if workspace else 0,
-            arrived_at=received.arrived_at,
-            deadline=received.arrived_at + timeout_s,
-            client_disconnected=received.client_disconnected,
+            arrived_at=arrival.read_at,
+            deadline=arrival.read_at + timeout_s,
+            client_disconnected=arrival.client_disconnected,
             version=configuration.version,
+            queued_s=received.queued_s,
         )
     )
 
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -7,9 +7,10 @@
 
 from waitress.task import hop_by_hop
 
+from trefoilspool.callerchannel import Application
 from trefoilspool.errors import OverloadedError, Problem
 from trefoilspool.filter import Response
-from trefoilspool.gateway import FAILED_RETRY_AFTER_S
+from trefoilspool.gateway import BUSY_RETRY_AFTER_S, Arrival
 from trefoilspool.gatewayhost import GatewayHost
 from trefoilspool.peertopics import (
     CONFIGURATION_PATH,
@@ -28,7 +29,7 @@
 FOLD = re.compile(r'\s*[\r\n]+\s*')
 
 
-class GatewayApp:
+class GatewayApp(Application):
     """The WSGI application of all listeners.
 
     Parameters
@@ -87,10 +88,15 @@
             return gateway.fail(
                 request_id,
                 OverloadedError(
-                    'not run: this host failed', FAILED_RETRY_AFTER_S
+                    'not run: this host failed', BUSY_RETRY_AFTER_S
                 ),
             )
-        return gateway.handle(request, environ['waitress.client_disconnected'])
+        arrival = Arrival(
+            environ['trefoilspool.read_at'],
+            environ['trefoilspool.overdue'],
+            environ['waitress.client_disconnected'],
+        )
+        return gateway.handle(request, arrival)
 
     def ready(self, query: str) -> Response:
         """Return the readiness of this host, for the load balancer."""
--- a/trefoilspool/httpserver.py
+++ b/trefoilspool/httpserver.py
@@ -1,6 +1,6 @@
 """The HTTP server of a host; its idle connections can be closed."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 import waitress
@@ -8,7 +8,11 @@
 from waitress.server import BaseWSGIServer
 from waitress.wasyncore import close_all
 
-from trefoilspool.requestparser import StrictParser
+from trefoilspool.callerchannel import (
+    Application,
+    CallerChannel,
+    PageChannel,
+)
 from trefoilspool.workerpool import WorkerPool
 
 __all__ = ['HttpServer']
@@ -20,30 +24,23 @@
 MAX_BODY_BYTES = 64_000_000
 MAX_HEADERS_BYTES = 65_536
 
-Application = Callable[..., Iterable[bytes]]
-
-
-class StrictChannel(HTTPChannel):  # type: ignore[misc]
-    """A caller's connection, parsed by ``StrictParser``."""
-
-    parser_class = StrictParser
-
 
 class HttpServer:
     """A waitress server that listens on several addresses.
 
     Parameters
     ----------
-    application : callable
+    application : Application
         The WSGI application.
-    addresses : iterable of str
-        IP:PORT of each listening socket.
+    addresses : sequence of str
+        IP:PORT of each listening socket. Callers use the first; the others have
+        pages that are answered even while all threads wait.
     """
 
     def __init__(
         self,
         application: Application,
-        addresses: Iterable[str],
+        addresses: Sequence[str],
     ) -> None:
         self.sockets: dict[Any, Any] = {}
         self.worker_pool = WorkerPool()
@@ -66,7 +63,7 @@
         )
         for dispatcher in self.sockets.values():
             if isinstance(dispatcher, BaseWSGIServer):
-                dispatcher.channel_class = StrictChannel
+                dispatcher.channel_class = channel_class(dispatcher, addresses)
 
     def run(self) -> None:
         """Serve until the process ends."""
@@ -105,4 +102,14 @@
 
     def close(self) -> None:
         """Close all sockets."""
+        self.worker_pool.stop_prompt_thread()
         close_all(self.sockets, ignore_all=True)
+
+
+def channel_class(
+    listener: BaseWSGIServer, addresses: Sequence[str]
+) -> type[CallerChannel]:
+    """Return the kind of the connections that a listener accepts."""
+    caller_port = addresses[0].rpartition(':')[2]
+    is_for_callers = str(listener.effective_port) == caller_port
+    return CallerChannel if is_for_callers else PageChannel
--- a/trefoilspool/requestoutcomes.py
+++ b/trefoilspool/requestoutcomes.py
@@ -52,6 +52,7 @@
         may_have_run=progress.may_have_run,
         first_s=round(progress.first_byte_s, 4),
         took_s=round(took_s, 4),
+        queued_s=round(request.queued_s, 4),
         left_s=round(request.deadline - now, 3),
         prompt_tokens=request.caller_request.prompt_tokens,
         output_tokens=request.caller_request.output_tokens,
--- a/trefoilspool/requestparser.py
+++ b/trefoilspool/requestparser.py
@@ -32,11 +32,14 @@
     ----------
     read_at : float
         When the request had been read whole, in monotonic seconds.
+    overdue : bool
+        Whether no thread became free for it in time.
     """
 
     def __init__(self, adjustments: Adjustments) -> None:
         super().__init__(adjustments)
         self.read_at = 0.0
+        self.overdue = False
 
     def received(self, data: bytes) -> int:
         """Parse further bytes; return how many belong to this request."""
--- a/trefoilspool/routedrequests.py
+++ b/trefoilspool/routedrequests.py
@@ -26,6 +26,8 @@
         Returns whether the caller has closed its connection.
     version : int
         Version of the configuration that routed the request.
+    queued_s : float
+        Seconds for which the request waited for a thread.
     """
 
     caller_request: CallerRequest
@@ -38,6 +40,7 @@
     deadline: float
     client_disconnected: Callable[[], bool]
     version: int
+    queued_s: float = 0
 
 
 class Slot(NamedTuple):
