Keep requests for which no thread can be started

A thread that cannot be started (no memory, limit of processes) raised in the main thread after the request had been read: its connection was closed without an answer, and the pool counted a thread that did not exist.

Seen to fail before: test_thread_that_cannot_be_started_loses_no_request and test_request_waits_for_a_thread_that_exists (closed without an answer).

--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -19,7 +19,10 @@
     RunningHost,
     wait_for,
 )
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 from platformendpoint import PlatformEndpoint, ServedRequest, slow
+from waitress.task import ThreadedTaskDispatcher
 
 ANSWER_BOUND_S = 3.0  # for a request that no endpoint needs to answer
 DISCONNECT_BOUND_S = 0.5
@@ -323,3 +326,192 @@
         assert int(last['deadline-ms']) <= 3750
         for caller in callers:
             caller.close()
+
+    def test_thread_that_cannot_be_started_loses_no_request(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        running, _ = host_with_endpoint(cluster)
+        monkeypatch.setattr(
+            ThreadedTaskDispatcher, 'start_new_thread', start_no_thread
+        )
+        assert cluster.call(running).status == 503
+        monkeypatch.undo()
+        assert cluster.call(running).status == 200
+
+    def test_request_waits_for_a_thread_that_exists(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        running, _ = host_with_endpoint(cluster, slow(0.2))
+        assert cluster.call(running).status == 200
+        monkeypatch.setattr(
+            ThreadedTaskDispatcher, 'start_new_thread', start_no_thread
+        )
+        callers = [RawCaller(running) for _ in range(2)]
+        for caller in callers:
+            caller.send(head('Deadline-Ms: 4000', EMPTY_BODY))
+        assert [caller.response().status for caller in callers] == [200, 200]
+        for caller in callers:
+            caller.close()
+
+
+def start_no_thread(*arguments: object) -> None:
+    raise RuntimeError("can't start new thread")
+
+
+# Name of the case, bytes sent, allowed statuses.
+ODD_REQUESTS = {
+    'chunked body': (
+        with_body('Transfer-Encoding: chunked', b'3\r\nabc\r\n0\r\n\r\n'),
+        {200},
+    ),
+    'chunked body with a trailer': (
+        with_body(
+            'Transfer-Encoding: chunked', b'1;a=b\r\na\r\n0\r\nT: 1\r\n\r\n'
+        ),
+        {200},
+    ),
+    'chunked HTTP/1.0': (
+        with_body(
+            'Transfer-Encoding: chunked',
+            b'1\r\na\r\n0\r\n\r\n',
+            version='HTTP/1.0',
+        ),
+        {400},
+    ),
+    'expect without a body': (head('Expect: 100-continue'), {200}),
+    'expect with an empty body': (
+        head('Expect: 100-continue', EMPTY_BODY),
+        {200},
+    ),
+    'expect with a bad length': (
+        head('Expect: 100-continue', 'Content-Length: x'),
+        {400},
+    ),
+    'unknown expectation': (head('Expect: more', EMPTY_BODY), {200}),
+    'HTTP/1.0': (head(EMPTY_BODY, version='HTTP/1.0'), {200}),
+    'HTTP/1.0 kept': (
+        head(EMPTY_BODY, 'Connection: keep-alive', version='HTTP/1.0'),
+        {200},
+    ),
+    'HTTP/2.0': (head(EMPTY_BODY, version='HTTP/2.0'), {200, 400}),
+    'no version': (head(EMPTY_BODY, version='').replace(b' \r', b'\r'), {200}),
+    'HEAD': (head(path='/none/1', method='HEAD'), {404}),
+    'target in brackets': (head(path='http://[x/look/1'), {400, 404}),
+    'absolute target': (head(path=f'http://{AUTHORITY}/look/1'), {200, 404}),
+    'target of two slashes': (head(path='//[x/look/1'), {400, 404}),
+    'asterisk': (head(path='*'), {400, 404}),
+    'target with a control character': (head(path='/look/\x01'), {400}),
+    'target with a DEL': (head(path='/look/\x7f'), {400}),
+    'target with a tab': (head(path='/look/\t'), {400}),
+    'target with raw bytes': (head(path='/look/\xe9'), {400}),
+    'two slashes with raw bytes': (head(path='//look/\xe9'), {400, 404}),
+    'target of 60 kB': (head(path=f'/look/{"x" * 60_000}'), {200}),
+    'bad escapes': (head(path='/look/%zz%'), {200}),
+    'empty host': (
+        head(EMPTY_BODY).replace(f'Host: {AUTHORITY}'.encode(), b'Host:'),
+        {404},
+    ),
+    'no host': (
+        head(EMPTY_BODY).replace(f'Host: {AUTHORITY}\r\n'.encode(), b''),
+        {404},
+    ),
+    'two hosts': (head(f'Host: {AUTHORITY}'), {400, 404}),
+    'odd host': (head().replace(b'Host: ', b'Host: \xff['), {404}),
+    'two ids': (head('Request-Id: r'), {200}),
+    # A kept connection's response without an id may be a stray one.
+    'no id': (head().replace(b'Request-Id: q\r\n', b''), {200, 400, 502}),
+    'odd bytes': (head('X-Odd: \xff\x80\x01'), {200, 400}),
+    'odd key': (head().replace(KEY.encode(), b'\xff\xfe'), {401}),
+    'two lengths': (head(EMPTY_BODY, EMPTY_BODY), {400}),
+    'length with a sign': (with_body('Content-Length: +1', b'a'), {400}),
+    'length of 5000 digits': (head(f'Content-Length: {"9" * 5000}'), {400}),
+    'folded header': (head('X-A: b', ' c'), {200, 400}),
+    'no colon': (head('nothing'), {400}),
+    'deadline of 400 digits': (head(f'Deadline-Ms: {"9" * 400}'), {200, 400}),
+    'deadline of 5000 digits': (head(f'Deadline-Ms: {"9" * 5000}'), {200, 400}),
+    'no time left': (head('Deadline-Ms: 0'), {503}),
+    'negative deadline': (head('Deadline-Ms: -5'), {400, 503}),
+    'counts of 30 digits': (head(f'Token-Counts: {"9" * 30},1'), {200, 400}),
+    'counts of 5000 digits': (head(f'Token-Counts: {"9" * 5000},1'), {400}),
+    'negative counts': (head('Token-Counts: -5,-5'), {200, 400}),
+    'three counts': (head('Token-Counts: 1,2,3'), {400}),
+    'odd hint': (head('Token-Counts: 1,9', 'Length-Hint: \xb2'), {200}),
+    'hint of 5000 digits': (
+        head('Token-Counts: 1,9', f'Length-Hint: {"9" * 5000}'),
+        {200},
+    ),
+    'odd prefix': (head('Prefix-Hash: ,:,\xff:x,,'), {200, 400}),
+    'prefix of 16 kB': (head(f'Prefix-Hash: {"a:1," * 4000}a:1'), {200}),
+    'last event of 400 digits': (
+        head(f'Last-Event-Id: {"9" * 400}'),
+        {200, 400},
+    ),
+    'negative last event': (head('Last-Event-Id: -7'), {200, 400}),
+}
+
+
+class TestOddRequests:
+    """Whole requests in unusual forms."""
+
+    @pytest.fixture(scope='class')
+    def running(self) -> Iterator[RunningHost]:
+        cluster = GatewayCluster()
+        running, _ = host_with_endpoint(cluster)
+        yield running
+        cluster.close()
+
+    @pytest.mark.parametrize('name', ODD_REQUESTS)
+    def test_it_is_answered(self, running: RunningHost, name: str) -> None:
+        sent, statuses = ODD_REQUESTS[name]
+        started = time.monotonic()
+        with caller_of(running) as caller:
+            caller.send(sent)
+            response = caller.response('HEAD' if name == 'HEAD' else 'POST')
+        assert response.status in statuses
+        assert time.monotonic() - started < ANSWER_BOUND_S
+        wait_for(lambda: not running.host.gateway.open_count, 'the end')
+
+    def test_expected_continue_is_sent(self, running: RunningHost) -> None:
+        with caller_of(running) as caller:
+            caller.send(head('Expect: 100-continue', 'Content-Length: 3'))
+            assert b' 100 ' in caller.sock.recv(100)
+            caller.send(b'abc')
+            assert caller.response().status == 200
+
+    @settings(
+        max_examples=150,
+        deadline=None,
+        derandomize=True,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(
+        target=st.text(
+            st.characters(max_codepoint=255, blacklist_characters='\n'),
+            max_size=12,
+        ),
+        name=st.sampled_from(
+            (
+                'Connection',
+                'Content-Type',
+                'Deadline-Ms',
+                'Expect',
+                'Last-Event-Id',
+                'Length-Hint',
+                'Model',
+                'Prefix-Hash',
+                'Token-Counts',
+                'X-Other',
+            ),
+        ),
+        text=st.text(st.characters(max_codepoint=255), max_size=20),
+    )
+    def test_any_head_is_answered(
+        self, running: RunningHost, target: str, name: str, text: str
+    ) -> None:
+        sent = head(
+            f'{name}: {text}',
+            'X: y' if name == 'Deadline-Ms' else 'Deadline-Ms: 2000',
+            EMPTY_BODY,
+            path=f'/look/{target}',
+        )
+        assert 200 <= exchange(running, sent).status < 600
--- a/trefoilspool/workerpool.py
+++ b/trefoilspool/workerpool.py
@@ -96,6 +96,24 @@
             if self.idle_count < len(self.queue):
                 self.prompt_work.notify()
 
+    def start_new_thread(
+        self, target: Callable[[int], None], thread_no: int
+    ) -> None:
+        """Start a thread; without it the request waits for another one.
+
+        Called with the lock held, by a caller that then counts the thread as
+        active.
+        """
+        try:
+            super().start_new_thread(target, thread_no)
+        except (RuntimeError, MemoryError) as error:
+            self.threads.discard(thread_no)
+            self.active_count -= 1
+            logger.warning(
+                'thread_not_started',
+                extra={'threads': len(self.threads), 'error': repr(error)},
+            )
+
     def run_prompt_thread(self) -> None:
         """Run prompt tasks and refuse overdue requests until shutdown."""
         while not self.stopping:
