Keep the last response of a connection from being destroyed by a reset

A connection that is closed while bytes are unread is reset, and a reset can drop a response that its caller has not read yet: callers that still sent a body got ECONNRESET instead of 413, 400 or 501. After its last response a connection now closes its sending side only, and is read for 2 s at most, or until the caller closes it. A drain waits for such connections, since the end of the process closes them all.

Seen to fail before: test_answer_is_not_destroyed_by_a_reset, all four, and test_head_that_is_too_long_is_answered (ECONNRESET).

--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -358,6 +358,55 @@
     raise RuntimeError("can't start new thread")
 
 
+class TestEarlyAnswers:
+    """Errors that are answered while the caller still sends."""
+
+    @pytest.mark.parametrize(
+        ('sent', 'status'),
+        [
+            (head('Content-Length: 70000000'), 413),
+            (head('Content-Length: many'), 400),
+            (head('Transfer-Encoding: gzip'), 501),
+            (with_body('Transfer-Encoding: chunked', b'no size\r\n'), 400),
+        ],
+    )
+    def test_answer_is_not_destroyed_by_a_reset(
+        self, cluster: GatewayCluster, sent: bytes, status: int
+    ) -> None:
+        running, _ = host_with_endpoint(cluster)
+        with caller_of(running) as caller:
+            caller.send(sent)
+            caller.send(b'x' * 100_000)
+            time.sleep(0.2)
+            caller.send(b'x' * 100_000)
+            time.sleep(0.2)
+            response = caller.response()
+        assert (response.status, response.complete) == (status, True)
+
+    def test_head_that_is_too_long_is_answered(
+        self, cluster: GatewayCluster
+    ) -> None:
+        running, _ = host_with_endpoint(cluster)
+        with caller_of(running) as caller:
+            caller.send(with_body(f'X: {"x" * 70_000}', b'x' * 100_000))
+            time.sleep(0.2)
+            assert caller.response().status == 431
+
+    def test_caller_that_keeps_sending_is_cut_off(
+        self, cluster: GatewayCluster
+    ) -> None:
+        """Reading on after the answer is bounded."""
+        running, _ = host_with_endpoint(cluster)
+        with caller_of(running) as caller:
+            caller.send(head('Content-Length: 70000000'))
+            started = time.monotonic()
+            with pytest.raises(OSError):
+                while time.monotonic() < started + 10:
+                    caller.send(b'x' * 1000)
+                    time.sleep(0.05)
+        assert time.monotonic() - started < 6
+
+
 # Name of the case, bytes sent, allowed statuses.
 ODD_REQUESTS = {
     'chunked body': (
--- a/trefoilspool/callerchannel.py
+++ b/trefoilspool/callerchannel.py
@@ -1,5 +1,6 @@
 """Callers' connections, as waitress serves them."""
 
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import Iterable, Mapping
 from typing import Any
@@ -7,10 +8,16 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
+from trefoilspool import clock
 from trefoilspool.requestparser import StrictParser
 
 __all__ = ['Application', 'CallerChannel', 'PageChannel']
 
+# After its last response a connection is read for this long, since a close with
+# unread bytes resets it, which can destroy the response on its way.
+LINGER_S = 2.0
+LINGER_READ_BYTES = 65_536
+
 
 class Application(ABC):
     """A WSGI application that knows the ids of requests.
@@ -39,17 +46,68 @@
 
 
 class CallerChannel(HTTPChannel):  # type: ignore[misc]
-    """A caller's connection, parsed by ``StrictParser``."""
+    """A caller's connection, parsed by ``StrictParser``.
+
+    Attributes
+    ----------
+    lingers_until : float
+        When the connection is closed though its caller still sends, in monotonic
+        seconds; 0 before its last response has been sent.
+    """
 
     parser_class = StrictParser
     task_class = CallerTask
     never_waits = False
+    close_when_flushed: bool
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        self.lingers_until = 0.0
+        super().__init__(*arguments, **options)
 
     def refuse(self) -> None:
         """Answer the next request without waiting for anything."""
         self.requests[0].overdue = True
         self.service()
 
+    def writable(self) -> bool:
+        """Return whether there is anything to send or to close."""
+        if self.lingers_until:
+            return clock.now() >= self.lingers_until
+        return bool(super().writable())
+
+    def handle_write(self) -> None:
+        """Send what is due; linger after the last response."""
+        if self.lingers_until:
+            self.handle_close()
+            return
+        if self.will_close or not self.close_when_flushed:
+            super().handle_write()
+            return
+        # waitress would close the connection at once.
+        self.close_when_flushed = False
+        super().handle_write()
+        if self.total_outbufs_len:
+            self.close_when_flushed = True
+        elif self.connected:
+            self.start_lingering()
+
+    def start_lingering(self) -> None:
+        """Close the sending side; read until the caller closes its own."""
+        self.lingers_until = clock.now() + LINGER_S
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The caller has reset the connection.
+            self.handle_close()
+
+    def handle_read(self) -> None:
+        """Read bytes of requests; drop what follows the last one."""
+        if self.lingers_until:
+            # Closes the connection at the end of the stream.
+            self.recv(LINGER_READ_BYTES)
+        else:
+            super().handle_read()
+
 
 class PageChannel(CallerChannel):
     """A connection to a listener whose pages need nothing outside the process.
--- a/trefoilspool/httpserver.py
+++ b/trefoilspool/httpserver.py
@@ -96,7 +96,10 @@
     def has_requests(self) -> bool:
         """Return whether any request is being read, waits or is answered."""
         return any(
-            channel.requests or channel.request or channel.total_outbufs_len
+            channel.requests
+            or channel.request
+            or channel.total_outbufs_len
+            or channel.lingers_until
             for channel in self.channels()
         )
 
--- a/trefoilspool/workerpool.py
+++ b/trefoilspool/workerpool.py
@@ -75,8 +75,8 @@
     @property
     def idle_count(self) -> int:
         """Return the number of threads that wait for a request."""
-        running: int = len(self.threads) - self.stop_count
-        return running - self.active_count
+        idle: int = len(self.threads) - self.stop_count - self.active_count
+        return idle
 
     def add_task(self, task: PoolTask) -> None:
         """Queue a request, starting a thread for it if none is idle."""
