Keep bodies in memory, so that a full disk ends no request

waitress wrote bodies above 512 KB, and responses above 1 MB that wait for their caller, to a temporary file. When none could be written, the exception in the main thread closed the connection without an answer, and cut responses. Bodies are held in memory anyway while they are sent on, and MAX_BODY_BYTES bounds them.

Seen to fail before: test_long_body_is_served (ECONNRESET).

--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -22,6 +22,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from platformendpoint import PlatformEndpoint, ServedRequest, slow
+from waitress import buffers
 from waitress.task import ThreadedTaskDispatcher
 
 ANSWER_BOUND_S = 3.0  # for a request that no endpoint needs to answer
@@ -564,3 +565,38 @@
             path=f'/look/{target}',
         )
         assert 200 <= exchange(running, sent).status < 600
+
+
+class TestFullDisk:
+    """A body that is not small must not need a file."""
+
+    def test_long_body_is_served(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def no_space(*arguments: object) -> None:
+            raise OSError(28, 'No space left on device')
+
+        running, _ = host_with_endpoint(cluster)
+        monkeypatch.setattr(buffers.TempfileBasedBuffer, 'newfile', no_space)
+        body = b'x' * 2_000_000
+        sent = with_body(f'Content-Length: {len(body)}', body)
+        assert exchange(running, sent).status == 200
+
+    def test_long_response_is_relayed(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Its caller does not read yet."""
+
+        def no_space(*arguments: object) -> None:
+            raise OSError(28, 'No space left on device')
+
+        body = b'x' * 30_000_000
+        running, _ = host_with_endpoint(
+            cluster, lambda served: served.respond(body=body)
+        )
+        monkeypatch.setattr(buffers.TempfileBasedBuffer, 'newfile', no_space)
+        with caller_of(running) as caller:
+            caller.send(head(EMPTY_BODY, 'Deadline-Ms: 4000'))
+            time.sleep(0.5)
+            response = caller.response()
+        assert (response.status, len(response.body)) == (200, len(body))
--- a/trefoilspool/httpserver.py
+++ b/trefoilspool/httpserver.py
@@ -23,6 +23,8 @@
 MAX_CONNECTIONS = 1000
 MAX_BODY_BYTES = 64_000_000
 MAX_HEADERS_BYTES = 65_536
+# Bodies stay in memory: a full disk would end their requests.
+MAX_BUFFERED_BYTES = 1_000_000_000
 
 
 class HttpServer:
@@ -54,6 +56,8 @@
             max_request_body_size=MAX_BODY_BYTES,
             max_request_header_size=MAX_HEADERS_BYTES,
             connection_limit=MAX_CONNECTIONS,
+            inbuf_overflow=MAX_BUFFERED_BYTES,
+            outbuf_overflow=MAX_BUFFERED_BYTES,
             channel_timeout=CHANNEL_TIMEOUT_S,
             backlog=BACKLOG,
             clear_untrusted_proxy_headers=False,
