Log each request that was read whole and gets no answer

Nothing said so when a caller had gone before a thread took its request, when a request came behind a response that was the connection's last, or when the parser rejected one. They get a line with their id now: unanswered, or reject. An unexpected error after a response left its connection open but dead: the next request on it was read and never served. It is closed now, with request_failed.

A caller that closes only its sending side cannot be told from one that hangs up, and a hang-up must reach the endpoint in half a second: TestHalfClose keeps that.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -23,6 +23,7 @@
 from trefoilspool.why import explain, find_lines
 
 MODULES = (
+    'callerchannel',
     'directory',
     'discovery',
     'exchange',
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -359,6 +359,45 @@
     raise RuntimeError("can't start new thread")
 
 
+class TestKeptConnections:
+    """Several requests on one connection, and its close."""
+
+    def test_pipelined_requests_are_answered_in_order(
+        self, cluster: GatewayCluster
+    ) -> None:
+        running, _ = host_with_endpoint(cluster)
+        with caller_of(running) as caller:
+            caller.send(
+                b''.join(
+                    head(EMPTY_BODY, request=f'q{number}')
+                    for number in range(4)
+                )
+            )
+            responses = [caller.response() for _ in range(4)]
+        assert [response.status for response in responses] == [200] * 4
+        assert [response.headers['request-id'] for response in responses] == [
+            'q0',
+            'q1',
+            'q2',
+            'q3',
+        ]
+
+    def test_request_behind_a_last_response_is_logged(
+        self, cluster: GatewayCluster, log: logbook.TestHandler
+    ) -> None:
+        """The response says that the connection closes after it."""
+        running, endpoint = host_with_endpoint(cluster, ServedRequest.stream)
+        with caller_of(running) as caller:
+            caller.send(head(EMPTY_BODY, path='/talk/1', request='first'))
+            caller.send(head(EMPTY_BODY, path='/book/1', request='second'))
+            response = caller.response()
+            assert response.complete
+            assert response.headers['connection'] == 'close'
+            assert caller.sock.recv(1) == b''
+        assert 'second' not in endpoint.runs
+        wait_for(lambda: 'unanswered' in lines_about(log, 'second'), 'its line')
+
+
 class TestEarlyAnswers:
     """Errors that are answered while the caller still sends."""
 
@@ -393,6 +432,13 @@
             time.sleep(0.2)
             assert caller.response().status == 431
 
+    def test_rejected_head_is_logged(
+        self, cluster: GatewayCluster, log: logbook.TestHandler
+    ) -> None:
+        running, _ = host_with_endpoint(cluster)
+        assert exchange(running, head('Content-Length: many')).status == 400
+        assert lines_about(log, 'q') == ['reject']
+
     def test_caller_that_keeps_sending_is_cut_off(
         self, cluster: GatewayCluster
     ) -> None:
@@ -408,6 +454,49 @@
         assert time.monotonic() - started < 6
 
 
+class TestHalfClose:
+    """A close of the sending side cannot be told from a hang-up."""
+
+    def test_it_cancels_the_request(
+        self, cluster: GatewayCluster, log: logbook.TestHandler
+    ) -> None:
+        freed_at: list[float] = []
+
+        def wait_for_cancel(served: ServedRequest) -> None:
+            if served.client_disconnected():
+                freed_at.append(time.monotonic())
+
+        running, endpoint = host_with_endpoint(cluster, wait_for_cancel)
+        with caller_of(running) as caller:
+            caller.send(head(EMPTY_BODY, 'Deadline-Ms: 4000'))
+            wait_for(lambda: endpoint.requests, 'the request')
+            caller.sock.shutdown(socket.SHUT_WR)
+            closed_at = time.monotonic()
+            assert caller.sock.recv(1) == b''
+            wait_for(lambda: freed_at, 'the cancel')
+        assert freed_at[0] - closed_at < DISCONNECT_BOUND_S
+        wait_for(lambda: 'settle' in lines_about(log, 'q'), 'its line')
+
+    def test_request_of_a_caller_that_has_gone_is_logged(
+        self,
+        cluster: GatewayCluster,
+        log: logbook.TestHandler,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Its caller leaves while it waits for a thread."""
+        monkeypatch.setattr('trefoilspool.workerpool.MAX_WORKERS', 1)
+        running, endpoint = host_with_endpoint(cluster, slow(0.4))
+        with caller_of(running) as first, caller_of(running) as second:
+            first.send(head(EMPTY_BODY))
+            wait_for(lambda: endpoint.requests, 'the first request')
+            second.send(head(EMPTY_BODY, request='gone'))
+            wait_for(lambda: running.server.worker_pool.queue, 'the second')
+            second.close()
+            assert first.response().status == 200
+            wait_for(lambda: 'unanswered' in lines_about(log, 'gone'), 'a line')
+        assert 'gone' not in endpoint.runs
+
+
 # Name of the case, bytes sent, allowed statuses.
 ODD_REQUESTS = {
     'chunked body': (
@@ -600,3 +689,32 @@
             time.sleep(0.5)
             response = caller.response()
         assert (response.status, len(response.body)) == (200, len(body))
+
+
+class TestServerLoop:
+    """The thread that reads from all callers."""
+
+    def test_exception_in_a_channel_closes_it(
+        self,
+        cluster: GatewayCluster,
+        log: logbook.TestHandler,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """A caller learns at once that no answer comes."""
+        running, endpoint = host_with_endpoint(cluster, slow(0.3))
+        with caller_of(running) as caller:
+            caller.send(head(EMPTY_BODY))
+            wait_for(lambda: endpoint.requests, 'the request')
+            channel = next(running.server.channels())
+
+            def fail() -> None:
+                raise RuntimeError('unforeseen')
+
+            monkeypatch.setattr(channel.requests[0], 'close', fail)
+            assert caller.response().status == 200
+            caller.send(head(EMPTY_BODY, request='next'))
+            started = time.monotonic()
+            with contextlib.suppress(ConnectionError):
+                assert caller.sock.recv(1) == b''
+            assert time.monotonic() - started < 2
+        wait_for(lambda: 'request_failed' in lines_about(log, 'q'), 'its line')
--- a/trefoilspool/callerchannel.py
+++ b/trefoilspool/callerchannel.py
@@ -5,11 +5,13 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
+import logbook
 from waitress.channel import HTTPChannel
-from waitress.task import WSGITask
+from waitress.task import ErrorTask, WSGITask
 
 from trefoilspool import clock
 from trefoilspool.requestparser import StrictParser
+from trefoilspool.telemetry import log_decision
 
 __all__ = ['Application', 'CallerChannel', 'PageChannel']
 
@@ -18,6 +20,8 @@
 LINGER_S = 2.0
 LINGER_READ_BYTES = 65_536
 
+logger = logbook.Logger('callerchannel')
+
 
 class Application(ABC):
     """A WSGI application that knows the ids of requests.
@@ -33,6 +37,25 @@
     ) -> Iterable[bytes]:
         """Return the body of the response to a request."""
 
+    @abstractmethod
+    def request_id(self, environ: Mapping[str, object]) -> str:
+        """Return the id of a request, empty if it has none."""
+
+
+class RejectTask(ErrorTask):  # type: ignore[misc]
+    """Answers a request that the parser rejected."""
+
+    def execute(self) -> None:
+        """Log the request and write the response."""
+        error = self.request.error
+        log_decision(
+            'reject',
+            self.channel.request_id(self.request),
+            reason=error.reason.lower().replace(' ', '_'),
+            detail=error.body,
+        )
+        super().execute()
+
 
 class CallerTask(WSGITask):  # type: ignore[misc]
     """Hands a request to the application."""
@@ -57,6 +80,7 @@
 
     parser_class = StrictParser
     task_class = CallerTask
+    error_task_class = RejectTask
     never_waits = False
     close_when_flushed: bool
 
@@ -64,6 +88,48 @@
         self.lingers_until = 0.0
         super().__init__(*arguments, **options)
 
+    def request_id(self, request: StrictParser) -> str:
+        """Return the caller's id of a request, empty if it has none."""
+        environ = {
+            f'HTTP_{name}': text for name, text in request.headers.items()
+        }
+        request_id: str = self.server.application.request_id(environ)
+        return request_id
+
+    def service(self) -> None:
+        """Answer the next request; log each one that gets no answer."""
+        requests = self.requests
+        was_connected = self.connected
+        try:
+            super().service()
+        except Exception:
+            self.on_failure(requests)
+        if self.requests is requests:
+            return
+        # The connection closes, and waitress has dropped all requests.
+        if not was_connected:
+            self.log_unanswered(requests[0], 'the caller is gone')
+        for request in requests[1:]:
+            self.log_unanswered(request, 'an earlier response was the last one')
+
+    def on_failure(self, requests: list[StrictParser]) -> None:
+        """Close a connection that an unexpected error left unusable."""
+        for request in requests:
+            logger.exception(
+                'request_failed', extra={'request': self.request_id(request)}
+            )
+        self.will_close = True
+        self.server.pull_trigger()
+
+    def log_unanswered(self, request: StrictParser, reason: str) -> None:
+        """Log a request that was read whole and gets no answer."""
+        log_decision(
+            'unanswered',
+            self.request_id(request),
+            reason=reason,
+            waited_s=round(clock.now() - request.read_at, 4),
+        )
+
     def refuse(self) -> None:
         """Answer the next request without waiting for anything."""
         self.requests[0].overdue = True
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -70,6 +70,10 @@
             raise
         return response.chunks
 
+    def request_id(self, environ: Mapping[str, object]) -> str:
+        """Return the id of a caller's request, empty if it has none."""
+        return self.dialect.request_id(environ)
+
     def respond(self, environ: Environ) -> Response:
         """Return a page of this host, or the gateway's response."""
         port = environ['SERVER_PORT']
@@ -79,7 +83,7 @@
                 return sized_response(HTTPStatus.NOT_FOUND, b'')
             return page(environ['QUERY_STRING'])
         gateway = self.host.gateway
-        request_id = self.dialect.request_id(environ)
+        request_id = self.request_id(environ)
         try:
             request = self.dialect.decode_request(environ)
         except Problem as problem:
