Let the loop that reads from callers outlive an exception

An exception outside the handling of one connection, such as in waitress's own maintenance, ended the thread that reads from all callers: the process stayed, and answered nothing more. It is logged, and the loop goes on.

Seen to fail before: test_exception_does_not_end_it (no answer in 10 s).

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -30,6 +30,7 @@
     'gateway',
     'gatewaydaemon',
     'gatewayhost',
+    'httpserver',
     'jsonlog',
     'mesh',
     'datagramsocket',
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -6,6 +6,7 @@
 import contextlib
 import http.client
 import socket
+import threading
 import time
 from collections.abc import Callable, Iterator
 
@@ -694,6 +695,28 @@
 class TestServerLoop:
     """The thread that reads from all callers."""
 
+    def test_exception_does_not_end_it(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        running, _ = host_with_endpoint(cluster)
+        with caller_of(running) as caller:
+            caller.send(head(EMPTY_BODY))
+            assert caller.response().status == 200
+            channel = next(running.server.channels())
+            raised = threading.Event()
+
+            def readable() -> bool:
+                monkeypatch.undo()
+                raised.set()
+                raise RuntimeError('unforeseen')
+
+            monkeypatch.setattr(channel, 'readable', readable)
+            channel.server.pull_trigger()
+            assert raised.wait(5)
+            caller.send(head(EMPTY_BODY))
+            assert caller.response().status == 200
+        assert cluster.call(running).status == 200
+
     def test_exception_in_a_channel_closes_it(
         self,
         cluster: GatewayCluster,
--- a/trefoilspool/httpserver.py
+++ b/trefoilspool/httpserver.py
@@ -1,8 +1,10 @@
 """The HTTP server of a host; its idle connections can be closed."""
 
+import time
 from collections.abc import Iterator, Sequence
 from typing import Any
 
+import logbook
 import waitress
 from waitress.channel import HTTPChannel
 from waitress.server import BaseWSGIServer
@@ -25,6 +27,9 @@
 MAX_HEADERS_BYTES = 65_536
 # Bodies stay in memory: a full disk would end their requests.
 MAX_BUFFERED_BYTES = 1_000_000_000
+LOOP_PAUSE_S = 0.02
+
+logger = logbook.Logger('httpserver')
 
 
 class HttpServer:
@@ -45,6 +50,7 @@
         addresses: Sequence[str],
     ) -> None:
         self.sockets: dict[Any, Any] = {}
+        self.closed = False
         self.worker_pool = WorkerPool()
         self.server = waitress.create_server(
             application,
@@ -70,8 +76,16 @@
                 dispatcher.channel_class = channel_class(dispatcher, addresses)
 
     def run(self) -> None:
-        """Serve until the process ends."""
-        self.server.run()
+        """Serve until all sockets are closed."""
+        while self.sockets and not self.closed:
+            try:
+                self.server.run()
+            except Exception:
+                if self.closed:
+                    return
+                # An exception outside the handling of one connection.
+                logger.exception('server_loop_failed')
+                time.sleep(LOOP_PAUSE_S)
 
     def channels(self) -> Iterator[HTTPChannel]:
         """Yield the open connections of callers."""
@@ -109,6 +123,7 @@
 
     def close(self) -> None:
         """Close all sockets."""
+        self.closed = True
         self.worker_pool.stop_prompt_thread()
         close_all(self.sockets, ignore_all=True)
 
