Close no connection of a draining host under a request

A drain closes idle connections every 50 ms. Two kinds were not idle: one whose caller has just connected, and sends its first request some milliseconds later, and one whose request had arrived but was not read yet; both callers got ECONNRESET though the host still took requests. A connection without a request is now idle after a second, and the thread that reads from callers decides, after it has read what has arrived.

Seen to fail before: test_connection_made_just_before_is_served, test_connection_made_during_the_drain_is_served, test_idle_connection_is_not_closed_under_a_request (ECONNRESET).

--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -398,6 +398,32 @@
         assert 'second' not in endpoint.runs
         wait_for(lambda: 'unanswered' in lines_about(log, 'second'), 'its line')
 
+    def test_idle_connection_is_not_closed_under_a_request(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        running, _ = host_with_endpoint(cluster)
+        with caller_of(running) as caller:
+            caller.send(head(EMPTY_BODY))
+            assert caller.response().status == 200
+            wait_for(lambda: not running.server.has_requests(), 'the end')
+            channel = next(running.server.channels())
+            looping = threading.Event()
+            sent = threading.Event()
+            readable = channel.readable
+
+            def wait_for_request() -> bool:
+                looping.set()
+                sent.wait(5)
+                return readable()
+
+            monkeypatch.setattr(channel, 'readable', wait_for_request)
+            channel.server.pull_trigger()
+            assert looping.wait(5)
+            caller.send(head(EMPTY_BODY, request='next'))
+            running.server.close_idle()
+            sent.set()
+            assert caller.response().status == 200
+
 
 class TestEarlyAnswers:
     """Errors that are answered while the caller still sends."""
@@ -741,3 +767,67 @@
                 assert caller.sock.recv(1) == b''
             assert time.monotonic() - started < 2
         wait_for(lambda: 'request_failed' in lines_about(log, 'q'), 'its line')
+
+
+class TestDrain:
+    """SIGTERM while requests arrive, wait and run."""
+
+    @contextlib.contextmanager
+    def draining(self, running: RunningHost) -> Iterator[threading.Thread]:
+        thread = threading.Thread(
+            target=running.host.drain, args=(running.server,)
+        )
+        thread.start()
+        wait_for(lambda: running.host.gateway.draining, 'the drain')
+        try:
+            yield thread
+        finally:
+            thread.join()
+
+    def test_connection_made_just_before_is_served(
+        self, cluster: GatewayCluster
+    ) -> None:
+        running, _ = host_with_endpoint(cluster)
+        with caller_of(running) as caller, self.draining(running):
+            time.sleep(0.3)
+            caller.send(head(EMPTY_BODY))
+            response = caller.response()
+        assert response.status == 200
+        assert response.headers['connection'] == 'close'
+
+    def test_connection_made_during_the_drain_is_served(
+        self, cluster: GatewayCluster
+    ) -> None:
+        running, _ = host_with_endpoint(cluster)
+        with self.draining(running), caller_of(running) as caller:
+            time.sleep(0.3)
+            caller.send(head(EMPTY_BODY))
+            assert caller.response().status == 200
+
+    def test_request_that_waits_for_a_thread_is_answered(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr('trefoilspool.workerpool.MAX_WORKERS', 1)
+        running, endpoint = host_with_endpoint(cluster, slow(1))
+        with caller_of(running) as first, caller_of(running) as second:
+            first.send(head('Deadline-Ms: 4000', path='/book/1'))
+            wait_for(lambda: endpoint.requests, 'the first request')
+            second.send(head('Deadline-Ms: 4000', path='/book/1'))
+            with self.draining(running):
+                assert second.response().status == 503
+                assert first.response().status == 200
+
+    def test_answer_survives_the_close_of_all_sockets(
+        self, cluster: GatewayCluster
+    ) -> None:
+        """Bytes that nobody reads any more follow the request."""
+        running, _ = host_with_endpoint(cluster)
+        with contextlib.ExitStack() as stack:
+            with self.draining(running):
+                time.sleep(2.9)
+                caller = stack.enter_context(caller_of(running))
+                caller.send(with_body(EMPTY_BODY, b'x' * 100_000))
+                time.sleep(0.1)
+            running.server.close()
+            time.sleep(0.1)
+            assert caller.response().status == 503
--- a/trefoilspool/callerchannel.py
+++ b/trefoilspool/callerchannel.py
@@ -19,6 +19,8 @@
 # unread bytes resets it, which can destroy the response on its way.
 LINGER_S = 2.0
 LINGER_READ_BYTES = 65_536
+# A caller that has just connected is about to send its first request.
+FIRST_REQUEST_S = 1.0
 
 logger = logbook.Logger('callerchannel')
 
@@ -76,6 +78,12 @@
     lingers_until : float
         When the connection is closed though its caller still sends, in monotonic
         seconds; 0 before its last response has been sent.
+    closes_idle : bool
+        Whether the main thread is to close the connection if it is idle.
+    opened_at : float
+        When the caller connected, in monotonic seconds.
+    was_used : bool
+        Whether a request has been answered on it.
     """
 
     parser_class = StrictParser
@@ -86,6 +94,9 @@
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         self.lingers_until = 0.0
+        self.closes_idle = False
+        self.opened_at = clock.now()
+        self.was_used = False
         super().__init__(*arguments, **options)
 
     def request_id(self, request: StrictParser) -> str:
@@ -100,6 +111,7 @@
         """Answer the next request; log each one that gets no answer."""
         requests = self.requests
         was_connected = self.connected
+        self.was_used = True
         try:
             super().service()
         except Exception:
@@ -135,17 +147,30 @@
         self.requests[0].overdue = True
         self.service()
 
+    def is_idle(self) -> bool:
+        """Return whether the connection may be closed without harm."""
+        if self.requests or self.request is not None or self.total_outbufs_len:
+            return False
+        if self.close_when_flushed or self.lingers_until:
+            return False
+        age_s = clock.now() - self.opened_at
+        return self.was_used or age_s >= FIRST_REQUEST_S
+
     def writable(self) -> bool:
         """Return whether there is anything to send or to close."""
         if self.lingers_until:
             return clock.now() >= self.lingers_until
-        return bool(super().writable())
+        return self.closes_idle or bool(super().writable())
 
     def handle_write(self) -> None:
         """Send what is due; linger after the last response."""
         if self.lingers_until:
             self.handle_close()
             return
+        if self.closes_idle:
+            # What had arrived has been read: reads are handled first.
+            self.closes_idle = False
+            self.will_close = self.will_close or self.is_idle()
         if self.will_close or not self.close_when_flushed:
             super().handle_write()
             return
--- a/trefoilspool/httpserver.py
+++ b/trefoilspool/httpserver.py
@@ -6,7 +6,6 @@
 
 import logbook
 import waitress
-from waitress.channel import HTTPChannel
 from waitress.server import BaseWSGIServer
 from waitress.wasyncore import close_all
 
@@ -87,10 +86,10 @@
                 logger.exception('server_loop_failed')
                 time.sleep(LOOP_PAUSE_S)
 
-    def channels(self) -> Iterator[HTTPChannel]:
+    def channels(self) -> Iterator[CallerChannel]:
         """Yield the open connections of callers."""
         for dispatcher in list(self.sockets.values()):
-            if isinstance(dispatcher, HTTPChannel):
+            if isinstance(dispatcher, CallerChannel):
                 yield dispatcher
 
     def close_idle(self) -> int:
@@ -101,15 +100,12 @@
         int
             Number of connections that are being closed.
         """
-        closed = 0
-        for channel in self.channels():
-            with channel.requests_lock:
-                idle = not channel.requests and channel.request is None
-                if idle and not channel.total_outbufs_len:
-                    channel.will_close = True
-                    closed += 1
+        closing = [channel for channel in self.channels() if channel.is_idle()]
+        for channel in closing:
+            # A request may be arriving: the thread that reads it decides.
+            channel.closes_idle = True
             channel.server.pull_trigger()
-        return closed
+        return len(closing)
 
     def has_requests(self) -> bool:
         """Return whether any request is being read, waits or is answered."""
