End requests that still wait at the end of a drain with an answer

Requests that had no response 7.5 s after SIGTERM lost their connection with the process. At 7.2 s those that still wait are now ended as if their caller had hung up, and get 502 (may have run); what the endpoint does is cancelled.

Seen to fail before: test_request_that_still_waits_at_the_end_is_answered (closed without an answer).

--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -18,6 +18,7 @@
     CallerResponse,
     GatewayCluster,
     RunningHost,
+    route,
     wait_for,
 )
 from hypothesis import HealthCheck, given, settings
@@ -26,6 +27,8 @@
 from waitress import buffers
 from waitress.task import ThreadedTaskDispatcher
 
+from trefoilspool.gatewayhost import MAX_DRAIN_S
+
 ANSWER_BOUND_S = 3.0  # for a request that no endpoint needs to answer
 DISCONNECT_BOUND_S = 0.5
 KILL_S = 8.0  # after SIGTERM
@@ -817,6 +820,29 @@
                 assert second.response().status == 503
                 assert first.response().status == 200
 
+    def test_request_that_still_waits_at_the_end_is_answered(
+        self, cluster: GatewayCluster
+    ) -> None:
+        """Its route allows more time than the drain."""
+        cluster.configure(
+            2, routeTable=[route('book', 'non_idempotent', timeoutMs=30000)]
+        )
+        running, endpoint = host_with_endpoint(
+            cluster, ServedRequest.client_disconnected
+        )
+        endpoint.behaviour = lambda served: served.client_disconnected(20)
+        wait_for(lambda: running.host.gateway.version == 2, 'version 2')
+        with caller_of(running) as caller:
+            caller.send(head(EMPTY_BODY, 'Deadline-Ms: 30000', path='/book/1'))
+            wait_for(lambda: endpoint.requests, 'the request')
+            started = time.monotonic()
+            with self.draining(running):
+                response = caller.response()
+            assert response.status == 502
+            assert b'may_have_run' in response.body
+            assert time.monotonic() - started < KILL_S
+        assert MAX_DRAIN_S < KILL_S
+
     def test_answer_survives_the_close_of_all_sockets(
         self, cluster: GatewayCluster
     ) -> None:
--- a/trefoilspool/gateway.py
+++ b/trefoilspool/gateway.py
@@ -14,6 +14,7 @@
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.errors import (
     BodyTooLargeError,
+    CallerGoneError,
     CutResponseError,
     MayHaveRunError,
     NotReadyError,
@@ -96,6 +97,8 @@
         response.
     closed : bool
         Whether all requests are rejected.
+    ending : bool
+        Whether requests that still wait are ended with a response.
     open_count : int
         Number of requests whose response has not ended.
     """
@@ -106,6 +109,7 @@
         self.configuration: Configuration | None = None
         self.draining = False
         self.closed = False
+        self.ending = False
         self.open_count = 0
         self.lock = threading.Lock()
 
@@ -113,6 +117,9 @@
         """Return the response; a stream is relayed while it is consumed."""
         with self.lock:
             self.open_count += 1
+        arrival = arrival._replace(
+            client_disconnected=self.or_ending(arrival.client_disconnected)
+        )
         try:
             response = self.respond(request, arrival)
         except Exception:
@@ -186,11 +193,26 @@
         """
         served = self.request_server.serve(routed)
         if isinstance(served, Failure):
-            return problem_response(served.failure())
+            return problem_response(self.caller_problem(served.failure()))
         response: Response = served.unwrap()
         first = next(response.chunks, b'')
         return response._replace(chunks=StartedChunks(first, response.chunks))
 
+    def or_ending(
+        self, client_disconnected: Callable[[], bool]
+    ) -> Callable[[], bool]:
+        """Return a check that is also true once all requests are ended."""
+        return lambda: self.ending or client_disconnected()
+
+    def caller_problem(self, problem: Problem) -> Problem:
+        """Return the problem as callers get it.
+
+        One that this host's end has taken for a disconnect may have run.
+        """
+        if self.ending and isinstance(problem, CallerGoneError):
+            return MayHaveRunError('this host ends')
+        return problem
+
     def fail(self, request_id: str, problem: Problem) -> Response:
         """Log the exception being handled and return its response."""
         logger.exception('request_failed', extra={'request': request_id})
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -51,6 +51,8 @@
 ACCEPT_DURING_DRAIN_S = 2.8
 MIN_DRAIN_S = 3.2
 MAX_DRAIN_S = 7.5  # the platform kills the process after 8 s
+# From here on requests that still wait are ended, so that they get an answer.
+END_REQUESTS_S = 7.2
 # A read of the settings waits this long for the next record. If its connection
 # stalls, the host reads the records from a peer meanwhile.
 SETTINGS_LONG_POLL_S = 8.0
@@ -448,6 +450,7 @@
         while clock.now() < started + MAX_DRAIN_S:
             elapsed_s = clock.now() - started
             gateway.closed = elapsed_s >= ACCEPT_DURING_DRAIN_S
+            gateway.ending = elapsed_s >= END_REQUESTS_S
             server.close_idle()
             # The gateway does not count a request that no thread has taken.
             is_busy = gateway.open_count or server.has_requests()
