--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -23,12 +23,14 @@
 from trefoilspool.why import explain, find_lines
 
 MODULES = (
+    'callerchannel',
     'directory',
     'discovery',
     'exchange',
     'gateway',
     'gatewaydaemon',
     'gatewayhost',
+    'httpserver',
     'jsonlog',
     'mesh',
     'datagramsocket',
@@ -37,10 +39,13 @@
     'quietperiods',
     'replication',
     'requestoutcomes',
+    'requestparser',
+    'responsechunks',
     'serving',
     'slotacquisition',
     'slotclient',
     'slotscheduler',
+    'workerpool',
 )
 CALL = re.compile(r"(?:logger\.\w+|log_decision|DecisionEvent)\(\s*'([^']+)'")
 PAGE = ROOT / 'docs' / 'operators' / 'decision-log.md'
