Take the end of a connection that this host aborts for a cut

Callers got a truncated plain body with 200, or a stream that ended as complete, when the deadline passed in the midst of a response with neither length nor chunks; a disconnected caller's attempt counted as completed.

Cause: the watch task shuts the connection down, and for such a response the end of the connection is the end of the body. Nothing told the two apart. Change: the connection knows that it was aborted; unless the body has a length, an end after that is a cut.

Before: 4 tests of TestConnectionEndedByThisHost failed (200 instead of 504, complete instead of cut, ending completed instead of cancelled). Now they pass. The 11 of TestUnframedResponses passed before as well: whole bodies and streams, a head of HTTP/1.0, refusals, 204, 304, cuts inside an event, a reset.

--- a/trefoilspool/connections.py
+++ b/trefoilspool/connections.py
@@ -37,6 +37,8 @@
         Longest time that the endpoint is expected to keep it open.
     is_reused : bool
         Whether it has carried an earlier request.
+    is_aborted : bool
+        Whether this host has ended it, so that its end is no end of a body.
     """
 
     def __init__(self, address: str, port: int) -> None:
@@ -44,6 +46,7 @@
         self.idle_since = 0.0
         self.idle_limit_s = MAX_IDLE_S
         self.is_reused = False
+        self.is_aborted = False
         self.tcp_socket: socket.socket | None = None
 
     def connect(self) -> None:
@@ -71,6 +74,7 @@
 
     def abort(self) -> None:
         """End a blocked read from another thread."""
+        self.is_aborted = True
         if self.tcp_socket is not None:
             try:
                 self.tcp_socket.shutdown(socket.SHUT_RDWR)
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -97,6 +97,11 @@
             raise StreamCutError(
                 f'the response was cut {self.http_response.length} bytes early'
             )
+        # Without a length, the end of the connection may have been taken for
+        # that of the body.
+        if self.http_response.length is None and self.connection.is_aborted:
+            self.close()
+            raise StreamCutError('this host ended the connection')
         self.return_connection()
 
     def read_chunks(self) -> Iterator[bytes]:
