Bound what an endpoint's response may take of memory and time

Bytes without end, in a head or a body, were received until the deadline, as fast as they came: http.client skips 100 Continue and trailers for ever, each receive restarts the timeout of the socket, a body was collected whole, a refusal's and a stray response's body read to its end (one of a huge length allocated at once: MemoryError, no answer), an event collected by a search that began anew with each chunk. A head or a chunk's size that the connection's end cut off passed for a whole one: 200 with an empty body.

Change: connections read through limits (responsebounds): bytes of a head, of the framing around each read, of a body, an event, a stream, a refusal; one deadline across all receives. What long bodies and events hold in all comes from one budget of the host, 16 MiB. The end within a head or a chunk's size is a cut. What exceeds a bound is broken, and repeated elsewhere where that is allowed; a refusal of which the body does not end stays not run. A connection that this host aborts is reset when it is closed: after a shutdown and a read to the end an endless sender was left waiting, for 20 s in the test.

--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -1,5 +1,7 @@
-"""Where an endpoint's response ends."""
+"""Where an endpoint's response ends: unframed, cut, endless."""
 
+import io
+import itertools
 import socket
 import time
 from collections.abc import Callable, Iterator
@@ -8,11 +10,24 @@
 from gatewaycluster import GatewayCluster, RunningHost, wait_for
 from platformendpoint import SERVER_STAMP, ServedRequest
 
+from trefoilspool.errors import StreamCutError
+from trefoilspool.eventstream import split_events
+from trefoilspool.responsebounds import ByteBudget, collect_body
 from trefoilspool.slotacquisition import SlotAcquirer
 from trefoilspool.slotmessages import AttemptEnding
 
 Behaviour = Callable[[ServedRequest], None]
 
+DEADLINE_MS = '2000'
+ANSWER_DUE_S = 2.6  # the deadline and half a second
+# More than sound responses have and than the buffers of both sockets hold.
+MAX_TAKEN_BYTES = 48_000_000
+# An endless sender waits here for the end of its connection, so that a host
+# that takes everything does not fill this process.
+SENT_BYTES = 64_000_000
+PIECE = b'x' * 65_536
+HUGE = 9 * 10**12
+
 
 @pytest.fixture
 def cluster() -> Iterator[GatewayCluster]:
@@ -238,3 +253,313 @@
         running = host_with(cluster, 1, behave)
         response = cluster.call(running, path)
         assert response[:1] + response[2:] == (status, b'', True)
+
+    @pytest.mark.parametrize('sent', [0.4, 0.7, 0.99])
+    def test_cut_inside_the_head(
+        self, cluster: GatewayCluster, sent: float
+    ) -> None:
+        def behave(served: ServedRequest) -> None:
+            text = (
+                f'HTTP/1.1 200 OK\r\nRequest-Id: {served.request.request_id}'
+                f'\r\nServer-Stamp: {SERVER_STAMP}\r\n'
+                'Content-Type: text/plain\r\nContent-Length: 10\r\n\r\n'
+            )
+            served.sock.sendall(text[: int(len(text) * sent)].encode())
+            served.close()
+
+        running = host_with(cluster, 1, behave)
+        assert cluster.call(running, '/book/1').status == 502
+
+    def test_cut_inside_a_chunk_size(self, cluster: GatewayCluster) -> None:
+        def behave(served: ServedRequest) -> None:
+            served.start_stream()
+            served.event(0)
+            served.sock.sendall(b'0')  # of 0015
+            served.close()
+
+        running = host_with(cluster, 1, behave)
+        assert not cluster.call(running, '/talk/1').complete
+
+
+class EndlessSender:
+    """A behaviour that sends without end, once; sound before and after.
+
+    Parameters
+    ----------
+    start : bytes
+        Sent first, after the head if ``lines`` are given.
+    piece : bytes
+        Sent again and again.
+    lines : sequence of str or None
+        Header lines of the response's head, None for no head.
+    pause_s : float
+        Seconds between pieces.
+    status : int
+        Status of the head.
+    """
+
+    def __init__(
+        self,
+        start: bytes,
+        piece: bytes,
+        lines: tuple[str, ...] | None = None,
+        pause_s: float = 0,
+        status: int = 200,
+    ) -> None:
+        self.start = start
+        self.piece = piece
+        self.lines = lines
+        self.pause_s = pause_s
+        self.status = status
+        self.taken_bytes = 0
+        self.is_closed = False
+
+    def __call__(self, served: ServedRequest) -> None:
+        if self.lines is not None:
+            served.head(
+                self.status, f'Server-Stamp: {SERVER_STAMP}', *self.lines
+            )
+        try:
+            self.send(served)
+        except OSError:
+            self.is_closed = True
+        served.close()
+
+    def send(self, served: ServedRequest) -> None:
+        served.sock.sendall(self.start)
+        while self.taken_bytes < SENT_BYTES:
+            self.taken_bytes += served.sock.send(self.piece)
+            time.sleep(self.pause_s)
+        self.is_closed = served.client_disconnected()
+
+
+ENDLESS_HEADS = {
+    'line': lambda: EndlessSender(b'HTTP/1.1 200 ', PIECE),
+    'garbage': lambda: EndlessSender(b'', bytes(range(1, 255)) * 256),
+    'header': lambda: EndlessSender(b'HTTP/1.1 200 OK\r\nX: ', PIECE),
+    'headers': lambda: EndlessSender(b'HTTP/1.1 200 OK\r\n', b'X: y\r\n' * 99),
+    'continues': lambda: EndlessSender(
+        b'', b'HTTP/1.1 100 Continue\r\n%s\r\n' % (b'X: y\r\n' * 99)
+    ),
+    'slow line': lambda: EndlessSender(b'HTTP/1.1 200 ', b'x', None, 0.1),
+    'slow headers': lambda: EndlessSender(
+        b'HTTP/1.1 200 OK\r\n', b'X: y\r\n', None, 0.1
+    ),
+    'slow continues': lambda: EndlessSender(
+        b'', b'HTTP/1.1 100 Continue\r\n\r\n', None, 0.1
+    ),
+}
+CHUNKED = ('Transfer-Encoding: chunked',)
+ENDLESS_BODIES = {
+    'unframed': lambda: EndlessSender(b'', PIECE, ()),
+    'length': lambda: EndlessSender(b'', PIECE, (f'Content-Length: {HUGE}',)),
+    'chunks': lambda: EndlessSender(b'', b'10000\r\n%s\r\n' % PIECE, CHUNKED),
+    'small chunks': lambda: EndlessSender(b'', b'1\r\nx\r\n' * 9999, CHUNKED),
+    'chunk': lambda: EndlessSender(b'fffffffffff\r\n', PIECE, CHUNKED),
+    'chunk size': lambda: EndlessSender(b'', b'1' * 65_536, CHUNKED),
+    'trailers': lambda: EndlessSender(b'0\r\n', b'X: y\r\n' * 999, CHUNKED),
+    'slow': lambda: EndlessSender(b'', b'x', (), 0.1),
+    'slow chunk size': lambda: EndlessSender(b'', b'1', CHUNKED, 0.1),
+    'slow trailers': lambda: EndlessSender(b'0\r\n', b'X: y\r\n', CHUNKED, 0.1),
+}
+
+
+class TestEndlessBytes:
+    """Bytes that do not end take neither the host's memory nor its threads."""
+
+    @pytest.mark.parametrize('path', ['/look/1', '/chat/1'])
+    @pytest.mark.parametrize('kind', ENDLESS_HEADS)
+    def test_head(
+        self,
+        cluster: GatewayCluster,
+        endings: list[AttemptEnding],
+        path: str,
+        kind: str,
+    ) -> None:
+        sender = ENDLESS_HEADS[kind]()
+        running = host_with(cluster, 2, once(sender))
+        response = cluster.call(running, path, Deadline_Ms=DEADLINE_MS)
+        assert (response.status, response.complete) == (200, True)
+        assert endings == [AttemptEnding.broken, AttemptEnding.completed]
+        self.check(sender)
+
+    @pytest.mark.parametrize('path', ['/look/1', '/chat/1'])
+    @pytest.mark.parametrize('kind', ENDLESS_BODIES)
+    def test_body(
+        self,
+        cluster: GatewayCluster,
+        endings: list[AttemptEnding],
+        path: str,
+        kind: str,
+    ) -> None:
+        sender = ENDLESS_BODIES[kind]()
+        running = host_with(cluster, 2, once(sender))
+        response = cluster.call(running, path, Deadline_Ms=DEADLINE_MS)
+        assert (response.status, response.complete) == (200, True)
+        assert endings == [AttemptEnding.broken, AttemptEnding.completed]
+        self.check(sender)
+
+    @pytest.mark.parametrize('kind', ENDLESS_HEADS | ENDLESS_BODIES)
+    def test_request_that_may_run_once(
+        self,
+        cluster: GatewayCluster,
+        kind: str,
+    ) -> None:
+        sender = (ENDLESS_HEADS | ENDLESS_BODIES)[kind]()
+        running = host_with(cluster, 2, once(sender))
+        started = time.monotonic()
+        response = cluster.call(running, '/book/1', Deadline_Ms=DEADLINE_MS)
+        assert response.status in {502, 504}
+        assert time.monotonic() - started < ANSWER_DUE_S
+        self.check(sender)
+
+    @pytest.mark.parametrize(
+        'piece',
+        [PIECE, b'id: 0\ndata: %s\n\n' % PIECE[:9000]],
+    )
+    def test_stream_after_events(
+        self, cluster: GatewayCluster, piece: bytes
+    ) -> None:
+        """Neither an endless event nor repeated events stop a resumption."""
+        sender = EndlessSender(event(0) + event(1), piece, ())
+        running = host_with(cluster, 2, once(sender))
+        response = cluster.call(running, '/chat/1', Deadline_Ms='4000')
+        assert response.complete
+        assert numbers(response.body) == [0, 1, 2, 3, 4]
+        self.check(sender)
+
+    @pytest.mark.parametrize(('piece', 'pause_s'), [(PIECE, 0), (b'x', 0.1)])
+    @pytest.mark.parametrize(
+        'lines', [(), CHUNKED, (f'Content-Length: {HUGE}',)]
+    )
+    def test_refusal(
+        self,
+        cluster: GatewayCluster,
+        endings: list[AttemptEnding],
+        piece: bytes,
+        pause_s: float,
+        lines: tuple[str, ...],
+    ) -> None:
+        """The request did not run, so it may be sent to another endpoint."""
+        sender = EndlessSender(
+            b'fffffffffff\r\n' if lines == CHUNKED else b'',
+            piece,
+            ('Not-Executed: 1', *lines),
+            pause_s,
+            503,
+        )
+        running = host_with(cluster, 2, once(sender))
+        started = time.monotonic()
+        response = cluster.call(running, '/look/1', Deadline_Ms=DEADLINE_MS)
+        assert time.monotonic() - started < 1
+        assert response.status == 200
+        ending = AttemptEnding.refused if pause_s else AttemptEnding.broken
+        assert endings == [ending, AttemptEnding.completed]
+        self.check(sender)
+
+    @pytest.mark.parametrize('length', [HUGE, HUGE**2])
+    def test_stray_response(self, cluster: GatewayCluster, length: int) -> None:
+        start = (
+            b'HTTP/1.1 200 OK\r\nRequest-Id: other\r\n'
+            b'Content-Length: %d\r\n\r\n' % length
+        )
+        sender = EndlessSender(start, PIECE)
+        running = host_with(cluster, 2, once(sender))
+        response = cluster.call(running, '/look/1', Deadline_Ms=DEADLINE_MS)
+        assert response.status == 200
+        self.check(sender)
+
+    def check(self, sender: EndlessSender) -> None:
+        wait_for(lambda: sender.is_closed, 'the connection to be closed')
+        assert sender.taken_bytes < MAX_TAKEN_BYTES
+
+
+class TestSoundSizes:
+    """Responses of sound sizes pass."""
+
+    def test_body(self, cluster: GatewayCluster) -> None:
+        body = b'piece by piece\n' * 300_000
+
+        def behave(served: ServedRequest) -> None:
+            served.respond(200, body)
+
+        running = host_with(cluster, 1, behave)
+        assert cluster.call(running).body == body
+
+    def test_events(self, cluster: GatewayCluster) -> None:
+        body = b''.join(
+            b'id: %d\ndata: %s\n\n' % (number, b'x' * 500_000)
+            for number in range(3)
+        )
+
+        def behave(served: ServedRequest) -> None:
+            served.start_stream()
+            served.chunk(body)
+            served.end_stream()
+
+        running = host_with(cluster, 1, behave)
+        response = cluster.call(running, '/talk/1')
+        assert (response.complete, response.body) == (True, body)
+
+    def test_head(self, cluster: GatewayCluster) -> None:
+        def behave(served: ServedRequest) -> None:
+            served.extra_headers = (f'X: {"y" * 8000}', f'Z: {"y" * 8000}')
+            served.respond()
+
+        running = host_with(cluster, 1, behave)
+        assert cluster.call(running).status == 200
+
+
+class TestSplitEvents:
+    @pytest.mark.parametrize('size', [1, 2, 3, 7, 50, 1000])
+    def test_chunks_of_any_size(self, size: int) -> None:
+        events = [event(0), b'\n\n', b'a\nb\n\n', b'\na\n\n']
+        stream = b''.join(events)
+        reader = io.BytesIO(stream)
+        chunks = iter(lambda: reader.read(size), b'')
+        assert list(split_events(chunks, ByteBudget(0))) == events
+
+    def test_end_inside_an_event(self) -> None:
+        with pytest.raises(StreamCutError):
+            list(split_events(iter((event(0)[:-1],)), ByteBudget(0)))
+
+    def test_time_is_linear(self) -> None:
+        """A long event in small chunks takes no longer than several short."""
+        chunks = iter([b'x' * 16] * 100_000)
+        started = time.monotonic()
+        with pytest.raises(StreamCutError):
+            list(split_events(chunks, ByteBudget(9_000_000)))
+        assert time.monotonic() - started < ANSWER_DUE_S
+
+
+class TestHeldBytes:
+    """All long responses share one budget; short ones need none."""
+
+    def chunks(self, budget: ByteBudget) -> Iterator[bytes]:
+        before = budget.free
+        for _ in range(20):
+            yield PIECE
+        assert budget.free < before
+
+    def test_body(self) -> None:
+        budget = ByteBudget(4_000_000)
+        assert collect_body(self.chunks(budget), budget) == PIECE * 20
+        assert budget.free == 4_000_000
+
+    def test_event(self) -> None:
+        budget = ByteBudget(4_000_000)
+        chunks = itertools.chain(self.chunks(budget), (b'\n\n', PIECE))
+        stream = split_events(chunks, budget)
+        assert len(next(stream)) == 20 * len(PIECE) + 2
+        with pytest.raises(StreamCutError):
+            next(stream)
+        assert budget.free == 4_000_000
+
+    def test_budget_is_used_up(self) -> None:
+        budget = ByteBudget(1_000_000)
+        with pytest.raises(StreamCutError):
+            collect_body(self.chunks(budget), budget)
+        with pytest.raises(StreamCutError):
+            list(split_events(self.chunks(budget), budget))
+        assert collect_body(iter((PIECE,)), ByteBudget(0)) == PIECE
+        assert budget.free == 1_000_000
--- a/trefoilspool/connections.py
+++ b/trefoilspool/connections.py
@@ -1,13 +1,15 @@
 """Pooled connections to endpoints, with detection of a dead peer."""
 
-import http.client
 import select
 import socket
+import struct
 import threading
 from collections import deque
 from collections.abc import Mapping
 
 from trefoilspool import clock
+from trefoilspool.boundedconnection import BoundedConnection
+from trefoilspool.responsebounds import ByteBudget
 
 __all__ = ['ConnectionPool', 'EndpointConnection']
 
@@ -20,11 +22,16 @@
     socket.TCP_KEEPINTVL: 1,
     socket.TCP_KEEPCNT: 2,
 }
+# A connection is closed with a reset: an endpoint whose bytes have filled the
+# receive window would otherwise not hear of it.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 MAX_IDLE_S = 4.0
 MAX_IDLE_CONNECTIONS = 8
+# Memory for what is received of long bodies and events, in all.
+MAX_HELD_BYTES = 16_777_216
 
 
-class EndpointConnection(http.client.HTTPConnection):
+class EndpointConnection(BoundedConnection):
     """An HTTP connection to an endpoint that detects a dead peer.
 
     Attributes
@@ -77,6 +84,9 @@
         self.is_aborted = True
         if self.tcp_socket is not None:
             try:
+                self.tcp_socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
                 self.tcp_socket.shutdown(socket.SHUT_RDWR)
             except OSError:
                 # The connection is already closed.
@@ -90,6 +100,7 @@
         self.lock = threading.Lock()
         self.idle: dict[tuple[str, int], deque[EndpointConnection]] = {}
         self.opened_count = 0
+        self.held_bytes = ByteBudget(MAX_HELD_BYTES)
 
     def acquire(
         self, address: str, port: int, max_idle_s: float
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -3,14 +3,14 @@
 from trefoilspool import clock
 from trefoilspool.connections import EndpointConnection
 from trefoilspool.departures import EndpointRecord
-from trefoilspool.dialect import OutboundRequest
+from trefoilspool.dialect import OutboundRequest, ResponseHead
 from trefoilspool.directory import Directory
 from trefoilspool.errors import (
     ConnectFailedError,
     SendFailedError,
     StreamCutError,
 )
-from trefoilspool.exchange import EndpointClient, EndpointResponse, split_events
+from trefoilspool.exchange import EndpointClient, EndpointResponse
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.requestprogress import (
     EVENT_GAP_TIMEOUT_S,
@@ -166,15 +166,7 @@
         head = response.head
         if head.not_run or head.is_other_endpoint:
             self.unwatch(slot)
-            response.discard()
-            ending = (
-                AttemptEnding.gone
-                if head.is_other_endpoint
-                else AttemptEnding.refused
-            )
-            return AttemptFailure(
-                ending, False, f'status {head.status}, not run'
-            )
+            return refusal(head, response.discard())
         if head.encoded or not head.is_stamped:
             self.unwatch(slot)
             response.close()
@@ -214,9 +206,25 @@
         response.read_until = max(
             first_due, progress.read_until(EVENT_GAP_TIMEOUT_S, head_at)
         )
-        rest = split_events(response.chunks())
+        rest = response.events()
         first = next(rest, b'')
         now = clock.now()
         progress.on_first_event(now)
         response.read_until = progress.next_event_due(now)
         return StartedResponse(slot, response, first, rest)
+
+
+def refusal(head: ResponseHead, is_whole: bool) -> AttemptFailure:
+    """Return the failure of an attempt that the endpoint did not run.
+
+    Parameters
+    ----------
+    head : ResponseHead
+        Head of the refusal.
+    is_whole : bool
+        Whether its body ended in time to be read.
+    """
+    ending = AttemptEnding.refused if is_whole else AttemptEnding.broken
+    if head.is_other_endpoint:
+        ending = AttemptEnding.gone
+    return AttemptFailure(ending, False, f'status {head.status}, not run')
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -6,6 +6,7 @@
 import logbook
 
 from trefoilspool import clock
+from trefoilspool.boundedconnection import read_pieces, skip_bytes
 from trefoilspool.connections import (
     MAX_IDLE_S,
     ConnectionPool,
@@ -18,13 +19,15 @@
     SendFailedError,
     StreamCutError,
 )
+from trefoilspool.eventstream import split_events
+from trefoilspool.responsebounds import collect_body, drop_body
 
-__all__ = ['EndpointClient', 'EndpointResponse', 'split_events']
+__all__ = ['EndpointClient', 'EndpointResponse']
 
-READ_BYTES = 65_536
 # A stray response to an earlier request may precede the expected one.
 MAX_STRAY_RESPONSES = 1
-EVENT_END = b'\n\n'
+# A refusal is sent in one piece; a new connection costs less than this wait.
+DISCARD_TIMEOUT_S = 0.1
 MIN_TIMEOUT_S = 0.001  # zero would make a socket non-blocking
 
 logger = logbook.Logger('exchange')
@@ -61,6 +64,7 @@
         self.http_response = http_response
         self.head = head
         self.read_until = read_until
+        self.is_released = False
 
     def read_body(self) -> bytes:
         """Return the whole body and release the connection.
@@ -68,16 +72,45 @@
         Raises
         ------
         StreamCutError
-            When the body is cut short.
+            When the body is cut short or too long.
+        """
+        try:
+            return collect_body(self.chunks(), self.pool.held_bytes)
+        except StreamCutError:
+            self.close()
+            raise
+
+    def events(self) -> Iterator[bytes]:
+        """Yield the body's events, then release the connection.
+
+        Raises
+        ------
+        StreamCutError
+            When the stream is cut short, or it or an event is too long.
         """
-        return b''.join(self.chunks())
+        try:
+            yield from split_events(self.chunks(), self.pool.held_bytes)
+        except StreamCutError:
+            self.close()
+            raise
+
+    def discard(self) -> bool:
+        """Drop the body; close the connection unless the body ends soon.
 
-    def discard(self) -> None:
-        """Read and drop the body; close the connection if the body is cut."""
+        Returns
+        -------
+        bool
+            False if the body is too long for that of a refusal.
+        """
+        self.read_until = min(self.read_until, clock.now() + DISCARD_TIMEOUT_S)
         try:
-            self.read_body()
+            is_whole = drop_body(self.chunks())
         except StreamCutError as error:
             logger.info('refusal_cut', extra={'error': str(error)})
+            return True
+        if not is_whole:
+            self.close()
+        return is_whole
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it is received, then release the connection.
@@ -112,16 +145,11 @@
         TimeoutError
             When ``read_until`` has passed.
         """
-        while True:
-            remaining_s = self.read_until - clock.now()
-            if remaining_s <= 0:
-                raise TimeoutError('no whole event or body in time')
-            if self.connection.tcp_socket is not None:
-                self.connection.tcp_socket.settimeout(remaining_s)
-            chunk = self.http_response.read1(READ_BYTES)
-            if not chunk:
-                return
+        limits = self.connection.limits
+        limits.read_until = self.read_until
+        for chunk in read_pieces(self.http_response, limits):
             yield chunk
+            limits.read_until = self.read_until
 
     def return_connection(self) -> None:
         """Release the connection, or close it if the endpoint will close it.
@@ -132,6 +160,7 @@
         closes = self.head.closes_connection or self.http_response.will_close
         closes = closes or self.has_extra_bytes()
         self.http_response.close()
+        self.is_released = True
         if closes:
             self.connection.close()
             return
@@ -154,7 +183,12 @@
             return True
 
     def close(self) -> None:
-        """Close the connection, which cancels a response in progress."""
+        """Close the connection, which cancels a response in progress.
+
+        A connection that has been released may serve another request already.
+        """
+        if self.is_released:
+            return
         self.connection.abort()
         self.http_response.close()
         self.connection.close()
@@ -241,6 +275,7 @@
         """
         request = outbound.caller_request
         connection.sock.settimeout(max(MIN_TIMEOUT_S, read_until - clock.now()))
+        connection.limits.start_head(read_until)
         try:
             self.write_request(connection, outbound)
             response = connection.getresponse()
@@ -306,14 +341,13 @@
         reader = stray.fp
         # The buffered reader may already hold the start of the next response.
         stray.fp = None  # type: ignore[assignment]
-        response = http.client.HTTPResponse(
-            connection.sock,
-            method=outbound.caller_request.method,
+        response = connection.new_response(
+            connection.sock, outbound.caller_request.method
         )
         response.fp.close()
         response.fp = reader
         try:
-            reader.read(stray.length)
+            skip_bytes(reader, stray.length or 0, connection.limits)
             response.begin()
         except (OSError, http.client.HTTPException, ValueError) as error:
             connection.abort()
@@ -335,28 +369,3 @@
     if not head.request_id:
         return not connection.is_reused
     return head.request_id == request_id
-
-
-def split_events(
-    chunks: Iterator[bytes],
-) -> Iterator[bytes]:
-    """Yield the events of a stream, each with its terminator.
-
-    Raises
-    ------
-    StreamCutError
-        When the stream ends within an event.
-    """
-    pending = b''
-    for chunk in chunks:
-        pending += chunk
-        while True:
-            event, terminator, rest = pending.partition(EVENT_END)
-            if not terminator:
-                break
-            pending = rest
-            yield event + terminator
-    if pending:
-        raise StreamCutError(
-            f'the stream ended after {len(pending)} bytes of an event'
-        )
--- /dev/null
+++ b/trefoilspool/responseheads.py
@@ -0,0 +1,9 @@
+"""Heads of responses."""
+
+import http.client
+
+__all__ = ['ResponseFormatError']
+
+
+class ResponseFormatError(http.client.HTTPException):
+    """A response is malformed."""
