Check the heads of endpoints' responses before anything is used

Callers got a closed connection or waitress's own 500 for heads that waitress refuses (a folded header, 'Trailers'), and bodies cut or joined wrongly: a length that differs, is negative or no number, beside chunks or another coding, or behind a line that is no header, with which the standard library ends the head early. 999, 600 and 101 were relayed as final; 103 ended a request in 502.

Change: such a head is no response (responseheads): the attempt is broken, the caller gets 502 or another endpoint's answer. Interim heads but 101 are skipped within the bounds of a head. Headers that concern one connection, also those that Connection lists, stay there.

--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -1,4 +1,4 @@
-"""Where an endpoint's response ends: unframed, cut, endless."""
+"""Where an endpoint's response ends: unframed, cut, endless, malformed."""
 
 import io
 import itertools
@@ -509,6 +509,109 @@
         running = host_with(cluster, 1, behave)
         assert cluster.call(running).status == 200
 
+    @pytest.mark.parametrize('path', ['/look/1', '/talk/1'])
+    def test_interim_heads(self, cluster: GatewayCluster, path: str) -> None:
+        def behave(served: ServedRequest) -> None:
+            served.sock.sendall(
+                b'HTTP/1.1 100 Continue\r\n\r\n'
+                b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
+            )
+            if 'talk' in path:
+                served.stream()
+            else:
+                served.respond()
+
+        running = host_with(cluster, 1, behave)
+        assert cluster.call(running, path).status == 200
+
+
+MALFORMED_HEADS = {
+    'folded': ('200 OK', 'X: a\r\n b', 'Content-Length: 4'),
+    'control character': ('200 OK', 'X: a\0b', 'Content-Length: 4'),
+    'name': ('200 OK', 'X"(y: a', 'Content-Length: 4'),
+    'no colon': ('200 OK', 'some text', 'Content-Length: 4'),
+    'space before the colon': ('200 OK', 'Content-Length : 4'),
+    'lengths differ': ('200 OK', 'Content-Length: 4', 'Content-Length: 2'),
+    'lengths in a list': ('200 OK', 'Content-Length: 4, 2'),
+    'negative length': ('200 OK', 'Content-Length: -4'),
+    'signed length': ('200 OK', 'Content-Length: +4'),
+    'no number': ('200 OK', 'Content-Length: four'),
+    'length and chunks': (
+        '200 OK',
+        'Content-Length: 4',
+        'Transfer-Encoding: chunked',
+    ),
+    'other coding': (
+        '200 OK',
+        'Content-Length: 4',
+        'Transfer-Encoding: gzip, chunked',
+    ),
+    '999': ('999 Odd', 'Content-Length: 4'),
+    '099': ('099 Odd', 'Content-Length: 4'),
+    '600': ('600 Odd', 'Content-Length: 4'),
+    '101': ('101 Switching Protocols', 'Content-Length: 4'),
+    'no status': ('OK', 'Content-Length: 4'),
+}
+RELAYED_HEADS = {
+    'bytes beyond ASCII': ('200 OK', 'X: \xe9\xff', 'Content-Length: 4'),
+    'same length twice': ('200 OK', 'Content-Length: 4', 'Content-Length: 4'),
+    'hop-by-hop': (
+        '200 OK',
+        'Connection: X-Hop',
+        'X-Hop: 1',
+        'Trailers: X',
+        'Te: X',
+        'Upgrade: X',
+        'Proxy-Connection: close',
+        'Content-Length: 4',
+    ),
+    'empty name in a value': ('200 OK', 'X:', 'Content-Length: 4'),
+}
+
+
+def raw_head(lines: tuple[str, ...]) -> Behaviour:
+    """Return a behaviour that sends a head as given and four bytes."""
+
+    def behave(served: ServedRequest) -> None:
+        first, *rest = lines
+        text = '\r\n'.join(
+            (
+                f'HTTP/1.1 {first}',
+                f'Request-Id: {served.request.request_id}',
+                f'Server-Stamp: {SERVER_STAMP}',
+                *rest,
+            )
+        )
+        served.sock.sendall(f'{text}\r\n\r\ndone'.encode('latin-1'))
+
+    return behave
+
+
+class TestHeads:
+    """A malformed head is no response; a sound one is relayed."""
+
+    @pytest.mark.parametrize('path', ['/book/1', '/talk/1'])
+    @pytest.mark.parametrize('kind', MALFORMED_HEADS)
+    def test_malformed(
+        self,
+        cluster: GatewayCluster,
+        endings: list[AttemptEnding],
+        path: str,
+        kind: str,
+    ) -> None:
+        running = host_with(cluster, 1, raw_head(MALFORMED_HEADS[kind]))
+        response = cluster.call(running, path, Deadline_Ms=DEADLINE_MS)
+        assert response.status == 502
+        assert response.headers['content-type'] == 'application/problem+json'
+        assert endings == [AttemptEnding.broken]
+
+    @pytest.mark.parametrize('kind', RELAYED_HEADS)
+    def test_relayed(self, cluster: GatewayCluster, kind: str) -> None:
+        running = host_with(cluster, 1, raw_head(RELAYED_HEADS[kind]))
+        response = cluster.call(running, '/book/1', Deadline_Ms=DEADLINE_MS)
+        assert (response.status, response.body) == (200, b'done')
+        assert not {'x-hop', 'trailers', 'te'} & set(response.headers)
+
 
 class TestSplitEvents:
     @pytest.mark.parametrize('size', [1, 2, 3, 7, 50, 1000])
--- a/trefoilspool/boundedconnection.py
+++ b/trefoilspool/boundedconnection.py
@@ -1,4 +1,4 @@
-"""HTTP connections whose responses are bounded."""
+"""HTTP connections whose responses are bounded and whose heads are checked."""
 
 import http.client
 import io
@@ -14,7 +14,11 @@
     ReceiveLimits,
     ResponseBoundError,
 )
-from trefoilspool.responseheads import ResponseFormatError
+from trefoilspool.responseheads import (
+    ResponseFormatError,
+    check_head,
+    is_interim,
+)
 
 __all__ = [
     'BoundedConnection',
@@ -54,18 +58,22 @@
         )
 
     def begin(self) -> None:
-        """Read the head.
+        """Read and check the head; skip those of interim responses.
 
         Raises
         ------
         ResponseFormatError
-            When the head is cut.
+            When the head is malformed or cut.
         """
         super().begin()
+        while is_interim(self.status):
+            self.headers = None  # type: ignore[assignment]
+            super().begin()
         # The end of the stream is not read before the body, unless the head
         # lacks its end.
         if self.fp.raw.at_end:  # type: ignore[attr-defined]
             raise ResponseFormatError('the connection ended within the head')
+        check_head(self)
 
     def _read_next_chunk_size(self) -> int:
         """Return the size of the next chunk.
