End the response to HEAD at its head on streaming routes too

A caller of HEAD on a streaming route got the end of a chunked body after the head: bytes that belong to no response. Cause: the response was relayed as a stream without a length. Now it is taken whole, like any other without events.

Before: test_head_method[/talk/1] failed. Now it passes.

--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -254,6 +254,24 @@
         response = cluster.call(running, path)
         assert response[:1] + response[2:] == (status, b'', True)
 
+    @pytest.mark.parametrize('path', ['/look/1', '/talk/1'])
+    def test_head_method(self, cluster: GatewayCluster, path: str) -> None:
+        def behave(served: ServedRequest) -> None:
+            head(served, 'Content-Length: 5')
+
+        running = host_with(cluster, 1, behave)
+        with socket.create_connection((running.address, running.port)) as sock:
+            sock.settimeout(ANSWER_DUE_S)
+            sock.sendall(
+                f'HEAD {path} HTTP/1.1\r\nHost: shop.example\r\n'
+                'Request-Id: q1\r\nAuthorization: Bearer key-of-acme\r\n'
+                'Connection: close\r\n\r\n'.encode()
+            )
+            received = b''.join(iter(lambda: sock.recv(4096), b''))
+        assert received.startswith(b'HTTP/1.1 200 ')
+        assert received.endswith(b'\r\n\r\n')
+        assert received.count(b'\r\n\r\n') == 1
+
     @pytest.mark.parametrize('sent', [0.4, 0.7, 0.99])
     def test_cut_inside_the_head(
         self, cluster: GatewayCluster, sent: float
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -177,7 +177,8 @@
                 "the endpoint's stamp",
             )
         is_success = head.status <= LAST_SUCCESS_STATUS
-        if is_success and self.request.route.streams:
+        has_events = self.request.caller_request.method != 'HEAD'
+        if is_success and has_events and self.request.route.streams:
             return self.open_stream(slot, response)
         return self.read_body(slot, response)
 
