Bound what the store and peers may send

A page of the store or of a peer was read to its end: bytes without end took the host's memory (MemoryError for a huge length), and 100 Continue or trailers held its thread for ever. Of a page without a length, a record that the connection's end cut off was taken for whole.

--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -8,10 +8,12 @@
 
 import pytest
 from gatewaycluster import GatewayCluster, RunningHost, wait_for
-from platformendpoint import SERVER_STAMP, ServedRequest
+from platformendpoint import SERVER_STAMP, PlatformEndpoint, ServedRequest
+from storecalls import READ_HEADER, StoreTopic, decode_records
 
-from trefoilspool.errors import StreamCutError
+from trefoilspool.errors import LogOutageError, StreamCutError
 from trefoilspool.eventstream import split_events
+from trefoilspool.peertopics import peer_page
 from trefoilspool.responsebounds import ByteBudget, collect_body
 from trefoilspool.slotacquisition import SlotAcquirer
 from trefoilspool.slotmessages import AttemptEnding
@@ -684,3 +686,52 @@
             list(split_events(self.chunks(budget), budget))
         assert collect_body(iter((PIECE,)), ByteBudget(0)) == PIECE
         assert budget.free == 1_000_000
+
+
+class TestPagesWithoutEnd:
+    """Neither the store nor a peer takes a host's memory or its time."""
+
+    @pytest.fixture
+    def source(self) -> Iterator[PlatformEndpoint]:
+        made = PlatformEndpoint('store')
+        yield made
+        made.close()
+
+    @pytest.mark.parametrize(
+        'kind', ['unframed', 'length', 'chunks', 'trailers']
+    )
+    @pytest.mark.parametrize('reader', ['store', 'peer'])
+    def test_body(
+        self, source: PlatformEndpoint, reader: str, kind: str
+    ) -> None:
+        sender = ENDLESS_BODIES[kind]()
+        source.behaviour = sender
+        self.check(source, reader, sender)
+
+    @pytest.mark.parametrize('kind', ['line', 'header', 'continues'])
+    @pytest.mark.parametrize('reader', ['store', 'peer'])
+    def test_head(
+        self, source: PlatformEndpoint, reader: str, kind: str
+    ) -> None:
+        sender = ENDLESS_HEADS[kind]()
+        source.behaviour = sender
+        self.check(source, reader, sender)
+
+    @pytest.mark.parametrize('cut', [1, 3, 5, 8])
+    def test_cut_record_is_read_again(self, cut: int) -> None:
+        record = b'\0\0\0\5\1kxyz'
+        body = READ_HEADER.pack(2, 0) + record * 2
+        assert len(decode_records(body, 0)) == 2
+        assert len(decode_records(body[:-cut], 0)) == 1
+
+    def check(
+        self, source: PlatformEndpoint, reader: str, sender: EndlessSender
+    ) -> None:
+        address, _, port = source.address.partition(':')
+        with pytest.raises(LogOutageError):
+            if reader == 'store':
+                StoreTopic(source.address, 'keyed.op').read_latest()
+            else:
+                peer_page(address, int(port), '/endpoints')
+        wait_for(lambda: sender.is_closed, 'the connection to be closed')
+        assert sender.taken_bytes < MAX_TAKEN_BYTES
--- a/trefoilspool/boundedconnection.py
+++ b/trefoilspool/boundedconnection.py
@@ -33,7 +33,7 @@
 # With extensions, which are ignored.
 CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\n]*)?\r?\n')
 # Whole transfer of a page after the wait for its first byte.
-TRANSFER_TIMEOUT_S = 5.0
+TRANSFER_TIMEOUT_S = 30.0
 
 
 class BoundedResponse(http.client.HTTPResponse):
--- a/trefoilspool/peertopics.py
+++ b/trefoilspool/peertopics.py
@@ -3,6 +3,7 @@
 import http.client
 import struct
 
+from trefoilspool.boundedconnection import BoundedConnection, receive
 from trefoilspool.errors import LogOutageError
 from trefoilspool.replica import NO_ERA, Replica
 from trefoilspool.store import KeyedRecord, KeyedSource, Page
@@ -65,13 +66,10 @@
     LogOutageError
         The peer did not respond, or not with status 200.
     """
-    connection = http.client.HTTPConnection(
-        address, port, timeout=PEER_TIMEOUT_S
-    )
+    connection = BoundedConnection(address, port, PEER_TIMEOUT_S)
     try:
         connection.request('GET', path)
-        response = connection.getresponse()
-        body = response.read()
+        response, body = receive(connection, PEER_TIMEOUT_S)
     except (OSError, http.client.HTTPException) as error:
         raise LogOutageError(f'{address}: {error!r}') from error
     finally:
