--- a/trefoilspool/connections.py
+++ b/trefoilspool/connections.py
@@ -1,14 +1,16 @@
 """Pooled connections to endpoints, with detection of a dead peer."""
 
-import http.client
 import math
 import select
 import socket
+import struct
 import threading
 from collections import deque
 from collections.abc import Mapping, Sequence
 
 from trefoilspool import clock
+from trefoilspool.boundedconnection import BoundedConnection
+from trefoilspool.responsebounds import ByteBudget
 
 __all__ = ['ConnectionPool', 'EndpointConnection', 'first_readable']
 
@@ -23,11 +25,16 @@
     socket.TCP_KEEPINTVL: 1,
     socket.TCP_KEEPCNT: 2,
 }
+# A connection is closed with a reset: an endpoint whose bytes have filled the
+# receive window would otherwise not hear of it.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 MAX_IDLE_S = 4.0
 MAX_IDLE_CONNECTIONS = 8
+# Memory for what is received of long bodies and events, in all.
+MAX_HELD_BYTES = 16_777_216
 
 
-class EndpointConnection(http.client.HTTPConnection):
+class EndpointConnection(BoundedConnection):
     """An HTTP connection to an endpoint that detects a dead peer.
 
     Attributes
@@ -40,6 +47,8 @@
         Longest time that the endpoint is expected to keep it open.
     is_reused : bool
         Whether it has carried an earlier request.
+    is_aborted : bool
+        Whether this host has ended it, so that its end is no end of a body.
     """
 
     def __init__(self, address: str, port: int) -> None:
@@ -47,6 +56,7 @@
         self.idle_since = 0.0
         self.idle_limit_s = MAX_IDLE_S
         self.is_reused = False
+        self.is_aborted = False
         self.tcp_socket: socket.socket | None = None
 
     def connect(self) -> None:
@@ -74,8 +84,12 @@
 
     def abort(self) -> None:
         """End a blocked read from another thread."""
+        self.is_aborted = True
         if self.tcp_socket is not None:
             try:
+                self.tcp_socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
                 self.tcp_socket.shutdown(socket.SHUT_RDWR)
             except OSError:
                 # The connection is already closed.
@@ -114,6 +128,7 @@
         self.lock = threading.Lock()
         self.idle: dict[tuple[str, int], deque[EndpointConnection]] = {}
         self.opened_count = 0
+        self.held_bytes = ByteBudget(MAX_HELD_BYTES)
 
     def acquire(
         self, address: str, port: int, max_idle_s: float
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -7,7 +7,7 @@
 from trefoilspool.attempttimes import AttemptTimes
 from trefoilspool.connections import EndpointConnection
 from trefoilspool.departures import EndpointRecord
-from trefoilspool.dialect import OutboundRequest
+from trefoilspool.dialect import OutboundRequest, ResponseHead
 from trefoilspool.directory import Directory
 from trefoilspool.errors import (
     ConnectFailedError,
@@ -16,7 +16,7 @@
     SendFailedError,
     StreamCutError,
 )
-from trefoilspool.exchange import EndpointClient, EndpointResponse, split_events
+from trefoilspool.exchange import EndpointClient, EndpointResponse
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.readwait import ReadWait
 from trefoilspool.requestprogress import (
@@ -38,7 +38,7 @@
 
 # The endpoint may already have closed a reused connection. Whether a request
 # sent on it ran is then unknown, so at-most-once requests get new connections.
-AT_MOST_ONCE_MAX_IDLE_S = 0.0
+NEW_ONLY_MAX_IDLE_S = 0.0
 REPEATABLE_MAX_IDLE_S = 3.0
 # A slot that was granted longer ago may have been granted to another request:
 # the home host frees the slots of a host that has been silent for so long.
@@ -51,14 +51,6 @@
 MIN_REMAINING_S = 0.01
 
 
-# Ending of an attempt that the endpoint refused, by whether it has another
-# name than the request expects.
-REFUSED_ENDINGS = {
-    False: AttemptEnding.refused,
-    True: AttemptEnding.gone,
-}
-
-
 class SentAttempt(NamedTuple):
     """An attempt that has been sent.
 
@@ -158,11 +150,16 @@
         ConnectFailedError
             When no connection could be made; nothing was sent.
         """
-        at_most_once = self.request.route.repeats is RepeatPolicy.never
+        # The response to a request without an id cannot be told from a late
+        # one to an earlier request.
+        needs_new = (
+            self.request.route.repeats is RepeatPolicy.never
+            or not self.request.caller_request.request_id
+        )
         return self.endpoint_client.connect(
             endpoint.address,
             endpoint.port,
-            AT_MOST_ONCE_MAX_IDLE_S if at_most_once else REPEATABLE_MAX_IDLE_S,
+            NEW_ONLY_MAX_IDLE_S if needs_new else REPEATABLE_MAX_IDLE_S,
         )
 
     def send(
@@ -237,9 +234,7 @@
         head = response.head
         if not head.not_run and not head.is_other_endpoint:
             return None
-        response.discard()
-        ending = REFUSED_ENDINGS[head.is_other_endpoint]
-        return AttemptFailure(ending, False, f'status {head.status}, not run')
+        return refusal(head, response.discard())
 
     def start_response(
         self, slot: Slot, response: EndpointResponse
@@ -262,7 +257,8 @@
                 "the endpoint's stamp",
             )
         is_success = head.status <= LAST_SUCCESS_STATUS
-        if is_success and self.request.route.streams:
+        has_events = self.request.caller_request.method != 'HEAD'
+        if is_success and has_events and self.request.route.streams:
             return self.open_stream(slot, response)
         return self.read_body(slot, response)
 
@@ -293,7 +289,7 @@
         response.wait.until = max(
             first_due, progress.read_until(EVENT_GAP_TIMEOUT_S, head_at)
         )
-        rest = split_events(response.chunks())
+        rest = response.events()
         first = next(rest, b'')
         now = clock.now()
         progress.times.on_first_event(now)
@@ -303,6 +299,22 @@
 
 def ending_after(error: EndpointError) -> AttemptEnding:
     """Return the ending of an attempt whose response an error has ended."""
-    if isinstance(error, EndpointReplacedError):
+    if isinstance(error, EndpointReplacedError) and error.was_silent:
         return AttemptEnding.silent
     return AttemptEnding.broken
+
+
+def refusal(head: ResponseHead, is_whole: bool) -> AttemptFailure:
+    """Return the failure of an attempt that the endpoint did not run.
+
+    Parameters
+    ----------
+    head : ResponseHead
+        Head of the refusal.
+    is_whole : bool
+        Whether its body ended in time to be read.
+    """
+    ending = AttemptEnding.refused if is_whole else AttemptEnding.broken
+    if head.is_other_endpoint:
+        ending = AttemptEnding.gone
+    return AttemptFailure(ending, False, f'status {head.status}, not run')
--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -202,7 +202,19 @@
 
 
 class EndpointReplacedError(StreamCutError):
-    """The attempt was given up, as another one has replaced it."""
+    """The attempt was given up, as another one has replaced it.
+
+    Parameters
+    ----------
+    detail : str
+        Text for engineers on call.
+    was_silent : bool
+        Whether the endpoint sent nothing, rather than too few bytes.
+    """
+
+    def __init__(self, detail: str, *, was_silent: bool) -> None:
+        super().__init__(detail)
+        self.was_silent = was_silent
 
 
 class Problem(TrefoilspoolError):
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -2,10 +2,11 @@
 
 import http.client
 from collections.abc import Callable, Iterator
-from io import BufferedReader
 
 import logbook
 
+from trefoilspool import clock
+from trefoilspool.boundedconnection import read_pieces, skip_bytes
 from trefoilspool.connections import (
     MAX_IDLE_S,
     ConnectionPool,
@@ -19,18 +20,16 @@
     SendFailedError,
     StreamCutError,
 )
-from trefoilspool.readwait import ReadWait
+from trefoilspool.eventstream import split_events
+from trefoilspool.readwait import ReadWait, give_up
+from trefoilspool.responsebounds import collect_body, drop_body, raise_timeout
 
-__all__ = ['EndpointClient', 'EndpointResponse', 'split_events']
+__all__ = ['EndpointClient', 'EndpointResponse']
 
-READ_BYTES = 65_536
 # A stray response to an earlier request may precede the expected one.
 MAX_STRAY_RESPONSES = 1
-EVENT_END = b'\n\n'
-CHUNK_END = b'\r\n'
-# The rest of a head or of a chunk's size line follows its first bytes within
-# this time; http.client cannot go on with it after a timeout.
-MIN_PARTIAL_READ_S = 2.0
+# A refusal is sent in one piece; a new connection costs less than this wait.
+DISCARD_TIMEOUT_S = 0.1
 
 logger = logbook.Logger('exchange')
 
@@ -65,6 +64,7 @@
         self.http_response = http_response
         self.head = head
         self.wait = wait
+        self.is_released = False
 
     def read_body(self) -> bytes:
         """Return the whole body and release the connection.
@@ -72,16 +72,47 @@
         Raises
         ------
         StreamCutError
-            When the body is cut short.
+            When the body is cut short or too long.
         """
-        return b''.join(self.chunks())
+        try:
+            return collect_body(self.chunks(), self.pool.held_bytes)
+        except StreamCutError:
+            self.close()
+            raise
+
+    def events(self) -> Iterator[bytes]:
+        """Yield the body's events, then release the connection.
 
-    def discard(self) -> None:
-        """Read and drop the body; close the connection if the body is cut."""
+        Raises
+        ------
+        StreamCutError
+            When the stream is cut short, or it or an event is too long.
+        """
         try:
-            self.read_body()
+            yield from split_events(self.chunks(), self.pool.held_bytes)
+        except StreamCutError:
+            self.close()
+            raise
+
+    def discard(self) -> bool:
+        """Drop the body; close the connection unless the body ends soon.
+
+        Returns
+        -------
+        bool
+            False if the body is too long for that of a refusal.
+        """
+        self.wait = ReadWait(
+            self.connection, clock.now() + DISCARD_TIMEOUT_S, give_up
+        )
+        try:
+            is_whole = drop_body(self.chunks())
         except StreamCutError as error:
             logger.info('refusal_cut', extra={'error': str(error)})
+            return True
+        if not is_whole:
+            self.close()
+        return is_whole
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it is received, then release the connection.
@@ -99,13 +130,23 @@
         except (OSError, http.client.HTTPException, ValueError) as error:
             self.close()
             raise StreamCutError(f'the response was cut: {error!r}') from error
-        if self.http_response.length:
+        cut = self.cut_detail()
+        if cut:
             self.close()
-            raise StreamCutError(
-                f'the response was cut {self.http_response.length} bytes early'
-            )
+            raise StreamCutError(cut)
         self.return_connection()
 
+    def cut_detail(self) -> str:
+        """Return how a body that has ended was cut, an empty text if not."""
+        length = self.http_response.length
+        if length:
+            return f'the response was cut {length} bytes early'
+        # Without a length, the end of the connection may have been taken for
+        # that of the body.
+        if length is None and self.connection.is_aborted:
+            return 'this host ended the connection'
+        return ''
+
     def read_chunks(self) -> Iterator[bytes]:
         """Yield the bytes of each read.
 
@@ -116,31 +157,7 @@
         EndpointReplacedError
             When another attempt has replaced this one.
         """
-        while not self.is_read():
-            self.wait.next_bytes(self.has_buffered)
-            set_partial_read_timeout(self.connection, self.wait)
-            chunk = self.http_response.read1(READ_BYTES)
-            if not chunk:
-                return
-            yield chunk
-
-    def is_read(self) -> bool:
-        """Return whether the end of the body has been read."""
-        return self.http_response.fp is None or self.http_response.length == 0
-
-    def has_buffered(self) -> bool:
-        """Return whether bytes of the body have been received but not read.
-
-        The line end after a chunk does not count, since the next chunk may
-        be long in coming.
-        """
-        buffered = peek(self.connection, self.http_response.fp)
-        if self.http_response.chunk_left == 0 and buffered == CHUNK_END:
-            self.http_response.fp.read(len(CHUNK_END))
-            # The state of http.client before the size line of a chunk.
-            self.http_response.chunk_left = None
-            return False
-        return bool(buffered)
+        yield from read_pieces(self.http_response, self.connection.limits)
 
     def return_connection(self) -> None:
         """Release the connection, or close it if the endpoint will close it.
@@ -151,6 +168,8 @@
         closes = self.head.closes_connection or self.http_response.will_close
         closes = closes or self.has_extra_bytes()
         self.http_response.close()
+        self.connection.limits.on_timeout = raise_timeout
+        self.is_released = True
         if closes:
             self.connection.close()
             return
@@ -165,14 +184,20 @@
         reader = self.http_response.fp
         if reader is None or self.connection.tcp_socket is None:
             return False
+        self.connection.tcp_socket.settimeout(0)
         try:
-            return bool(peek(self.connection, reader))
+            return bool(reader.peek(1))
         except OSError:
             # The endpoint has reset the connection; the body was whole.
             return True
 
     def close(self) -> None:
-        """Close the connection, which cancels a response in progress."""
+        """Close the connection, which cancels a response in progress.
+
+        A connection that has been released may serve another request already.
+        """
+        if self.is_released:
+            return
         self.connection.abort()
         self.http_response.close()
         self.connection.close()
@@ -268,9 +293,8 @@
             When another attempt has replaced this one.
         """
         connection = wait.connection
+        connection.limits.start_head(wait.until)
         try:
-            wait.next_bytes(nothing_buffered)
-            set_partial_read_timeout(connection, wait)
             return self.matching_response(
                 connection.getresponse(), outbound, wait
             )
@@ -349,47 +373,16 @@
     reader = stray.fp
     # The buffered reader may already hold the start of the next response.
     stray.fp = None  # type: ignore[assignment]
-    response = http.client.HTTPResponse(
-        wait.connection.sock,
-        method=outbound.caller_request.method,
+    response = wait.connection.new_response(
+        wait.connection.sock, outbound.caller_request.method
     )
     response.fp.close()
     response.fp = reader
-    reader.read(stray.length)
-    wait.next_bytes(lambda: bool(peek(wait.connection, reader)))
-    set_partial_read_timeout(wait.connection, wait)
+    skip_bytes(reader, stray.length or 0, wait.connection.limits)
     response.begin()
     return response
 
 
-def nothing_buffered() -> bool:
-    """Return False, as for a response of which nothing has been read."""
-    return False
-
-
-def peek(connection: EndpointConnection, reader: BufferedReader) -> bytes:
-    """Return received bytes that have not been read, without waiting.
-
-    Raises
-    ------
-    OSError
-        When the connection was reset.
-    """
-    if connection.tcp_socket is not None:
-        connection.tcp_socket.settimeout(0)
-    return reader.peek(1)
-
-
-def set_partial_read_timeout(
-    connection: EndpointConnection, wait: ReadWait
-) -> None:
-    """Set the socket's timeout for a read of which bytes have arrived."""
-    if connection.tcp_socket is not None:
-        connection.tcp_socket.settimeout(
-            max(MIN_PARTIAL_READ_S, wait.remaining_s())
-        )
-
-
 def abandon(connection: EndpointConnection) -> None:
     """Close a connection, which cancels the request on it."""
     connection.abort()
@@ -407,28 +400,3 @@
     if not head.request_id:
         return not connection.is_reused
     return head.request_id == request_id
-
-
-def split_events(
-    chunks: Iterator[bytes],
-) -> Iterator[bytes]:
-    """Yield the events of a stream, each with its terminator.
-
-    Raises
-    ------
-    StreamCutError
-        When the stream ends within an event.
-    """
-    pending = b''
-    for chunk in chunks:
-        pending += chunk
-        while True:
-            event, terminator, rest = pending.partition(EVENT_END)
-            if not terminator:
-                break
-            pending = rest
-            yield event + terminator
-    if pending:
-        raise StreamCutError(
-            f'the stream ended after {len(pending)} bytes of an event'
-        )
--- a/trefoilspool/readwait.py
+++ b/trefoilspool/readwait.py
@@ -5,7 +5,7 @@
 from trefoilspool import clock
 from trefoilspool.connections import EndpointConnection
 
-__all__ = ['ReadWait', 'SilenceHandler']
+__all__ = ['ReadWait', 'SilenceHandler', 'give_up']
 
 # An endpoint of which bytes have come within this time is not silent, even if
 # they make up no whole event.
@@ -13,7 +13,7 @@
 
 
 class ReadWait:
-    """Waits for the bytes of one attempt's response.
+    """The wait for the bytes of one attempt's response.
 
     Parameters
     ----------
@@ -25,11 +25,6 @@
     on_silence : callable
         Called when that time has passed. Returns the time until which the wait
         goes on, or raises an error to end it.
-
-    Attributes
-    ----------
-    received_at : float
-        When bytes were last seen, in seconds; 0 before the first.
     """
 
     def __init__(
@@ -39,29 +34,25 @@
         on_silence: 'SilenceHandler',
     ) -> None:
         self.connection = connection
+        self.limits = connection.limits
+        self.limits.received_at = 0
+        self.limits.on_timeout = lambda: on_silence(self)
         self.until = until
-        self.on_silence = on_silence
-        self.received_at = 0.0
-
-    def next_bytes(self, has_buffered: Callable[[], bool]) -> None:
-        """Return once there are bytes to read, or the end of the response.
-
-        Parameters
-        ----------
-        has_buffered : callable
-            Returns whether bytes have been received and not read yet.
-        """
-        while True:
-            remaining_s = self.remaining_s()
-            if not remaining_s:
-                self.until = self.on_silence(self)
-            elif has_buffered() or self.connection.wait_readable(remaining_s):
-                self.received_at = clock.now()
-                return
-
-    def remaining_s(self) -> float:
-        """Return the seconds left to wait, 0 if the time has passed."""
-        return max(0, self.until - clock.now())
+
+    @property
+    def until(self) -> float:
+        """Return the time until which bytes are waited for, in seconds."""
+        return self.limits.read_until
+
+    @until.setter
+    def until(self, until: float) -> None:
+        """Set the time until which bytes are waited for, in seconds."""
+        self.limits.read_until = until
+
+    @property
+    def received_at(self) -> float:
+        """Return when bytes last came, in seconds; 0 before the first."""
+        return self.limits.received_at
 
     def is_dripping(self) -> bool:
         """Return whether bytes keep coming, though too few for an event."""
@@ -73,3 +64,14 @@
 
 
 SilenceHandler = Callable[[ReadWait], float]
+
+
+def give_up(wait: ReadWait) -> float:
+    """End the wait, as nothing can replace the attempt.
+
+    Raises
+    ------
+    TimeoutError
+        Always.
+    """
+    raise TimeoutError('no whole event or body in time')
--- a/trefoilspool/replacement.py
+++ b/trefoilspool/replacement.py
@@ -11,7 +11,7 @@
     Problem,
     SendFailedError,
 )
-from trefoilspool.readwait import ReadWait
+from trefoilspool.readwait import ReadWait, give_up
 from trefoilspool.requestprogress import RequestProgress
 from trefoilspool.routedrequests import AttemptFailure, Slot
 from trefoilspool.slotacquisition import SlotAcquirer
@@ -96,7 +96,8 @@
             When the request's time is over.
         """
         if not self.progress.may_replace():
-            raise TimeoutError('no whole event or body in time')
+            return give_up(wait)
+        was_silent = not wait.is_dripping()
         self.pending = self.start(silent, wait)
         if self.pending is None:
             return self.progress.read_until(REPLACEMENT_INTERVAL_S, clock.now())
@@ -109,7 +110,8 @@
         )
         raise EndpointReplacedError(
             f'{silent.slot.endpoint} was silent and has been replaced by '
-            f'{self.pending.slot.endpoint}'
+            f'{self.pending.slot.endpoint}',
+            was_silent=was_silent,
         )
 
     @property
