Soak with silences, crashing parts, unsized answers and signal series

Change: seeds from 200 on also choose silences of 0.6 to 1.6 s, series of SIGHUP, configurations, SIGSTOP, SIGTERM and kills at one host, and rolling restarts; half of them have a part that crashes endpoints. Their endpoints answer without a length at times and break such answers off; their callers keep connections through long pauses and send last bytes late. New checks: each whole request to a sound host is answered (LOST), a part is held back after five crashes (BUDGET), sound requests beside it are served (LOST).

--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -33,6 +33,7 @@
 
 class StoreServer(ThreadingHTTPServer):
     store: 'PlatformStore'
+    request_queue_size = 256
 
     def handle_error(self, request: object, client_address: object) -> None:
         """Write nothing: tests kill callers while a call is in progress."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -17,20 +17,32 @@
 from typing import NamedTuple
 
 import fire
-from gatewaycluster import AUTHORITY, KEY
-from soakfaults import fault_table, inject_fault
-from soakledger import MAX_RUNS, SentRequest
-from soakworld import SoakHost, World
+from soakcallers import Caller, KeptCaller
+from soakchecks import all_violations
+from soakfaults import (
+    FIRST_SEED_WITH_SERIES,
+    crash_by_part,
+    fault_table,
+    inject_fault,
+)
+from soakworld import SoakHost, World, WorldShape
 
 START_TIMEOUT_S = 20.0
 RECOVERY_TIMEOUT_S = 12.0
+RECOVERY_CALLS = 12
 MIN_SERVED_SHARE = 0.25
 CALLER_COUNT = 6
-MEAN_PAUSE_S = 0.03
-CALL_TIMEOUT_S = 6.0
-DEADLINE_MS = 3000
+SECONDS = 12.0  # of fault injection
 PLANNED_ONLY_SHARE = 0.3  # share of seeds with planned faults only
 POLL_INTERVAL_S = 0.05
+MAX_FAULTS = 58  # that are active at once
+# The draws of seeds from FIRST_SEED_WITH_SERIES on.
+HOST_COUNTS = (5, 5, 5, 5, 5, 5, 5, 8, 8, 12, 12, 40)
+HOSTS_PER_ENDPOINT = 3
+MIN_ENDPOINTS = 6
+CRASH_SHARE = 0.5  # share of these seeds with a part that crashes endpoints
+CRASH_START_S = 3.0
+SECONDS_BY_CRASHES = {False: SECONDS, True: 18.0}
 
 
 class Result(NamedTuple):
@@ -42,133 +54,65 @@
     faults: list[str]
 
 
-class Caller:
-    """Sends requests on one connection; reconnects to a random host."""
+class Plan(NamedTuple):
+    """What a seed chooses before its faults."""
 
-    def __init__(self, world: World, name: str, seed: int) -> None:
-        self.world = world
-        self.name = name
-        self.random = random.Random(seed)
-        self.count = 0
-        self.host = world.hosts[0]
-        self.connection: http.client.HTTPConnection | None = None
-        # Highest configuration version served, by process id of the host.
-        self.seen_version: dict[int, int] = {}
+    shape: WorldShape
+    callers: int
+    crashes: bool
+    seconds: float
 
-    def run(self, until: float) -> None:
-        """Send requests until a time of the monotonic clock."""
-        while time.monotonic() < until:
-            self.call(self.random.choice(tuple(MAX_RUNS)))
-            if self.random.random() < 0.1:
-                self.check_version()
-            time.sleep(self.random.uniform(0, MEAN_PAUSE_S * 2))
-
-    def call(self, kind: str) -> SentRequest:
-        """Send a request to the route of a kind."""
-        return self.send(kind, kind)
-
-    def send(self, kind: str, route: str) -> SentRequest:
-        """Send a request to a route and record the response."""
-        self.count += 1
-        request_id = f'{self.name}-{self.count}'
-        path = f'/{route}/{request_id}'
-        started = time.monotonic()
-        status, complete, body = self.exchange('POST', path, request_id)
-        ended = time.monotonic()
-        sent = SentRequest(
-            request_id,
-            kind,
-            path,
-            self.host.name,
-            started,
-            ended,
-            status,
-            complete,
-            body,
-        )
-        self.world.ledger.on_sent(sent)
-        return sent
-
-    def exchange(
-        self, method: str, path: str, request_id: str
-    ) -> tuple[int, bool, bytes]:
-        """Return status, whether the response is complete, and its body."""
-        status = 0
-        headers = {
-            'Host': AUTHORITY,
-            'Authorization': f'Bearer {KEY}',
-            'Request-Id': request_id,
-            'Deadline-Ms': str(DEADLINE_MS),
-            'Tenant': 'other',
-        }
-        connection = self.current_connection()
-        try:
-            connection.request(method, path, headers=headers)
-            response = connection.getresponse()
-            status = response.status
-            return status, True, response.read()
-        except http.client.IncompleteRead as error:
-            self.connection = None
-            return status, False, error.partial
-        except (OSError, http.client.HTTPException):
-            self.connection = None
-            return status, False, b''
-
-    def current_connection(self) -> http.client.HTTPConnection:
-        """Return the open connection, or a new one to a random host."""
-        if self.connection is None:
-            self.connect_to(self.random.choice(self.world.hosts))
-        assert self.connection is not None
-        return self.connection
-
-    def connect_to(self, host: SoakHost) -> None:
-        """Send all further requests to a host."""
-        self.host = host
-        address, _, port = host.listen.partition(':')
-        self.connection = http.client.HTTPConnection(
-            address, int(port), timeout=CALL_TIMEOUT_S
-        )
 
-    def check_version(self) -> None:
-        """Check that a host never returns to an older configuration."""
-        version = self.world.version
-        pid = self.host.process.pid
-        sent = self.send('look', f'v{version}')
-        if pid != self.host.process.pid:
-            return
-        seen = self.seen_version.get(pid, 0)
-        if sent.status == 404 and seen >= version:
-            self.world.ledger.on_violation(
-                f'CONFIG: {self.host.name} served version {seen}, then '
-                f'returned 404 for version {version}',
-            )
-        if sent.status == 200:
-            self.seen_version[pid] = max(seen, version)
+def plan_of(seed: int, seconds: float, hosts: int) -> Plan:
+    """Return the plan of a seed; 0 seconds or hosts leave them to the seed."""
+    if seed < FIRST_SEED_WITH_SERIES:
+        return Plan(WorldShape(), CALLER_COUNT, False, seconds or SECONDS)
+    rng = random.Random(f'plan {seed}')
+    drawn = rng.choice(HOST_COUNTS)
+    hosts = hosts or drawn
+    endpoints = max(MIN_ENDPOINTS, hosts // HOSTS_PER_ENDPOINT)
+    crashes = rng.random() < CRASH_SHARE
+    return Plan(
+        WorldShape(hosts, endpoints, varied=True),
+        CALLER_COUNT * 2 + hosts // 4,
+        crashes,
+        seconds or SECONDS_BY_CRASHES[crashes],
+    )
 
 
-def soak(seed: int, seconds: float, folder: pathlib.Path) -> Result:
+def soak(
+    seed: int, seconds: float, folder: pathlib.Path, hosts: int = 0
+) -> Result:
     """Run a seed and return its result."""
     rng = random.Random(seed)
-    world = World(folder)
+    plan = plan_of(seed, seconds, hosts)
+    world = World(folder, plan.shape)
     try:
-        wait_ready(world, START_TIMEOUT_S)
-        return run(world, seed, rng, seconds)
+        wait_ready(world, START_TIMEOUT_S + plan.shape.hosts)
+        return run(world, seed, rng, plan)
     finally:
         world.close()
 
 
-def run(world: World, seed: int, rng: random.Random, seconds: float) -> Result:
+def run(world: World, seed: int, rng: random.Random, plan: Plan) -> Result:
     """Send requests and inject faults, then check the recovery."""
-    until = time.monotonic() + seconds
+    until = time.monotonic() + plan.seconds
+    kind = KeptCaller if plan.shape.varied else Caller
     callers = [
-        Caller(world, f's{seed}c{number}', rng.getrandbits(32))
-        for number in range(CALLER_COUNT)
+        kind(world, f's{seed}c{number}', rng.getrandbits(32))
+        for number in range(plan.callers)
     ]
     faults = []
-    with ThreadPoolExecutor(64) as pool:
+    with ThreadPoolExecutor(plan.callers + MAX_FAULTS) as pool:
         futures = [pool.submit(caller.run, until) for caller in callers]
         planned_only = rng.random() < PLANNED_ONLY_SHARE
-        table = fault_table(seed, planned_only=planned_only)
+        table = fault_table(seed, planned_only=planned_only or plan.crashes)
+        if plan.crashes:
+            faults.append('crash_by_part')
+            time.sleep(CRASH_START_S)
+            futures.append(
+                pool.submit(crash_by_part, world, random.Random(seed), until)
+            )
         while time.monotonic() < until:
             name = rng.choice(tuple(table))
             faults.append(name)
@@ -178,10 +122,10 @@
             time.sleep(rng.choice((0, 0.3, 1, 1.5)))
         for future in futures:
             future.result()
+    world.wait_for_work()
     recover(world, callers[0])
-    ledger = world.ledger
-    statuses = Counter(sent.status for sent in ledger.sent.values())
-    return Result(seed, ledger.check(), statuses, faults)
+    statuses = Counter(sent.status for sent in world.ledger.sent.values())
+    return Result(seed, all_violations(world.ledger), statuses, faults)
 
 
 def recover(world: World, caller: Caller) -> None:
@@ -192,7 +136,7 @@
         world.ledger.on_violation(f'RECOVER: {error}')
         return
     for host in world.hosts:
-        served = [serves_request(caller, host) for _ in range(12)]
+        served = [serves_request(caller, host) for _ in range(RECOVERY_CALLS)]
         if sum(served) < len(served) * MIN_SERVED_SHARE:
             world.ledger.on_violation(
                 f'RECOVER: {host.name} served {sum(served)} of {len(served)} '
@@ -239,7 +183,11 @@
 
 
 def main(
-    first: int = 1, count: int = 50, seconds: float = 12, keep: str = ''
+    first: int = 1,
+    count: int = 50,
+    seconds: float = 0,
+    keep: str = '',
+    hosts: int = 0,
 ) -> None:
     """Run seeds in sequence; the exit status is 1 after a violation.
 
@@ -248,9 +196,11 @@
     first, count : int
         First seed and number of seeds.
     seconds : float
-        Duration of fault injection per seed.
+        Duration of fault injection per seed; 0 leaves it to the seed.
     keep : str
         Folder for the logs of all seeds; empty to keep none.
+    hosts : int
+        Host processes of seeds from 200 on; 0 leaves them to the seed.
     """
     failed = 0
     for seed in range(first, first + count):
@@ -259,7 +209,7 @@
             if keep:
                 folder = pathlib.Path(keep) / f'seed-{seed}'
                 folder.mkdir(parents=True, exist_ok=True)
-            result = soak(seed, seconds, folder)
+            result = soak(seed, seconds, folder, hosts)
         failed += bool(result.violations)
         print_line(
             f'{seed} {dict(result.statuses)} {dict(Counter(result.faults))}'
--- /dev/null
+++ b/tests/soakcallers.py
@@ -0,0 +1,214 @@
+"""The callers of a soak; each uses one connection at a time."""
+
+import http.client
+import random
+import select
+import time
+from collections.abc import Mapping
+
+from gatewaycluster import AUTHORITY, KEY
+from soakledger import DEADLINE_S, MAX_RUNS, SentRequest
+from soakworld import SoakHost, World
+
+MEAN_PAUSE_S = 0.03
+CALL_TIMEOUT_S = 6.0
+MS_PER_S = 1000
+# Callers that pause for long use connections that a host may be closing.
+KEPT_PAUSES_S = (0.02, 0.05, 0.3, 0.9)
+SPLIT_BODY_SHARE = 0.1  # of requests, whose last byte comes later
+MAX_SPLIT_S = 0.5
+RECONNECT_S = 0.1  # after a connection that a host refused or closed
+BODY = b'prompt'
+BAD_SHARE = 0.15  # of requests while a part crashes endpoints
+FIRST_PART = '5c1e07a2:800'
+MIDDLE_PARTS = ('91bd3f06:410', 'a07715cc:120', '44e1d9b0:260')
+
+
+class Caller:
+    """Sends requests on one connection; reconnects to a random host."""
+
+    def __init__(self, world: World, name: str, seed: int) -> None:
+        self.world = world
+        self.name = name
+        self.random = random.Random(seed)
+        self.count = 0
+        self.host = world.hosts[0]
+        self.connection: http.client.HTTPConnection | None = None
+        self.whole_at = 0.0
+        # Highest configuration version served, by process id of the host.
+        self.seen_version: dict[int, int] = {}
+
+    def run(self, until: float) -> None:
+        """Send requests until a time of the monotonic clock."""
+        while time.monotonic() < until:
+            self.call(self.random.choice(tuple(MAX_RUNS)))
+            if self.random.random() < 0.1:
+                self.check_version()
+            time.sleep(self.random.uniform(0, MEAN_PAUSE_S * 2))
+
+    def call(self, kind: str) -> SentRequest:
+        """Send a request to the route of a kind."""
+        return self.send(kind, kind)
+
+    def send(
+        self, kind: str, route: str, parts: tuple[str, ...] = ()
+    ) -> SentRequest:
+        """Send a request to a route and record the response."""
+        self.count += 1
+        request_id = f'{self.name}-{self.count}'
+        path = f'/{route}/{request_id}'
+        headers = {
+            'Host': AUTHORITY,
+            'Authorization': f'Bearer {KEY}',
+            'Request-Id': request_id,
+            'Deadline-Ms': str(int(DEADLINE_S * MS_PER_S)),
+            'Tenant': 'other',
+        }
+        if parts:
+            headers['Prefix-Hash'] = ','.join((*parts, f'{request_id}:40'))
+        self.whole_at = 0
+        started = time.monotonic()
+        status, complete, body = self.exchange(path, headers)
+        sent = SentRequest(
+            request_id,
+            kind,
+            path,
+            self.host.name,
+            started,
+            time.monotonic(),
+            status,
+            complete,
+            body,
+            self.whole_at,
+            parts,
+        )
+        self.world.ledger.on_sent(sent)
+        return sent
+
+    def exchange(
+        self, path: str, headers: Mapping[str, str]
+    ) -> tuple[int, bool, bytes]:
+        """Return status, whether the response is complete, and its body."""
+        status = 0
+        connection = self.current_connection()
+        try:
+            self.send_whole(connection, path, headers)
+            response = connection.getresponse()
+            status = response.status
+            return status, True, response.read()
+        except http.client.IncompleteRead as error:
+            self.connection = None
+            return status, False, error.partial
+        except (OSError, http.client.HTTPException):
+            self.connection = None
+            return status, False, b''
+
+    def send_whole(
+        self,
+        connection: http.client.HTTPConnection,
+        path: str,
+        headers: Mapping[str, str],
+    ) -> None:
+        """Send a request to its last byte."""
+        connection.request('POST', path, headers=dict(headers))
+        self.note_whole(connection)
+
+    def note_whole(self, connection: http.client.HTTPConnection) -> None:
+        """Note that a request was sent, unless it crossed the host's close."""
+        poll = select.poll()
+        poll.register(connection.sock, select.POLLIN)
+        if not poll.poll(0):
+            self.whole_at = time.monotonic()
+
+    def current_connection(self) -> http.client.HTTPConnection:
+        """Return the open connection, or a new one to a random host."""
+        if self.connection is None:
+            self.connect_to(self.random.choice(self.world.hosts))
+        assert self.connection is not None
+        return self.connection
+
+    def connect_to(self, host: SoakHost) -> None:
+        """Send all further requests to a host."""
+        self.host = host
+        address, _, port = host.listen.partition(':')
+        self.connection = http.client.HTTPConnection(
+            address, int(port), timeout=CALL_TIMEOUT_S
+        )
+
+    def check_version(self) -> None:
+        """Check that a host never returns to an older configuration."""
+        version = self.world.version
+        pid = self.host.process.pid
+        sent = self.send('look', f'v{version}')
+        if pid != self.host.process.pid:
+            return
+        seen = self.seen_version.get(pid, 0)
+        if sent.status == 404 and seen >= version:
+            self.world.ledger.on_violation(
+                f'CONFIG: {self.host.name} served version {seen}, then '
+                f'returned 404 for version {version}',
+            )
+        if sent.status == 200:
+            self.seen_version[pid] = max(seen, version)
+
+
+class KeptCaller(Caller):
+    """Uses a connection until the host ends it, at times after long pauses.
+
+    Its requests have prompts that share parts.
+    """
+
+    def __init__(self, world: World, name: str, seed: int) -> None:
+        super().__init__(world, name, seed)
+        self.pause_s = self.random.choice(KEPT_PAUSES_S)
+
+    def run(self, until: float) -> None:
+        """Send requests until a time of the monotonic clock."""
+        while time.monotonic() < until:
+            self.send_next()
+            if self.random.random() < 0.05:
+                self.check_version()
+            time.sleep(self.random.uniform(0, self.pause_s * 2))
+
+    def send_next(self) -> None:
+        """Send a sound request, or one with the part that crashes."""
+        kind = self.random.choice(tuple(MAX_RUNS))
+        parts = [self.random.choice(MIDDLE_PARTS) for _ in range(2)]
+        bad = self.world.ledger.bad_part
+        if bad and self.random.random() < BAD_SHARE:
+            kind = bad.route
+            parts.insert(self.random.randrange(3), bad.part)
+        self.send(kind, kind, (FIRST_PART, *parts))
+
+    def send_whole(
+        self,
+        connection: http.client.HTTPConnection,
+        path: str,
+        headers: Mapping[str, str],
+    ) -> None:
+        """Send a request to its last byte, at times with a pause before it."""
+        if self.random.random() > SPLIT_BODY_SHARE:
+            super().send_whole(connection, path, headers)
+            return
+        connection.putrequest('POST', path, skip_host=True)
+        for name, text in headers.items():
+            connection.putheader(name, text)
+        connection.putheader('Content-Length', str(len(BODY)))
+        connection.endheaders(BODY[:-1])
+        time.sleep(self.random.uniform(0, MAX_SPLIT_S))
+        connection.send(BODY[-1:])
+        self.note_whole(connection)
+
+    def exchange(
+        self, path: str, headers: Mapping[str, str]
+    ) -> tuple[int, bool, bytes]:
+        """Exchange a request; leave a host that closed the connection."""
+        seen = super().exchange(path, headers)
+        if not self.whole_at:
+            time.sleep(RECONNECT_S)
+        if self.connection is not None and self.connection.sock is None:
+            self.connection = None
+        return seen
+
+
+__all__ = ['Caller', 'KeptCaller']
--- /dev/null
+++ b/tests/soakchecks.py
@@ -0,0 +1,143 @@
+"""Checks of a ledger that take in the whole run: lost answers, crashes."""
+
+from collections import defaultdict
+from collections.abc import Collection, Iterator
+
+from soakledger import (
+    CONTACT_S,
+    DEADLINE_S,
+    BadPart,
+    Ledger,
+    SentRequest,
+)
+
+LOSS_SLACK_S = 0.2  # lossSlackMs of the users' pages
+ANSWER_SLACK_S = 0.5  # an answer may come so long after its deadline
+DECISIVE_CRASHES = 5  # after so many, the part is known
+ALLOWED_BAD_ARRIVALS = 3
+MIN_SERVED_RATIO = 0.5
+MIN_REQUESTS = 20  # fewer sound requests show nothing
+HTTP_OK = 200
+
+
+def all_violations(ledger: Ledger) -> list[str]:
+    """Return all violations of a guarantee."""
+    return [
+        *ledger.check(),
+        *check_answers(ledger),
+        *check_bad_arrivals(ledger),
+        *check_sound_requests(ledger),
+    ]
+
+
+def check_answers(ledger: Ledger) -> Iterator[str]:
+    """Check that each request to a sound host ends in an answer."""
+    arrived = defaultdict(set)
+    for arrival in ledger.arrivals:
+        arrived[arrival.request_id].add(arrival.endpoint)
+    for sent in ledger.sent.values():
+        if sent.is_answered or not sent.whole_at:
+            continue
+        endpoints = arrived[sent.request_id]
+        if not is_excused(ledger, sent, endpoints):
+            yield f'LOST: {sent} had no answer from {endpoints or "no endpoint"}'
+
+
+def is_excused(
+    ledger: Ledger, sent: SentRequest, endpoints: Collection[str]
+) -> bool:
+    """Return whether a request may end without an answer."""
+    crossed_close = sent.ended < sent.whole_at + LOSS_SLACK_S
+    if not endpoints and (sent.status or crossed_close):
+        return True
+    out_of_time = (
+        sent.started + DEADLINE_S
+        <= sent.ended
+        <= sent.whole_at + DEADLINE_S + ANSWER_SLACK_S
+    )
+    if out_of_time or sent.request_id in ledger.broken_off:
+        return True
+    faults = {'kill_all', f'kill {sent.host}', f'pause {sent.host}', 'reset'}
+    for name in endpoints:
+        faults |= {f'crash {name}', f'link {name}', f'fails {name}'}
+    return not ledger.is_clear(faults, sent.whole_at, sent.ended)
+
+
+def check_bad_arrivals(ledger: Ledger) -> Iterator[str]:
+    """Check that a part is held back once it has crashed endpoints."""
+    known_at = time_of_knowledge(ledger)
+    if known_at is None or ledger.bad_part is None:
+        return
+    late = [
+        arrival
+        for arrival in ledger.arrivals
+        if arrival.time > known_at + CONTACT_S
+        and is_bad(ledger, ledger.bad_part, arrival.request_id)
+        and is_in_touch(
+            ledger, ledger.sent[arrival.request_id].host, arrival.time
+        )
+    ]
+    if len(late) > ALLOWED_BAD_ARRIVALS:
+        yield (
+            f'BUDGET: {len(late)} requests with the part that had crashed '
+            f'{DECISIVE_CRASHES} endpoints reached endpoints up to '
+            f'{late[-1].time - known_at:.1f} s later; '
+            f'{len(ledger.crashes)} crashes in all'
+        )
+
+
+def time_of_knowledge(ledger: Ledger) -> float | None:
+    """Return when the decisive crash was, None if there was none."""
+    if len(ledger.crashes) < DECISIVE_CRASHES:
+        return None
+    return sorted(ledger.crashes)[DECISIVE_CRASHES - 1]
+
+
+def is_bad(ledger: Ledger, bad: BadPart, request_id: str) -> bool:
+    """Return whether a request was sent with the part that crashes."""
+    sent = ledger.sent.get(request_id)
+    return sent is not None and bad.part in sent.parts
+
+
+def is_in_touch(ledger: Ledger, host: str, time: float) -> bool:
+    """Return whether a host has been without faults for a while."""
+    faults = {'kill_all', 'store', 'trim', 'restore', 'reset'}
+    own = {f'{fault} {host}' for fault in ('kill', 'term', 'pause', 'store')}
+    return ledger.is_clear(faults | own, time, time)
+
+
+def check_sound_requests(ledger: Ledger) -> Iterator[str]:
+    """Check that sound requests are served beside those that crash."""
+    known_at = time_of_knowledge(ledger)
+    bad = ledger.bad_part
+    if known_at is None or bad is None:
+        return
+    sound = [
+        sent
+        for sent in ledger.sent.values()
+        if sent.kind == bad.route
+        and sent.path.startswith(f'/{bad.route}/')
+        and bad.part not in sent.parts
+        and is_in_touch(ledger, sent.host, sent.started)
+    ]
+    before = [sent for sent in sound if sent.ended < bad.started]
+    after = [sent for sent in sound if sent.started > known_at + 2 * CONTACT_S]
+    if min(len(before), len(after)) < MIN_REQUESTS:
+        return
+    if served_share(after) < MIN_SERVED_RATIO * served_share(before):
+        yield (
+            f'LOST: {served_share(after):.2f} of {len(after)} sound requests '
+            f'were served beside a part that crashes endpoints, before it '
+            f'{served_share(before):.2f} of {len(before)}'
+        )
+
+
+def served_share(requests: Collection[SentRequest]) -> float:
+    """Return the share of requests that were served whole."""
+    served = [
+        sent for sent in requests if sent.complete and sent.status == HTTP_OK
+    ]
+    return len(served) / len(requests)
+
+
+__all__ = ['all_violations']
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -1,12 +1,13 @@
 """Faults that the soak injects; each function also ends its fault."""
 
+import contextlib
 import random
 import signal
 import subprocess
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
-from soakledger import FaultSpan
+from soakledger import BadPart, FaultSpan
 from soakproxy import Mode, Proxy
 from soakworld import GRACE_S, SoakHost, World
 
@@ -15,9 +16,24 @@
 STOP_SLACK_S = 1.0  # for delays on a busy machine
 ENDPOINT_FAULTS = ('error', 'hang', 'refuse', 'cut')
 STORE_FAULTS = (503, 429, 'silent', 'reset', 'lost')
+RACK_HOSTS = 12
+SILENCE_S = (0.6, 1.6)
+SILENCE_REST_S = 1.0  # between two silences of an endpoint
+SERIES_GAP_S = 0.5
+CRASHING_ROUTES = ('chat', 'look', 'talk')
 LINK_MODES = (Mode.delayed, Mode.silent, Mode.one_way, Mode.refused)
 
 
+@contextlib.contextmanager
+def recorded(world: World, name: str) -> Iterator[None]:
+    """Record the time of a fault."""
+    started = time.monotonic()
+    try:
+        yield
+    finally:
+        world.ledger.on_span(FaultSpan(name, started, time.monotonic()))
+
+
 def kill(world: World, rng: random.Random) -> str:
     """Kill a host and restart it after a delay."""
     host = rng.choice(world.hosts)
@@ -29,8 +45,9 @@
 
 
 def kill_all(world: World, rng: random.Random) -> str:
-    """Kill all hosts at once and restart them."""
-    killed = [(host, host.process) for host in world.hosts]
+    """Kill all hosts at once, at most a rack, and restart them."""
+    hosts = rng.sample(world.hosts, min(len(world.hosts), RACK_HOSTS))
+    killed = [(host, host.process) for host in hosts]
     for _, process in killed:
         process.kill()
     for host, process in killed:
@@ -115,9 +132,7 @@
 
 def say_leaving(world: World, rng: random.Random) -> str:
     """Replace an endpoint that says only in its responses that it leaves."""
-    number = rng.randrange(len(world.endpoints))
-    leaving = world.endpoints[number]
-    world.endpoints[number] = world.add_endpoint()
+    leaving = world.add_instead(rng.randrange(len(world.endpoints)))
     leaving.says_leaving = True
     world.replaced_endpoints.append(leaving)
     time.sleep(rng.uniform(2, 4))
@@ -187,6 +202,99 @@
     return 'config'
 
 
+def fall_silent(world: World, rng: random.Random) -> str:
+    """Make an endpoint pause all its work; its connections stay open."""
+    endpoint = rng.choice(world.endpoints)
+    with endpoint.silence_lock:
+        endpoint.awake.clear()
+        time.sleep(rng.uniform(*SILENCE_S))
+        endpoint.awake.set()
+        time.sleep(SILENCE_REST_S)
+    return 'silence'
+
+
+def planned_series(world: World, rng: random.Random) -> str:
+    """Tell a host of reloads and stops, amid configuration changes."""
+    return series(world, rng, (hang_up, change, hang_up, change, stop))
+
+
+def signal_series(world: World, rng: random.Random) -> str:
+    """Suspend, resume, stop and kill a host in a random order."""
+    return series(
+        world, rng, (hang_up, change, freeze, freeze, stop, stop, end)
+    )
+
+
+Step = Callable[[World, random.Random, SoakHost], None]
+
+
+def series(world: World, rng: random.Random, steps: tuple[Step, ...]) -> str:
+    """Take steps at one host in quick succession; a stop goes on beside."""
+    host = rng.choice(world.hosts)
+    for step in rng.sample(steps, rng.randint(2, len(steps))):
+        step(world, rng, host)
+        time.sleep(rng.uniform(0, SERIES_GAP_S))
+    return 'hup'
+
+
+def hang_up(world: World, rng: random.Random, host: SoakHost) -> None:
+    """Send SIGHUP to a host."""
+    host.process.send_signal(signal.SIGHUP)
+
+
+def change(world: World, rng: random.Random, host: SoakHost) -> None:
+    """Publish a configuration version."""
+    world.configure()
+
+
+def freeze(world: World, rng: random.Random, host: SoakHost) -> None:
+    """Suspend a host for a short time."""
+    with recorded(world, f'pause {host.name}'):
+        process = host.process
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(rng.uniform(0, 1))
+        process.send_signal(signal.SIGCONT)
+
+
+def stop(world: World, rng: random.Random, host: SoakHost) -> None:
+    """Stop a host gracefully, while the series goes on."""
+
+    def stop_host() -> None:
+        with recorded(world, f'term {host.name}'):
+            stop_gracefully(world, host)
+
+    world.begin(stop_host)
+
+
+def end(world: World, rng: random.Random, host: SoakHost) -> None:
+    """Kill a host."""
+    with recorded(world, f'kill {host.name}'):
+        process = host.process
+        process.kill()
+        host.restart(process)
+
+
+def rolling_restart(world: World, rng: random.Random) -> str:
+    """Stop several hosts gracefully, one soon after the other."""
+    count = rng.randint(2, max(2, len(world.hosts) // 3))
+    for host in rng.sample(world.hosts, count):
+        stop(world, rng, host)
+        time.sleep(rng.uniform(0.1, 1.5))
+        if rng.random() < 0.5:
+            change(world, rng, host)
+    return 'config'
+
+
+def crash_by_part(world: World, rng: random.Random, until: float) -> None:
+    """Let requests with one part crash endpoints until a time."""
+    world.ledger.bad_part = BadPart(
+        f'bad{rng.randrange(10**5):05d}:90',
+        rng.choice(CRASHING_ROUTES),
+        time.monotonic(),
+    )
+    time.sleep(max(0, until - time.monotonic()))
+
+
 PLANNED_FAULTS: Mapping[str, Fault] = {
     'term': term,
     'hup': hup,
@@ -212,10 +320,25 @@
     'say_leaving': say_leaving,
     'ask_for_quiet': ask_for_quiet,
 }
+FIRST_SEED_WITH_SERIES = 200
+NEWEST_PLANNED_FAULTS: Mapping[str, Fault] = {
+    **PLANNED_FAULTS,
+    'planned_series': planned_series,
+    'rolling_restart': rolling_restart,
+    'fall_silent': fall_silent,
+}
+NEWEST_FAULTS: Mapping[str, Fault] = {
+    **ALL_FAULTS,
+    **NEWER_FAULTS,
+    **NEWEST_PLANNED_FAULTS,
+    'signal_series': signal_series,
+}
 
 
 def fault_table(seed: int, *, planned_only: bool) -> Mapping[str, Fault]:
     """Return the faults from which a seed chooses."""
+    if seed >= FIRST_SEED_WITH_SERIES:
+        return NEWEST_PLANNED_FAULTS if planned_only else NEWEST_FAULTS
     table = PLANNED_FAULTS if planned_only else ALL_FAULTS
     if seed < FIRST_SEED_WITH_ALL:
         return table
@@ -225,8 +348,7 @@
 def inject_fault(world: World, name: str, seed: int) -> None:
     """Run a fault to its end and record the time it was active."""
     started = time.monotonic()
-    faults = {**ALL_FAULTS, **NEWER_FAULTS}
-    description = faults[name](world, random.Random(seed))
+    description = NEWEST_FAULTS[name](world, random.Random(seed))
     world.ledger.on_span(FaultSpan(description, started, time.monotonic()))
     for host in world.hosts:
         host.restart_if_ended()
--- a/tests/soakledger.py
+++ b/tests/soakledger.py
@@ -3,7 +3,7 @@
 import itertools
 import threading
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import NamedTuple
 
 STREAM_EVENTS = 6
@@ -19,6 +19,12 @@
 QUIET_SLACK_S = 0.5
 QUIET_ALLOWANCE = 2
 HOST_START_S = 2.0  # a host may still start so long after its fault has ended
+DEADLINE_S = 3.0  # of all requests
+CONTACT_S = 3.0  # contactMs of the users' pages
+# Spans that are no trouble: planned work, and endpoints that pause.
+PLANNED_SPANS = frozenset(('config', 'hup', 'silence'))
+# Statuses of a host that promise nothing of the run.
+FAILED_STATUSES = frozenset((502, 504))
 
 
 class SentRequest(NamedTuple):
@@ -33,6 +39,15 @@
     status: int
     complete: bool
     body: bytes
+    # When the last byte had been sent on an open connection; 0 for never.
+    whole_at: float = 0
+    parts: tuple[str, ...] = ()
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether it ended in a whole answer or a refusal."""
+        failed = self.status in FAILED_STATUSES
+        return bool(self.status) and self.complete and not failed
 
 
 class Run(NamedTuple):
@@ -71,6 +86,14 @@
     quiet_s: float
 
 
+class BadPart(NamedTuple):
+    """A prompt part that crashes endpoints, and the route that gets it."""
+
+    part: str
+    route: str
+    started: float
+
+
 class Arrival(NamedTuple):
     """A request as it reached an endpoint, whether it ran or not."""
 
@@ -92,6 +115,11 @@
         self.violations: list[str] = []
         self.signs: list[Sign] = []
         self.arrivals: list[Arrival] = []
+        # Ids of the requests whose answer an endpoint broke off or failed.
+        self.broken_off: set[str] = set()
+        self.bad_part: BadPart | None = None
+        # Times on the monotonic clock.
+        self.crashes: list[float] = []
 
     def on_sent(self, sent: SentRequest) -> None:
         with self.lock:
@@ -109,6 +137,14 @@
         with self.lock:
             self.arrivals.append(arrival)
 
+    def on_broken_off(self, request_id: str) -> None:
+        with self.lock:
+            self.broken_off.add(request_id)
+
+    def on_crash(self, time: float) -> None:
+        with self.lock:
+            self.crashes.append(time)
+
     def on_span(self, span: FaultSpan) -> None:
         with self.lock:
             self.spans.append(span)
@@ -118,11 +154,22 @@
             self.violations.append(violation)
 
     def no_fault(self, started: float, ended: float, *ignored: str) -> bool:
-        """Return whether no fault but the ignored ones was active."""
+        """Return whether no fault but planned or ignored ones was active."""
         return not any(
             span.started < ended and span.ended > started
             for span in self.spans
-            if span.name not in ignored
+            if span.name not in PLANNED_SPANS and span.name not in ignored
+        )
+
+    def is_clear(
+        self, names: Collection[str], started: float, ended: float
+    ) -> bool:
+        """Return whether none of the named faults was active of late."""
+        return not any(
+            span.name in names
+            and span.started < ended
+            and span.ended > started - CONTACT_S
+            for span in self.spans
         )
 
     def check(self) -> list[str]:
@@ -150,9 +197,7 @@
             if span.name != f'term {sent.host}':
                 continue
             since = span.started - LEAVING_LIMIT_S
-            no_other_fault = self.no_fault(
-                since, span.ended, span.name, 'config', 'hup'
-            )
+            no_other_fault = self.no_fault(since, span.ended, span.name)
             if no_other_fault and span.started < sent.ended < span.ended:
                 yield f'LOST: {sent} ran and was aborted during {span}'
 
@@ -163,7 +208,7 @@
                 since = self.leaving.get(run.endpoint)
                 if since is None or run.started < since + LEAVING_LIMIT_S:
                     continue
-                if self.no_fault(since, run.started, 'config', 'hup', 'leave'):
+                if self.no_fault(since, run.started, 'leave'):
                     yield (
                         f'DRAIN: {run} started {run.started - since:.1f} s '
                         'after leaving began'
--- a/tests/soakproxy.py
+++ b/tests/soakproxy.py
@@ -35,6 +35,7 @@
         self.target = (address, int(port))
         self.mode = Mode.clear
         self.lock = threading.Lock()
+        self.closed = False
         self.sockets: set[socket.socket] = set()
         self.listener = socket.create_server(('127.0.0.1', 0), backlog=256)
         port = self.listener.getsockname()[1]
@@ -62,6 +63,8 @@
         server.settimeout(None)
         with self.lock:
             self.sockets |= {client, server}
+        if self.closed:
+            self.reset()
         threading.Thread(
             target=self.forward,
             args=(client, server, frozenset((Mode.silent,))),
@@ -86,21 +89,31 @@
                 if self.mode is Mode.delayed:
                     time.sleep(DELAY_S)
                 if not chunk:
-                    sink.shutdown(socket.SHUT_WR)
+                    self.end(source, sink)
                     return
                 sink.sendall(chunk)
         except OSError:
             abort(source)
             abort(sink)
 
+    def end(self, source: socket.socket, sink: socket.socket) -> None:
+        """Pass an end of stream on, but not one that is due to a reset."""
+        with self.lock:
+            if source in self.sockets:
+                sink.shutdown(socket.SHUT_WR)
+
     def reset(self) -> None:
         """Reset all open connections."""
         with self.lock:
-            for sock in self.sockets:
+            open_sockets, self.sockets = self.sockets, set()
+            for sock in open_sockets:
                 abort(sock)
-            self.sockets = set()
 
     def close(self) -> None:
+        self.closed = True
+        with contextlib.suppress(OSError):
+            # Wakes the thread in accept, which keeps the listener open.
+            self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         self.mode = Mode.clear
         self.reset()
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -3,25 +3,18 @@
 import itertools
 import os
 import pathlib
-import random
 import subprocess
 import sys
 import threading
 import time
+from collections.abc import Callable
+from typing import NamedTuple
 
 from cluster import ROOT, free_port
 from gatewaycluster import configuration, route
-from platformendpoint import PlatformEndpoint, ServedRequest
 from platformstore import PlatformStore
-from soakledger import (
-    STREAM_EVENTS,
-    STREAM_KINDS,
-    Arrival,
-    Ledger,
-    Run,
-    Sign,
-    stream_event,
-)
+from soakendpoint import SoakEndpoint
+from soakledger import FaultSpan, Ledger
 from soakproxy import Proxy
 
 GRACE_S = 8.0
@@ -29,97 +22,23 @@
 # other two get them from peers.
 HOST_COUNT = 5
 ENDPOINT_COUNT = 4
-EVENT_PAUSE_S = 0.02
-HANG_S = 3.0
-MAX_WORK_S = 0.04
 KEPT_VERSIONS = 3
-QUIET_S = 1.5
-
-
-class SoakEndpoint:
-    """An endpoint that fails half of its requests while a fault is set."""
-
-    def __init__(self, name: str, ledger: Ledger) -> None:
-        self.name = name
-        self.ledger = ledger
-        self.fault = ''
-        self.says_leaving = False
-        self.random = random.Random(name)
-        self.server = PlatformEndpoint(name)
-        self.server.behaviour = self.handle_request  # type: ignore[assignment]
-        self.proxy = Proxy(self.server.address)
-
-    def record(self, **changes: object) -> dict[str, object]:
-        changes = {'address': self.proxy.address, **changes}
-        return self.server.record('engines', **changes)
-
-    def handle_request(self, served: ServedRequest) -> None:
-        """Serve a request, or fail it according to the current fault."""
-        fault = self.fault if self.random.random() < 0.5 else ''
-        request = served.request
-        self.ledger.on_arrival(
-            Arrival(request.request_id, self.name, time.monotonic())
-        )
-        if fault == 'refuse':
-            served.refuse()
-            return
-        if fault == 'quiet':
-            self.say(served, QUIET_S)
-            served.refuse_for(str(QUIET_S))
-            return
-        if self.says_leaving:
-            served.extra_headers = ('Server-Leaving: 1',)
-            self.say(served, 0)
-        self.ledger.on_run(
-            Run(
-                request.request_id,
-                self.name,
-                time.monotonic(),
-                request.line,
-                request.headers.get('tenant', ''),
-                'authorization' in request.headers,
-            )
-        )
-        if fault == 'hang':
-            served.client_disconnected(HANG_S)
-            served.close()
-        elif fault == 'error':
-            served.respond(500, request.request_id.encode())
-        else:
-            time.sleep(self.random.random() * MAX_WORK_S)
-            self.respond(served, cut=fault == 'cut')
-
-    def say(self, served: ServedRequest, quiet_s: float) -> None:
-        """Note what the response to a request says of this endpoint."""
-        request_id = served.request.request_id
-        self.ledger.on_sign(
-            Sign(request_id, self.name, time.monotonic(), quiet_s)
-        )
+SEED_COUNT = 3
+CRASH_PAUSE_S = (1.0, 2.0)
 
-    def respond(self, served: ServedRequest, *, cut: bool) -> None:
-        request = served.request
-        if request.line.split('/')[1] not in STREAM_KINDS:
-            if cut:
-                served.head(200, 'Server-Stamp: s', 'Content-Length: 99')
-                served.reset()
-            else:
-                served.respond(200, request.request_id.encode())
-            return
-        served.start_stream()
-        first_event = int(request.headers.get('last-event-id', -1)) + 1
-        for number in range(first_event, STREAM_EVENTS):
-            if cut and number == STREAM_EVENTS // 2:
-                # The start of a chunk of 0x20 bytes.
-                served.sock.sendall(b'20\r\nid: 3\nda')
-                served.reset()
-                return
-            served.chunk(stream_event(request.request_id, number))
-            time.sleep(EVENT_PAUSE_S)
-        served.end_stream()
 
-    def close(self) -> None:
-        self.proxy.close()
-        self.server.close()
+class WorldShape(NamedTuple):
+    """What a seed chooses of the world.
+
+    ``varied`` endpoints also answer without a length and may crash.
+    """
+
+    hosts: int = HOST_COUNT
+    endpoints: int = ENDPOINT_COUNT
+    varied: bool = False
+
+
+DEFAULT_SHAPE = WorldShape()
 
 
 class SoakHost:
@@ -146,7 +65,7 @@
             'READY': self.ready,
             'CONTROL': f'{self.address}:{world.ports[2]}',
             'MESH_PORT': str(world.mesh_port),
-            'SEEDS': f'{world.network}.1:{world.ports[2]}',
+            'SEEDS': world.seeds,
             'STORE': self.store.address,
         }
         variables = {
@@ -182,22 +101,43 @@
 class World:
     """All processes and servers of a soak; ``close`` stops them."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self, folder: pathlib.Path, shape: WorldShape = DEFAULT_SHAPE
+    ) -> None:
         self.folder = folder
+        self.shape = shape
         self.ledger = Ledger()
         # A loopback network for each process, so that its hosts can share port
         # numbers.
         self.network = f'127.{221 + os.getpid() % 30}.{os.getpid() % 250}'
         self.ports = tuple(free_port() for _ in range(3))
         self.mesh_port = free_port()
+        seed_count = SEED_COUNT if shape.varied else 1
+        self.seeds = ','.join(
+            f'{self.network}.{number + 1}:{self.ports[2]}'
+            for number in range(seed_count)
+        )
         self.store = PlatformStore()
         self.endpoint_numbers = itertools.count(1)
         self.versions = itertools.count(1)
         self.version = 0
         self.configure()
         self.replaced_endpoints: list[SoakEndpoint] = []
-        self.endpoints = [self.add_endpoint() for _ in range(ENDPOINT_COUNT)]
-        self.hosts = [SoakHost(self, index + 1) for index in range(HOST_COUNT)]
+        self.endpoints = [self.add_endpoint() for _ in range(shape.endpoints)]
+        self.endpoints_lock = threading.Lock()
+        self.work: list[threading.Thread] = []
+        self.hosts = [SoakHost(self, index + 1) for index in range(shape.hosts)]
+
+    def begin(self, work: Callable[[], None]) -> None:
+        """Start work beside; ``wait_for_work`` waits for its end."""
+        thread = threading.Thread(target=work, daemon=True)
+        thread.start()
+        self.work.append(thread)
+
+    def wait_for_work(self) -> None:
+        """Wait until all work has ended that was begun beside."""
+        for thread in self.work:
+            thread.join()
 
     def configure(self) -> int:
         """Publish a new configuration version, which adds a route ``vN``.
@@ -217,18 +157,58 @@
         return version
 
     def add_endpoint(self) -> SoakEndpoint:
-        endpoint = SoakEndpoint(f'i-{next(self.endpoint_numbers)}', self.ledger)
-        self.store.put('keyed.servers', endpoint.name, endpoint.record())
+        return self.start_endpoint(f'i-{next(self.endpoint_numbers)}')
+
+    def start_endpoint(self, key: str, born: int = 1) -> SoakEndpoint:
+        endpoint = SoakEndpoint(
+            key,
+            self.ledger,
+            self.on_crash,
+            varied=self.shape.varied,
+            born=born,
+        )
+        self.register(endpoint)
         return endpoint
 
+    def register(self, endpoint: SoakEndpoint, **changes: object) -> None:
+        """Write an endpoint's record to the store."""
+        record = endpoint.record(**changes)
+        self.store.put('keyed.servers', endpoint.key, record)
+
+    def add_instead(self, number: int) -> SoakEndpoint:
+        """Add an endpoint in the place of another, which is returned."""
+        with self.endpoints_lock:
+            leaving = self.endpoints[number]
+            self.endpoints[number] = self.add_endpoint()
+        return leaving
+
+    def on_crash(self, endpoint: SoakEndpoint, crashed_at: float) -> None:
+        """Note the crash of an endpoint, which starts again after a pause."""
+        self.ledger.on_crash(crashed_at)
+        self.begin(lambda: self.start_again(endpoint, crashed_at))
+
+    def start_again(self, endpoint: SoakEndpoint, crashed_at: float) -> None:
+        """Start an endpoint again, with its key or as a new one."""
+        time.sleep(endpoint.random.uniform(*CRASH_PAUSE_S))
+        self.ledger.on_span(
+            FaultSpan(f'crash {endpoint.name}', crashed_at, time.monotonic())
+        )
+        with self.endpoints_lock:
+            is_replaced = endpoint not in self.endpoints
+            if is_replaced or endpoint.random.random() < 0.5:
+                self.store.put('keyed.servers', endpoint.key, None)
+                again = None if is_replaced else self.add_endpoint()
+            else:
+                again = self.start_endpoint(endpoint.key, endpoint.born + 1)
+            if again is not None:
+                self.endpoints[self.endpoints.index(endpoint)] = again
+                self.replaced_endpoints.append(endpoint)
+
     def replace(self, number: int, pause_s: float) -> None:
         """Add an endpoint, then drain the one that it replaces."""
-        leaving = self.endpoints[number]
-        self.endpoints[number] = self.add_endpoint()
+        leaving = self.add_instead(number)
         time.sleep(pause_s)
-        self.store.put(
-            'keyed.servers', leaving.name, leaving.record(state='draining')
-        )
+        self.register(leaving, state='draining')
         self.ledger.leaving[leaving.name] = time.monotonic()
         self.replaced_endpoints.append(leaving)
 
@@ -237,10 +217,13 @@
         document = self.document
         self.store.put('keyed.op', 'config', document)
         for endpoint in list(self.endpoints):
-            self.store.put('keyed.servers', endpoint.name, endpoint.record())
+            self.register(endpoint)
+        current = {endpoint.key for endpoint in self.endpoints}
         for endpoint in list(self.replaced_endpoints):
-            record = endpoint.record(state='draining')
-            self.store.put('keyed.servers', endpoint.name, record)
+            if not endpoint.crashed:
+                self.register(endpoint, state='draining')
+            elif endpoint.key not in current:
+                self.store.put('keyed.servers', endpoint.key, None)
 
     def close(self) -> None:
         for host in self.hosts:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,9 +4,11 @@
 
 import pytest
 from soak import soak
+from soakchecks import all_violations
 from soakfaults import FIRST_SEED_WITH_ALL
 from soakledger import (
     Arrival,
+    BadPart,
     FaultSpan,
     Ledger,
     Run,
@@ -113,6 +115,97 @@
         assert 'SIGN' in self.ledger_of(2, 2.6, 2.7, 2.8).check()[0]
 
 
+class TestAnswers:
+    """A whole request to a sound host ends in an answer."""
+
+    @pytest.fixture
+    def cut(self, ledger: Ledger) -> Ledger:
+        ledger.on_arrival(Arrival('q1', 'i-1', 1.5))
+        ledger.on_sent(sent_request(complete=False, whole_at=1.2))
+        return ledger
+
+    def test_request_without_an_answer(self, cut: Ledger) -> None:
+        assert 'LOST' in all_violations(cut)[0]
+        cut.on_span(FaultSpan('silence', 1, 2))
+        cut.on_span(FaultSpan('pause h2', 1, 2))
+        assert all_violations(cut)
+
+    @pytest.mark.parametrize('name', ['pause h1', 'crash i-1', 'kill_all'])
+    def test_fault_on_the_way(self, cut: Ledger, name: str) -> None:
+        cut.on_span(FaultSpan(name, -2, -1.7))
+        assert not all_violations(cut)
+
+    def test_answer_that_the_endpoint_broke_off(self, cut: Ledger) -> None:
+        cut.on_broken_off('q1')
+        assert not all_violations(cut)
+
+    def test_request_that_crossed_the_close(self) -> None:
+        made = Ledger()
+        made.on_sent(sent_request(status=0, whole_at=1.85))
+        assert not all_violations(made)
+        made.on_sent(sent_request(status=0, whole_at=1.75))
+        assert 'LOST' in all_violations(made)[0]
+
+
+class TestCrashingPart:
+    """A part that crashes endpoints is held back, sound requests are not."""
+
+    BAD = ('1:1', 'bad:9')
+
+    @pytest.fixture
+    def crashed(self) -> Ledger:
+        made = Ledger()
+        made.bad_part = BadPart('bad:9', 'chat', 10)
+        for at in (10, 11, 12, 13, 14):
+            made.on_crash(at)
+        for number in range(20):
+            self.send(made, f'b{number}', 5, status=200)
+        return made
+
+    def send(
+        self,
+        ledger: Ledger,
+        name: str,
+        at: float,
+        status: int,
+        parts: tuple[str, ...] = ('1:1',),
+    ) -> None:
+        body = stream_body(name)
+        path = f'/chat/{name}'
+        ledger.on_sent(
+            SentRequest(
+                name, 'chat', path, 'h1', at, at, status, True, body, at, parts
+            )
+        )
+        if status == 200:
+            line = f'POST {path} HTTP/1.1'
+            ledger.on_run(run(request_id=name, line=line))
+
+    @pytest.mark.parametrize(
+        ('count', 'at', 'held'), [(4, 16.9, 0), (3, 17.1, 0), (4, 17.1, 1)]
+    )
+    def test_requests_with_the_part(
+        self, crashed: Ledger, count: int, at: float, held: int
+    ) -> None:
+        for number in range(count):
+            self.send(crashed, f'q{number}', at, 503, self.BAD)
+            crashed.on_arrival(Arrival(f'q{number}', 'i-1', at))
+        violations = all_violations(crashed)
+        assert [text[:6] for text in violations] == ['BUDGET'] * held
+        crashed.on_span(FaultSpan('pause h1', 15, 16))
+        assert not all_violations(crashed)
+
+    @pytest.mark.parametrize(('served', 'lost'), [(9, 1), (10, 0)])
+    def test_sound_requests(
+        self, crashed: Ledger, served: int, lost: int
+    ) -> None:
+        for number in range(20):
+            status = 200 if number < served else 503
+            self.send(crashed, f's{number}', 20.5, status)
+        violations = all_violations(crashed)
+        assert [text[:4] for text in violations] == ['LOST'] * lost
+
+
 @pytest.mark.alone
 class TestSoak:
     def test_short_run_has_no_violations(self, tmp_path: pathlib.Path) -> None:
