Hold requests that ran to an answer also when their sending failed

The check of lost answers passed over a request whose last byte was not noted as sent, though it had reached an endpoint.

--- a/tests/soakchecks.py
+++ b/tests/soakchecks.py
@@ -36,9 +36,9 @@
     for arrival in ledger.arrivals:
         arrived[arrival.request_id].add(arrival.endpoint)
     for sent in ledger.sent.values():
-        if sent.is_answered or not sent.whole_at:
-            continue
         endpoints = arrived[sent.request_id]
+        if sent.is_answered or not (sent.whole_at or endpoints):
+            continue
         if not is_excused(ledger, sent, endpoints):
             yield f'LOST: {sent} had no answer from {endpoints or "no endpoint"}'
 
@@ -60,7 +60,7 @@
     faults = {'kill_all', f'kill {sent.host}', f'pause {sent.host}', 'reset'}
     for name in endpoints:
         faults |= {f'crash {name}', f'link {name}', f'fails {name}'}
-    return not ledger.is_clear(faults, sent.whole_at, sent.ended)
+    return not ledger.is_clear(faults, sent.started, sent.ended)
 
 
 def check_bad_arrivals(ledger: Ledger) -> Iterator[str]:
