--- a/trefoilspool/replayfaults.py
+++ b/trefoilspool/replayfaults.py
@@ -53,13 +53,13 @@
         ):
             replay.record_outcome(live, 'may_have_run')
         else:
-            replay.schedule(replay.now, replay.ask, live)
+            replay.clock.schedule(replay.clock.now, replay.ask, live)
 
 
 def replace_home(replay: Replay, fault: FaultEvent) -> None:
     """Replace the cell's home host, whose learned state is lost."""
     replay.cell = Cell(POLICIES[replay.policy]())
-    replay.feed(events.Collect(replay.now + COLLECT_WINDOW_S))
+    replay.feed(events.Collect(replay.clock.now + COLLECT_WINDOW_S))
     for name in replay.engines:
         replay.feed(replay.endpoint_seen(name))
     for live in list(replay.live.values()):
