--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,9 @@
 )
 
 SOAK_S = 6
+SERIES_SEED = 207  # five hosts, planned work and silences
+CRASHING_SEED = 202  # five hosts, planned work and a part that crashes
+CRASHING_S = 18
 
 # Seeds that once violated a guarantee, with the cause.
 REGRESSIONS = {
@@ -220,6 +223,16 @@
         assert not result.violations
         assert result.statuses[200] > 0
 
+    def test_short_run_with_silences_and_series(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        result = soak(SERIES_SEED, SOAK_S, tmp_path)
+        assert not result.violations
+        assert result.statuses[200] > 0
+
+    def test_part_that_crashes_endpoints(self, tmp_path: pathlib.Path) -> None:
+        assert not soak(CRASHING_SEED, CRASHING_S, tmp_path).violations
+
     @pytest.mark.parametrize('seed', REGRESSIONS)
     def test_regression_seed(self, seed: int, tmp_path: pathlib.Path) -> None:
         assert not soak(seed, SOAK_S * 2, tmp_path).violations
