--- a/trefoilspool/benches/claims.py
+++ b/trefoilspool/benches/claims.py
@@ -19,6 +19,14 @@
     return ClaimBatch('host-017', 1 << 60, claims, ()).encode()
 
 
+def make_records(size: int) -> list[str]:
+    """Return the log records of a number of claims."""
+    return [
+        make_record(first_key, CLAIMS_PER_RECORD)
+        for first_key in range(0, size, CLAIMS_PER_RECORD)
+    ]
+
+
 def fold_records(records: list[str]) -> Ledger:
     """Return the ledger that results from log records."""
     ledger = Ledger()
@@ -52,10 +60,7 @@
 
     def measure(self, size: int) -> float:
         """Return the CPU time to fold a stream of claims."""
-        records = [
-            make_record(first_key, CLAIMS_PER_RECORD)
-            for first_key in range(0, size, CLAIMS_PER_RECORD)
-        ]
+        records = make_records(size)
         return measure_time(lambda: fold_records(records), 3)
 
 
@@ -70,8 +75,5 @@
 
     def measure(self, size: int) -> float:
         """Return the bytes of a ledger."""
-        records = [
-            make_record(first_key, CLAIMS_PER_RECORD)
-            for first_key in range(0, size, CLAIMS_PER_RECORD)
-        ]
+        records = make_records(size)
         return measure_memory(lambda: fold_records(records))
--- a/trefoilspool/benches/scheduling.py
+++ b/trefoilspool/benches/scheduling.py
@@ -82,6 +82,12 @@
         )
 
 
+def request_us(cell: Cell, asks: int) -> float:
+    """Return the microseconds of a request in a cell with so many asks."""
+    granted = fill(cell, asks)
+    return measure_time(lambda: replace_granted(cell, granted), 1) / REQUESTS
+
+
 FIRST_NEW_NUMBER = 10_000_000  # above the requests that fill the cell
 
 
@@ -98,9 +104,7 @@
     def measure(self, size: int) -> float:
         """Return the CPU time of an ask, a grant and a release."""
         cell = make_cell(size)
-        granted = fill(cell, size * SLOTS_PER_ENDPOINT + REQUESTS)
-        total_us = measure_time(lambda: replace_granted(cell, granted), 1)
-        return total_us / REQUESTS
+        return request_us(cell, size * SLOTS_PER_ENDPOINT + REQUESTS)
 
 
 class DecisionByQueue(Bench):
@@ -116,9 +120,7 @@
     def measure(self, size: int) -> float:
         """Return the CPU time of an ask, a grant and a release."""
         cell = make_cell(16)
-        granted = fill(cell, 16 * SLOTS_PER_ENDPOINT + size)
-        total_us = measure_time(lambda: replace_granted(cell, granted), 1)
-        return total_us / REQUESTS
+        return request_us(cell, 16 * SLOTS_PER_ENDPOINT + size)
 
 
 class EndpointMemory(Bench):
--- a/trefoilspool/standins/engine.py
+++ b/trefoilspool/standins/engine.py
@@ -16,15 +16,12 @@
     AbortResponseError,
     Request,
     Response,
-    Standin,
-    json_response,
 )
+from trefoilspool.standins.endpoint import EndpointStandin
 
 __all__ = ['EngineStandin', 'token_text']
 
 HTTP_OK = 200
-HTTP_NOT_FOUND = 404
-HTTP_SERVICE_UNAVAILABLE = 503
 IDLE_SLEEP_S = 0.002
 MIN_SPEED = 0.000001  # of the full speed; avoids a division by zero
 SLEEP_SLICE_S = 0.01  # so that a change of speed takes effect during a step
@@ -66,7 +63,7 @@
         self.tokens: queue.SimpleQueue[int] = queue.SimpleQueue()
 
 
-class EngineStandin(Standin):
+class EngineStandin(EndpointStandin):
     """Generates deterministic completions with continuous batching.
 
     Faults: ``speed`` multiplies the speed; ``leaving`` refuses new requests;
@@ -181,24 +178,13 @@
         ):
             self.load_reports.append((now, len(self.batch), len(self.waiting)))
 
-    def handle(self, request: Request) -> Response:
-        """Return the load, journal or evictions, or run a completion."""
-        documents: dict[str, Callable[[], object]] = {
+    def documents(self, request: Request) -> Mapping[str, Callable[[], object]]:
+        """Return the load, journal and evictions by their paths."""
+        return {
             '/load': self.lagged_load,
             '/journal': lambda: self.journal,
             '/cache-events': lambda: self.lagged_evictions(request),
         }
-        if request.path in documents:
-            return json_response(documents[request.path]())
-        if request.method != 'POST':
-            return json_response({'error': 'no such path'}, HTTP_NOT_FOUND)
-        if self.faults['leaving']:
-            response = json_response(
-                {'error': 'leaving'}, HTTP_SERVICE_UNAVAILABLE
-            )
-            response.headers = {'X-Request-Outcome': 'not_run'}
-            return response
-        return self.complete(request)
 
     def lagged_load(self) -> object:
         """Return the load of ``lag_s`` seconds ago."""
@@ -229,7 +215,7 @@
             if number > after and at <= visible_until
         ]
 
-    def complete(self, request: Request) -> Response:
+    def run(self, request: Request) -> Response:
         """Queue a sequence and return its stream of tokens."""
         body = json.loads(request.body)
         prompt = extract_prompt(body)
--- a/trefoilspool/standins/service.py
+++ b/trefoilspool/standins/service.py
@@ -5,16 +5,15 @@
 from typing import ClassVar
 
 from trefoilspool.options import StandinOptions
-from trefoilspool.standin import Request, Response, Standin, json_response
+from trefoilspool.standin import Request, Response, json_response
+from trefoilspool.standins.endpoint import EndpointStandin
 
 __all__ = ['ServiceStandin']
 
 HTTP_INTERNAL_SERVER_ERROR = 500
-HTTP_NOT_FOUND = 404
-HTTP_SERVICE_UNAVAILABLE = 503
 
 
-class ServiceStandin(Standin):
+class ServiceStandin(EndpointStandin):
     """Runs each request and records it in a journal.
 
     Faults: ``work_s`` is the run time of a request in seconds; ``fail`` runs
@@ -32,9 +31,9 @@
         self.journal: list[dict[str, object]] = []
         self.running = 0
 
-    def handle(self, request: Request) -> Response:
-        """Return the load or the journal, or run a request."""
-        documents: dict[str, Callable[[], object]] = {
+    def documents(self, request: Request) -> Mapping[str, Callable[[], object]]:
+        """Return the load and the journal by their paths."""
+        return {
             '/load': lambda: {
                 'running': self.running,
                 'waiting': 0,
@@ -42,17 +41,6 @@
             },
             '/journal': lambda: self.journal,
         }
-        if request.path in documents:
-            return json_response(documents[request.path]())
-        if request.method != 'POST':
-            return json_response({'error': 'no such path'}, HTTP_NOT_FOUND)
-        if self.faults['leaving']:
-            response = json_response(
-                {'error': 'leaving'}, HTTP_SERVICE_UNAVAILABLE
-            )
-            response.headers = {'X-Request-Outcome': 'not_run'}
-            return response
-        return self.run(request)
 
     def run(self, request: Request) -> Response:
         """Run a request and return its number in the journal."""
