--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -4,7 +4,8 @@
 from hypothesis import strategies as st
 
 from trefoilspool import events
-from trefoilspool.cell import PERMIT_LIFETIME_S, Cell
+from trefoilspool.cell import Cell
+from trefoilspool.granter import PERMIT_LIFETIME_S
 from trefoilspool.membership import home_of
 from trefoilspool.preemption import PREEMPT_AFTER_S
 
--- a/trefoilspool/cell.py
+++ b/trefoilspool/cell.py
@@ -18,24 +18,18 @@
     PermitRecord,
     Revocation,
 )
-from trefoilspool.fairqueue import FairQueue
-from trefoilspool.health import HealthState
+from trefoilspool.granter import MAX_HEADS, Granter
 from trefoilspool.policies.tiered import Tiered
-from trefoilspool.policy import Candidate, Policy
+from trefoilspool.policy import Policy
 from trefoilspool.preemption import Preemption
 
-__all__ = ['PERMIT_LIFETIME_S', 'Cell']
+__all__ = ['Cell']
 
-PERMIT_LIFETIME_S = 5.0
 # Events that change the free permits of at most one endpoint.
 SINGLE_ENDPOINT_EVENTS = (events.Ask, events.Release)
 ROLL_GRACE_S = 2.0  # a grant or ask this recent may still be in transit
 REVOKE_RESEND_S = 1.0
-# Workspaces of a tier whose next request is considered for a grant or a
-# preemption.
-MAX_HEADS = 8
 MAX_WAITING_REQUESTS = 20_000
-PROBE_ONLY_STATES = frozenset((HealthState.ejected, HealthState.probing))
 
 Decisions = list[events.Decision]
 
@@ -69,8 +63,10 @@
         self.latest_starts: list[LatestStart] = []
         self.arrivals = 0
         self.collecting_until = -math.inf
-        self.open_endpoints: list[EndpointState] = []
         self.decisions: Decisions = []
+        self.granter = Granter(
+            self.state, self.policy, self.preemption, self.emit
+        )
 
     def handle(self, event: events.Event, now: float) -> Decisions:
         """Process one event and return the resulting decisions.
@@ -90,6 +86,10 @@
             self.pump(event)
         return self.decisions
 
+    def emit(self, decision: events.Decision) -> None:
+        """Add a decision to those of the current event."""
+        self.decisions.append(decision)
+
     def on_ask(self, ask: events.Ask) -> None:
         """Queue a request, unless admission control refuses it.
 
@@ -98,7 +98,7 @@
         """
         state = self.state
         if ask.request in state.permits:
-            self.issue(state.permits[ask.request], 0, ())
+            self.granter.issue(state.permits[ask.request], 0, ())
             return
         if ask.request in state.asked_at:
             return
@@ -139,7 +139,7 @@
         if permit is None or permit.endpoint not in self.state.endpoints:
             return
         endpoint = self.state.endpoints[permit.endpoint]
-        self.reopen(endpoint)
+        self.granter.reopen(endpoint)
         if event.ending is events.Ending.completed:
             endpoint.health.observe_success()
             endpoint.rates.learn_release(event)
@@ -228,159 +228,15 @@
         """
         incremental = isinstance(event, SINGLE_ENDPOINT_EVENTS)
         if not incremental:
-            self.refresh()
+            self.granter.refresh()
         if not self.state.asked_at:
             return
-        self.grant_free()
+        self.granter.grant_free()
         if self.policy.admits and not incremental:
             self.settle_urgent()
             self.preempt_for_waiting()
             self.repeat_revocations()
 
-    def refresh(self) -> None:
-        """Recompute which endpoints can get another request."""
-        self.state.count_free_permits()
-        self.open_endpoints = [
-            endpoint
-            for endpoint in self.state.usable_endpoints()
-            if self.open_to(endpoint)
-        ]
-
-    def reopen(self, endpoint: EndpointState) -> None:
-        """Add an endpoint to the open ones if an ended permit made room."""
-        if endpoint.usable and endpoint not in self.open_endpoints:
-            if self.open_to(endpoint):
-                self.open_endpoints.append(endpoint)
-
-    def grant_free(self) -> None:
-        """Grant permits in tier order while an endpoint is open."""
-        for tier, queue in enumerate(self.state.queues):
-            granted = bool(queue)
-            while granted and self.has_room(tier):
-                granted = self.grant_one(queue)
-            if queue and self.policy.tiered:
-                # Lower tiers must not overtake a waiting request.
-                return
-
-    def has_room(self, tier: int) -> bool:
-        """Return whether a tier may get one more permit."""
-        return not self.policy.admits or self.preemption.has_room(tier)
-
-    def grant_one(self, queue: FairQueue) -> bool:
-        """Grant the first request that an open endpoint can serve in time.
-
-        Returns
-        -------
-        bool
-            Whether a permit was granted.
-        """
-        free = self.open_endpoints
-        if not free or not queue:
-            return False
-        for head in queue.heads(MAX_HEADS):
-            ask = head
-            candidates = self.candidates(ask, free)
-            if not candidates:
-                ask = self.roomier(queue, head, free)
-                candidates = self.candidates(ask, free)
-            if candidates:
-                queue.take(ask)
-                self.grant(ask, candidates)
-                return True
-        return False
-
-    def roomier(
-        self,
-        queue: FairQueue,
-        head: events.Ask,
-        free: list[EndpointState],
-    ) -> events.Ask:
-        """Return the workspace's first ask that has enough time to finish.
-
-        The time is the head's predicted finish at the fastest open endpoint,
-        with the safety factor; without such an ask, the head is returned. The
-        ask with the earliest deadline may need a faster endpoint than those
-        that are open; a later ask of the workspace may not.
-        """
-        shortest = min(
-            self.state.finish_time(head, endpoint) for endpoint in free
-        )
-        deadline = self.state.now + shortest * SAFETY_FACTOR
-        return queue.first_after(head, deadline) or head
-
-    def open_to(self, endpoint: EndpointState) -> bool:
-        """Return whether a usable endpoint may get one more request."""
-        if not self.policy.limited:
-            return True
-        if endpoint.health.state in PROBE_ONLY_STATES:
-            probe_due = endpoint.health.probe_due(self.state.now)
-            return probe_due and not endpoint.permits
-        return endpoint.free_permits > 0
-
-    def candidates(
-        self,
-        ask: events.Ask,
-        free: list[EndpointState],
-    ) -> list[Candidate]:
-        """Return the open endpoints that the ask does not avoid.
-
-        If the policy admits by deadline, they must also finish in time.
-        """
-        found = []
-        for endpoint in free:
-            finish = self.state.finish_time(ask, endpoint)
-            late = self.policy.admits and not self.state.meets_deadline(
-                ask, finish
-            )
-            if not late and endpoint.name not in ask.avoid:
-                found.append(
-                    Candidate(
-                        endpoint.name,
-                        finish,
-                        len(endpoint.permits),
-                        endpoint.reported,
-                    ),
-                )
-        return found
-
-    def grant(self, ask: events.Ask, candidates: list[Candidate]) -> None:
-        """Choose an endpoint and issue a permit."""
-        state = self.state
-        winner = self.policy.choose(ask, candidates)
-        cached = state.prefixes.cached_tokens(
-            winner.endpoint, ask.prefix_hashes
-        )
-        state.asked_at.pop(ask.request, None)
-        state.add_permit(ask, winner.endpoint, cached)
-        state.prefixes.record(winner.endpoint, ask.prefix_hashes)
-        endpoint = state.endpoints[winner.endpoint]
-        if not self.open_to(endpoint):
-            self.open_endpoints.remove(endpoint)
-        losers = tuple(
-            (candidate.endpoint, candidate.finish)
-            for candidate in candidates
-            if candidate is not winner
-        )
-        self.issue(state.permits[ask.request], winner.finish, losers)
-
-    def issue(
-        self,
-        permit: PermitRecord,
-        score: float,
-        losers: tuple[tuple[str, float], ...],
-    ) -> None:
-        """Emit a grant; repeated when the entry host repeats its ask."""
-        self.decisions.append(
-            events.Grant(
-                permit.ask.request,
-                permit.ask.tier,
-                permit.endpoint,
-                self.state.now + PERMIT_LIFETIME_S,
-                score,
-                losers,
-            ),
-        )
-
     def settle_urgent(self) -> None:
         """Refuse the waiting requests whose latest start has passed."""
         while (
@@ -444,9 +300,7 @@
         """Emit a revocation, for the first time or as a repetition."""
         request = permit.ask.request
         self.state.revocations[request] = Revocation(cause, self.state.now)
-        self.decisions.append(
-            events.Revoke(request, permit.endpoint, cause),
-        )
+        self.emit(events.Revoke(request, permit.endpoint, cause))
 
     def repeat_revocations(self) -> None:
         """Repeat revocations that entry hosts have not acknowledged."""
@@ -468,7 +322,7 @@
         """Emit a refusal with the time after which to retry."""
         self.state.drop_waiting(ask.request)
         retry_after = self.admission.retry_after(ask)
-        self.decisions.append(
+        self.emit(
             events.Refuse(ask.request, ask.tier, reason, retry_after),
         )
 
