Let the steps of a soak's signal series overlap

The steps of a series ran one after the other, but for stops, and wrote again what the single faults do. They are the single faults at one host now, each begun beside the last.

--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -1,11 +1,10 @@
 """Faults that the soak injects; each function also ends its fault."""
 
-import contextlib
 import random
 import signal
 import subprocess
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 
 from soakledger import BadPart, FaultSpan
 from soakproxy import Mode, Proxy
@@ -24,19 +23,12 @@
 LINK_MODES = (Mode.delayed, Mode.silent, Mode.one_way, Mode.refused)
 
 
-@contextlib.contextmanager
-def recorded(world: World, name: str) -> Iterator[None]:
-    """Record the time of a fault."""
-    started = time.monotonic()
-    try:
-        yield
-    finally:
-        world.ledger.on_span(FaultSpan(name, started, time.monotonic()))
-
-
 def kill(world: World, rng: random.Random) -> str:
     """Kill a host and restart it after a delay."""
-    host = rng.choice(world.hosts)
+    return kill_host(world, rng, rng.choice(world.hosts))
+
+
+def kill_host(world: World, rng: random.Random, host: SoakHost) -> str:
     process = host.process
     process.kill()
     time.sleep(rng.uniform(0, 1))
@@ -57,12 +49,10 @@
 
 def term(world: World, rng: random.Random) -> str:
     """Stop a host gracefully and restart it."""
-    host = rng.choice(world.hosts)
-    stop_gracefully(world, host)
-    return f'term {host.name}'
+    return term_host(world, rng, rng.choice(world.hosts))
 
 
-def stop_gracefully(world: World, host: SoakHost) -> None:
+def term_host(world: World, rng: random.Random, host: SoakHost) -> str:
     """Send SIGTERM, check how and when the host ends, and restart it."""
     process = host.process
     started = time.monotonic()
@@ -85,11 +75,15 @@
         world.ledger.on_violation(
             f'STOP: {host.name} did not end within {GRACE_S + STOP_SLACK_S} s'
         )
+    return f'term {host.name}'
 
 
 def pause(world: World, rng: random.Random) -> str:
     """Suspend a host with SIGSTOP, then resume it."""
-    host = rng.choice(world.hosts)
+    return pause_host(world, rng, rng.choice(world.hosts))
+
+
+def pause_host(world: World, rng: random.Random, host: SoakHost) -> str:
     process = host.process
     process.send_signal(signal.SIGSTOP)
     time.sleep(rng.uniform(0.2, 2.5))
@@ -100,7 +94,12 @@
 def hup(world: World, rng: random.Random) -> str:
     """Send SIGHUP to all hosts, which only log it."""
     for host in world.hosts:
-        host.process.send_signal(signal.SIGHUP)
+        hup_host(world, rng, host)
+    return 'hup'
+
+
+def hup_host(world: World, rng: random.Random, host: SoakHost) -> str:
+    host.process.send_signal(signal.SIGHUP)
     return 'hup'
 
 
@@ -213,75 +212,54 @@
     return 'silence'
 
 
-def planned_series(world: World, rng: random.Random) -> str:
-    """Tell a host of reloads and stops, amid configuration changes."""
-    return series(world, rng, (hang_up, change, hang_up, change, stop))
+def configure_by(world: World, rng: random.Random, host: SoakHost) -> str:
+    return configure(world, rng)
 
 
-def signal_series(world: World, rng: random.Random) -> str:
-    """Suspend, resume, stop and kill a host in a random order."""
-    return series(
-        world, rng, (hang_up, change, freeze, freeze, stop, stop, end)
-    )
+Step = Callable[[World, random.Random, SoakHost], str]
+PLANNED_STEPS: tuple[Step, ...] = (
+    hup_host,
+    configure_by,
+    hup_host,
+    configure_by,
+    term_host,
+)
+STEPS = (*PLANNED_STEPS, pause_host, pause_host, term_host, kill_host)
+
+
+def planned_series(world: World, rng: random.Random) -> str:
+    """Tell a host of reloads and a stop amid configuration changes."""
+    return series(world, rng, PLANNED_STEPS)
 
 
-Step = Callable[[World, random.Random, SoakHost], None]
+def signal_series(world: World, rng: random.Random) -> str:
+    """Suspend, stop and kill a host in a random order."""
+    return series(world, rng, STEPS)
 
 
 def series(world: World, rng: random.Random, steps: tuple[Step, ...]) -> str:
-    """Take steps at one host in quick succession; a stop goes on beside."""
+    """Take steps at one host in quick succession; they overlap."""
     host = rng.choice(world.hosts)
     for step in rng.sample(steps, rng.randint(2, len(steps))):
-        step(world, rng, host)
+        begin(world, rng, host, step)
         time.sleep(rng.uniform(0, SERIES_GAP_S))
     return 'hup'
 
 
-def hang_up(world: World, rng: random.Random, host: SoakHost) -> None:
-    """Send SIGHUP to a host."""
-    host.process.send_signal(signal.SIGHUP)
-
-
-def change(world: World, rng: random.Random, host: SoakHost) -> None:
-    """Publish a configuration version."""
-    world.configure()
-
-
-def freeze(world: World, rng: random.Random, host: SoakHost) -> None:
-    """Suspend a host for a short time."""
-    with recorded(world, f'pause {host.name}'):
-        process = host.process
-        process.send_signal(signal.SIGSTOP)
-        time.sleep(rng.uniform(0, 1))
-        process.send_signal(signal.SIGCONT)
-
-
-def stop(world: World, rng: random.Random, host: SoakHost) -> None:
-    """Stop a host gracefully, while the series goes on."""
-
-    def stop_host() -> None:
-        with recorded(world, f'term {host.name}'):
-            stop_gracefully(world, host)
-
-    world.begin(stop_host)
-
-
-def end(world: World, rng: random.Random, host: SoakHost) -> None:
-    """Kill a host."""
-    with recorded(world, f'kill {host.name}'):
-        process = host.process
-        process.kill()
-        host.restart(process)
+def begin(world: World, rng: random.Random, host: SoakHost, step: Step) -> None:
+    """Begin a step, which goes on beside."""
+    own = random.Random(rng.getrandbits(32))
+    world.begin(lambda: record(world, lambda: step(world, own, host)))
 
 
 def rolling_restart(world: World, rng: random.Random) -> str:
     """Stop several hosts gracefully, one soon after the other."""
     count = rng.randint(2, max(2, len(world.hosts) // 3))
     for host in rng.sample(world.hosts, count):
-        stop(world, rng, host)
+        begin(world, rng, host, term_host)
         time.sleep(rng.uniform(0.1, 1.5))
         if rng.random() < 0.5:
-            change(world, rng, host)
+            configure(world, rng)
     return 'config'
 
 
@@ -345,10 +323,15 @@
     return {**table, **NEWER_FAULTS}
 
 
-def inject_fault(world: World, name: str, seed: int) -> None:
-    """Run a fault to its end and record the time it was active."""
+def record(world: World, fault: Callable[[], str]) -> None:
+    """Run a fault, or a step of one, and record when it was active."""
     started = time.monotonic()
-    description = NEWEST_FAULTS[name](world, random.Random(seed))
+    description = fault()
     world.ledger.on_span(FaultSpan(description, started, time.monotonic()))
+
+
+def inject_fault(world: World, name: str, seed: int) -> None:
+    """Run a fault to its end, and restart hosts that have ended."""
+    record(world, lambda: NEWEST_FAULTS[name](world, random.Random(seed)))
     for host in world.hosts:
         host.restart_if_ended()
