Write what two test modules repeat once

The steps up to an undone version (test_restore.py) and calls with one key at several hosts (test_once.py) stood in several tests with the same lines; the assertions are unchanged.

--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -66,6 +66,22 @@
     return count_runs(system)
 
 
+def call_at_once(
+    system: Cluster, pool: ThreadPoolExecutor, hosts: tuple[str, ...], key: str
+) -> list[CallResult]:
+    """Send requests with one key to hosts at the same time."""
+    call = confirmation_call(key)
+    return list(pool.map(lambda host: system.call(host, call), hosts))
+
+
+def assert_may_have_run(
+    system: Cluster, hosts: tuple[str, ...], key: str
+) -> None:
+    for host in hosts:
+        result = system.call(host, confirmation_call(key))
+        assert result.outcome == 'may_have_run'
+
+
 class TestSameKey:
     def test_concurrent_requests_at_all_hosts(
         self,
@@ -75,12 +91,7 @@
         for _ in range(5):
             before = count_runs(system)
             key = uuid.uuid4().hex
-            results = list(
-                pool.map(
-                    lambda host: system.call(host, confirmation_call(key)),
-                    HOSTS * 3,
-                )
-            )
+            results = call_at_once(system, pool, HOSTS * 3, key)
             assert count_runs(system) == before + 1
             outcomes = {result.outcome for result in results}
             assert 'completed' in outcomes
@@ -144,9 +155,7 @@
         pool.submit(system.call, 'h0', confirmation_call(key))
         wait_until(lambda: count_runs(system) == 1, 'the dispatch')
         system.kill('h0')
-        for host in ('h1', 'h2'):
-            result = system.call(host, confirmation_call(key))
-            assert result.outcome == 'may_have_run'
+        assert_may_have_run(system, ('h1', 'h2'), key)
         assert count_runs(system) == 1
 
     def test_replaced_by_a_host_of_the_same_address(
@@ -161,9 +170,7 @@
         system.kill('h0')
         system.spawn('h0')
         system.wait_ready()
-        for host in HOSTS:
-            result = system.call(host, confirmation_call(key))
-            assert result.outcome == 'may_have_run'
+        assert_may_have_run(system, HOSTS, key)
         assert count_runs(system) == 1
 
 
@@ -211,12 +218,7 @@
     ) -> None:
         system.fault('log', delay_appends_s=0.5)
         key = uuid.uuid4().hex
-        results = list(
-            pool.map(
-                lambda host: system.call(host, confirmation_call(key)),
-                HOSTS * 2,
-            )
-        )
+        results = call_at_once(system, pool, HOSTS * 2, key)
         assert count_runs(system) == 1
         assert [result.outcome for result in results].count('completed') >= 1
 
@@ -274,12 +276,7 @@
     ) -> None:
         system.fault('log', down=1)
         ticket = self.ticket(system, 'h0')
-        results = list(
-            pool.map(
-                lambda host: system.call(host, confirmation_call(ticket)),
-                HOSTS * 2,
-            )
-        )
+        results = call_at_once(system, pool, HOSTS * 2, ticket)
         assert count_runs(system) == 1
         assert {result.outcome for result in results} <= {
             'completed',
@@ -308,9 +305,7 @@
         system.kill('h0')
         system.spawn('h0')
         system.wait_ready()
-        for host in HOSTS:
-            result = system.call(host, confirmation_call(ticket))
-            assert result.outcome == 'may_have_run'
+        assert_may_have_run(system, HOSTS, ticket)
         assert count_runs(system) == 0
 
     def test_forged(self, system: Cluster) -> None:
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -195,15 +195,22 @@
 
 
 class TestHosts:
-    def test_configuration_does_not_go_back(
+    def host_whose_version_is_undone(
         self, cluster: GatewayCluster
-    ) -> None:
+    ) -> RunningHost:
+        """Return a host with version 7, which a restore has undone."""
         cluster.add_endpoint()
         running = cluster.add_host()
         backup = cluster.store.backup()
         cluster.configure(7, routeTable=[route('new', 'idempotent')])
         wait_for(lambda: running.host.gateway.version == 7, 'version 7')
         cluster.store.restore(backup)
+        return running
+
+    def test_configuration_does_not_go_back(
+        self, cluster: GatewayCluster
+    ) -> None:
+        running = self.host_whose_version_is_undone(cluster)
         wait_for(lambda: running.host.settings.era == 1, 'the new era')
         assert cluster.call(running, '/new/1').status == 200
         assert cluster.call(running, '/look/1').status == 404
@@ -213,12 +220,7 @@
     def test_host_that_starts_gets_the_version_in_force_from_a_peer(
         self, cluster: GatewayCluster
     ) -> None:
-        cluster.add_endpoint()
-        running = cluster.add_host()
-        backup = cluster.store.backup()
-        cluster.configure(7, routeTable=[route('new', 'idempotent')])
-        wait_for(lambda: running.host.gateway.version == 7, 'version 7')
-        cluster.store.restore(backup)
+        self.host_whose_version_is_undone(cluster)
         started = cluster.add_host()
         wait_for(lambda: started.host.gateway.version == 7, 'version 7')
 
