--- a/tests/platformendpoint.py
+++ b/tests/platformendpoint.py
@@ -127,10 +127,27 @@
         self.requests: list[ReceivedRequest] = []
         self.runs: list[str] = []
         self.connections = 0
-        self.listener = socket.create_server((address, 0))
-        self.port = self.listener.getsockname()[1]
+        self.open_sockets: set[socket.socket] = set()
+        self.host = address
+        self.port = 0
+        self.listen()
         self.address = f'{address}:{self.port}'
-        threading.Thread(target=self.accept, daemon=True).start()
+
+    def listen(self) -> None:
+        """Accept connections, after a crash on the port of before."""
+        self.listener = socket.create_server((self.host, self.port))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(
+            target=self.accept, args=(self.listener,), daemon=True
+        ).start()
+
+    def crash(self) -> None:
+        """Close the listener and all connections."""
+        for sock in (self.listener, *list(self.open_sockets)):
+            # A mere close would leave it open while a thread waits on it.
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
 
     def record(self, service: str, **changes: object) -> dict[str, object]:
         """Return the endpoint's registration record."""
@@ -147,10 +164,11 @@
             **changes,
         }
 
-    def accept(self) -> None:
+    def accept(self, listener: socket.socket) -> None:
         with contextlib.suppress(OSError):
-            while self.listener.fileno() >= 0:
-                sock, _ = self.listener.accept()
+            while listener.fileno() >= 0:
+                sock, _ = listener.accept()
+                self.open_sockets.add(sock)
                 self.connections += 1
                 threading.Thread(
                     target=self.serve,
