Show that a part goes on being granted after five crashes

Endpoint after endpoint ends under requests that share a prompt part, and the scheduler judges each request alone: it grants a sixth endpoint.

--- a/tests/test_slotscheduler.py
+++ b/tests/test_slotscheduler.py
@@ -12,6 +12,7 @@
     Queued,
     RefusalReason,
     Refused,
+    SlotDecision,
     SlotKey,
     SlotRelease,
     SlotRequest,
@@ -603,3 +604,56 @@
             for event in scheduler.take_events()
         ]
         assert changes == [('trusted', 'ejected'), ('ejected', 'trusted')]
+
+
+class TestCrashingPart:
+    """One part of the prompts ends each endpoint that answers on it."""
+
+    names = ('a', 'b', 'c', 'd', 'e', 'f', 'g', 'h')
+
+    def prompt(self, second: str, number: int) -> tuple[str, ...]:
+        return ('kind', f'kind/{second}', f'kind/{second}/{number}')
+
+    def outcome(
+        self, scheduler: SlotScheduler, number: int, second: str
+    ) -> SlotDecision:
+        """Ask at the time that the number gives, in tenths of seconds."""
+        now = number / 10
+        request = ask(
+            number,
+            arrived_at=now,
+            deadline=now + 9,
+            prompt_prefixes=self.prompt(second, number),
+        )
+        scheduler.on_ask(request, now)
+        return scheduler.take_decisions()[-1]
+
+    def crash_five(self, scheduler: SlotScheduler) -> None:
+        """Let five endpoints end, and serve sound requests meanwhile."""
+        left = [endpoint_spec(name) for name in self.names]
+        for number in range(0, 100, 20):
+            scheduler.on_available_endpoints(left, number / 10)
+            sound = self.outcome(scheduler, number, f'sound{number}')
+            assert isinstance(sound, Granted)
+            scheduler.on_release(
+                slot_release(number, sound.endpoint), number / 10 + 0.5
+            )
+            bad = self.outcome(scheduler, number + 10, 'bad')
+            if not isinstance(bad, Granted):
+                continue
+            scheduler.on_release(
+                slot_release(number + 10, bad.endpoint, AttemptEnding.broken),
+                number / 10 + 1.1,
+            )
+            left = [spec for spec in left if spec.name != bad.endpoint]
+            scheduler.on_available_endpoints(left, number / 10 + 1.4)
+
+    def test_part_under_which_five_endpoints_ended_gets_no_more(self) -> None:
+        scheduler = SlotScheduler()
+        self.crash_five(scheduler)
+        assert isinstance(self.outcome(scheduler, 130, 'bad'), Refused)
+
+    def test_sound_requests_of_the_same_first_part_go_on(self) -> None:
+        scheduler = SlotScheduler()
+        self.crash_five(scheduler)
+        assert isinstance(self.outcome(scheduler, 130, 'sound'), Granted)
