Add the types of quarantined prompt parts

Cause: nothing connects crashes of endpoints by the part of the prompts that they share. Change: Quarantine with its entries (each host holds a copy), CrashReport, SlotRequest.parts, RefusalReason.quarantined, Granted.is_probe, HeldSlot.streaming_s, and the places of the guard in the scheduler, which do nothing yet.

--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -49,6 +49,7 @@
     no_endpoint = 2  # the service has no endpoint that the request may use
     budget = 3  # the retry budget of the service is used up
     hopeless = 4  # the caller has disconnected
+    quarantined = 5  # endpoints end under a part of its prompt
 
 
 class SlotRequest(NamedTuple):
@@ -93,9 +94,22 @@
     data_centre: str
     repeatable: bool
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Return the parts that prompts may share: all but the last."""
+        if not self.prompt_prefixes:
+            return ()
+        return tuple(self.prompt_prefixes[-1].split('/')[:-1])
+
 
 class HeldSlot(NamedTuple):
-    """A slot that an entry host reports as in use."""
+    """A slot that an entry host reports as in use.
+
+    Attributes
+    ----------
+    streaming_s : float
+        Seconds since the first event of its stream; 0 before it.
+    """
 
     key: SlotKey
     service: str
@@ -103,6 +117,7 @@
     prompt_tokens: int
     output_tokens: int
     age_s: float
+    streaming_s: float = 0.0
 
 
 class SlotRelease(NamedTuple):
@@ -151,10 +166,17 @@
 
 
 class Granted(NamedTuple):
-    """The request may be sent to the endpoint."""
+    """The request may be sent to the endpoint.
+
+    Attributes
+    ----------
+    is_probe : bool
+        Whether it tests a quarantined prompt part.
+    """
 
     key: SlotKey
     endpoint: str
+    is_probe: bool = False
 
 
 class Queued(NamedTuple):
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -8,9 +8,12 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
+from trefoilspool.crashevidence import CrashReport
 from trefoilspool.endpointload import EndpointLoad, Reservation
 from trefoilspool.grantrates import GrantRates
 from trefoilspool.minimumshares import MinimumShares
+from trefoilspool.promptguard import PromptGuard
+from trefoilspool.quarantine import Quarantine
 from trefoilspool.ratelimits import RateLimits
 from trefoilspool.servicequeue import QueuedRequest, ServiceQueue
 from trefoilspool.slotmessages import (
@@ -73,9 +76,12 @@
         When each entry host last reported its held slots.
     rate_limits : RateLimits
         Limits and budgets.
+    guard : PromptGuard
+        Prompt parts that get no endpoint.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, quarantine: Quarantine | None = None) -> None:
+        self.guard = PromptGuard(quarantine or Quarantine())
         self.available_endpoints: dict[str, EndpointLoad] = {}
         self.by_service: dict[str, list[EndpointLoad]] = {}
         self.queues: dict[str, ServiceQueue] = {}
@@ -140,6 +146,11 @@
         if ask.key in self.waiting:
             self.decisions.append(Queued(ask.key))
 
+    def on_crash_reports(
+        self, entry: str, reports: Iterable[CrashReport], now: float
+    ) -> None:
+        """Take an entry host's reports of attempts that ended endpoints."""
+
     def queue(self, service: str) -> ServiceQueue:
         """Return the waiting requests of a service."""
         return self.queues.setdefault(service, ServiceQueue())
