Add crash reports and quarantined parts to the datagrams

Cause: nothing tells other hosts under which part of a prompt endpoints end. Change: optional fields for crash reports, quarantine entries, a grant that is a probe, and the time that a held slot has streamed. Builds before skip them; they read a refusal as quarantined as one of a crowded service, since they would fail on a reason that they do not know.

--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -510,16 +510,20 @@
      - endpoint
      - reason
      - retry_after_ms
+     - probe
+     - quarantined
 
     """
 
 
-    def __init__(self, request=None, kind=None, endpoint=None, reason=None, retry_after_ms=None,):
+    def __init__(self, request=None, kind=None, endpoint=None, reason=None, retry_after_ms=None, probe=None, quarantined=None,):
         self.request = request
         self.kind = kind
         self.endpoint = endpoint
         self.reason = reason
         self.retry_after_ms = retry_after_ms
+        self.probe = probe
+        self.quarantined = quarantined
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -555,6 +559,16 @@
                     self.retry_after_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.probe = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.quarantined = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -585,6 +599,14 @@
             oprot.writeFieldBegin('retry_after_ms', TType.I32, 5)
             oprot.writeI32(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.probe is not None:
+            oprot.writeFieldBegin('probe', TType.BOOL, 6)
+            oprot.writeBool(self.probe)
+            oprot.writeFieldEnd()
+        if self.quarantined is not None:
+            oprot.writeFieldBegin('quarantined', TType.BOOL, 7)
+            oprot.writeBool(self.quarantined)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -735,17 +757,19 @@
      - prompt_tokens
      - output_tokens
      - age_ms
+     - streaming_ms
 
     """
 
 
-    def __init__(self, request=None, service_name=None, endpoint=None, prompt_tokens=None, output_tokens=None, age_ms=None,):
+    def __init__(self, request=None, service_name=None, endpoint=None, prompt_tokens=None, output_tokens=None, age_ms=None, streaming_ms=None,):
         self.request = request
         self.service_name = service_name
         self.endpoint = endpoint
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
         self.age_ms = age_ms
+        self.streaming_ms = streaming_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -786,6 +810,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.streaming_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -820,6 +849,188 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 6)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.streaming_ms is not None:
+            oprot.writeFieldBegin('streaming_ms', TType.I32, 7)
+            oprot.writeI32(self.streaming_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashReport(object):
+    """
+    Attributes:
+     - run
+     - parts
+     - request
+     - age_ms
+
+    """
+
+
+    def __init__(self, run=None, parts=None, request=None, age_ms=None,):
+        self.run = run
+        self.parts = parts
+        self.request = request
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.run = EndpointRun()
+                    self.run.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.request = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashReport')
+        if self.run is not None:
+            oprot.writeFieldBegin('run', TType.STRUCT, 1)
+            self.run.write(oprot)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.parts))
+            for iter20 in self.parts:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.I64, 3)
+            oprot.writeI64(self.request)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuarantineEntry(object):
+    """
+    Attributes:
+     - part
+     - revision
+     - active
+
+    """
+
+
+    def __init__(self, part=None, revision=None, active=None,):
+        self.part = part
+        self.revision = revision
+        self.active = active
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.active = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuarantineEntry')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.active is not None:
+            oprot.writeFieldBegin('active', TType.BOOL, 3)
+            oprot.writeBool(self.active)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1010,22 +1221,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Load()
-                        _elem19.read(iprot)
-                        self.loads.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Load()
+                        _elem26.read(iprot)
+                        self.loads.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.levels = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = Level()
-                        _elem25.read(iprot)
-                        self.levels.append(_elem25)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = Level()
+                        _elem32.read(iprot)
+                        self.levels.append(_elem32)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1042,15 +1253,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter26 in self.loads:
-                iter26.write(oprot)
+            for iter33 in self.loads:
+                iter33.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.levels is not None:
             oprot.writeFieldBegin('levels', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.levels))
-            for iter27 in self.levels:
-                iter27.write(oprot)
+            for iter34 in self.levels:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1085,11 +1296,13 @@
      - levels
      - endpoints_read
      - leaving
+     - crashes
+     - quarantine
 
     """
 
 
-    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None, leaving=None,):
+    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None, leaving=None, crashes=None, quarantine=None,):
         self.sender = sender
         self.asks = asks
         self.verdicts = verdicts
@@ -1101,6 +1314,8 @@
         self.levels = levels
         self.endpoints_read = endpoints_read
         self.leaving = leaving
+        self.crashes = crashes
+        self.quarantine = quarantine
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1120,44 +1335,44 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Ask()
-                        _elem33.read(iprot)
-                        self.asks.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Ask()
+                        _elem40.read(iprot)
+                        self.asks.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.verdicts = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = Verdict()
-                        _elem39.read(iprot)
-                        self.verdicts.append(_elem39)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = Verdict()
+                        _elem46.read(iprot)
+                        self.verdicts.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype43, _size40) = iprot.readListBegin()
-                    for _i44 in range(_size40):
-                        _elem45 = End()
-                        _elem45.read(iprot)
-                        self.ends.append(_elem45)
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = End()
+                        _elem52.read(iprot)
+                        self.ends.append(_elem52)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.roll = []
-                    (_etype49, _size46) = iprot.readListBegin()
-                    for _i50 in range(_size46):
-                        _elem51 = Holding()
-                        _elem51.read(iprot)
-                        self.roll.append(_elem51)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = Holding()
+                        _elem58.read(iprot)
+                        self.roll.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1170,11 +1385,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype55, _size52) = iprot.readListBegin()
-                    for _i56 in range(_size52):
-                        _elem57 = HostCard()
-                        _elem57.read(iprot)
-                        self.hosts.append(_elem57)
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = HostCard()
+                        _elem64.read(iprot)
+                        self.hosts.append(_elem64)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1186,11 +1401,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.levels = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = Level()
-                        _elem63.read(iprot)
-                        self.levels.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = Level()
+                        _elem70.read(iprot)
+                        self.levels.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1203,11 +1418,33 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = EndpointRun()
-                        _elem69.read(iprot)
-                        self.leaving.append(_elem69)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = EndpointRun()
+                        _elem76.read(iprot)
+                        self.leaving.append(_elem76)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = CrashReport()
+                        _elem82.read(iprot)
+                        self.crashes.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.quarantine = []
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = QuarantineEntry()
+                        _elem88.read(iprot)
+                        self.quarantine.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1228,29 +1465,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter70 in self.asks:
-                iter70.write(oprot)
+            for iter89 in self.asks:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter71 in self.verdicts:
-                iter71.write(oprot)
+            for iter90 in self.verdicts:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter72 in self.ends:
-                iter72.write(oprot)
+            for iter91 in self.ends:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.roll is not None:
             oprot.writeFieldBegin('roll', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.roll))
-            for iter73 in self.roll:
-                iter73.write(oprot)
+            for iter92 in self.roll:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1260,8 +1497,8 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter74 in self.hosts:
-                iter74.write(oprot)
+            for iter93 in self.hosts:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hello is not None:
@@ -1271,8 +1508,8 @@
         if self.levels is not None:
             oprot.writeFieldBegin('levels', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.levels))
-            for iter75 in self.levels:
-                iter75.write(oprot)
+            for iter94 in self.levels:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_read is not None:
@@ -1282,8 +1519,22 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter76 in self.leaving:
-                iter76.write(oprot)
+            for iter95 in self.leaving:
+                iter95.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter96 in self.crashes:
+                iter96.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.quarantine is not None:
+            oprot.writeFieldBegin('quarantine', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.quarantine))
+            for iter97 in self.quarantine:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1354,6 +1605,8 @@
     (3, TType.STRING, 'endpoint', 'UTF8', None, ),  # 3
     (4, TType.BYTE, 'reason', None, None, ),  # 4
     (5, TType.I32, 'retry_after_ms', None, None, ),  # 5
+    (6, TType.BOOL, 'probe', None, None, ),  # 6
+    (7, TType.BOOL, 'quarantined', None, None, ),  # 7
 )
 all_structs.append(End)
 End.thrift_spec = (
@@ -1375,6 +1628,22 @@
     (4, TType.I32, 'prompt_tokens', None, None, ),  # 4
     (5, TType.I32, 'output_tokens', None, None, ),  # 5
     (6, TType.I32, 'age_ms', None, None, ),  # 6
+    (7, TType.I32, 'streaming_ms', None, None, ),  # 7
+)
+all_structs.append(CrashReport)
+CrashReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'run', [EndpointRun, None], None, ),  # 1
+    (2, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.I64, 'request', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
+all_structs.append(QuarantineEntry)
+QuarantineEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.BOOL, 'active', None, None, ),  # 3
 )
 all_structs.append(Load)
 Load.thrift_spec = (
@@ -1410,6 +1679,8 @@
     None,  # 10
     (11, TType.STRUCT, 'endpoints_read', [Position, None], None, ),  # 11
     (12, TType.LIST, 'leaving', (TType.STRUCT, [EndpointRun, None], False), None, ),  # 12
+    (13, TType.LIST, 'crashes', (TType.STRUCT, [CrashReport, None], False), None, ),  # 13
+    (14, TType.LIST, 'quarantine', (TType.STRUCT, [QuarantineEntry, None], False), None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -13,28 +13,37 @@
 from thrift.TSerialization import deserialize, serialize
 
 from trefoilspool import slotmessages
+from trefoilspool.crashevidence import CrashReport
 from trefoilspool.departures import EndpointRun
 from trefoilspool.peers import HostInfo
+from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.replica import Position
 from trefoilspool.wire.gen.mesh import ttypes
 
 __all__ = [
     'ask_from_wire',
     'ask_to_wire',
+    'crash_report_from_wire',
+    'crash_report_to_wire',
     'decision_from_wire',
     'decision_to_wire',
     'decode',
     'decode_host_info',
+    'decode_quarantine',
     'encode',
     'encode_host_info',
+    'encode_quarantine',
     'endpoint_run_from_wire',
     'endpoint_run_to_wire',
+    'fitting_entries',
     'held_from_wire',
     'held_to_wire',
     'host_info_from_wire',
     'host_info_to_wire',
     'position_from_wire',
     'position_to_wire',
+    'quarantine_from_wire',
+    'quarantine_to_wire',
     'slot_release_from_wire',
     'slot_release_to_wire',
 ]
@@ -42,6 +51,11 @@
 PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory()
 MS_PER_S = 1000
 WAITING, GRANTED, REFUSED = range(3)  # values of ttypes.Verdict.kind
+# Reasons that builds before do not know, and what is sent as theirs.
+NEWER_REASONS = {
+    slotmessages.RefusalReason.quarantined: slotmessages.RefusalReason.crowded,
+}
+MAX_QUARANTINE_BYTES = 4096  # the parts in one datagram
 DECODE_ERRORS = (TException, EOFError, ValueError, TypeError)
 
 
@@ -169,13 +183,19 @@
     """Build the Thrift struct of a decision."""
     number = decision.key.number
     if isinstance(decision, slotmessages.Granted):
-        return ttypes.Verdict(number, GRANTED, decision.endpoint)
+        return ttypes.Verdict(
+            number,
+            GRANTED,
+            decision.endpoint,
+            probe=decision.is_probe or None,
+        )
     if isinstance(decision, slotmessages.Refused):
         return ttypes.Verdict(
             number,
             REFUSED,
-            reason=int(decision.reason),
+            reason=int(NEWER_REASONS.get(decision.reason, decision.reason)),
             retry_after_ms=ms(decision.retry_after),
+            quarantined=decision.reason in NEWER_REASONS or None,
         )
     return ttypes.Verdict(number, WAITING)
 
@@ -187,11 +207,13 @@
     """Build a decision for an entry host from its Thrift struct."""
     key = slotmessages.SlotKey(entry, wire.request)
     if wire.kind == GRANTED:
-        return slotmessages.Granted(key, wire.endpoint)
+        return slotmessages.Granted(key, wire.endpoint, bool(wire.probe))
     if wire.kind == REFUSED:
         return slotmessages.Refused(
             key,
-            slotmessages.RefusalReason(wire.reason),
+            slotmessages.RefusalReason.quarantined
+            if wire.quarantined
+            else slotmessages.RefusalReason(wire.reason),
             wire.retry_after_ms / MS_PER_S,
         )
     return slotmessages.Queued(key)
@@ -234,6 +256,7 @@
         held.prompt_tokens,
         held.output_tokens,
         ms(held.age_s),
+        ms(held.streaming_s) or None,
     )
 
 
@@ -250,6 +273,80 @@
             wire.prompt_tokens,
             wire.output_tokens,
             wire.age_ms / MS_PER_S,
+            (wire.streaming_ms or 0) / MS_PER_S,
         )
         for wire in wire_slots
     ]
+
+
+def crash_report_to_wire(report: CrashReport) -> ttypes.CrashReport:
+    """Build the Thrift struct of a crash report."""
+    return ttypes.CrashReport(
+        endpoint_run_to_wire(report.run),
+        list(report.parts),
+        report.number,
+        ms(report.age_s),
+    )
+
+
+def crash_report_from_wire(wire: ttypes.CrashReport) -> CrashReport:
+    """Build a crash report from its Thrift struct."""
+    return CrashReport(
+        endpoint_run_from_wire(wire.run),
+        tuple(wire.parts),
+        wire.request,
+        wire.age_ms / MS_PER_S,
+    )
+
+
+def fitting_entries(
+    entries: Iterable[QuarantineEntry],
+) -> list[QuarantineEntry]:
+    """Return the first entries that fit; callers choose the parts' length."""
+    fitting = []
+    size = 0
+    for entry in entries:
+        size += len(entry.part.encode())
+        if size > MAX_QUARANTINE_BYTES:
+            break
+        fitting.append(entry)
+    return fitting
+
+
+def quarantine_to_wire(
+    entries: Iterable[QuarantineEntry],
+) -> list[ttypes.QuarantineEntry] | None:
+    """Build the Thrift structs of the entries that fit; None without any."""
+    return [
+        ttypes.QuarantineEntry(*entry) for entry in fitting_entries(entries)
+    ] or None
+
+
+def quarantine_from_wire(
+    structs: Iterable[ttypes.QuarantineEntry],
+) -> list[QuarantineEntry]:
+    """Build entries from their Thrift structs; incomplete ones are left out."""
+    return [
+        QuarantineEntry(struct.part, struct.revision, bool(struct.active))
+        for struct in structs
+        if struct.part and struct.revision is not None
+    ]
+
+
+def encode_quarantine(
+    own: HostInfo, entries: Iterable[QuarantineEntry]
+) -> bytes:
+    """Encode entries with the host that writes them."""
+    return encode(
+        ttypes.Datagram(
+            host_info_to_wire(own), quarantine=quarantine_to_wire(entries)
+        )
+    )
+
+
+def decode_quarantine(body: bytes) -> list[QuarantineEntry] | None:
+    """Decode entries; return None if they are malformed."""
+    datagram = decode(body)
+    if datagram is None:
+        return None
+    return quarantine_from_wire(datagram.quarantine or ())
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -43,6 +43,8 @@
   3: string endpoint
   4: byte reason
   5: i32 retry_after_ms
+  6: optional bool probe    // the grant tests a quarantined part
+  7: optional bool quarantined // the reason; builds before read field 4
 }
 struct End {
   1: i64 request
@@ -60,6 +62,20 @@
   4: i32 prompt_tokens
   5: i32 output_tokens
   6: i32 age_ms
+  7: optional i32 streaming_ms // since the first event
+}
+// An attempt that ended with its endpoint at the start of its answer.
+struct CrashReport {
+  1: EndpointRun run
+  2: list<string> parts     // of the prompt, all but the last
+  3: i64 request
+  4: i32 age_ms             // since its end
+}
+// The state of a part of prompts under which endpoints end.
+struct QuarantineEntry {
+  1: string part
+  2: i64 revision
+  3: bool active
 }
 struct Load {
   1: string endpoint
@@ -90,4 +106,6 @@
                                        // the newest that changed
   12: optional list<EndpointRun> leaving // runs that told the sender that they
                                          // are leaving
+  13: optional list<CrashReport> crashes
+  14: optional list<QuarantineEntry> quarantine
 }
