Report crashes to the home host and spread the quarantine

Cause: each host saw few of the crashes, and a host that chose an endpoint by itself, or had a grant from before, did not know of a quarantine. Change: an attempt that ended with its endpoint before more than the start of a response is reported at once and repeated for 2 s, all of 60 s to a new home host. The home host sends the quarantine to all when it changes and with each digest; heartbeats hold only what the home host has not told. The choice without a home host and each attempt just before it is sent check the copy.

--- a/trefoilspool/callerrors.py
+++ b/trefoilspool/callerrors.py
@@ -1,12 +1,13 @@
 """Problems that occur only for routed requests."""
 
-from trefoilspool.errors import DeadlineError, Problem
+from trefoilspool.errors import DeadlineError, OverloadedError, Problem
 from trefoilspool.outcome import Outcome
 
 __all__ = [
     'DeadlineAfterSendError',
     'MalformedCallError',
     'OverLimitError',
+    'QuarantinedError',
     'UnknownRouteError',
 ]
 
@@ -25,6 +26,26 @@
     slug = 'over_limit'
 
 
+class QuarantinedError(OverloadedError):
+    """Endpoints end under a part of the request's prompt.
+
+    Parameters
+    ----------
+    part : str
+        Id of the part; empty if only the home host knows it yet.
+    retry_after : float
+        Seconds after which the caller should retry.
+    """
+
+    slug = 'quarantined'
+
+    def __init__(self, part: str, retry_after: float) -> None:
+        super().__init__(
+            f'no slot: endpoints end under prompt part {part or "unknown"}',
+            retry_after,
+        )
+
+
 class MalformedCallError(Problem):
     """A header of the request has a value that cannot be used."""
 
--- /dev/null
+++ b/trefoilspool/crashreports.py
@@ -0,0 +1,67 @@
+"""The crashes that an entry host reports to the home host, and how long."""
+
+import threading
+from collections import deque
+from typing import NamedTuple
+
+from trefoilspool.crashevidence import CrashReport
+from trefoilspool.departures import EndpointRun
+
+__all__ = ['CrashReports']
+
+REPEAT_S = 2.0
+RETENTION_S = 60.0
+MAX_REPORTS = 32  # a datagram holds them all
+MAX_PARTS = 16  # of one prompt; the first ones
+
+
+class TimedReport(NamedTuple):
+    """A report, and when its attempt ended, in seconds."""
+
+    report: CrashReport
+    ended_at: float
+
+
+class CrashReports:
+    """Attempts of one host that ended with their endpoint.
+
+    Usable from any thread. Heartbeats repeat a report for ``REPEAT_S``, as
+    datagrams may be lost. A new home host gets those of ``RETENTION_S``.
+    """
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.reports: deque[TimedReport] = deque(maxlen=MAX_REPORTS)
+
+    def add(
+        self, run: EndpointRun, parts: tuple[str, ...], number: int, now: float
+    ) -> CrashReport:
+        """Add and return the report of an attempt that has just ended.
+
+        Parameters
+        ----------
+        run : EndpointRun
+            The endpoint's run.
+        parts : tuple of str
+            Ids of the prompt's parts, all but the last.
+        number : int
+            Number of the attempt at this host.
+        now : float
+            The present time in seconds.
+        """
+        report = CrashReport(run, parts[:MAX_PARTS], number, 0)
+        with self.lock:
+            self.reports.append(TimedReport(report, now))
+        return report
+
+    def current(self, now: float, *, home_is_new: bool) -> list[CrashReport]:
+        """Return the reports that a heartbeat repeats."""
+        if not self.reports:
+            return []
+        longest_s = RETENTION_S if home_is_new else REPEAT_S
+        with self.lock:
+            return [
+                timed.report._replace(age_s=now - timed.ended_at)
+                for timed in self.reports
+                if now - timed.ended_at < longest_s
+            ]
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -11,6 +11,7 @@
     StreamCutError,
 )
 from trefoilspool.exchange import EndpointClient, EndpointResponse, split_events
+from trefoilspool.quarantine import Quarantine
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.requestprogress import (
     EVENT_GAP_TIMEOUT_S,
@@ -18,7 +19,7 @@
 )
 from trefoilspool.routedrequests import AttemptFailure, Slot, StartedResponse
 from trefoilspool.routing import RepeatPolicy
-from trefoilspool.slotmessages import AttemptEnding
+from trefoilspool.slotmessages import AttemptEnding, shared_parts
 from trefoilspool.watch import Unwatch, Watch, WatchTask
 
 __all__ = ['FIRST_SERVER_ERROR_STATUS', 'EndpointAttempts']
@@ -53,6 +54,8 @@
         Sends requests to endpoints.
     watch : WatchTask
         Aborts attempts whose caller disconnected or whose deadline passed.
+    quarantine : Quarantine
+        Prompt parts that get no endpoint.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         quiet_periods: QuietPeriods,
         endpoint_client: EndpointClient,
         watch: WatchTask,
+        quarantine: Quarantine,
     ) -> None:
         self.progress = progress
         self.request = progress.request
@@ -69,6 +73,7 @@
         self.quiet_periods = quiet_periods
         self.endpoint_client = endpoint_client
         self.watch = watch
+        self.quarantine = quarantine
 
     def attempt(self, slot: Slot) -> StartedResponse | AttemptFailure:
         """Send the request to the endpoint of a slot."""
@@ -99,7 +104,15 @@
         quiet_s = self.quiet_periods.remaining_s(slot.endpoint, now)
         if quiet_s:
             return f'{slot.endpoint} wants no requests for {quiet_s:.3f} s'
-        return ''
+        return self.quarantine_obstacle(slot)
+
+    def quarantine_obstacle(self, slot: Slot) -> str:
+        """Return which part of the prompt is quarantined, if any is."""
+        prefixes = self.request.caller_request.prompt_prefixes
+        part = self.quarantine.covered(shared_parts(prefixes))
+        if not part or slot.is_probe:
+            return ''
+        return f'endpoints end under prompt part {part}'
 
     def connect(self, endpoint: EndpointRecord) -> EndpointConnection:
         """Return an open connection to an endpoint.
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -13,18 +13,21 @@
 
 import logbook
 
-from trefoilspool import clock
+from trefoilspool import clock, meshdatagrams
 from trefoilspool.datagramsocket import DatagramSocket
 from trefoilspool.departures import EndpointRun
 from trefoilspool.endpointview import EndpointsRead
 from trefoilspool.helloschedule import HelloSchedule
+from trefoilspool.homecontact import HEARTBEATS_PER_DIGEST, HomeContact
 from trefoilspool.hostlists import HostListSchedule
 from trefoilspool.leavingreports import LeavingReports
 from trefoilspool.peers import HostInfo, PeerRegistry
+from trefoilspool.quarantine import Quarantine
+from trefoilspool.quarantinegossip import QuarantineGossip
 from trefoilspool.replica import Position
 from trefoilspool.routing import Configuration
 from trefoilspool.slotclient import SlotClient
-from trefoilspool.slotmessages import EndpointSpec, SlotRelease, SlotRequest
+from trefoilspool.slotmessages import EndpointSpec
 from trefoilspool.slotscheduler import SlotScheduler
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
@@ -32,12 +35,6 @@
 __all__ = ['MeshTask']
 
 TICK_S = 0.02
-HEARTBEAT_S = 0.25
-# Lowers the rate of datagrams to the home host, up to MAX_HEARTBEAT_S.
-HEARTBEAT_PER_HOST_S = 0.002
-MAX_HEARTBEAT_S = 0.5
-# The home host replies with a digest to every n-th heartbeat of an entry host.
-HEARTBEATS_PER_DIGEST = 4
 
 logger = logbook.Logger('mesh')
 
@@ -49,6 +46,10 @@
     return []
 
 
+def do_nothing() -> None:
+    """Do nothing."""
+
+
 class MeshTask:
     """Handles datagrams; runs the slot scheduler on the home host.
 
@@ -68,13 +69,22 @@
         those that were not known before.
     leaving_reports : LeavingReports
         Runs that told this host that they are leaving.
+    quarantine_gossip : QuarantineGossip
+        Quarantined prompt parts.
+    on_quarantine_due : callable
+        Called when the quarantine has changed.
     """
 
     def __init__(self, own: HostInfo, port: int, seeds: Iterable[str]) -> None:
         self.seeds = [seed for seed in seeds if seed != own.address]
         self.peers = PeerRegistry(own)
-        self.client = SlotClient(own.name, self.peers, self.send_message)
-        self.scheduler = SlotScheduler()
+        quarantine = Quarantine()
+        self.quarantine_gossip = QuarantineGossip(self.peers, quarantine)
+        self.on_quarantine_due: Callable[[], None] = do_nothing
+        self.client = SlotClient(
+            own.name, self.peers, self.send_message, quarantine
+        )
+        self.scheduler = SlotScheduler(quarantine)
         self.stopping = threading.Event()
         self.callbacks: list[Callable[[float], None]] = []
         self.callbacks_lock = threading.Lock()
@@ -84,21 +94,20 @@
         self.ticked_at = 0.0
         self.heartbeat_counts: Counter[str] = Counter()
         self.host_list_schedule = HostListSchedule()
-        # Name and incarnation of the home host that sent the last digest.
-        self.digest_source = ('', 0)
+        self.home_contact = HomeContact(self.peers)
         self.heartbeat_home = ''
         self.endpoints_read: EndpointsRead | None = None
         self.on_leaving_runs: LeavingRunsHandler = no_runs
         self.leaving_reports = LeavingReports()
 
     def send_message(self, address: str, message: object) -> None:
-        """Send a slot request or a release; usable from any thread."""
-        datagram = ttypes.Datagram(wire.host_info_to_wire(self.peers.own))
-        if isinstance(message, SlotRequest):
-            datagram.asks = [wire.ask_to_wire(message, clock.now())]
-        elif isinstance(message, SlotRelease):
-            datagram.ends = [wire.slot_release_to_wire(message)]
-        self.send(address, datagram)
+        """Send a message of the slot client; usable from any thread."""
+        self.send(
+            address,
+            meshdatagrams.message_datagram(
+                self.peers.own, message, clock.now()
+            ),
+        )
 
     def send(self, address: str, datagram: ttypes.Datagram) -> None:
         """Send a datagram; it may be lost, so important ones are repeated."""
@@ -153,18 +162,11 @@
         if self.callbacks or self.scheduler.waiting:
             return TICK_S
         due = min(
-            self.heartbeat_at + self.heartbeat_period_s(),
+            self.heartbeat_at + self.home_contact.heartbeat_period_s(),
             self.hello_schedule.next_at,
         )
         return max(TICK_S, due - now)
 
-    def heartbeat_period_s(self) -> float:
-        """Return the seconds between heartbeats; grows with the hosts."""
-        return min(
-            MAX_HEARTBEAT_S,
-            HEARTBEAT_S + HEARTBEAT_PER_HOST_S * self.peers.count(),
-        )
-
     def run_callbacks(self, now: float) -> None:
         """Run the callbacks that other threads have added."""
         with self.callbacks_lock:
@@ -230,27 +232,11 @@
         if due:
             reply = ttypes.Datagram(
                 wire.host_info_to_wire(self.peers.own),
-                digest=self.digest(now),
+                digest=meshdatagrams.digest(self.scheduler, now),
+                quarantine=self.quarantine_gossip.structs(),
             )
             self.send(sender.address, reply)
 
-    def digest(self, now: float) -> ttypes.Digest:
-        """Return the counts of held slots and the token bucket levels."""
-        return ttypes.Digest(
-            [
-                ttypes.Load(
-                    name,
-                    len(load.reservations),
-                    not load.reliability.accepts_requests(now),
-                )
-                for name, load in self.scheduler.available_endpoints.items()
-            ],
-            [
-                ttypes.Level(name, level)
-                for name, level in self.scheduler.rate_limits.levels(now)
-            ],
-        )
-
     def on_digest(
         self,
         sender: HostInfo,
@@ -263,7 +249,7 @@
             frozenset(load.endpoint for load in digest.loads if load.ejected),
             {level.workspace: level.tokens for level in digest.levels},
         )
-        self.digest_source = (sender.name, sender.incarnation)
+        self.home_contact.on_digest(sender, now)
 
     def on_levels(
         self, sender: HostInfo, levels: list[Any], now: float
@@ -280,10 +266,12 @@
 
     def on_hello(self, sender: HostInfo, wants_hosts: bool, now: float) -> None:
         """Reply with the list of hosts if requested, else with a heartbeat."""
-        reply = ttypes.Datagram(wire.host_info_to_wire(self.peers.own))
+        own = self.peers.own
         self.send(
             sender.address,
-            self.host_list(now) if wants_hosts else reply,
+            meshdatagrams.host_list(own, self.peers.recent(now))
+            if wants_hosts
+            else meshdatagrams.host_info_datagram(own),
         )
 
     def on_endpoints_read(
@@ -300,16 +288,10 @@
     def on_leaving(self, sender: HostInfo, runs: list[Any], now: float) -> None:
         """Apply the runs that a peer reports; the home host tells all others."""
         new = self.on_leaving_runs(list(map(wire.endpoint_run_from_wire, runs)))
-        home = self.peers.home()
-        if new and home is not None and home.name == self.peers.own.name:
-            self.send_all(self.leaving_datagram(new), now)
-
-    def leaving_datagram(self, runs: Iterable[EndpointRun]) -> ttypes.Datagram:
-        """Return a datagram with endpoints' runs that are leaving."""
-        return ttypes.Datagram(
-            wire.host_info_to_wire(self.peers.own),
-            leaving=list(map(wire.endpoint_run_to_wire, runs)),
-        )
+        if new and self.peers.is_home():
+            self.send_all(
+                meshdatagrams.leaving_datagram(self.peers.own, new), now
+            )
 
     def send_leaving(self, run: EndpointRun, now: float) -> None:
         """Report a run that is leaving to the home host, or from there to all.
@@ -317,21 +299,23 @@
         Heartbeats repeat it for a while, as datagrams may be lost.
         """
         self.leaving_reports.add(run, now)
-        home = self.peers.home()
-        if home is None or home.name == self.peers.own.name:
-            self.send_all(self.leaving_datagram([run]), now)
-        else:
-            self.send(home.address, self.leaving_datagram([run]))
+        datagram = meshdatagrams.leaving_datagram(self.peers.own, [run])
+        self.send_home_or_all(datagram, now)
 
-    def host_list(self, now: float) -> ttypes.Datagram:
-        """Return a datagram with the list of hosts."""
-        return ttypes.Datagram(
-            wire.host_info_to_wire(self.peers.own),
-            hosts=[
-                wire.host_info_to_wire(host) for host in self.peers.recent(now)
-            ],
+    def on_crash_reports(
+        self, sender: HostInfo, reports: list[Any], now: float
+    ) -> None:
+        """Pass an entry host's crash reports to the slot scheduler."""
+        self.scheduler.on_crash_reports(
+            sender.name, list(map(wire.crash_report_from_wire, reports)), now
         )
 
+    def on_quarantine(
+        self, sender: HostInfo, structs: list[Any], now: float
+    ) -> None:
+        """Adopt a peer's entries of quarantined parts."""
+        self.quarantine_gossip.on_structs(sender, structs, now)
+
     def tick(self, now: float) -> None:
         """Run the scheduler's timers; send heartbeats and hellos if due."""
         # While all hosts start, several are home host, each for those that it
@@ -342,7 +326,14 @@
         self.scheduler.tick(now)
         home = self.peers.home()
         home_changed = home is not None and home.name != self.heartbeat_home
-        if home_changed or now - self.heartbeat_at >= self.heartbeat_period_s():
+        if self.quarantine_gossip.tick(now):
+            self.on_quarantine_due()
+            if self.peers.is_home():
+                self.send_all(self.quarantine_gossip.datagram(), now)
+        if (
+            home_changed
+            or now - self.heartbeat_at >= self.home_contact.heartbeat_period_s()
+        ):
             self.heartbeat_at = now
             self.send_heartbeat(now)
         if self.hello_schedule.due(now, self.peers.count()):
@@ -362,23 +353,36 @@
                 extra={'home': home.name, 'before': self.heartbeat_home},
             )
             self.heartbeat_home = home.name
+        self.send(home.address, self.heartbeat(home, now))
+        self.peers.forget(now)
+        is_home = home.name == self.peers.own.name
+        if is_home and self.host_list_schedule.due(self.peers.recent(now), now):
+            self.send_all(
+                meshdatagrams.host_list(self.peers.own, self.peers.recent(now)),
+                now,
+            )
+
+    def heartbeat(self, home: HostInfo, now: float) -> ttypes.Datagram:
+        """Return a heartbeat; one for a new home host holds more."""
+        home_is_new = self.home_contact.is_new(home)
         datagram = ttypes.Datagram(
             wire.host_info_to_wire(self.peers.own),
             roll=[wire.held_to_wire(slot) for slot in self.client.held_slots()],
+            quarantine=self.quarantine_gossip.structs_for_home(home),
         )
         leaving = self.leaving_reports.current(now)
         if leaving:
             datagram.leaving = list(map(wire.endpoint_run_to_wire, leaving))
-        if self.digest_source != (home.name, home.incarnation):
-            datagram.levels = [
-                ttypes.Level(name, tokens)
-                for name, tokens in self.client.levels.items()
-            ]
-        self.send(home.address, datagram)
-        self.peers.forget(now)
-        is_home = home.name == self.peers.own.name
-        if is_home and self.host_list_schedule.due(self.peers.recent(now), now):
-            self.send_all(self.host_list(now), now)
+        crashes = self.client.crash_reports.current(
+            now, home_is_new=home_is_new
+        )
+        if crashes:
+            datagram.crashes = list(map(wire.crash_report_to_wire, crashes))
+        if home_is_new:
+            datagram.levels = meshdatagrams.levels_to_wire(
+                self.client.levels.items()
+            )
+        return datagram
 
     def announce(self) -> None:
         """Send this host's state to all hosts; usable from any thread."""
@@ -393,19 +397,21 @@
 
     def send_version(self, now: float) -> None:
         """Send this host's state to the home host, or from there to all."""
-        home = self.peers.home()
-        if home is None or home.name == self.peers.own.name:
-            self.send_host_info(now)
-            return
-        own = ttypes.Datagram(wire.host_info_to_wire(self.peers.own))
-        self.send(home.address, own)
+        self.send_home_or_all(
+            meshdatagrams.host_info_datagram(self.peers.own), now
+        )
 
     def send_host_info(self, now: float) -> None:
         """Send this host's state to all hosts."""
-        self.send_all(
-            ttypes.Datagram(wire.host_info_to_wire(self.peers.own)),
-            now,
-        )
+        self.send_all(meshdatagrams.host_info_datagram(self.peers.own), now)
+
+    def send_home_or_all(self, datagram: ttypes.Datagram, now: float) -> None:
+        """Send a datagram to the home host, or from there to all."""
+        home = self.peers.home()
+        if home is None or home.name == self.peers.own.name:
+            self.send_all(datagram, now)
+        else:
+            self.send(home.address, datagram)
 
     def send_hellos(self, now: float) -> None:
         """Request heartbeats from unresponsive hosts, host lists from seeds."""
@@ -420,10 +426,7 @@
     def send_endpoints_read(self, changed_to: Position, now: float) -> None:
         """Notify all hosts that this one has read the endpoint records."""
         self.send_all(
-            ttypes.Datagram(
-                wire.host_info_to_wire(self.peers.own),
-                endpoints_read=wire.position_to_wire(changed_to),
-            ),
+            meshdatagrams.endpoints_read_datagram(self.peers.own, changed_to),
             now,
         )
 
@@ -456,8 +459,11 @@
 
 # Handlers by field of Datagram: `ends` holds releases, `verdicts` decisions,
 # `roll` the sender's held slots, `levels` the bucket levels that an earlier
-# home host reported.
+# home host reported. Quarantined parts and crashes count for the requests in
+# the same datagram.
 HANDLERS: Mapping[str, Callable[..., None]] = {
+    'quarantine': MeshTask.on_quarantine,
+    'crashes': MeshTask.on_crash_reports,
     'asks': MeshTask.on_asks,
     'ends': MeshTask.on_releases,
     'verdicts': MeshTask.on_decisions,
--- a/trefoilspool/peers.py
+++ b/trefoilspool/peers.py
@@ -172,6 +172,11 @@
             ]
         return max(usable, key=home_preference, default=None)
 
+    def is_home(self) -> bool:
+        """Return whether this host is the home host."""
+        home = self.home()
+        return home is not None and home.name == self.own.name
+
     def is_preferred_home(self, count: int) -> bool:
         """Return whether this is one of the ``count`` preferred home hosts."""
         with self.lock:
--- a/trefoilspool/requestprogress.py
+++ b/trefoilspool/requestprogress.py
@@ -26,6 +26,9 @@
 EVENT_GAP_TIMEOUT_S = 0.8
 # A gap of a slow stream may be this many times its longest earlier one.
 GAP_FACTOR = 4.0
+# An endpoint that ends within this time after the first event may have crashed
+# on the request.
+RESPONSE_START_S = 0.1
 # Reads time out this long after the deadline, at which the watch task aborts
 # them.
 READ_SLACK_S = 0.5
@@ -110,6 +113,15 @@
         self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
         self.last_event_at = now
 
+    def has_hardly_begun(self, now: float) -> bool:
+        """Return whether at most the very start of a response has arrived."""
+        if self.event_count > 1:
+            return False
+        return (
+            not self.first_byte_s
+            or now - self.first_event_at < RESPONSE_START_S
+        )
+
     def is_new(self, number: int | None) -> bool:
         """Count an event; return whether the caller does not have it yet."""
         self.event_count += 1
--- a/trefoilspool/routedrequests.py
+++ b/trefoilspool/routedrequests.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from trefoilspool.departures import EndpointRun
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.exchange import EndpointResponse
 from trefoilspool.routing import Route
@@ -47,11 +48,22 @@
     ----------
     granted_at : float
         When this host got the grant, in seconds.
+    started_ms : int
+        Unix milliseconds of the start of the endpoint's run; 0 if unknown.
+    is_probe : bool
+        Whether the attempt tests a quarantined prompt part.
     """
 
     key: SlotKey
     endpoint: str
     granted_at: float
+    started_ms: int = 0
+    is_probe: bool = False
+
+    @property
+    def run(self) -> EndpointRun:
+        """Return the endpoint's run."""
+        return EndpointRun(self.endpoint, self.started_ms)
 
 
 class StartedResponse(NamedTuple):
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -124,6 +124,7 @@
             server.quiet_periods,
             server.endpoint_client,
             server.watch,
+            server.slot_client.quarantine,
         )
 
     def run(self) -> Result[Response, Problem]:
@@ -261,6 +262,7 @@
     ) -> Generator[bytes, None, AttemptFailure | None]:
         """Yield one endpoint's events; return the failure that cut them."""
         ending = AttemptEnding.cancelled
+        self.slots.on_first_event(started.slot)
         try:
             yield from self.relayed_events(started)
             ending = AttemptEnding.completed
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -1,7 +1,7 @@
 """Slots for the attempts of one request, from the request to the release."""
 
 from trefoilspool import clock
-from trefoilspool.callerrors import OverLimitError
+from trefoilspool.callerrors import OverLimitError, QuarantinedError
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.directory import Directory
 from trefoilspool.errors import CallerGoneError, OverloadedError, Problem
@@ -18,6 +18,7 @@
     SlotDecision,
     SlotRelease,
     SlotRequest,
+    shared_parts,
 )
 from trefoilspool.telemetry import log_decision
 
@@ -60,6 +61,11 @@
         self.quiet_periods = quiet_periods
         self.data_centre = data_centre
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Return the parts that the request's prompt may share."""
+        return shared_parts(self.request.caller_request.prompt_prefixes)
+
     def acquire(self) -> Slot:
         """Acquire a slot for the next attempt.
 
@@ -85,7 +91,13 @@
             waited_s=round(now - started, 4),
             attempt=slot_request.attempt,
         )
-        return Slot(slot_request.key, decision.endpoint, now)
+        return Slot(
+            slot_request.key,
+            decision.endpoint,
+            now,
+            self.slot_client.started_ms(decision.endpoint),
+            decision.is_probe,
+        )
 
     def slot_request(self, quiet: dict[str, float]) -> SlotRequest:
         """Return the slot request of the next attempt."""
@@ -157,6 +169,9 @@
             return progress.problem(
                 failure._replace(detail=detail), clock.now()
             )
+        if decision.reason is RefusalReason.quarantined:
+            part = self.slot_client.quarantine.covered(self.parts)
+            return QuarantinedError(part, decision.retry_after)
         over_limit = decision.reason is RefusalReason.over_limit
         if over_limit and not progress.sent_attempts:
             return OverLimitError(
@@ -170,6 +185,11 @@
 
     def release(self, slot: Slot, ending: AttemptEnding) -> None:
         """Release a slot and report how its attempt ended."""
+        now = clock.now()
+        if ending is AttemptEnding.broken and self.progress.has_hardly_begun(
+            now
+        ):
+            self.report_crash(slot, now)
         self.slot_client.release(
             SlotRelease(
                 slot.key,
@@ -177,11 +197,29 @@
                 slot.endpoint,
                 self.progress.first_byte_s,
                 self.progress.event_count,
-                self.progress.decode_s(clock.now()),
+                self.progress.decode_s(now),
                 self.request.caller_request.prompt_tokens,
             )
         )
 
+    def on_first_event(self, slot: Slot) -> None:
+        """Record that the stream of a slot has begun."""
+        self.slot_client.on_first_event(slot.key.number, clock.now())
+
+    def report_crash(self, slot: Slot, now: float) -> None:
+        """Report an attempt that ended, it seems, with its endpoint."""
+        log_decision(
+            'attempt_crashed',
+            self.request.caller_request.request_id,
+            endpoint=slot.endpoint,
+            run=slot.started_ms,
+            parts=self.parts,
+            place=slot.key.number,
+        )
+        self.slot_client.report_crash(
+            slot.run, self.parts, slot.key.number, now
+        )
+
 
 def expected_tokens(request: CallerRequest) -> int:
     """Return the estimated length of a response in tokens."""
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -11,7 +11,10 @@
 import logbook
 
 from trefoilspool import clock
+from trefoilspool.crashreports import CrashReports
+from trefoilspool.departures import EndpointRun
 from trefoilspool.peers import PeerRegistry
+from trefoilspool.quarantine import Quarantine
 from trefoilspool.ratelimits import RetryWindow, TokenBucket
 from trefoilspool.routing import Workspace
 from trefoilspool.slotmessages import (
@@ -64,12 +67,25 @@
 
 
 class GrantedSlot:
-    """A slot that this host holds."""
+    """A slot that this host holds.
+
+    Attributes
+    ----------
+    streaming_since : float or None
+        When the first event of its stream was received, in seconds.
+    """
 
     def __init__(self, ask: SlotRequest, endpoint: str, now: float) -> None:
         self.ask = ask
         self.endpoint = endpoint
         self.granted_at = now
+        self.streaming_since: float | None = None
+
+    def streaming_s(self, now: float) -> float:
+        """Return the seconds since its first event, 0 before it."""
+        if self.streaming_since is None:
+            return 0
+        return now - self.streaming_since
 
 
 class SlotClient:
@@ -85,15 +101,23 @@
     peers : PeerRegistry
         The known hosts.
     send_message : callable
-        Sends a slot request or a release to a host's address.
+        Sends a slot request, a release or a crash report to a host's address.
+    quarantine : Quarantine, optional
+        Prompt parts that get no endpoint.
     """
 
     def __init__(
-        self, host: str, peers: PeerRegistry, send_message: MessageSender
+        self,
+        host: str,
+        peers: PeerRegistry,
+        send_message: MessageSender,
+        quarantine: Quarantine | None = None,
     ) -> None:
         self.host = host
         self.peers = peers
         self.send_message = send_message
+        self.quarantine = quarantine or Quarantine()
+        self.crash_reports = CrashReports()
         self.lock = threading.Lock()
         self.attempt_numbers = itertools.count(
             random.getrandbits(FIRST_NUMBER_BITS)
@@ -131,6 +155,11 @@
             endpoint.name: endpoint for endpoint in endpoints
         }
 
+    def started_ms(self, endpoint: str) -> int:
+        """Return the Unix milliseconds of an endpoint's start, 0 if unknown."""
+        spec = self.available_endpoints.get(endpoint)
+        return spec.started_ms if spec else 0
+
     def on_loads(
         self,
         loads: Mapping[str, int],
@@ -249,6 +278,8 @@
         last counts and this host's own slots.
         """
         now = clock.now()
+        if self.quarantine.covered(ask.parts):
+            return Refused(ask.key, RefusalReason.quarantined, RETRY_AFTER_S)
         if not self.try_charge_locally(ask, now):
             return Refused(ask.key, RefusalReason.over_limit, RETRY_AFTER_S)
         candidates = [
@@ -324,6 +355,21 @@
         if home is not None:
             self.send_message(home.address, release)
 
+    def on_first_event(self, number: int, now: float) -> None:
+        """Record that the stream of a held slot has begun."""
+        slot = self.held.get(number)
+        if slot is not None and slot.streaming_since is None:
+            slot.streaming_since = now
+
+    def report_crash(
+        self, run: EndpointRun, parts: tuple[str, ...], number: int, now: float
+    ) -> None:
+        """Report an attempt that ended with its endpoint to the home host."""
+        report = self.crash_reports.add(run, parts, number, now)
+        home = self.peers.home()
+        if home is not None:
+            self.send_message(home.address, report)
+
     def held_slots(self) -> list[HeldSlot]:
         """Return all slots that this host holds."""
         now = clock.now()
@@ -336,6 +382,7 @@
                     slot.ask.prompt_tokens,
                     slot.ask.output_tokens,
                     now - slot.granted_at,
+                    slot.streaming_s(now),
                 )
                 for slot in self.held.values()
             ]
--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -17,9 +17,23 @@
     'SlotKey',
     'SlotRelease',
     'SlotRequest',
+    'shared_parts',
 ]
 
 
+def shared_parts(prompt_prefixes: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts, all but the last.
+
+    Parameters
+    ----------
+    prompt_prefixes : tuple of str
+        Ids of the prompt's prefixes, shortest first.
+    """
+    if not prompt_prefixes:
+        return ()
+    return tuple(prompt_prefixes[-1].split('/')[:-1])
+
+
 class SlotKey(NamedTuple):
     """Identifies an attempt by its entry host and its number there."""
 
@@ -97,9 +111,7 @@
     @property
     def parts(self) -> tuple[str, ...]:
         """Return the parts that prompts may share: all but the last."""
-        if not self.prompt_prefixes:
-            return ()
-        return tuple(self.prompt_prefixes[-1].split('/')[:-1])
+        return shared_parts(self.prompt_prefixes)
 
 
 class HeldSlot(NamedTuple):
