Keep the quarantine in the store

Cause: a host that is cut off from its peers, and hosts that were all killed at once, have nobody to learn the quarantine from. Change: a task of its own keeps one record in the topic keyed.quarantine. The home host writes it when it lacks an entry, after reading it; every host reads it at the start, and each second while it hears no home host. A host is ready when it has tried to read it once or has heard a home host.

--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -27,6 +27,8 @@
     PeerTopic,
     peer_page,
 )
+from trefoilspool.quarantine import QuarantineEntry
+from trefoilspool.quarantinestore import QuarantineStoreTask
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.replica import Replica
 from trefoilspool.replication import (
@@ -76,11 +78,14 @@
         Replicated by every host.
     hosts : KeyedTopic
         Records of the hosts, for discovery.
+    quarantine : KeyedTopic
+        The quarantined prompt parts.
     """
 
     settings: KeyedSource
     endpoints: KeyedSource
     hosts: KeyedTopic
+    quarantine: KeyedTopic
 
 
 class Platform(ABC):
@@ -192,6 +197,15 @@
             self.mesh.peers,
             self.stopping,
         )
+        self.quarantine_task = QuarantineStoreTask(
+            topics.quarantine,
+            self.mesh.quarantine_gossip,
+            self.mesh.peers,
+            self.mesh.home_contact,
+            self.stopping,
+        )
+        self.mesh.on_quarantine_due = self.quarantine_task.on_due
+        self.mesh.quarantine_gossip.on_entry = self.count_quarantine
         self.watch = WatchTask()
         self.quiet_periods = QuietPeriods()
         self.endpoint_client = EndpointClient(
@@ -228,6 +242,7 @@
         yield self.settings_task.run
         yield self.endpoints_task.run
         yield self.discovery_task.run
+        yield self.quarantine_task.run
         yield PeerFetchTask(
             'settings', self.find_newer_configuration, self.stopping
         ).run
@@ -281,6 +296,13 @@
             f'trefoilspool_endpoint_leaving_total{{source="{source}"}}'
         )
 
+    def count_quarantine(self, entry: QuarantineEntry) -> None:
+        """Count a change of a prompt part's quarantine."""
+        state = 'quarantined' if entry.active else 'lifted'
+        self.metrics.count(
+            f'trefoilspool_prompt_parts_total{{state="{state}"}}'
+        )
+
     def find_newer_configuration(self) -> Callable[[], None] | None:
         """Return a function that adopts a peer's configuration if newer."""
         ahead = [
@@ -364,6 +386,7 @@
         """Write this host's own record again: the store may have lost it."""
         self.metrics.count('trefoilspool_store_restored_total')
         self.discovery_task.on_store_restored()
+        self.quarantine_task.on_store_restored()
 
     def on_configuration(self, content: bytes, source: str) -> None:
         """Apply a configuration if it is valid and newer.
@@ -427,9 +450,20 @@
         return (
             self.gateway.configuration is not None
             and bool(self.directory.published)
+            and self.knows_quarantine()
             and not self.gateway.draining
         )
 
+    def knows_quarantine(self) -> bool:
+        """Return whether the store or a home host could tell this host.
+
+        A store that does not answer delays the host only by its timeout.
+        """
+        return (
+            self.quarantine_task.has_tried.is_set()
+            or self.mesh.home_contact.has_heard_other()
+        )
+
     def drain(self, server: HttpServer) -> None:
         """Fail the readiness check, later reject requests; await the open ones.
 
--- /dev/null
+++ b/trefoilspool/quarantinestore.py
@@ -0,0 +1,145 @@
+"""The copy of the quarantine in the store, for hosts that hear no other."""
+
+import random
+import threading
+
+import logbook
+
+from trefoilspool import clock
+from trefoilspool.errors import LogOutageError, StoreRestoredError
+from trefoilspool.homecontact import HomeContact
+from trefoilspool.peers import PeerRegistry
+from trefoilspool.quarantine import QuarantineEntry
+from trefoilspool.quarantinegossip import QuarantineGossip
+from trefoilspool.store import KeyedRecord, KeyedTopic
+from trefoilspool.wire import mesh as wire
+
+__all__ = ['QuarantineStoreTask']
+
+RECORD_KEY = 'quarantine'
+CHECK_S = 1.0
+FIRST_RETRY_S = 0.5
+MAX_RETRY_S = 8.0
+
+logger = logbook.Logger('quarantine')
+
+
+class QuarantineStoreTask:
+    """Reads the record at the start and when cut off; writes it as home host.
+
+    Parameters
+    ----------
+    topic : KeyedTopic
+        The quarantine's topic, with one record.
+    gossip : QuarantineGossip
+        Gets the entries read.
+    peers : PeerRegistry
+        Tells whether this is the home host.
+    home_contact : HomeContact
+        Tells whether the store may know more than this host has heard.
+    stopping : threading.Event
+        Ends the task.
+
+    Attributes
+    ----------
+    has_tried : threading.Event
+        Set after the first read, even if it failed.
+    """
+
+    def __init__(
+        self,
+        topic: KeyedTopic,
+        gossip: QuarantineGossip,
+        peers: PeerRegistry,
+        home_contact: HomeContact,
+        stopping: threading.Event,
+    ) -> None:
+        self.topic = topic
+        self.gossip = gossip
+        self.peers = peers
+        self.home_contact = home_contact
+        self.stopping = stopping
+        self.due = threading.Event()
+        self.has_tried = threading.Event()
+        # What the record held when it was last read or written.
+        self.stored: frozenset[QuarantineEntry] = frozenset()
+        self.needs_read = True
+        self.retry_s = FIRST_RETRY_S
+
+    def run(self) -> None:
+        """Read and write until stopped."""
+        pause_s = 0.0
+        while not self.stopping.is_set():
+            self.due.wait(pause_s)
+            self.due.clear()
+            pause_s = self.try_step() * (1 + random.random()) / 2
+            self.has_tried.set()
+
+    def on_due(self) -> None:
+        """Check for a change at once; usable from any thread."""
+        self.due.set()
+
+    def on_store_restored(self) -> None:
+        """Check the record again: the restored store may hold an older one."""
+        self.stored = frozenset()
+        self.on_due()
+
+    def try_step(self) -> float:
+        """Read or write if due; return the seconds until the next check."""
+        try:
+            self.step()
+        except (LogOutageError, StoreRestoredError) as error:
+            logger.info('quarantine_not_synced', extra={'error': str(error)})
+        except Exception:
+            logger.exception('quarantine_not_synced')
+        else:
+            self.retry_s = FIRST_RETRY_S
+            return CHECK_S
+        self.retry_s = min(self.retry_s * 2, MAX_RETRY_S)
+        return self.retry_s
+
+    def step(self) -> None:
+        """Read the record if due; write it if this host knows more."""
+        # What another host wrote meanwhile must not be lost by a write.
+        is_cut_off = self.home_contact.is_cut_off(clock.now())
+        if self.needs_read or is_cut_off or self.has_news():
+            self.read()
+        if self.has_news():
+            self.write()
+
+    def has_news(self) -> bool:
+        """Return whether this host is to write."""
+        return self.peers.is_home() and bool(self.own_entries() - self.stored)
+
+    def own_entries(self) -> frozenset[QuarantineEntry]:
+        """Return the entries of this host that one record holds."""
+        return frozenset(wire.fitting_entries(self.gossip.quarantine.entries()))
+
+    def read(self) -> None:
+        """Read the record and adopt its entries."""
+        entries = [
+            entry
+            for record in self.topic.read_latest().records
+            for entry in decode(record)
+        ]
+        self.needs_read = False
+        self.stored = frozenset(entries)
+        self.gossip.learn(entries, 'store', clock.now())
+
+    def write(self) -> None:
+        """Write the record; it is read once more in case another host did."""
+        entries = self.own_entries()
+        self.topic.put(
+            RECORD_KEY, wire.encode_quarantine(self.peers.own, entries)
+        )
+        self.stored = entries
+        self.needs_read = True
+        logger.info('quarantine_written', extra={'entries': len(entries)})
+
+
+def decode(record: KeyedRecord) -> list[QuarantineEntry]:
+    """Return the entries of a record; an unreadable one has none."""
+    entries = wire.decode_quarantine(record.content)
+    if entries is None:
+        logger.warning('quarantine_unreadable', extra={'key': record.key})
+    return entries or []
