Take a home host that not all others reach as cut off

Cause: a home host takes its peers as responsive for 30 s after their last heartbeat, so that one cut off from them went on without reading the store. Change: it reads while any known host has sent nothing for 2 s. Tests with hosts for what the quarantine has to survive.

--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -124,6 +124,21 @@
         self.host.stop()
         self.server.close()
 
+    def cut_datagrams(self) -> None:
+        """Drop all datagrams to and from other hosts."""
+        mesh = self.host.mesh
+        send, on_datagram = mesh.send, mesh.on_datagram
+
+        def send_own(address: str, datagram: object) -> None:
+            if address == self.address:
+                send(address, datagram)
+
+        def on_own(body: bytes, address: str, now: float) -> None:
+            if address == self.address:
+                on_datagram(body, address, now)
+
+        mesh.send, mesh.on_datagram = send_own, on_own
+
     def is_stopped(self) -> bool:
         """Return whether the host's addresses can be bound again."""
         if self.host.mesh.socket.fileno() >= 0:
@@ -175,6 +190,14 @@
             wait_for(running.host.is_ready, 'a ready host')
         return running
 
+    def restart_host(self, running: RunningHost) -> RunningHost:
+        """Start a host again that was stopped, at its address."""
+        wait_for(running.is_stopped, 'a free address')
+        number = self.hosts.index(running) + 1
+        self.hosts[number - 1] = RunningHost(self, number)
+        wait_for(self.hosts[number - 1].host.is_ready, 'a ready host')
+        return self.hosts[number - 1]
+
     def wait_for_endpoints(self, running: RunningHost, count: int) -> None:
         wait_for(
             lambda: (
--- a/tests/test_crashingpart.py
+++ b/tests/test_crashingpart.py
@@ -1,7 +1,9 @@
 """Requests with one part in their prompts that crash each endpoint."""
 
 import contextlib
+import http.client
 import itertools
+import json
 import threading
 import time
 from collections.abc import Iterator
@@ -16,9 +18,13 @@
 )
 from platformendpoint import PlatformEndpoint, ServedRequest
 
+from trefoilspool.wire import mesh as wire
+
 SHARED_PART = 'aa00'
 SOUND_PART = 'bb00'
 CRASHING_PART = 'cc00'
+RARE_PARTS = tuple(f'dd{number:02x}' for number in range(12))
+TOPIC = 'keyed.quarantine'
 RESTART_S = 0.4
 PAUSE_S = 0.1
 # Crashes after which, and time from the last of them within which, the
@@ -26,7 +32,8 @@
 CRASHES = 5
 NOTICE_S = 3.0
 MAX_REQUESTS = 3
-OBSERVED_S = 2.5
+OBSERVED_S = 3.0
+MIN_SOUND_SHARE = 0.9
 ENDPOINTS = 4
 
 
@@ -46,8 +53,8 @@
         When requests with the crashing part reached endpoints.
     crashes : list of float
         When endpoints crashed.
-    sound, crashing : list of Outcome
-        What callers got.
+    sound : list of Outcome
+        What the callers of sound requests got.
     """
 
     def __init__(self, endpoints: int = ENDPOINTS) -> None:
@@ -56,27 +63,43 @@
         self.arrivals: list[float] = []
         self.crashes: list[float] = []
         self.sound: list[Outcome] = []
-        self.crashing: list[Outcome] = []
         self.stopping = threading.Event()
         self.senders: list[threading.Thread] = []
+        self.behaviours = {
+            CRASHING_PART: self.crash_after_head,
+            **dict.fromkeys(RARE_PARTS, self.stream_slowly),
+        }
         for _ in range(endpoints):
             self.cluster.add_endpoint().behaviour = self.behave
 
     def behave(self, served: ServedRequest) -> None:
-        """Stream, or crash after the head."""
-        if CRASHING_PART not in served.request.headers.get('prefix-hash', ''):
-            time.sleep(0.02)
-            served.stream()
-            return
+        """Respond as the second part of the prompt says."""
+        part = served.request.headers['prefix-hash'].split(',')[1]
+        behaviour = self.behaviours.get(part.partition(':')[0], self.stream)
+        behaviour(served)
+
+    def stream(self, served: ServedRequest) -> None:
+        """Stream a few events."""
+        time.sleep(0.02)
+        served.stream()
+
+    def stream_slowly(self, served: ServedRequest) -> None:
+        """Stream after a while, in which the endpoint may end."""
+        time.sleep(0.2)
+        served.stream()
+
+    def crash_after_head(self, served: ServedRequest) -> None:
+        """End the endpoint when it has begun to respond."""
         self.arrivals.append(time.monotonic())
-        endpoint = next(
-            endpoint
-            for endpoint in self.cluster.endpoints
-            if endpoint.name == served.name
-        )
         served.start_stream()
         time.sleep(0.02)
-        self.crash(endpoint)
+        self.crash(
+            next(
+                endpoint
+                for endpoint in self.cluster.endpoints
+                if endpoint.name == served.name
+            )
+        )
 
     def crash(self, endpoint: PlatformEndpoint) -> None:
         """End an endpoint; it is back after ``RESTART_S``."""
@@ -125,29 +148,54 @@
             Deadline_Ms='2000',
         )
 
-    def send_all(self, hosts: list[RunningHost]) -> None:
-        """Send crashing and sound requests to hosts until closed."""
+    def send_all(
+        self,
+        hosts: list[RunningHost],
+        *parts: str,
+    ) -> None:
+        """Send requests to hosts until closed, by default of both kinds."""
         for running in hosts:
-            for part, outcomes in (
-                (CRASHING_PART, self.crashing),
-                (SOUND_PART, self.sound),
-            ):
+            for part in parts or (CRASHING_PART, SOUND_PART):
                 sender = threading.Thread(
                     target=self.keep_sending,
-                    args=(running, part, outcomes),
+                    args=(running, part),
                     daemon=True,
                 )
                 self.senders.append(sender)
                 sender.start()
 
-    def keep_sending(
-        self, running: RunningHost, part: str, outcomes: list[Outcome]
-    ) -> None:
+    def keep_sending(self, running: RunningHost, part: str) -> None:
         while not self.stopping.wait(PAUSE_S):
             sent_at = time.monotonic()
             # Hosts that stop close connections.
-            with contextlib.suppress(OSError):
-                outcomes.append(Outcome(sent_at, self.call(running, part)))
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                response = self.call(running, part)
+                if part == SOUND_PART:
+                    self.sound.append(Outcome(sent_at, response))
+
+    def quarantined(self, running: RunningHost) -> bool:
+        """Return whether a host knows the crashing part."""
+        quarantine = running.host.mesh.client.quarantine
+        return quarantine.covered((CRASHING_PART,)) == CRASHING_PART
+
+    def stored(self) -> set[str]:
+        """Return the quarantined parts in the store."""
+        records = self.cluster.store.topic(TOPIC).newest().values()
+        return {
+            entry.part
+            for _, content in records
+            for entry in wire.decode_quarantine(content) or ()
+            if entry.active
+        }
+
+    def wait_until_stored(self) -> None:
+        wait_for(lambda: CRASHING_PART in self.stored(), 'the record')
+
+    def restart_all(self, hosts: list[RunningHost]) -> list[RunningHost]:
+        """Stop all hosts at once, then start them again."""
+        for running in hosts:
+            running.stop()
+        return [self.cluster.restart_host(running) for running in hosts]
 
     def wait_for_notice(self) -> float:
         """Wait until requests may no longer arrive; return when that was."""
@@ -192,6 +240,13 @@
     made.close()
 
 
+def check_stopped(world: CrashingWorld, noticed_at: float) -> None:
+    """Check that hardly any request with the part arrives from a time on."""
+    world.observe()
+    assert world.arrivals_since(noticed_at) <= MAX_REQUESTS
+    assert world.sound_share(noticed_at) > MIN_SOUND_SHARE
+
+
 class TestSpread:
     """The crashes are seen by several hosts, each of which sees few."""
 
@@ -199,7 +254,168 @@
         self, world: CrashingWorld
     ) -> None:
         world.send_all(world.add_hosts(3))
+        check_stopped(world, world.wait_for_notice())
+
+    def test_caller_is_told_that_it_was_not_run(
+        self, world: CrashingWorld
+    ) -> None:
+        hosts = world.add_hosts(2)
+        world.send_all(hosts)
+        world.wait_for_notice()
+        response = world.call(hosts[0], CRASHING_PART)
+        problem = json.loads(response.body)
+        assert response.status == 503
+        assert float(response.headers['retry-after']) > 0
+        assert problem['outcome'] == 'not_run'
+        assert CRASHING_PART in problem['detail']
+
+
+class TestOtherHosts:
+    """Hosts that did not hear of the crashes when they happened."""
+
+    @pytest.mark.parametrize('count', [2, 3])
+    def test_later_host_goes_on_sending_the_part(
+        self, world: CrashingWorld, count: int
+    ) -> None:
+        """The home host is the second of them, or an earlier one."""
+        hosts = world.add_hosts(count - 1)
+        world.send_all(hosts)
+        noticed_at = world.wait_for_notice()
+        world.send_all([world.cluster.add_host()])
+        check_stopped(world, noticed_at)
+
+    def test_restarted_host_goes_on_sending_the_part(
+        self, world: CrashingWorld
+    ) -> None:
+        hosts = world.add_hosts(3)
+        home = world.home(hosts)
+        others = [running for running in hosts if running is not home]
+        world.send_all([home, others[0]])
+        noticed_at = world.wait_for_notice()
+        others[1].stop()
+        world.send_all([world.cluster.restart_host(others[1])])
+        check_stopped(world, noticed_at)
+
+    def test_loss_of_the_home_host_ends_the_quarantine(
+        self, world: CrashingWorld
+    ) -> None:
+        hosts = world.add_hosts(3)
+        home = world.home(hosts)
+        world.send_all([running for running in hosts if running is not home])
+        noticed_at = world.wait_for_notice()
+        home.stop()
+        check_stopped(world, noticed_at)
+
+    def test_home_host_is_lost_amid_the_crashes(
+        self, world: CrashingWorld
+    ) -> None:
+        hosts = world.add_hosts(3)
+        home = world.home(hosts)
+        world.send_all([running for running in hosts if running is not home])
+        wait_for(lambda: len(world.crashes) >= 2, 'two crashes')
+        home.stop()
+        check_stopped(world, world.wait_for_notice())
+
+    def test_host_cut_off_from_peers_goes_on_sending_the_part(
+        self, world: CrashingWorld
+    ) -> None:
+        """It is not the one that reads the store for all."""
+        hosts = world.add_hosts(3)
+        home = world.home(hosts)
+        others = [running for running in hosts if running is not home]
+        world.send_all([home, others[0]])
+        wait_for(lambda: len(world.crashes) >= 2, 'two crashes')
+        others[1].cut_datagrams()
+        noticed_at = world.wait_for_notice()
+        world.send_all([others[1]])
+        check_stopped(world, noticed_at)
+
+    def test_cut_home_host_goes_on_sending_the_part(
+        self, world: CrashingWorld
+    ) -> None:
+        hosts = world.add_hosts(3)
+        home = world.home(hosts)
+        world.send_all([running for running in hosts if running is not home])
+        wait_for(lambda: len(world.crashes) >= 2, 'two crashes')
+        home.cut_datagrams()
+        noticed_at = world.wait_for_notice()
+        world.send_all([home])
+        check_stopped(world, noticed_at)
+
+
+class TestStoreCopy:
+    """No host that runs knows the quarantine, or the store has lost it."""
+
+    def test_restart_of_all_hosts_ends_the_quarantine(
+        self, world: CrashingWorld
+    ) -> None:
+        hosts = world.add_hosts(3)
+        world.send_all(hosts)
+        noticed_at = world.wait_for_notice()
+        world.wait_until_stored()
+        restarted = world.restart_all(hosts)
+        world.send_all(restarted)
+        check_stopped(world, noticed_at)
+
+    def test_restored_store_lacks_the_record(
+        self, world: CrashingWorld
+    ) -> None:
+        hosts = world.add_hosts(2)
+        world.send_all(hosts)
         noticed_at = world.wait_for_notice()
+        world.wait_until_stored()
+        backup = world.cluster.store.backup()
+        world.cluster.store.restore({**backup, TOPIC: 0})
+        world.wait_until_stored()
+        check_stopped(world, noticed_at)
+
+    def test_store_that_is_down_delays_the_quarantine(
+        self, world: CrashingWorld
+    ) -> None:
+        hosts = world.add_hosts(3)
+        with world.cluster.store.failing('reset'):
+            world.send_all(hosts)
+            check_stopped(world, world.wait_for_notice())
+            assert not world.stored()
+        world.wait_until_stored()
+
+    def test_unreadable_record_stops_a_host(self, world: CrashingWorld) -> None:
+        world.cluster.store.put(TOPIC, 'quarantine', b'\xff no record')
+        world.send_all(world.add_hosts(1))
+        check_stopped(world, world.wait_for_notice())
+        world.wait_until_stored()
+
+    def test_two_home_hosts_drop_each_others_records(
+        self, world: CrashingWorld
+    ) -> None:
+        hosts = world.add_hosts(2)
+        for running in hosts:
+            running.cut_datagrams()
+        for number, running in enumerate(hosts):
+            peers = running.host.mesh.peers
+            for other in hosts:
+                if other is not running:
+                    peers.on_timeout(other.options.name, time.monotonic())
+            assert peers.is_home()
+            quarantine = running.host.mesh.client.quarantine
+            quarantine.add(f'part{number}', time.monotonic())
+        wait_for(lambda: world.stored() == {'part0', 'part1'}, 'both parts')
+
+
+class TestOtherCauses:
+    """Endpoints end, but not because of the requests that they have."""
+
+    def test_rare_parts_are_quarantined_for_other_crashes(
+        self, world: CrashingWorld
+    ) -> None:
+        hosts = world.add_hosts(3)
+        for number, part in enumerate(RARE_PARTS):
+            world.send_all([hosts[number % len(hosts)]], part)
+        world.send_all(hosts, SOUND_PART)
+        for number in range(8):
+            before = len(world.sound)
+            wait_for(lambda: len(world.sound) > before + 5, 'sound requests')
+            world.crash(world.cluster.endpoints[number % ENDPOINTS])
         world.observe()
-        assert world.arrivals_since(noticed_at) <= MAX_REQUESTS
-        assert world.sound_share(noticed_at) > 0.9
+        for running in hosts:
+            assert not running.host.mesh.client.quarantine.entries()
--- a/trefoilspool/homecontact.py
+++ b/trefoilspool/homecontact.py
@@ -10,7 +10,8 @@
 MAX_HEARTBEAT_S = 0.5
 # The home host replies with a digest to every n-th heartbeat of an entry host.
 HEARTBEATS_PER_DIGEST = 4
-# A host without a digest for so long may be cut off.
+# A host without a digest, or a home host without a heartbeat, for so long may
+# be cut off.
 MIN_TIMEOUT_S = 2.0
 TIMEOUT_PERIODS = 1.5
 
@@ -59,7 +60,7 @@
     def is_cut_off(self, now: float) -> bool:
         """Return whether other hosts may know what this one was not told."""
         if self.peers.is_home():
-            return len(self.peers.responsive()) <= 1
+            return not self.peers.hears_all(MIN_TIMEOUT_S, now)
         digest_period_s = self.heartbeat_period_s() * HEARTBEATS_PER_DIGEST
         return now - self.heard_at > max(
             MIN_TIMEOUT_S, digest_period_s * TIMEOUT_PERIODS
--- a/trefoilspool/peers.py
+++ b/trefoilspool/peers.py
@@ -213,6 +213,19 @@
             heard = sum(map(self.is_responsive, self.hosts))
             return heard / len(self.hosts)
 
+    def hears_all(self, within_s: float, now: float) -> bool:
+        """Return whether every other host has sent a heartbeat lately.
+
+        Only the home host gets them from all. A host that knows no other has
+        heard none.
+        """
+        with self.lock:
+            others = [name for name in self.hosts if name != self.own.name]
+            return bool(others) and all(
+                now - self.last_heartbeat_at.get(name, 0) < within_s
+                for name in others
+            )
+
     def unresponsive(self) -> list[HostInfo]:
         """Return the hosts that are suspected or have sent no heartbeat."""
         with self.lock:
