Quarantine the prompt part that endpoints end under

Cause: the scheduler judged each request alone and forgot it with its slot. Now attempts that end with their endpoint are evidence against the parts of their prompts; a part with three runs that nothing else explains gets no endpoint, but for probes.

--- a/trefoilspool/endpointload.py
+++ b/trefoilspool/endpointload.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from trefoilspool.departures import EndpointRun
 from trefoilspool.reliability import Reliability
 from trefoilspool.slotmessages import (
     AttemptEnding,
@@ -33,7 +34,18 @@
 
 
 class Reservation(NamedTuple):
-    """A granted slot, counted until it is released."""
+    """A granted slot, counted until it is released.
+
+    Attributes
+    ----------
+    parts : tuple of str
+        Parts of the prompt that others may share; none if it was not asked for
+        here.
+    run : EndpointRun
+        The endpoint's run when the slot was granted.
+    is_probe : bool
+        Whether the request tests a quarantined part.
+    """
 
     service: str
     endpoint: str
@@ -42,6 +54,9 @@
     output_tokens: int
     workspace: str
     charge: int
+    parts: tuple[str, ...] = ()
+    run: EndpointRun = EndpointRun('', 0)
+    is_probe: bool = False
 
 
 class EndpointLoad:
@@ -128,7 +143,9 @@
         stall = prefill * self.slowness * len(self.reservations)
         return cost + stall * STALL_WEIGHT
 
-    def reserve(self, ask: SlotRequest, now: float) -> None:
+    def reserve(
+        self, ask: SlotRequest, now: float, *, is_probe: bool = False
+    ) -> Reservation:
         """Reserve a slot for a request."""
         self.reliability.on_grant(now)
         if self.is_engine:
@@ -139,7 +156,7 @@
                 self.cached_prefixes[prefix] = now + PREFIX_RETENTION_S
             if len(self.cached_prefixes) > PREFIX_CLEANUP_COUNT:
                 self.drop_expired_prefixes(now)
-        self.reservations[ask.key] = Reservation(
+        reservation = Reservation(
             ask.service,
             self.spec.name,
             now,
@@ -147,7 +164,12 @@
             ask.output_tokens,
             ask.workspace,
             ask.charge,
+            ask.parts,
+            EndpointRun(self.spec.name, self.spec.started_ms),
+            is_probe,
         )
+        self.reservations[ask.key] = reservation
+        return reservation
 
     def drop_expired_prefixes(self, now: float) -> None:
         """Drop prefixes not used for ``PREFIX_RETENTION_S``."""
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -1,11 +1,41 @@
 """Decides which prompts get no endpoint: evidence, quarantine, probes."""
 
+from collections import Counter
+from collections.abc import Iterable
 from enum import Enum, auto
 
+from trefoilspool.crashevidence import CrashEvidence, CrashReport, Culprit
+from trefoilspool.departures import EndpointRun
+from trefoilspool.endpointload import Reservation
 from trefoilspool.quarantine import Quarantine
+from trefoilspool.quarantineprobes import ProbeSchedule
+from trefoilspool.slotmessages import (
+    AttemptEnding,
+    DecisionEvent,
+    EndpointSpec,
+    HeldSlot,
+    SlotKey,
+    SlotRelease,
+    SlotRequest,
+)
 
 __all__ = ['GuardDecision', 'PromptGuard']
 
+CHECK_INTERVAL_S = 0.05
+# A request is served once its stream has gone on for so long.
+SERVED_STREAMING_S = 0.25
+# A broken attempt with an event counts as a crash if the event came so shortly
+# before.
+MAX_START_S = 0.1
+# A broken attempt that took longer may have timed out.
+MAX_CRASH_AGE_S = 0.9
+# A quarantine is lifted if nobody asks for its part for so long.
+UNASKED_S = 60.0
+# A host that gets no requests for so long is not the home host.
+HOME_IDLE_S = 10.0
+
+END_SIGNS = frozenset((AttemptEnding.unreachable, AttemptEnding.gone))
+
 
 class GuardDecision(Enum):
     """Whether a request may get an endpoint, as far as its prompt goes.
@@ -31,7 +61,246 @@
     ----------
     quarantine : Quarantine
         This host's copy of the quarantined parts.
+
+    Attributes
+    ----------
+    suspects : frozenset of str
+        Parts of which one request at a time gets an endpoint.
+    unserved : frozenset of str
+        Those that are not known to have been served; they get no second
+        attempts, as each would cost an endpoint.
+    granted_parts : Counter
+        Number of granted requests with a part.
+    served_keys : set of SlotKey
+        Granted requests that are known to be served.
+    runs : dict
+        Runs of the available endpoints, by name.
+    asked_at : dict
+        When a quarantined part was last asked for, in seconds.
+    home_since, last_ask_at : float
+        Since when requests have come to this host, and when the last came.
     """
 
     def __init__(self, quarantine: Quarantine) -> None:
         self.quarantine = quarantine
+        self.evidence = CrashEvidence(quarantine)
+        self.probes = ProbeSchedule(quarantine)
+        self.suspects: frozenset[str] = frozenset()
+        self.unserved: frozenset[str] = frozenset()
+        self.granted_parts: Counter[str] = Counter()
+        self.served_keys: set[SlotKey] = set()
+        self.runs: dict[str, EndpointRun] = {}
+        self.asked_at: dict[str, float] = {}
+        self.home_since = 0.0
+        self.last_ask_at = float('-inf')
+        self.checked_at = float('-inf')
+        self.events: list[DecisionEvent] = []
+
+    def take_events(self) -> list[DecisionEvent]:
+        """Return the log events since the last call."""
+        events = self.events
+        self.events = []
+        return events
+
+    def on_endpoints(
+        self, endpoints: Iterable[EndpointSpec], now: float
+    ) -> None:
+        """Note the available endpoints; runs that are not listed have ended."""
+        runs = {
+            spec.name: EndpointRun(spec.name, spec.started_ms)
+            for spec in endpoints
+        }
+        for name, run in self.runs.items():
+            if runs.get(name) != run:
+                self.evidence.on_run_ended(run, now)
+        self.runs = runs
+
+    def run(self, name: str) -> EndpointRun:
+        """Return the present run of an endpoint."""
+        return self.runs.get(name, EndpointRun(name, 0))
+
+    def on_report(self, entry: str, report: CrashReport, now: float) -> None:
+        """Take an entry host's report of an attempt that ended an endpoint."""
+        self.evidence.on_report(entry, report, now)
+
+    def on_run_ended(self, run: EndpointRun, now: float) -> None:
+        """Note a sign that a run has ended."""
+        self.evidence.on_run_ended(run, now)
+
+    def on_served(self, parts: tuple[str, ...], sent_at: float) -> None:
+        """Note that a request with these parts was served."""
+        self.evidence.on_served(parts, sent_at)
+
+    def decide(self, ask: SlotRequest, now: float) -> GuardDecision:
+        """Return whether a request may get an endpoint now."""
+        self.note_ask(now)
+        self.tick(now)
+        if not (self.quarantine.active_parts or self.suspects):
+            return GuardDecision.passes
+        covered = self.quarantine.active_parts.intersection(ask.parts)
+        if covered:
+            self.asked_at.update(dict.fromkeys(covered, now))
+            if ask.repeatable and self.probes.due(covered, now):
+                return GuardDecision.probe
+            return GuardDecision.refused
+        if ask.attempt > 1 and self.unserved.intersection(ask.parts):
+            return GuardDecision.refused
+        return (
+            GuardDecision.waits
+            if self.is_held_back(ask)
+            else GuardDecision.passes
+        )
+
+    def is_held_back(self, ask: SlotRequest) -> bool:
+        """Return whether a waiting request may not get an endpoint yet."""
+        return any(
+            self.granted_parts[part]
+            for part in self.suspects.intersection(ask.parts)
+        )
+
+    def note_ask(self, now: float) -> None:
+        """Note that requests come to this host."""
+        if now - self.last_ask_at > HOME_IDLE_S:
+            self.home_since = now
+            self.evidence.known_since = now
+        self.last_ask_at = now
+
+    def on_granted(
+        self, key: SlotKey, reservation: Reservation, now: float
+    ) -> None:
+        """Count a granted request."""
+        self.granted_parts.update(reservation.parts)
+        if reservation.is_probe:
+            parts = self.quarantine.active_parts.intersection(reservation.parts)
+            self.probes.on_granted(key, parts)
+            self.log('prompt_part_probed', parts, endpoint=reservation.endpoint)
+
+    def on_freed(
+        self, key: SlotKey, reservation: Reservation, now: float
+    ) -> None:
+        """Uncount a granted request; a probe without a result has failed."""
+        self.granted_parts.subtract(reservation.parts)
+        for part in reservation.parts:
+            if not self.granted_parts[part]:
+                self.granted_parts.pop(part)
+        self.served_keys.discard(key)
+        self.probes.on_failed(key, now)
+
+    def on_held(
+        self, held: HeldSlot, reservation: Reservation, now: float
+    ) -> None:
+        """Note a request whose stream has gone on for some time."""
+        if held.streaming_s > SERVED_STREAMING_S:
+            self.on_request_served(held.key, reservation, now)
+
+    def on_release(
+        self, release: SlotRelease, reservation: Reservation, now: float
+    ) -> None:
+        """Note how an attempt ended; called before its slot is freed."""
+        run = reservation.run
+        is_completed = release.ending is AttemptEnding.completed
+        if is_completed:
+            self.evidence.on_run_alive(run, reservation.granted_at)
+        if is_completed or release.decode_s > SERVED_STREAMING_S:
+            self.on_request_served(release.key, reservation, now)
+        if release.ending in END_SIGNS:
+            self.evidence.on_run_ended(run, now)
+            self.probes.on_unused(release.key, now)
+        if release.ending is AttemptEnding.broken:
+            self.on_broken(release, reservation, now)
+
+    def on_request_served(
+        self, key: SlotKey, reservation: Reservation, now: float
+    ) -> None:
+        """Note a served request, once; a probe lifts the quarantine."""
+        if key in self.served_keys:
+            return
+        self.served_keys.add(key)
+        self.evidence.on_served(reservation.parts, reservation.granted_at)
+        for part in self.probes.on_served(key):
+            self.release_part(part, 'served', now)
+
+    def on_broken(
+        self, release: SlotRelease, reservation: Reservation, now: float
+    ) -> None:
+        """Take a broken attempt for a report if it may have been a crash.
+
+        Its entry host reports it as well, but datagrams are lost.
+        """
+        key = release.key
+        run = reservation.run
+        is_start = not release.events or (
+            release.events == 1 and release.decode_s <= MAX_START_S
+        )
+        if is_start and now - reservation.granted_at < MAX_CRASH_AGE_S:
+            report = CrashReport(run, reservation.parts, key.number, 0)
+            self.evidence.on_report(key.entry, report, now)
+        else:
+            self.evidence.on_broken(run, (key.entry, key.number), now)
+
+    def tick(self, now: float) -> None:
+        """Quarantine culprits, lift quarantines that nobody asks for."""
+        if now - self.checked_at < CHECK_INTERVAL_S:
+            return
+        self.checked_at = now
+        self.evidence.forget_old(now)
+        self.quarantine.tick(now)
+        for culprit in self.evidence.culprits(now):
+            self.quarantine_part(culprit, now)
+        suspects = self.evidence.suspects(now)
+        self.suspects = frozenset(suspect.part for suspect in suspects)
+        self.unserved = frozenset(
+            suspect.part for suspect in suspects if not suspect.is_recent
+        )
+        for part in self.unasked_parts(now):
+            self.release_part(part, 'unasked', now)
+
+    def quarantine_part(self, culprit: Culprit, now: float) -> None:
+        """Quarantine a part."""
+        part = culprit.part
+        self.quarantine.add(part, now)
+        self.probes.on_quarantined(part, now)
+        self.asked_at[part] = now
+        self.log(
+            'prompt_part_quarantined',
+            [part],
+            runs=sorted(run.name for run in culprit.runs),
+            served=culprit.served,
+            served_before=culprit.served_before,
+            after_s=round(now - culprit.first_at, 3),
+        )
+
+    def release_part(self, part: str, reason: str, now: float) -> None:
+        """Lift the quarantine of a part."""
+        self.quarantine.lift(part, now)
+        self.probes.forget(part)
+        self.asked_at.pop(part, None)
+        self.log('prompt_part_released', [part], reason=reason)
+
+    def unasked_parts(self, now: float) -> list[str]:
+        """Return the quarantined parts that nobody asks for.
+
+        Only the home host knows them, once it has been it for long enough.
+        """
+        active = self.quarantine.active_parts
+        if not active or now - self.last_ask_at > HOME_IDLE_S:
+            return []
+        return [
+            part
+            for part in active
+            if now - self.last_asked_at(part) >= UNASKED_S
+        ]
+
+    def last_asked_at(self, part: str) -> float:
+        """Return since when at most nobody has asked for a part, in seconds."""
+        return max(
+            self.asked_at.get(part, 0),
+            self.home_since,
+            self.quarantine.since(part) or 0,
+        )
+
+    def log(self, event: str, parts: Iterable[str], **fields: object) -> None:
+        """Add a log event for each of some parts."""
+        self.events.extend(
+            DecisionEvent(event, {'part': part, **fields}) for part in parts
+        )
--- a/trefoilspool/quarantine.py
+++ b/trefoilspool/quarantine.py
@@ -34,7 +34,7 @@
 
 
 class Copy(NamedTuple):
-    """This host's copy of an entry.
+    """The copy of an entry on this host.
 
     Attributes
     ----------
--- a/trefoilspool/servicequeue.py
+++ b/trefoilspool/servicequeue.py
@@ -1,7 +1,7 @@
 """Queue of a service's requests that wait for a slot."""
 
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from sortedcontainers import SortedKeyList
@@ -87,11 +87,23 @@
         self,
         now: float,
         preferred: frozenset[int] = NO_RANKS,
+        held_back: Callable[[SlotRequest], bool] | None = None,
     ) -> list[SlotRequest]:
-        """Return the first requests in order, at most ``MAX_CANDIDATES``."""
-        return list(
-            itertools.islice(self.ordered(now, preferred), MAX_CANDIDATES)
-        )
+        """Return the first requests in order, at most ``MAX_CANDIDATES``.
+
+        Parameters
+        ----------
+        now : float
+            The present time in seconds.
+        preferred : frozenset of int
+            Ranks that go first.
+        held_back : callable, optional
+            Whether a request may not get a slot yet.
+        """
+        ordered = self.ordered(now, preferred)
+        if held_back is not None:
+            ordered = itertools.filterfalse(held_back, ordered)
+        return list(itertools.islice(ordered, MAX_CANDIDATES))
 
     def ordered(
         self,
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -12,7 +12,7 @@
 from trefoilspool.endpointload import EndpointLoad, Reservation
 from trefoilspool.grantrates import GrantRates
 from trefoilspool.minimumshares import MinimumShares
-from trefoilspool.promptguard import PromptGuard
+from trefoilspool.promptguard import GuardDecision, PromptGuard
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.ratelimits import RateLimits
 from trefoilspool.servicequeue import QueuedRequest, ServiceQueue
@@ -55,6 +55,11 @@
         AttemptEnding.gone,
     )
 )
+# Refused requests that have no claim to a minimum share.
+UNCOUNTED_REFUSALS = frozenset(
+    (RefusalReason.over_limit, RefusalReason.quarantined)
+)
+HELD_BACK = frozenset((GuardDecision.waits, GuardDecision.refused))
 
 
 class SlotScheduler:
@@ -106,12 +111,14 @@
         """Return the log events since the last call."""
         events = self.events
         self.events = []
-        return events
+        return events + self.guard.take_events()
 
     def on_available_endpoints(
         self, endpoints: Iterable[EndpointSpec], now: float
     ) -> None:
         """Replace the endpoints that may get requests."""
+        endpoints = list(endpoints)
+        self.guard.on_endpoints(endpoints, now)
         previous = self.available_endpoints
         self.available_endpoints = {}
         self.by_service = {}
@@ -129,13 +136,15 @@
         """Grant a slot, queue the request, or refuse it."""
         reservation = self.reservations.get(ask.key)
         if reservation is not None:
-            self.decisions.append(Granted(ask.key, reservation.endpoint))
+            self.decisions.append(
+                Granted(ask.key, reservation.endpoint, reservation.is_probe)
+            )
             return
         if ask.key in self.waiting:
             self.decisions.append(Queued(ask.key))
             return
         reason = self.try_admit(ask, now)
-        if reason is not RefusalReason.over_limit:
+        if reason not in UNCOUNTED_REFUSALS:
             self.minimum_shares[ask.service].on_ask(ask.rank, now)
         if reason is not None:
             self.refuse(ask, reason, now)
@@ -150,6 +159,8 @@
         self, entry: str, reports: Iterable[CrashReport], now: float
     ) -> None:
         """Take an entry host's reports of attempts that ended endpoints."""
+        for report in reports:
+            self.guard.on_report(entry, report, now)
 
     def queue(self, service: str) -> ServiceQueue:
         """Return the waiting requests of a service."""
@@ -181,6 +192,8 @@
         RefusalReason or None
             Why the request is refused; None if it was charged.
         """
+        if self.guard.decide(ask, now) is GuardDecision.refused:
+            return RefusalReason.quarantined
         # A new home host may not have the endpoints yet; requests then wait.
         endpoints = self.by_service.get(ask.service, ())
         if endpoints and all(
@@ -200,11 +213,16 @@
             if queue
             else frozenset()
         )
-        for ask in queue.candidates(now, preferred):
+        held_back = self.guard.is_held_back if self.guard.suspects else None
+        for ask in queue.candidates(now, preferred, held_back):
+            decision = self.guard.decide(ask, now)
+            if decision in HELD_BACK:
+                continue
             endpoint = self.best_endpoint(ask, now)
             if endpoint is not None:
                 self.dequeue(ask.key)
-                self.grant(ask, endpoint, now)
+                is_probe = decision is GuardDecision.probe
+                self.grant(ask, endpoint, now, is_probe=is_probe)
             elif not self.has_free_slot(service):
                 return
 
@@ -264,15 +282,21 @@
         ]
 
     def grant(
-        self, ask: SlotRequest, endpoint: EndpointLoad, now: float
+        self,
+        ask: SlotRequest,
+        endpoint: EndpointLoad,
+        now: float,
+        *,
+        is_probe: bool,
     ) -> None:
         """Grant a slot at an endpoint to a request."""
-        endpoint.reserve(ask, now)
-        self.reservations[ask.key] = endpoint.reservations[ask.key]
+        reservation = endpoint.reserve(ask, now, is_probe=is_probe)
+        self.reservations[ask.key] = reservation
+        self.guard.on_granted(ask.key, reservation, now)
         self.rate_limits.record_attempt(ask, now)
         self.grant_rates.record(ask.service, now)
         self.minimum_shares[ask.service].on_grant(ask.rank, now)
-        self.decisions.append(Granted(ask.key, endpoint.spec.name))
+        self.decisions.append(Granted(ask.key, endpoint.spec.name, is_probe))
 
     def refuse(
         self, ask: SlotRequest, reason: RefusalReason, now: float
@@ -323,7 +347,9 @@
         ``RETRY_AFTER_DIVISOR``.
         """
         most = (ask.deadline - now) / RETRY_AFTER_DIVISOR
-        if reason is RefusalReason.over_limit:
+        if reason is RefusalReason.quarantined:
+            wait = most
+        elif reason is RefusalReason.over_limit:
             wait = self.rate_limits.refill_s(ask, now)
         else:
             wait = self.predict_queue_drain_s(ask, now)
@@ -351,7 +377,10 @@
     def on_release(self, release: SlotRelease, now: float) -> None:
         """Free a slot and record how its attempt ended."""
         self.withdraw(release.key, now)
-        reservation = self.cancel_reservation(release.key)
+        reservation = self.reservations.get(release.key)
+        if reservation is not None:
+            self.guard.on_release(release, reservation, now)
+        self.cancel_reservation(release.key, now)
         endpoint = self.available_endpoints.get(release.endpoint)
         if endpoint is not None:
             granted_at = now if reservation is None else reservation.granted_at
@@ -393,16 +422,17 @@
                 )
             )
 
-    def cancel_reservation(self, key: SlotKey) -> Reservation | None:
+    def cancel_reservation(
+        self, key: SlotKey, now: float
+    ) -> Reservation | None:
         """Remove a reservation and return it, None if there is none."""
         reservation = self.reservations.pop(key, None)
-        if (
-            reservation is not None
-            and reservation.endpoint in self.available_endpoints
-        ):
-            self.available_endpoints[reservation.endpoint].reservations.pop(
-                key, None
-            )
+        if reservation is None:
+            return None
+        self.guard.on_freed(key, reservation, now)
+        endpoint = self.available_endpoints.get(reservation.endpoint)
+        if endpoint is not None:
+            endpoint.reservations.pop(key, None)
         return reservation
 
     def on_held_slots(
@@ -419,6 +449,8 @@
             reservation = self.reservations.get(held.key)
             if reservation is None or reservation.endpoint != held.endpoint:
                 self.adopt(held, now)
+            else:
+                self.guard.on_held(held, reservation, now)
         expired_before = now - HOLD_TIMEOUT_S
         for key, reservation in list(self.reservations.items()):
             if key.entry == entry and key not in listed:
@@ -433,7 +465,7 @@
         granted the slot.
         """
         self.dequeue(held.key)
-        replaced = self.cancel_reservation(held.key)
+        replaced = self.cancel_reservation(held.key, now)
         reservation = Reservation(
             held.service,
             held.endpoint,
@@ -444,8 +476,11 @@
             # is refunded when it is released.
             replaced.workspace if replaced else '',
             replaced.charge if replaced else 0,
+            replaced.parts if replaced else (),
+            self.guard.run(held.endpoint),
         )
         self.reservations[held.key] = reservation
+        self.guard.on_granted(held.key, reservation, now)
         if held.endpoint in self.available_endpoints:
             self.available_endpoints[held.endpoint].reservations[held.key] = (
                 reservation
@@ -453,15 +488,18 @@
 
     def reclaim(self, key: SlotKey, now: float) -> None:
         """Free a slot whose release was lost, or whose entry host is lost."""
-        reservation = self.cancel_reservation(key)
+        reservation = self.cancel_reservation(key, now)
         if reservation is not None:
             self.grant_waiting(reservation.service, now)
 
     def tick(self, now: float) -> None:
         """Apply queue timeouts, remove lost entry hosts, grant free slots."""
+        self.guard.tick(now)
         for waiting in list(self.waiting.values()):
             if now >= waiting.timeout_at:
                 self.refuse(waiting.ask, RefusalReason.crowded, now)
+            elif self.guard.decide(waiting.ask, now) is GuardDecision.refused:
+                self.refuse(waiting.ask, RefusalReason.quarantined, now)
         for entry, reported_at in list(self.last_reports.items()):
             if now - reported_at > HOLD_TIMEOUT_S:
                 self.remove_entry(entry, now)
