Count only the runs that ended since a part was last served

Cause: a part that was sound before was excused by requests sent before, and a shared first part was blamed when none of its requests had had the time to be served. Change: a part that is served again starts at nothing; one that was served recently, or may have been, is judged 2 s after others were served.

--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -22,22 +22,23 @@
 MIN_RUNS = 3
 SUSPECT_RUNS = 2
 # A part that was served so recently before its first crash, or may have been,
-# needs one run more, and a sign that endpoints serve other requests; as do
-# several parts with the same runs.
+# needs one run more, and time for requests with it to be served.
 RECENTLY_SERVED_S = 10.0
+# Time in which sound parts show that they are, once other requests are served.
+# One request at a time is granted meanwhile, and its stream has to last, and to
+# be reported.
+TRIAL_S = 2.0
 MIN_OTHERS_SERVED = 3
-# Crashes this far apart are not of one cause that ends many endpoints at once.
-MOMENT_S = 0.5
-MIN_MOMENTS = 4
-# A part is no culprit if requests with it were served this many times less than
-# endpoints ended, or more.
-CRASHES_PER_SERVED = 3
-MAX_REPORTS = 2048
+# If no others are served: crashes this far apart are not of one cause that ends
+# many endpoints at once.
+MOMENT_S = 0.3
+MIN_MOMENTS = 5
+MAX_REPORTS = 1024
 MAX_RUNS = 512
 MAX_PARTS = 4096
+MAX_SERVED = 256  # of which the times are kept
 MAX_SIGNS = 12  # of the end of a run
-ANY_PART = ''
-MAX_SERVED_TIMES = 64  # of a part
+NEVER = float('-inf')
 
 
 class CrashReport(NamedTuple):
@@ -86,8 +87,8 @@
     """
 
     ended_at: tuple[float, ...] = ()
-    broken_at: float = float('-inf')
-    collapsed_at: float = float('-inf')
+    broken_at: float = NEVER
+    collapsed_at: float = NEVER
     broken_attempt: tuple[str, int] = ('', 0)
 
     def is_end(self, at: float) -> bool:
@@ -98,66 +99,45 @@
 
 
 class Culprit(NamedTuple):
-    """A part under which endpoints end.
+    """A part under which endpoints end; times in seconds.
 
     Attributes
     ----------
-    runs : frozenset of EndpointRun
-        Runs that ended under it and that nothing else explains.
-    first_at : float
-        When the first of them ended, in seconds.
-    moments : int
-        Number of times at which runs ended.
-    served, served_before : int
-        Requests with the part that were served, sent since then and before.
-    others_served : int
-        Requests without it that were served, sent since then.
+    runs : dict
+        When runs ended under it that nothing else explains, since a request
+        with it was last served.
+    served_at : float
+        When the last request with the part that was served was sent; minus
+        infinity if none is remembered.
     is_recent : bool
-        Whether one with it was served shortly before, or may have been.
+        Whether that was shortly before the first of the runs ended, or may
+        have been.
+    is_tried : bool
+        Whether it would have been served since then if it were sound.
     """
 
     part: str
-    runs: frozenset[EndpointRun]
-    first_at: float
-    moments: int
-    served: int
-    served_before: int
-    others_served: int
+    runs: Mapping[EndpointRun, float]
+    served_at: float
     is_recent: bool
+    is_tried: bool
 
     @property
     def is_proven(self) -> bool:
         """Return whether the runs suffice for a quarantine."""
-        if self.served * CRASHES_PER_SERVED >= len(self.runs):
-            return False
         if self.is_recent:
-            return self.is_told_apart
+            return len(self.runs) > MIN_RUNS and self.is_tried
         return len(self.runs) >= MIN_RUNS
 
-    @property
-    def is_told_apart(self) -> bool:
-        """Return whether sound parts would show by now that they are."""
-        return len(self.runs) > MIN_RUNS and (
-            self.others_served >= MIN_OTHERS_SERVED
-            or self.moments >= MIN_MOMENTS
-        )
-
     @property
     def is_suspect(self) -> bool:
         """Return whether requests with the part should go one by one."""
-        return (
-            len(self.runs) >= SUSPECT_RUNS + self.is_recent and not self.served
-        )
+        return len(self.runs) >= SUSPECT_RUNS + self.is_recent
 
     @property
-    def order(self) -> tuple[bool, int, int, int]:
+    def order(self) -> tuple[bool, int, float]:
         """Return a key that is lowest for the likeliest cause."""
-        return (
-            self.served_before > 0,
-            -len(self.runs),
-            self.served,
-            self.served_before,
-        )
+        return self.is_recent, -len(self.runs), self.served_at
 
 
 class CrashEvidence:
@@ -174,10 +154,14 @@
         Reported attempts by entry host and number, oldest first.
     runs : dict
         Signs of the ends of runs, by run.
-    served_times : dict
-        When requests with a part were sent that were served, by part.
+    served_at : dict
+        When the last request with a part that was served was sent, by part.
+    served_times : deque
+        When the last requests that were served were sent, in seconds.
     known_since : float
         Since when served requests are known here, in seconds.
+    is_changed : bool
+        Whether there is evidence that has not been judged.
     """
 
     def __init__(self, quarantine: Quarantine) -> None:
@@ -186,8 +170,11 @@
             OrderedDict()
         )
         self.runs: OrderedDict[EndpointRun, RunSigns] = OrderedDict()
-        self.served_times: OrderedDict[str, deque[float]] = OrderedDict()
+        self.served_at: OrderedDict[str, float] = OrderedDict()
+        self.served_times: deque[float] = deque(maxlen=MAX_SERVED)
         self.known_since = float('inf')
+        self.is_changed = False
+        self.blamed: frozenset[str] = frozenset()
 
     def on_report(self, entry: str, report: CrashReport, now: float) -> None:
         """Take a report; repeated ones change nothing."""
@@ -195,6 +182,7 @@
         if report.age_s > RETENTION_S or key in self.attempts:
             return
         ended_at = now - report.age_s
+        self.is_changed = True
         self.attempts[key] = BrokenAttempt(report.run, report.parts, ended_at)
         self.on_broken(report.run, key, ended_at)
         if len(self.attempts) > MAX_REPORTS:
@@ -232,25 +220,25 @@
         """
         signs = self.runs.get(run)
         if signs is not None and signs.collapsed_at < since:
-            self.runs[run] = signs._replace(collapsed_at=float('-inf'))
+            self.runs[run] = signs._replace(collapsed_at=NEVER)
 
     def set_signs(self, run: EndpointRun, signs: RunSigns) -> None:
         """Replace the signs of a run."""
         self.runs[run] = signs
+        self.is_changed = True
         if len(self.runs) > MAX_RUNS:
             self.runs.popitem(last=False)
 
     def on_served(self, parts: tuple[str, ...], sent_at: float) -> None:
         """Note that a request with these parts was served."""
-        for part in (ANY_PART, *parts):
-            times = self.served_times.get(part)
-            if times is None:
-                times = deque(maxlen=MAX_SERVED_TIMES)
-                self.served_times[part] = times
-            times.append(sent_at)
-            self.served_times.move_to_end(part)
-        while len(self.served_times) > MAX_PARTS:
-            self.served_times.popitem(last=False)
+        self.served_times.append(sent_at)
+        self.is_changed |= not self.blamed.isdisjoint(parts)
+        for part in parts:
+            last_at = self.served_at.get(part, NEVER)
+            self.served_at[part] = max(last_at, sent_at)
+            self.served_at.move_to_end(part)
+        while len(self.served_at) > MAX_PARTS:
+            self.served_at.popitem(last=False)
 
     def forget_old(self, now: float) -> None:
         """Forget what is older than ``RETENTION_S``."""
@@ -260,33 +248,37 @@
             if attempt.ended_at >= before:
                 break
             self.attempts.pop(key)
-        while self.served_times:
-            part, times = next(iter(self.served_times.items()))
-            if max(times) >= before:
+        while self.served_at:
+            part, sent_at = next(iter(self.served_at.items()))
+            if sent_at >= before:
                 break
-            self.served_times.pop(part)
+            self.served_at.pop(part)
+
+    def judge(self, now: float) -> list[Culprit]:
+        """Return the parts under which runs ended that nothing explains."""
+        self.is_changed = False
+        crashes = self.unexplained(now)
+        self.blamed = frozenset(crashes)
+        judged = (
+            self.culprit(part, runs, now) for part, runs in crashes.items()
+        )
+        return [culprit for culprit in judged if culprit.runs]
 
     def culprits(self, now: float) -> list[Culprit]:
         """Return the parts to quarantine now, likeliest first."""
-        crashes = self.unexplained(now)
         found: list[Culprit] = []
-        while crashes:
-            convicted = likeliest(
-                [self.culprit(part, runs) for part, runs in crashes.items()]
-            )
+        judged = self.judge(now)
+        while judged:
+            convicted = likeliest(judged)
             if not convicted:
                 break
             found.extend(convicted)
-            crashes = without_runs(crashes, convicted[0].runs)
+            judged = explain_away(judged, convicted[0].runs)
         return found
 
     def suspects(self, now: float) -> list[Culprit]:
         """Return the parts of which one request at a time gets an endpoint."""
-        judged = (
-            self.culprit(part, runs)
-            for part, runs in self.unexplained(now).items()
-        )
-        return [culprit for culprit in judged if culprit.is_suspect]
+        return [culprit for culprit in self.judge(now) if culprit.is_suspect]
 
     def unexplained(self, now: float) -> dict[str, dict[EndpointRun, float]]:
         """Return when runs ended under each part that nothing explains.
@@ -309,7 +301,11 @@
                 crashes[part].setdefault(attempt.run, attempt.ended_at)
                 if self.explains(part, attempt.ended_at):
                     explained.add(attempt.run)
-        return without_runs(crashes, explained)
+        left = {
+            part: {run: at for run, at in runs.items() if run not in explained}
+            for part, runs in crashes.items()
+        }
+        return {part: runs for part, runs in left.items() if runs}
 
     def explains(self, part: str, at: float) -> bool:
         """Return whether a part's quarantine explains a crash at a time.
@@ -321,68 +317,74 @@
             return False
         return part in self.quarantine.active_parts or at < since
 
-    def culprit(self, part: str, runs: Mapping[EndpointRun, float]) -> Culprit:
+    def culprit(
+        self, part: str, runs: Mapping[EndpointRun, float], now: float
+    ) -> Culprit:
         """Return what speaks for and against a part."""
-        first_at = min(runs.values())
-        times = self.served_times.get(part, ())
-        before = [at for at in times if at < first_at]
-        served = len(times) - len(before)
-        any_served = sum(
-            at >= first_at for at in self.served_times.get(ANY_PART, ())
-        )
-        last_at = max(before, default=self.known_since)
+        served_at = self.served_at.get(part, NEVER)
+        runs = {run: at for run, at in runs.items() if at > served_at}
+        first_at = min(runs.values(), default=now)
         return Culprit(
             part,
-            frozenset(runs),
-            first_at,
-            count_moments(runs.values()),
-            served,
-            len(before),
-            any_served - served,
-            first_at - last_at <= RECENTLY_SERVED_S,
+            runs,
+            served_at,
+            first_at - max(served_at, self.known_since) <= RECENTLY_SERVED_S,
+            self.is_tried(runs.values(), first_at, now),
         )
 
+    def is_tried(
+        self, ended_at: Iterable[float], first_at: float, now: float
+    ) -> bool:
+        """Return whether sound requests would have been served by now."""
+        since = max(first_at, self.known_since)
+        others = sorted(at for at in self.served_times if at >= since)
+        if len(others) >= MIN_OTHERS_SERVED:
+            since = others[0]
+        elif count_moments(ended_at) < MIN_MOMENTS:
+            return False
+        return now - since >= TRIAL_S
+
 
 def likeliest(culprits: list[Culprit]) -> list[Culprit]:
-    """Return the likeliest proven culprit, or all with the same runs.
+    """Return the likeliest proven culprit, or all that are as likely.
 
-    These need one run more, and those that were served least are taken.
+    If there are several, they need one run more.
     """
     proven = sorted(
         (culprit for culprit in culprits if culprit.is_proven),
         key=lambda culprit: culprit.order,
     )
-    if not proven:
-        return []
-    first = proven[0]
     tied = [
         culprit
         for culprit in proven
-        if culprit.runs == first.runs and culprit.order == first.order
+        if culprit.order == proven[0].order
+        and culprit.runs.keys() == proven[0].runs.keys()
     ]
-    if len(tied) > 1 and not first.is_told_apart:
+    if len(tied) > 1 and len(tied[0].runs) <= MIN_RUNS:
         return []
     return tied
 
 
+def explain_away(
+    culprits: list[Culprit], explained: Mapping[EndpointRun, float]
+) -> list[Culprit]:
+    """Return what is left of culprits without the runs of another one."""
+    left = []
+    for culprit in culprits:
+        runs = {
+            run: at for run, at in culprit.runs.items() if run not in explained
+        }
+        if runs:
+            left.append(culprit._replace(runs=runs))
+    return left
+
+
 def count_moments(times: Iterable[float]) -> int:
     """Return the number of times that are ``MOMENT_S`` apart."""
     moments = 0
-    last_at = float('-inf')
+    last_at = NEVER
     for at in sorted(times):
         if at - last_at >= MOMENT_S:
             moments += 1
             last_at = at
     return moments
-
-
-def without_runs(
-    crashes: Mapping[str, dict[EndpointRun, float]],
-    explained: frozenset[EndpointRun] | set[EndpointRun],
-) -> dict[str, dict[EndpointRun, float]]:
-    """Return the crashes of each part without those of some runs."""
-    left = {
-        part: {run: at for run, at in runs.items() if run not in explained}
-        for part, runs in crashes.items()
-    }
-    return {part: runs for part, runs in left.items() if runs}
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -4,7 +4,12 @@
 from collections.abc import Iterable
 from enum import Enum, auto
 
-from trefoilspool.crashevidence import CrashEvidence, CrashReport, Culprit
+from trefoilspool.crashevidence import (
+    NEVER,
+    CrashEvidence,
+    CrashReport,
+    Culprit,
+)
 from trefoilspool.departures import EndpointRun
 from trefoilspool.endpointload import Reservation
 from trefoilspool.quarantine import Quarantine
@@ -22,6 +27,7 @@
 __all__ = ['GuardDecision', 'PromptGuard']
 
 CHECK_INTERVAL_S = 0.05
+IDLE_CHECK_INTERVAL_S = 0.5  # without new evidence
 # A request is served once its stream has gone on for so long.
 SERVED_STREAMING_S = 0.25
 # A broken attempt with an event counts as a crash if the event came so shortly
@@ -240,7 +246,12 @@
 
     def tick(self, now: float) -> None:
         """Quarantine culprits, lift quarantines that nobody asks for."""
-        if now - self.checked_at < CHECK_INTERVAL_S:
+        interval_s = (
+            CHECK_INTERVAL_S
+            if self.evidence.is_changed
+            else IDLE_CHECK_INTERVAL_S
+        )
+        if now - self.checked_at < interval_s:
             return
         self.checked_at = now
         self.evidence.forget_old(now)
@@ -265,9 +276,12 @@
             'prompt_part_quarantined',
             [part],
             runs=sorted(run.name for run in culprit.runs),
-            served=culprit.served,
-            served_before=culprit.served_before,
-            after_s=round(now - culprit.first_at, 3),
+            after_s=round(now - min(culprit.runs.values()), 3),
+            served_before_s=(
+                round(now - culprit.served_at, 3)
+                if culprit.served_at > NEVER
+                else None
+            ),
         )
 
     def release_part(self, part: str, reason: str, now: float) -> None:
