Leave a pause between requests with a suspect part

Cause: requests with a part that is judged late, as it was sound before, end an endpoint every 0.15 s one by one. Change: 0.5 s after each.

--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -21,6 +21,9 @@
 SIMULTANEOUS_S = 0.3
 MIN_RUNS = 3
 SUSPECT_RUNS = 2
+# Between the end of a run and the next request with a suspect part; time for
+# sound parts to be served, and for endpoints to be back.
+SUSPECT_PAUSE_S = 0.5
 # A part that was served so recently before its first crash, or may have been,
 # needs one run more, and time for requests with it to be served.
 RECENTLY_SERVED_S = 10.0
@@ -98,6 +101,9 @@
         )
 
 
+NO_SIGNS = RunSigns()
+
+
 class Culprit(NamedTuple):
     """A part under which endpoints end; times in seconds.
 
@@ -134,6 +140,11 @@
         """Return whether requests with the part should go one by one."""
         return len(self.runs) >= SUSPECT_RUNS + self.is_recent
 
+    @property
+    def held_until(self) -> float:
+        """Return until when requests with the part wait, in seconds."""
+        return max(self.runs.values()) + SUSPECT_PAUSE_S
+
     @property
     def order(self) -> tuple[bool, int, float]:
         """Return a key that is lowest for the likeliest cause."""
@@ -192,7 +203,7 @@
         self, run: EndpointRun, attempt: tuple[str, int], at: float
     ) -> None:
         """Note an attempt that broke at a run, whether reported or not."""
-        signs = self.runs.get(run, RunSigns())
+        signs = self.runs.get(run, NO_SIGNS)
         if signs.broken_attempt == attempt:
             return
         is_collapse = abs(signs.broken_at - at) <= SIMULTANEOUS_S
@@ -207,7 +218,7 @@
 
     def on_run_ended(self, run: EndpointRun, now: float) -> None:
         """Note a sign that a run has ended."""
-        signs = self.runs.get(run, RunSigns())
+        signs = self.runs.get(run, NO_SIGNS)
         if signs.ended_at and now - signs.ended_at[-1] <= CONFIRMATION_S:
             return
         ended_at = (*signs.ended_at[-MAX_SIGNS:], now)
@@ -289,23 +300,24 @@
             Seconds by run, by part.
         """
         crashes: defaultdict[str, dict[EndpointRun, float]] = defaultdict(dict)
-        explained = set()
-        for attempt in self.attempts.values():
-            if now - attempt.ended_at > RETENTION_S:
-                continue
-            if not self.runs.get(attempt.run, RunSigns()).is_end(
-                attempt.ended_at
-            ):
-                continue
-            for part in attempt.parts:
-                crashes[part].setdefault(attempt.run, attempt.ended_at)
-                if self.explains(part, attempt.ended_at):
-                    explained.add(attempt.run)
-        left = {
-            part: {run: at for run, at in runs.items() if run not in explained}
-            for part, runs in crashes.items()
+        attempts = [
+            attempt
+            for attempt in self.attempts.values()
+            if now - attempt.ended_at <= RETENTION_S
+            and self.runs.get(attempt.run, NO_SIGNS).is_end(attempt.ended_at)
+        ]
+        explained = {
+            attempt.run
+            for attempt in attempts
+            if any(
+                self.explains(part, attempt.ended_at) for part in attempt.parts
+            )
         }
-        return {part: runs for part, runs in left.items() if runs}
+        for attempt in attempts:
+            if attempt.run not in explained:
+                for part in attempt.parts:
+                    crashes[part].setdefault(attempt.run, attempt.ended_at)
+        return crashes
 
     def explains(self, part: str, at: float) -> bool:
         """Return whether a part's quarantine explains a crash at a time.
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -70,8 +70,9 @@
 
     Attributes
     ----------
-    suspects : frozenset of str
-        Parts of which one request at a time gets an endpoint.
+    suspects : dict
+        Parts of which one request at a time gets an endpoint, and the time
+        before which none does, in seconds.
     unserved : frozenset of str
         Those that are not known to have been served; they get no second
         attempts, as each would cost an endpoint.
@@ -91,7 +92,7 @@
         self.quarantine = quarantine
         self.evidence = CrashEvidence(quarantine)
         self.probes = ProbeSchedule(quarantine)
-        self.suspects: frozenset[str] = frozenset()
+        self.suspects: dict[str, float] = {}
         self.unserved: frozenset[str] = frozenset()
         self.granted_parts: Counter[str] = Counter()
         self.served_keys: set[SlotKey] = set()
@@ -153,15 +154,16 @@
             return GuardDecision.refused
         return (
             GuardDecision.waits
-            if self.is_held_back(ask)
+            if self.is_held_back(ask, now)
             else GuardDecision.passes
         )
 
-    def is_held_back(self, ask: SlotRequest) -> bool:
+    def is_held_back(self, ask: SlotRequest, now: float) -> bool:
         """Return whether a waiting request may not get an endpoint yet."""
         return any(
-            self.granted_parts[part]
-            for part in self.suspects.intersection(ask.parts)
+            self.granted_parts[part] or now < self.suspects[part]
+            for part in ask.parts
+            if part in self.suspects
         )
 
     def note_ask(self, now: float) -> None:
@@ -259,7 +261,9 @@
         for culprit in self.evidence.culprits(now):
             self.quarantine_part(culprit, now)
         suspects = self.evidence.suspects(now)
-        self.suspects = frozenset(suspect.part for suspect in suspects)
+        self.suspects = {
+            suspect.part: suspect.held_until for suspect in suspects
+        }
         self.unserved = frozenset(
             suspect.part for suspect in suspects if not suspect.is_recent
         )
--- a/trefoilspool/servicequeue.py
+++ b/trefoilspool/servicequeue.py
@@ -87,7 +87,7 @@
         self,
         now: float,
         preferred: frozenset[int] = NO_RANKS,
-        held_back: Callable[[SlotRequest], bool] | None = None,
+        held_back: Callable[[SlotRequest, float], bool] | None = None,
     ) -> list[SlotRequest]:
         """Return the first requests in order, at most ``MAX_CANDIDATES``.
 
@@ -98,11 +98,11 @@
         preferred : frozenset of int
             Ranks that go first.
         held_back : callable, optional
-            Whether a request may not get a slot yet.
+            Whether a request may not get a slot yet, at the present time.
         """
         ordered = self.ordered(now, preferred)
         if held_back is not None:
-            ordered = itertools.filterfalse(held_back, ordered)
+            ordered = (ask for ask in ordered if not held_back(ask, now))
         return list(itertools.islice(ordered, MAX_CANDIDATES))
 
     def ordered(
