--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -4,7 +4,12 @@
 from collections.abc import Iterable
 from enum import Enum, auto
 
-from trefoilspool.crashevidence import CrashEvidence, CrashReport, Culprit
+from trefoilspool.crashevidence import (
+    NEVER,
+    CrashEvidence,
+    CrashReport,
+    Culprit,
+)
 from trefoilspool.departures import EndpointRun
 from trefoilspool.endpointload import Reservation
 from trefoilspool.quarantine import Quarantine
@@ -22,6 +27,7 @@
 __all__ = ['GuardDecision', 'PromptGuard']
 
 CHECK_INTERVAL_S = 0.05
+IDLE_CHECK_INTERVAL_S = 0.5  # without new evidence
 # A request is served once its stream has gone on for so long.
 SERVED_STREAMING_S = 0.25
 # A broken attempt with an event counts as a crash if the event came so shortly
@@ -64,8 +70,9 @@
 
     Attributes
     ----------
-    suspects : frozenset of str
-        Parts of which one request at a time gets an endpoint.
+    suspects : dict
+        Parts of which one request at a time gets an endpoint, and the time
+        before which none does, in seconds.
     unserved : frozenset of str
         Those that are not known to have been served; they get no second
         attempts, as each would cost an endpoint.
@@ -85,7 +92,7 @@
         self.quarantine = quarantine
         self.evidence = CrashEvidence(quarantine)
         self.probes = ProbeSchedule(quarantine)
-        self.suspects: frozenset[str] = frozenset()
+        self.suspects: dict[str, float] = {}
         self.unserved: frozenset[str] = frozenset()
         self.granted_parts: Counter[str] = Counter()
         self.served_keys: set[SlotKey] = set()
@@ -147,15 +154,16 @@
             return GuardDecision.refused
         return (
             GuardDecision.waits
-            if self.is_held_back(ask)
+            if self.is_held_back(ask, now)
             else GuardDecision.passes
         )
 
-    def is_held_back(self, ask: SlotRequest) -> bool:
+    def is_held_back(self, ask: SlotRequest, now: float) -> bool:
         """Return whether a waiting request may not get an endpoint yet."""
         return any(
-            self.granted_parts[part]
-            for part in self.suspects.intersection(ask.parts)
+            self.granted_parts[part] or now < self.suspects[part]
+            for part in ask.parts
+            if part in self.suspects
         )
 
     def note_ask(self, now: float) -> None:
@@ -240,7 +248,12 @@
 
     def tick(self, now: float) -> None:
         """Quarantine culprits, lift quarantines that nobody asks for."""
-        if now - self.checked_at < CHECK_INTERVAL_S:
+        interval_s = (
+            CHECK_INTERVAL_S
+            if self.evidence.is_changed
+            else IDLE_CHECK_INTERVAL_S
+        )
+        if now - self.checked_at < interval_s:
             return
         self.checked_at = now
         self.evidence.forget_old(now)
@@ -248,7 +261,9 @@
         for culprit in self.evidence.culprits(now):
             self.quarantine_part(culprit, now)
         suspects = self.evidence.suspects(now)
-        self.suspects = frozenset(suspect.part for suspect in suspects)
+        self.suspects = {
+            suspect.part: suspect.held_until for suspect in suspects
+        }
         self.unserved = frozenset(
             suspect.part for suspect in suspects if not suspect.is_recent
         )
@@ -265,9 +280,12 @@
             'prompt_part_quarantined',
             [part],
             runs=sorted(run.name for run in culprit.runs),
-            served=culprit.served,
-            served_before=culprit.served_before,
-            after_s=round(now - culprit.first_at, 3),
+            after_s=round(now - min(culprit.runs.values()), 3),
+            served_before_s=(
+                round(now - culprit.served_at, 3)
+                if culprit.served_at > NEVER
+                else None
+            ),
         )
 
     def release_part(self, part: str, reason: str, now: float) -> None:
