Take an unsized stream without an event as cut

Callers saw a whole, empty 200 when an endpoint ended before the first event of a response without length or chunks; the attempt counted as completed, so that the part of the prompt under which endpoints end was taken for sound. Change: such a stream is cut if the caller has no event yet. A resumption after the last event may still be empty.

--- a/tests/platformendpoint.py
+++ b/tests/platformendpoint.py
@@ -74,6 +74,14 @@
             'Transfer-Encoding: chunked',
         )
 
+    def start_unsized(self) -> None:
+        """Start a stream that ends with its connection."""
+        self.head(
+            200,
+            f'Server-Stamp: {SERVER_STAMP}',
+            'Content-Type: text/event-stream',
+        )
+
     def chunk(self, body: bytes) -> None:
         self.sock.sendall(b'%x\r\n%s\r\n' % (len(body), body))
 
--- a/tests/test_crashingpart.py
+++ b/tests/test_crashingpart.py
@@ -79,6 +79,7 @@
     def __init__(self, endpoints: int = ENDPOINTS) -> None:
         self.cluster = GatewayCluster()
         self.numbers = itertools.count()
+        self.start_response = ServedRequest.start_stream
         self.arrivals: list[float] = []
         self.crashes: list[float] = []
         self.sound: list[Outcome] = []
@@ -110,7 +111,7 @@
     def crash_after_head(self, served: ServedRequest) -> None:
         """End the endpoint when it has begun to respond."""
         self.arrivals.append(time.monotonic())
-        served.start_stream()
+        self.start_response(served)
         time.sleep(0.02)
         self.crash(
             next(
@@ -271,9 +272,13 @@
 class TestSpread:
     """The crashes are seen by several hosts, each of which sees few."""
 
+    @pytest.mark.parametrize(
+        'start', [ServedRequest.start_stream, ServedRequest.start_unsized]
+    )
     def test_one_part_crashes_endpoint_after_endpoint(
-        self, world: CrashingWorld
+        self, world: CrashingWorld, start: Callable[[ServedRequest], None]
     ) -> None:
+        world.start_response = start
         world.send_all(world.add_hosts(3))
         check_stopped(world, world.wait_for_notice())
 
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -297,7 +297,14 @@
     def open_stream(
         self, slot: Slot, response: EndpointResponse
     ) -> StartedResponse:
-        """Read a stream up to the end of its first event."""
+        """Read a stream up to the end of its first event.
+
+        Raises
+        ------
+        StreamCutError
+            When it is cut before. Without a length or chunks, any end before
+            the first event is taken for that.
+        """
         progress = self.progress
         head_at = clock.now()
         first_due = progress.read_until(
@@ -308,6 +315,8 @@
         )
         rest = split_events(response.chunks())
         first = next(rest, b'')
+        if not first and response.is_unsized and progress.last_event_number < 0:
+            raise StreamCutError('the connection ended before the first event')
         now = clock.now()
         progress.times.on_first_event(now)
         response.wait.until = progress.next_event_due(now)
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -76,6 +76,12 @@
         """
         return b''.join(self.chunks())
 
+    @property
+    def is_unsized(self) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        response = self.http_response
+        return response.length is None and not response.chunked
+
     def discard(self) -> None:
         """Read and drop the body; close the connection if the body is cut."""
         try:
