--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -34,6 +34,9 @@
     'datagramsocket',
     'endpointview',
     'peers',
+    'promptguard',
+    'quarantinegossip',
+    'quarantinestore',
     'quietperiods',
     'replication',
     'requestoutcomes',
@@ -42,7 +45,9 @@
     'slotclient',
     'slotscheduler',
 )
-CALL = re.compile(r"(?:logger\.\w+|log_decision|DecisionEvent)\(\s*'([^']+)'")
+CALL = re.compile(
+    r"(?:logger\.\w+|self\.log|log_decision|DecisionEvent)\(\s*'([^']+)'"
+)
 PAGE = ROOT / 'docs' / 'operators' / 'decision-log.md'
 
 
