Hold the guard of prompts to its cases, alone and in a simulation

Change: tests of merging, evidence, probes and of the simulation. Of parts with nearly the same runs the last in the prompt is taken, not all; a part that was served recently is judged once others were served at five times; signs of an end that a later answer disproves are dropped; parts are judged 10 times a second at most, 512 reports.

--- /dev/null
+++ b/tests/test_crashevidence.py
@@ -0,0 +1,213 @@
+"""Which parts are blamed for the ends of endpoints."""
+
+import pytest
+
+from trefoilspool.crashevidence import (
+    CONFIRMATION_S,
+    MAX_REPORTS,
+    MAX_RUNS,
+    RETENTION_S,
+    SIMULTANEOUS_S,
+    CrashEvidence,
+    CrashReport,
+)
+from trefoilspool.departures import EndpointRun
+from trefoilspool.quarantine import Quarantine
+
+LATER_S = 20.0  # after which served requests are no longer recent
+
+
+@pytest.fixture
+def evidence() -> CrashEvidence:
+    made = CrashEvidence(Quarantine())
+    made.known_since = -100
+    return made
+
+
+def run(number: int) -> EndpointRun:
+    return EndpointRun(f'e{number}', number)
+
+
+def report(
+    evidence: CrashEvidence, number: int, *parts: str, age_s: float = 0
+) -> None:
+    """Report an attempt at the run with the attempt's number."""
+    evidence.on_report(
+        'h1', CrashReport(run(number), parts, number, age_s), number
+    )
+
+
+def crash(evidence: CrashEvidence, number: int, *parts: str) -> None:
+    """Let a run end in the second of its number."""
+    report(evidence, number, *parts)
+    evidence.on_run_ended(run(number), number + 0.2)
+
+
+def culprits(evidence: CrashEvidence, now: float) -> list[str]:
+    return [culprit.part for culprit in evidence.culprits(now)]
+
+
+class TestConfirmation:
+    def test_run_that_broke_off_answers_is_no_crash(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for number in range(4):
+            report(evidence, number, 'bad')
+        assert not culprits(evidence, 4)
+
+    def test_run_that_ended_soon_after_is_one(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for number in range(3):
+            report(evidence, number, 'bad')
+            evidence.on_run_ended(run(number), number + CONFIRMATION_S - 1)
+        assert culprits(evidence, 7) == ['bad']
+
+    def test_run_that_ended_much_later_is_none(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for number in range(3):
+            report(evidence, number, 'bad')
+            evidence.on_run_ended(run(number), number + CONFIRMATION_S + 1)
+        assert not culprits(evidence, 9)
+
+    def test_sign_may_come_before_the_report(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for number in range(3):
+            evidence.on_run_ended(run(number), number - 0.5)
+            report(evidence, number, 'bad', age_s=0.6)
+        assert culprits(evidence, 3) == ['bad']
+
+    def test_attempts_that_broke_together_suffice(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for number in range(3):
+            report(evidence, number, 'bad')
+            evidence.on_broken(run(number), ('h2', number), number + 0.1)
+        assert culprits(evidence, 3) == ['bad']
+
+    def test_attempts_that_broke_apart_do_not(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for number in range(3):
+            report(evidence, number, 'bad')
+            later = number + SIMULTANEOUS_S + 0.1
+            evidence.on_broken(run(number), ('h2', number), later)
+        assert not culprits(evidence, 3)
+
+    def test_later_answer_shows_that_the_signs_were_wrong(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for number in range(3):
+            crash(evidence, number, 'bad')
+        evidence.on_run_alive(run(1), 2)
+        assert not culprits(evidence, 4)
+
+    def test_repeated_report_counts_once(self, evidence: CrashEvidence) -> None:
+        for number in range(3):
+            crash(evidence, 1, 'bad')
+            report(evidence, 1, 'bad', age_s=number)
+        assert len(evidence.attempts) == 1
+        assert not culprits(evidence, 4)
+
+
+class TestCulprits:
+    def test_served_part_is_none(self, evidence: CrashEvidence) -> None:
+        for number in range(6):
+            crash(evidence, number, 'shared', f'own{number}')
+            evidence.on_served(('shared',), number + 0.5)
+        assert not culprits(evidence, 7)
+
+    def test_shared_part_before_the_culprit_is_not_taken(
+        self, evidence: CrashEvidence
+    ) -> None:
+        evidence.on_served(('shared', 'sound'), -1)
+        for number in range(3):
+            crash(evidence, number, 'shared', 'bad')
+        assert culprits(evidence, 3) == ['bad']
+
+    def test_runs_that_a_quarantine_explains_do_not_count(
+        self, evidence: CrashEvidence
+    ) -> None:
+        evidence.quarantine.add('bad', 0)
+        for number in range(1, 5):
+            crash(evidence, number, 'shared', 'bad')
+            report(evidence, number + 10, 'bystander')
+        assert not culprits(evidence, 16)
+
+    def test_runs_before_a_quarantine_was_lifted_do_not_count(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for number in range(3):
+            crash(evidence, number, 'bad')
+        evidence.quarantine.add('bad', 3)
+        evidence.quarantine.lift('bad', 30)
+        assert not culprits(evidence, 31)
+        for number in range(31, 34):
+            crash(evidence, number, 'bad')
+        assert culprits(evidence, 34) == ['bad']
+
+    def test_bystander_of_the_culprit_is_explained_away(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for number in range(4):
+            crash(evidence, number, 'a', 'bad')
+            if number:
+                bystander = CrashReport(run(number), ('b',), 50 + number, 0)
+                evidence.on_report('h2', bystander, number)
+        assert culprits(evidence, 4) == ['bad']
+
+    def test_two_culprits_are_both_found(self, evidence: CrashEvidence) -> None:
+        evidence.on_served(('shared',), -1)
+        for number in range(6):
+            crash(evidence, number, 'shared', ('bad', 'worse')[number % 2])
+        assert sorted(culprits(evidence, 6)) == ['bad', 'worse']
+
+    def test_recently_served_part_is_judged_later(
+        self, evidence: CrashEvidence
+    ) -> None:
+        evidence.on_served(('bad',), -1)
+        for number in range(4):
+            crash(evidence, number, 'bad')
+        assert not culprits(evidence, 4)
+        for step in range(5):
+            evidence.on_served(('sound',), 4 + step)
+        assert culprits(evidence, 9) == ['bad']
+
+    def test_part_that_was_served_long_ago_is_judged_at_once(
+        self, evidence: CrashEvidence
+    ) -> None:
+        evidence.on_served(('bad',), -LATER_S)
+        for number in range(3):
+            crash(evidence, number, 'bad')
+        assert culprits(evidence, 3) == ['bad']
+
+    def test_new_home_host_waits_for_served_requests(
+        self, evidence: CrashEvidence
+    ) -> None:
+        """It has the reports, but saw nothing served of the shared part."""
+        evidence.known_since = 4
+        for number in range(4):
+            crash(evidence, number, 'shared', 'bad')
+        assert not culprits(evidence, 5)
+        for step in range(5):
+            evidence.on_served(('shared',), 5 + step)
+        assert culprits(evidence, 10) == ['bad']
+
+    def test_old_crashes_are_forgotten(self, evidence: CrashEvidence) -> None:
+        for number in range(3):
+            crash(evidence, number, 'bad')
+        evidence.forget_old(RETENTION_S + 3)
+        assert not culprits(evidence, RETENTION_S + 3)
+        assert not evidence.attempts
+
+
+class TestBounds:
+    def test_reports_and_runs_are_bounded(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for number in range(MAX_REPORTS * 2):
+            crash(evidence, number, f'p{number}')
+        assert len(evidence.attempts) == MAX_REPORTS
+        assert len(evidence.runs) == MAX_RUNS
--- /dev/null
+++ b/tests/test_promptguard.py
@@ -0,0 +1,357 @@
+"""Prompt parts under which endpoints end: limits, quarantine, probes."""
+
+import pytest
+from crashworld import Variant, play
+from test_slotscheduler import ask, endpoint_spec, slot_release
+
+from trefoilspool.crashevidence import SUSPECT_PAUSE_S, CrashReport
+from trefoilspool.departures import EndpointRun
+from trefoilspool.promptguard import UNASKED_S
+from trefoilspool.quarantine import Quarantine, QuarantineEntry
+from trefoilspool.quarantineprobes import (
+    ADOPTED_INTERVAL_S,
+    FIRST_INTERVAL_S,
+    INTERVAL_FACTOR,
+)
+from trefoilspool.slotmessages import (
+    AttemptEnding,
+    DecisionEvent,
+    Granted,
+    HeldSlot,
+    Queued,
+    RefusalReason,
+    Refused,
+    SlotDecision,
+    SlotKey,
+)
+from trefoilspool.slotscheduler import SlotScheduler
+
+# The rule: more may not reach endpoints 3 s after the fifth crash.
+MAX_LATE = 3
+SEEDS = (1, 2)
+# Of sound requests past the bound; the rule asks for half of the usual share.
+MIN_SERVED_SHARE = 0.9
+
+VARIANTS = {
+    'usual': Variant(),
+    'one_a_second': Variant(poison_rate=1, second_parts=160, length=60),
+    'six_a_second': Variant(poison_rate=6, second_parts=800, length=60),
+    'one_in_8_s': Variant(poison_rate=1 / 8),
+    'few_sound': Variant(sound_rate=6, poison_rate=2, length=60),
+    'unrelated_crashes': Variant(crash_every=4, length=60),
+    'garbled': Variant(garbled_share=0.02, length=60),
+    'sound_before': Variant(sound_before=1, length=60),
+    'companion': Variant(companion=True, length=60),
+    'home_lost': Variant(home_lost_at=11.5, length=60),
+    'home_lost_later': Variant(home_lost_at=30),
+    'two_parts': Variant(poison_parts=('bad', 'worse'), length=60),
+    'same_names': Variant(same_names=True, length=60),
+    'all_at_once': Variant(
+        same_names=True,
+        crash_every=4,
+        garbled_share=0.02,
+        sound_before=1,
+        poison_rate=5,
+        length=60,
+    ),
+}
+UNRELATED = {
+    'one_every_1.5_s': Variant(poison_rate=0, crash_every=1.5, length=40),
+    'three_every_3_s': Variant(
+        poison_rate=0, crash_every=3, crash_share=0.3, length=40
+    ),
+}
+
+
+def ask_for(
+    scheduler: SlotScheduler, number: int, now: float, **changes: object
+) -> SlotDecision:
+    """Ask for a slot with the part 'bad' in the prompt."""
+    request = ask(
+        number,
+        arrived_at=now,
+        deadline=now + 9,
+        prompt_prefixes=('k', 'k/bad', f'k/bad/{number}'),
+    )
+    scheduler.on_ask(request._replace(**changes), now)
+    return scheduler.take_decisions()[-1]
+
+
+def report_crash(scheduler: SlotScheduler, number: int, now: float) -> None:
+    """Report an attempt that ended a run of its own."""
+    run = EndpointRun(f'gone{number}', 1)
+    scheduler.on_crash_reports(
+        'h1', [CrashReport(run, ('k', 'bad'), 1000 + number, 0)], now
+    )
+    scheduler.guard.on_run_ended(run, now)
+
+
+def events_of(scheduler: SlotScheduler, name: str) -> list[DecisionEvent]:
+    return [event for event in scheduler.take_events() if event.event == name]
+
+
+@pytest.fixture
+def scheduler() -> SlotScheduler:
+    """Return a scheduler that has served the first part."""
+    made = SlotScheduler()
+    made.on_available_endpoints(
+        [endpoint_spec('a', 4), endpoint_spec('b', 4)], 0
+    )
+    for number in range(4):
+        now = number * 5
+        prompt = ('k', 'k/sound', f'k/sound/{number}')
+        granted = ask_for(made, number, now, prompt_prefixes=prompt)
+        assert isinstance(granted, Granted)
+        made.on_release(slot_release(number, granted.endpoint), now + 1)
+    return made
+
+
+@pytest.fixture
+def quarantining(scheduler: SlotScheduler) -> SlotScheduler:
+    """Return a scheduler that quarantines 'bad' in its 20th second."""
+    for number in range(3):
+        report_crash(scheduler, number, 20)
+    scheduler.tick(20)
+    assert scheduler.guard.quarantine.covered(['bad'])
+    return scheduler
+
+
+class TestQuarantinedPart:
+    def test_request_is_refused_for_a_third_of_its_time(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        refused = ask_for(quarantining, 5, 21)
+        assert isinstance(refused, Refused)
+        assert refused.reason is RefusalReason.quarantined
+        assert refused.retry_after == pytest.approx(3)
+
+    def test_request_of_the_first_part_passes(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        prompt = ('k', 'k/good', 'k/good/1')
+        granted = ask_for(quarantining, 5, 21, prompt_prefixes=prompt)
+        assert isinstance(granted, Granted)
+
+    def test_last_part_alone_is_never_blamed(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        """No other request has it."""
+        prompt = ('k', 'k/bad')
+        granted = ask_for(quarantining, 5, 21, prompt_prefixes=prompt)
+        assert isinstance(granted, Granted)
+
+    def test_waiting_request_is_refused_when_it_begins(
+        self, scheduler: SlotScheduler
+    ) -> None:
+        scheduler.on_available_endpoints([], 19.5)
+        assert isinstance(ask_for(scheduler, 5, 19.6), Queued)
+        for number in range(3):
+            report_crash(scheduler, number, 20)
+        scheduler.tick(20)
+        assert scheduler.take_decisions()[-1].key == SlotKey('h1', 5)
+        assert not scheduler.waiting
+
+    def test_event_names_the_runs(self, scheduler: SlotScheduler) -> None:
+        for number in range(3):
+            report_crash(scheduler, number, 20)
+        scheduler.tick(20)
+        (event,) = events_of(scheduler, 'prompt_part_quarantined')
+        assert event.fields['part'] == 'bad'
+        assert event.fields['runs'] == ['gone0', 'gone1', 'gone2']
+
+
+class TestSuspectPart:
+    """Two runs have ended: not enough for a quarantine."""
+
+    @pytest.fixture
+    def suspecting(self, scheduler: SlotScheduler) -> SlotScheduler:
+        for number in range(2):
+            report_crash(scheduler, number, 20)
+        scheduler.tick(20)
+        return scheduler
+
+    def test_one_request_at_a_time_is_granted(
+        self, suspecting: SlotScheduler
+    ) -> None:
+        later = 20 + SUSPECT_PAUSE_S
+        assert isinstance(ask_for(suspecting, 5, 20.1), Queued)
+        suspecting.tick(later)
+        granted = suspecting.take_decisions()[-1]
+        assert granted.key.number == 5
+        assert isinstance(granted, Granted)
+        assert isinstance(ask_for(suspecting, 6, later), Queued)
+
+    def test_next_one_follows_at_once_if_the_first_is_served(
+        self, suspecting: SlotScheduler
+    ) -> None:
+        granted = ask_for(suspecting, 5, 21)
+        assert isinstance(granted, Granted)
+        ask_for(suspecting, 6, 21.1)
+        suspecting.on_held_slots(
+            'h1',
+            [
+                HeldSlot(
+                    granted.key, 'engines', granted.endpoint, 1, 1, 0.4, 0.3
+                )
+            ],
+            21.4,
+        )
+        suspecting.tick(21.5)
+        assert suspecting.take_decisions()[-1].key.number == 6
+
+    def test_second_attempt_is_refused(self, suspecting: SlotScheduler) -> None:
+        assert isinstance(ask_for(suspecting, 5, 21, attempt=2), Refused)
+
+    def test_other_requests_do_not_wait_behind_it(
+        self, suspecting: SlotScheduler
+    ) -> None:
+        for number in range(5, 30):
+            ask_for(suspecting, number, 20.1)
+        prompt = ('k', 'k/good', 'k/good/1')
+        granted = ask_for(suspecting, 40, 20.2, prompt_prefixes=prompt)
+        assert isinstance(granted, Granted)
+
+
+class TestProbes:
+    first_at = 20 + FIRST_INTERVAL_S
+
+    def probe(self, scheduler: SlotScheduler, now: float) -> Granted:
+        granted = ask_for(scheduler, int(now * 10), now)
+        assert isinstance(granted, Granted)
+        assert granted.is_probe
+        return granted
+
+    def test_one_request_is_a_probe(self, quarantining: SlotScheduler) -> None:
+        ask_for(quarantining, 5, 40)
+        self.probe(quarantining, self.first_at)
+        assert isinstance(ask_for(quarantining, 6, self.first_at), Refused)
+        assert events_of(quarantining, 'prompt_part_probed')
+
+    def test_repeated_ask_gets_the_probe_again(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        first = self.probe(quarantining, self.first_at)
+        assert self.probe(quarantining, self.first_at) == first
+
+    def test_at_most_once_request_is_no_probe(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        refused = ask_for(quarantining, 5, self.first_at, repeatable=False)
+        assert isinstance(refused, Refused)
+
+    def test_served_probe_lifts_the_quarantine(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        granted = self.probe(quarantining, self.first_at)
+        quarantining.on_release(
+            slot_release(granted.key.number, granted.endpoint),
+            self.first_at + 1,
+        )
+        assert events_of(quarantining, 'prompt_part_released')
+        quarantining.tick(self.first_at + 2)
+        for number in range(5, 7):
+            decision = ask_for(quarantining, number, self.first_at + 2)
+            assert isinstance(decision, Granted)
+            assert not decision.is_probe
+
+    def test_failed_probe_doubles_the_interval(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        granted = self.probe(quarantining, self.first_at)
+        failed_at = self.first_at + 0.1
+        quarantining.on_release(
+            slot_release(
+                granted.key.number, granted.endpoint, AttemptEnding.broken
+            ),
+            failed_at,
+        )
+        later = failed_at + FIRST_INTERVAL_S * INTERVAL_FACTOR
+        assert isinstance(ask_for(quarantining, 5, failed_at + 30), Refused)
+        assert isinstance(ask_for(quarantining, 6, later - 1), Refused)
+        self.probe(quarantining, later)
+
+    def test_probe_without_a_result_has_failed(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        self.probe(quarantining, self.first_at)
+        quarantining.on_held_slots('h1', [], self.first_at + 2)
+        assert isinstance(ask_for(quarantining, 5, self.first_at + 32), Refused)
+
+    def test_probe_that_reached_no_endpoint_is_repeated_soon(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        granted = self.probe(quarantining, self.first_at)
+        quarantining.on_release(
+            slot_release(
+                granted.key.number, granted.endpoint, AttemptEnding.unreachable
+            ),
+            self.first_at,
+        )
+        self.probe(quarantining, self.first_at + 3)
+
+    def test_home_host_that_took_it_over_waits_longer(self) -> None:
+        """The host before may just have sent a probe."""
+        quarantine = Quarantine()
+        quarantine.merge([QuarantineEntry('bad', 1, active=True)], 20)
+        scheduler = SlotScheduler(quarantine)
+        scheduler.on_available_endpoints([endpoint_spec('a')], 20)
+        assert isinstance(ask_for(scheduler, 5, self.first_at), Refused)
+        self.probe(scheduler, 20 + ADOPTED_INTERVAL_S)
+
+
+class TestUnasked:
+    def test_part_that_nobody_asks_for_is_released(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        for step in range(int(UNASKED_S) + 2):
+            quarantining.on_ask(ask(100 + step), 20 + step)
+            quarantining.tick(20 + step)
+        (event,) = events_of(quarantining, 'prompt_part_released')
+        assert event.fields['reason'] == 'unasked'
+
+    def test_refused_requests_count_as_asking(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        for step in range(25):
+            ask_for(quarantining, 5 + step, 20 + step)
+        for step in range(50):
+            quarantining.on_ask(ask(100 + step), 45 + step)
+            quarantining.tick(45 + step)
+        assert quarantining.guard.quarantine.covered(['bad'])
+
+    def test_host_that_is_not_home_releases_nothing(self) -> None:
+        quarantine = Quarantine()
+        quarantine.merge([QuarantineEntry('bad', 1, active=True)], 0)
+        scheduler = SlotScheduler(quarantine)
+        for step in range(200):
+            scheduler.tick(step)
+        assert quarantine.covered(['bad'])
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+class TestSimulation:
+    @pytest.mark.parametrize('name', VARIANTS)
+    def test_few_reach_endpoints_and_sound_ones_go_on(
+        self, name: str, seed: int
+    ) -> None:
+        variant = VARIANTS[name]
+        outcome = play(variant, seed)
+        assert outcome.reached_late <= MAX_LATE
+        assert set(variant.poison_parts) <= set(outcome.quarantined)
+        assert set(outcome.quarantined) <= {*variant.poison_parts, 'own'}
+        assert not outcome.sound_refused
+        served_share = outcome.sound_late_served / outcome.sound_late
+        assert served_share >= MIN_SERVED_SHARE
+
+    @pytest.mark.parametrize('name', UNRELATED)
+    def test_unrelated_crashes_are_blamed_on_no_part(
+        self, name: str, seed: int
+    ) -> None:
+        outcome = play(UNRELATED[name], seed)
+        assert not outcome.quarantined
+        assert not outcome.sound_refused
+
+    def test_part_that_is_sound_again_is_released(self, seed: int) -> None:
+        outcome = play(Variant(poison_until=35, length=60), seed)
+        assert outcome.quarantined == ('bad',)
+        assert outcome.released == ('bad',)
--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -27,16 +27,13 @@
 # A part that was served so recently before its first crash, or may have been,
 # needs one run more, and time for requests with it to be served.
 RECENTLY_SERVED_S = 10.0
-# Time in which sound parts show that they are, once other requests are served.
-# One request at a time is granted meanwhile, and its stream has to last, and to
-# be reported.
-TRIAL_S = 2.0
-MIN_OTHERS_SERVED = 3
-# If no others are served: crashes this far apart are not of one cause that ends
-# many endpoints at once.
-MOMENT_S = 0.3
+# Sound parts have shown that they are, one request at a time, once others that
+# were sent at so many times were served; or, if none are, once endpoints have
+# ended at so many times and for so long.
 MIN_MOMENTS = 5
-MAX_REPORTS = 1024
+MOMENT_S = 0.3
+TRIAL_S = 2.0
+MAX_REPORTS = 512
 MAX_RUNS = 512
 MAX_PARTS = 4096
 MAX_SERVED = 256  # of which the times are kept
@@ -119,7 +116,10 @@
         Whether that was shortly before the first of the runs ended, or may
         have been.
     is_tried : bool
-        Whether it would have been served since then if it were sound.
+        Whether it would have been served since then if it were sound; asked
+        only of one with enough runs that was served recently.
+    depth : int
+        Number of parts before it in a prompt.
     """
 
     part: str
@@ -127,6 +127,7 @@
     served_at: float
     is_recent: bool
     is_tried: bool
+    depth: int
 
     @property
     def is_proven(self) -> bool:
@@ -173,6 +174,10 @@
         Since when served requests are known here, in seconds.
     is_changed : bool
         Whether there is evidence that has not been judged.
+    blamed : frozenset of str
+        Parts that the last judgement found.
+    depths : dict
+        Number of parts before each in a prompt.
     """
 
     def __init__(self, quarantine: Quarantine) -> None:
@@ -186,6 +191,7 @@
         self.known_since = float('inf')
         self.is_changed = False
         self.blamed: frozenset[str] = frozenset()
+        self.depths: dict[str, int] = {}
 
     def on_report(self, entry: str, report: CrashReport, now: float) -> None:
         """Take a report; repeated ones change nothing."""
@@ -227,11 +233,15 @@
     def on_run_alive(self, run: EndpointRun, since: float) -> None:
         """Note that a run has answered a request that was sent at a time.
 
-        Attempts that broke there together before did not end it.
+        Signs of its end from before were wrong.
         """
         signs = self.runs.get(run)
-        if signs is not None and signs.collapsed_at < since:
-            self.runs[run] = signs._replace(collapsed_at=NEVER)
+        if signs is not None:
+            collapsed_at = signs.collapsed_at
+            self.runs[run] = signs._replace(
+                collapsed_at=NEVER if collapsed_at < since else collapsed_at,
+                ended_at=tuple(at for at in signs.ended_at if at >= since),
+            )
 
     def set_signs(self, run: EndpointRun, signs: RunSigns) -> None:
         """Replace the signs of a run."""
@@ -265,33 +275,49 @@
                 break
             self.served_at.pop(part)
 
-    def judge(self, now: float) -> list[Culprit]:
-        """Return the parts under which runs ended that nothing explains."""
+    def judge(self, now: float, unconfirmed_s: float = 0) -> list[Culprit]:
+        """Return the parts under which runs ended that nothing explains.
+
+        Parameters
+        ----------
+        now : float
+            The present time in seconds.
+        unconfirmed_s : float
+            For how long a run counts of which only reports say that it ended.
+        """
         self.is_changed = False
-        crashes = self.unexplained(now)
-        self.blamed = frozenset(crashes)
+        crashes = self.unexplained(now, unconfirmed_s)
         judged = (
-            self.culprit(part, runs, now) for part, runs in crashes.items()
+            self.culprit(part, runs, now)
+            for part, runs in crashes.items()
+            if len(runs) >= SUSPECT_RUNS
         )
-        return [culprit for culprit in judged if culprit.runs]
+        found = [culprit for culprit in judged if culprit.runs]
+        self.blamed = frozenset(culprit.part for culprit in found)
+        return found
 
     def culprits(self, now: float) -> list[Culprit]:
         """Return the parts to quarantine now, likeliest first."""
         found: list[Culprit] = []
         judged = self.judge(now)
-        while judged:
+        convicted = likeliest(judged)
+        while convicted is not None:
+            found.append(convicted)
+            judged = explain_away(judged, convicted.runs)
             convicted = likeliest(judged)
-            if not convicted:
-                break
-            found.extend(convicted)
-            judged = explain_away(judged, convicted[0].runs)
         return found
 
     def suspects(self, now: float) -> list[Culprit]:
         """Return the parts of which one request at a time gets an endpoint."""
-        return [culprit for culprit in self.judge(now) if culprit.is_suspect]
+        return [
+            culprit
+            for culprit in self.judge(now, unconfirmed_s=CONFIRMATION_S)
+            if culprit.is_suspect
+        ]
 
-    def unexplained(self, now: float) -> dict[str, dict[EndpointRun, float]]:
+    def unexplained(
+        self, now: float, unconfirmed_s: float
+    ) -> dict[str, dict[EndpointRun, float]]:
         """Return when runs ended under each part that nothing explains.
 
         Returns
@@ -303,8 +329,8 @@
         attempts = [
             attempt
             for attempt in self.attempts.values()
-            if now - attempt.ended_at <= RETENTION_S
-            and self.runs.get(attempt.run, NO_SIGNS).is_end(attempt.ended_at)
+            if now - attempt.ended_at < unconfirmed_s
+            or self.is_end(attempt, now)
         ]
         explained = {
             attempt.run
@@ -313,12 +339,20 @@
                 self.explains(part, attempt.ended_at) for part in attempt.parts
             )
         }
+        self.depths = {}
         for attempt in attempts:
             if attempt.run not in explained:
-                for part in attempt.parts:
+                for depth, part in enumerate(attempt.parts):
                     crashes[part].setdefault(attempt.run, attempt.ended_at)
+                    self.depths[part] = depth
         return crashes
 
+    def is_end(self, attempt: BrokenAttempt, now: float) -> bool:
+        """Return whether the run of a recent attempt ended with it."""
+        return now - attempt.ended_at <= RETENTION_S and self.runs.get(
+            attempt.run, NO_SIGNS
+        ).is_end(attempt.ended_at)
+
     def explains(self, part: str, at: float) -> bool:
         """Return whether a part's quarantine explains a crash at a time.
 
@@ -336,12 +370,16 @@
         served_at = self.served_at.get(part, NEVER)
         runs = {run: at for run, at in runs.items() if at > served_at}
         first_at = min(runs.values(), default=now)
+        known_at = max(served_at, self.known_since)
+        is_recent = first_at - known_at <= RECENTLY_SERVED_S
+        needs_trial = is_recent and len(runs) > MIN_RUNS
         return Culprit(
             part,
             runs,
             served_at,
-            first_at - max(served_at, self.known_since) <= RECENTLY_SERVED_S,
-            self.is_tried(runs.values(), first_at, now),
+            is_recent,
+            needs_trial and self.is_tried(runs.values(), first_at, now),
+            self.depths.get(part, 0),
         )
 
     def is_tried(
@@ -349,32 +387,30 @@
     ) -> bool:
         """Return whether sound requests would have been served by now."""
         since = max(first_at, self.known_since)
-        others = sorted(at for at in self.served_times if at >= since)
-        if len(others) >= MIN_OTHERS_SERVED:
-            since = others[0]
-        elif count_moments(ended_at) < MIN_MOMENTS:
-            return False
-        return now - since >= TRIAL_S
+        others = [at for at in self.served_times if at >= since]
+        return count_moments(others) >= MIN_MOMENTS or (
+            count_moments(ended_at) >= MIN_MOMENTS and now - since >= TRIAL_S
+        )
 
 
-def likeliest(culprits: list[Culprit]) -> list[Culprit]:
-    """Return the likeliest proven culprit, or all that are as likely.
+def likeliest(culprits: list[Culprit]) -> Culprit | None:
+    """Return the likeliest culprit, None if it is not proven yet.
 
-    If there are several, they need one run more.
+    Of parts with nearly as many runs it is the one that comes last in prompts:
+    the parts before it are in all its reports.
     """
-    proven = sorted(
-        (culprit for culprit in culprits if culprit.is_proven),
-        key=lambda culprit: culprit.order,
-    )
-    tied = [
+    proven = [culprit for culprit in culprits if culprit.is_proven]
+    if not proven:
+        return None
+    first = min(proven, key=lambda culprit: culprit.order)
+    near = [
         culprit
-        for culprit in proven
-        if culprit.order == proven[0].order
-        and culprit.runs.keys() == proven[0].runs.keys()
+        for culprit in culprits
+        if culprit.is_recent == first.is_recent
+        and len(culprit.runs) >= len(first.runs) - 1
     ]
-    if len(tied) > 1 and len(tied[0].runs) <= MIN_RUNS:
-        return []
-    return tied
+    deepest = min(near, key=lambda culprit: (-culprit.depth, culprit.order))
+    return deepest if deepest.is_proven else None
 
 
 def explain_away(
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -6,6 +6,7 @@
 
 from trefoilspool.crashevidence import (
     NEVER,
+    SUSPECT_PAUSE_S,
     CrashEvidence,
     CrashReport,
     Culprit,
@@ -26,7 +27,7 @@
 
 __all__ = ['GuardDecision', 'PromptGuard']
 
-CHECK_INTERVAL_S = 0.05
+CHECK_INTERVAL_S = 0.1
 IDLE_CHECK_INTERVAL_S = 0.5  # without new evidence
 # A request is served once its stream has gone on for so long.
 SERVED_STREAMING_S = 0.25
@@ -129,6 +130,9 @@
     def on_report(self, entry: str, report: CrashReport, now: float) -> None:
         """Take an entry host's report of an attempt that ended an endpoint."""
         self.evidence.on_report(entry, report, now)
+        for part in self.suspects.keys() & set(report.parts):
+            held_until = now - report.age_s + SUSPECT_PAUSE_S
+            self.suspects[part] = max(self.suspects[part], held_until)
 
     def on_run_ended(self, run: EndpointRun, now: float) -> None:
         """Note a sign that a run has ended."""
@@ -242,7 +246,7 @@
         )
         if is_start and now - reservation.granted_at < MAX_CRASH_AGE_S:
             report = CrashReport(run, reservation.parts, key.number, 0)
-            self.evidence.on_report(key.entry, report, now)
+            self.on_report(key.entry, report, now)
         else:
             self.evidence.on_broken(run, (key.entry, key.number), now)
 
--- a/trefoilspool/quarantine.py
+++ b/trefoilspool/quarantine.py
@@ -12,6 +12,9 @@
 # How long a lifted entry is passed on. Shorter than it is kept, or hosts that
 # tell each other would keep it for ever.
 LIFTED_GOSSIP_S = 120.0
+# The same on hosts that never held another copy; shorter than the time between
+# hosts that join, or they would keep it for ever.
+LIFTED_RELAY_S = 10.0
 
 
 class QuarantineEntry(NamedTuple):
@@ -105,12 +108,12 @@
     def merge_entry(self, entry: QuarantineEntry, now: float) -> bool:
         """Adopt an entry that wins over the copy here; return whether it did.
 
-        A lifted entry of a part that is unknown here is kept, but not passed
-        on until a host turns out to hold another copy.
+        A lifted entry of a part that is unknown here is passed on only for a
+        short time, until a host turns out to hold another copy.
         """
         copy = self.copies.get(entry.part)
         if copy is None:
-            self.copies[entry.part] = Copy(entry, now, 0)
+            self.copies[entry.part] = Copy(entry, now, now + LIFTED_RELAY_S)
             return True
         if entry == copy.entry:
             return False
