Take an entry host's report of a slot that was taken over

Cause: a new home host does not know the parts of a slot that another one granted, took the release for a report without parts and the entry host's report for a repetition of it. Change: such a release is no report. And a part with seven runs is judged as soon as the parts before it are served again.

The new test failed before (nothing quarantined) and passes now.

--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -175,6 +175,17 @@
             evidence.on_served(('sound',), 4 + step)
         assert culprits(evidence, 9) == ['bad']
 
+    def test_it_is_judged_once_only_it_is_not_served(
+        self, evidence: CrashEvidence
+    ) -> None:
+        evidence.on_served(('shared', 'bad'), -1)
+        for number in range(7):
+            report(evidence, number, 'shared', 'bad', age_s=number)
+            evidence.on_run_ended(run(number), 0.2)
+        assert not culprits(evidence, 7)
+        evidence.on_served(('shared',), 7)
+        assert culprits(evidence, 8) == ['bad']
+
     def test_part_that_was_served_long_ago_is_judged_at_once(
         self, evidence: CrashEvidence
     ) -> None:
--- a/tests/test_promptguard.py
+++ b/tests/test_promptguard.py
@@ -160,6 +160,27 @@
         assert event.fields['runs'] == ['gone0', 'gone1', 'gone2']
 
 
+class TestReports:
+    def test_report_counts_though_the_slot_was_taken_over(
+        self, scheduler: SlotScheduler
+    ) -> None:
+        """Only the entry host knows the parts of its prompts."""
+        for number, name in enumerate(('a', 'b', 'c')):
+            key = SlotKey('h1', 50 + number)
+            held = HeldSlot(key, 'engines', name, 1, 1, 0.1)
+            scheduler.on_held_slots('h1', [held], 20)
+            scheduler.on_release(
+                slot_release(key.number, name, AttemptEnding.broken), 20.1
+            )
+            run = scheduler.guard.run(name)
+            report = CrashReport(run, ('k', 'bad'), key.number, 0)
+            scheduler.on_crash_reports('h1', [report], 20.1)
+        scheduler.on_available_endpoints([], 20.2)
+        scheduler.guard.on_run_ended(EndpointRun('c', 0), 20.2)
+        scheduler.tick(21)
+        assert scheduler.guard.quarantine.covered(['bad'])
+
+
 class TestSuspectPart:
     """Two runs have ended: not enough for a quarantine."""
 
--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -176,8 +176,8 @@
         Whether there is evidence that has not been judged.
     blamed : frozenset of str
         Parts that the last judgement found.
-    depths : dict
-        Number of parts before each in a prompt.
+    before : dict
+        Parts before each in the prompts of reports.
     """
 
     def __init__(self, quarantine: Quarantine) -> None:
@@ -191,7 +191,7 @@
         self.known_since = float('inf')
         self.is_changed = False
         self.blamed: frozenset[str] = frozenset()
-        self.depths: dict[str, int] = {}
+        self.before: defaultdict[str, set[str]] = defaultdict(set)
 
     def on_report(self, entry: str, report: CrashReport, now: float) -> None:
         """Take a report; repeated ones change nothing."""
@@ -339,12 +339,12 @@
                 self.explains(part, attempt.ended_at) for part in attempt.parts
             )
         }
-        self.depths = {}
+        self.before.clear()
         for attempt in attempts:
             if attempt.run not in explained:
                 for depth, part in enumerate(attempt.parts):
                     crashes[part].setdefault(attempt.run, attempt.ended_at)
-                    self.depths[part] = depth
+                    self.before[part].update(attempt.parts[:depth])
         return crashes
 
     def is_end(self, attempt: BrokenAttempt, now: float) -> bool:
@@ -372,14 +372,23 @@
         first_at = min(runs.values(), default=now)
         known_at = max(served_at, self.known_since)
         is_recent = first_at - known_at <= RECENTLY_SERVED_S
-        needs_trial = is_recent and len(runs) > MIN_RUNS
+        is_tried = len(runs) > MIN_RUNS * 2 and self.is_left(part, first_at)
+        if is_recent and len(runs) > MIN_RUNS and not is_tried:
+            is_tried = self.is_tried(runs.values(), first_at, now)
         return Culprit(
             part,
             runs,
             served_at,
             is_recent,
-            needs_trial and self.is_tried(runs.values(), first_at, now),
-            self.depths.get(part, 0),
+            is_tried,
+            len(self.before[part]),
+        )
+
+    def is_left(self, part: str, since: float) -> bool:
+        """Return whether the parts before it were all served since a time."""
+        before = self.before[part]
+        return bool(before) and all(
+            self.served_at.get(other, NEVER) > since for other in before
         )
 
     def is_tried(
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -244,7 +244,9 @@
         is_start = not release.events or (
             release.events == 1 and release.decode_s <= MAX_START_S
         )
-        if is_start and now - reservation.granted_at < MAX_CRASH_AGE_S:
+        is_crash = is_start and now - reservation.granted_at < MAX_CRASH_AGE_S
+        # The parts are unknown if an earlier home host granted the slot.
+        if is_crash and reservation.parts:
             report = CrashReport(run, reservation.parts, key.number, 0)
             self.on_report(key.entry, report, now)
         else:
