Judge prompt parts only while requests come

Cause, by reading: a former home host still judged old evidence, though it hears of no served requests; a stream that was silent after one event counted as served; a part that is in a prompt twice raised KeyError at the release; a probe that a server turned away was repeated soon, though it had reached it.

The three new tests failed before and pass now.

--- a/tests/test_promptguard.py
+++ b/tests/test_promptguard.py
@@ -103,6 +103,9 @@
         granted = ask_for(made, number, now, prompt_prefixes=prompt)
         assert isinstance(granted, Granted)
         made.on_release(slot_release(number, granted.endpoint), now + 1)
+    granted = ask_for(made, 4, 19.5, prompt_prefixes=())
+    assert isinstance(granted, Granted)
+    made.on_release(slot_release(4, granted.endpoint), 19.6)
     return made
 
 
@@ -132,6 +135,15 @@
         granted = ask_for(quarantining, 5, 21, prompt_prefixes=prompt)
         assert isinstance(granted, Granted)
 
+    def test_part_may_be_in_a_prompt_twice(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        prompt = ('k', 'k/k', 'k/k/1')
+        granted = ask_for(quarantining, 5, 21, prompt_prefixes=prompt)
+        assert isinstance(granted, Granted)
+        quarantining.on_release(slot_release(5, granted.endpoint), 22)
+        assert not quarantining.guard.granted_parts
+
     def test_last_part_alone_is_never_blamed(
         self, quarantining: SlotScheduler
     ) -> None:
@@ -180,6 +192,28 @@
         scheduler.tick(21)
         assert scheduler.guard.quarantine.covered(['bad'])
 
+    def test_former_home_host_judges_no_more(
+        self, scheduler: SlotScheduler
+    ) -> None:
+        """It hears of no served requests any more."""
+        scheduler.tick(22)
+        for number in range(3):
+            report_crash(scheduler, number, 22)
+        scheduler.tick(23)
+        assert not scheduler.guard.quarantine.entries()
+
+    def test_silence_after_one_event_is_no_answer(
+        self, quarantining: SlotScheduler
+    ) -> None:
+        now = 20 + FIRST_INTERVAL_S
+        granted = ask_for(quarantining, 5, now)
+        assert isinstance(granted, Granted)
+        silent = slot_release(5, granted.endpoint, AttemptEnding.broken)
+        quarantining.on_release(
+            silent._replace(events=1, decode_s=0.8), now + 0.9
+        )
+        assert quarantining.guard.quarantine.covered(['bad'])
+
 
 class TestSuspectPart:
     """Two runs have ended: not enough for a quarantine."""
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -38,10 +38,13 @@
 MAX_CRASH_AGE_S = 0.9
 # A quarantine is lifted if nobody asks for its part for so long.
 UNASKED_S = 60.0
+# The evidence of a host that gets no requests for so long is out of date.
+JUDGING_S = 2.0
 # A host that gets no requests for so long is not the home host.
 HOME_IDLE_S = 10.0
 
 END_SIGNS = frozenset((AttemptEnding.unreachable, AttemptEnding.gone))
+UNSENT_ENDINGS = frozenset((AttemptEnding.unused, AttemptEnding.unreachable))
 
 
 class GuardDecision(Enum):
@@ -194,7 +197,7 @@
         self.granted_parts.subtract(reservation.parts)
         for part in reservation.parts:
             if not self.granted_parts[part]:
-                self.granted_parts.pop(part)
+                self.granted_parts.pop(part, None)
         self.served_keys.discard(key)
         self.probes.on_failed(key, now)
 
@@ -213,10 +216,11 @@
         is_completed = release.ending is AttemptEnding.completed
         if is_completed:
             self.evidence.on_run_alive(run, reservation.granted_at)
-        if is_completed or release.decode_s > SERVED_STREAMING_S:
+        if is_completed or has_streamed(release):
             self.on_request_served(release.key, reservation, now)
         if release.ending in END_SIGNS:
             self.evidence.on_run_ended(run, now)
+        if release.ending in UNSENT_ENDINGS:
             self.probes.on_unused(release.key, now)
         if release.ending is AttemptEnding.broken:
             self.on_broken(release, reservation, now)
@@ -264,6 +268,14 @@
         self.checked_at = now
         self.evidence.forget_old(now)
         self.quarantine.tick(now)
+        self.probes.forget_lifted()
+        if now - self.last_ask_at <= JUDGING_S:
+            self.judge(now)
+        for part in self.unasked_parts(now):
+            self.release_part(part, 'unasked', now)
+
+    def judge(self, now: float) -> None:
+        """Quarantine culprits, and find the suspects."""
         for culprit in self.evidence.culprits(now):
             self.quarantine_part(culprit, now)
         suspects = self.evidence.suspects(now)
@@ -273,8 +285,6 @@
         self.unserved = frozenset(
             suspect.part for suspect in suspects if not suspect.is_recent
         )
-        for part in self.unasked_parts(now):
-            self.release_part(part, 'unasked', now)
 
     def quarantine_part(self, culprit: Culprit, now: float) -> None:
         """Quarantine a part."""
@@ -297,8 +307,6 @@
     def release_part(self, part: str, reason: str, now: float) -> None:
         """Lift the quarantine of a part."""
         self.quarantine.lift(part, now)
-        self.probes.forget(part)
-        self.asked_at.pop(part, None)
         self.log('prompt_part_released', [part], reason=reason)
 
     def unasked_parts(self, now: float) -> list[str]:
@@ -307,6 +315,9 @@
         Only the home host knows them, once it has been it for long enough.
         """
         active = self.quarantine.active_parts
+        self.asked_at = {
+            part: at for part, at in self.asked_at.items() if part in active
+        }
         if not active or now - self.last_ask_at > HOME_IDLE_S:
             return []
         return [
@@ -328,3 +339,11 @@
         self.events.extend(
             DecisionEvent(event, {'part': part, **fields}) for part in parts
         )
+
+
+def has_streamed(release: SlotRelease) -> bool:
+    """Return whether an attempt had streamed for some time when it ended.
+
+    After a single event the endpoint may just have been silent.
+    """
+    return release.events > 1 and release.decode_s > SERVED_STREAMING_S
--- a/trefoilspool/quarantineprobes.py
+++ b/trefoilspool/quarantineprobes.py
@@ -98,6 +98,11 @@
                 due_at=now + interval_s, interval_s=interval_s
             )
 
-    def forget(self, part: str) -> None:
-        """Forget a part whose quarantine was lifted."""
-        self.next_probes.pop(part, None)
+    def forget_lifted(self) -> None:
+        """Forget the parts that are not quarantined."""
+        active = self.quarantine.active_parts
+        self.next_probes = {
+            part: probe
+            for part, probe in self.next_probes.items()
+            if part in active
+        }
--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -108,7 +108,7 @@
     Attributes
     ----------
     streaming_s : float
-        Seconds since the first event of its stream; 0 before it.
+        Seconds from the first event of its stream to the latest; 0 before.
     """
 
     key: SlotKey
