Send how long a stream's events have come, not since when

Cause: a stream that is silent since its first event, as its endpoint has just ended, must not count as served. Change: a held slot refers to the times of its attempt. Result: the tests of reports pass.

--- a/tests/test_crashingpart.py
+++ b/tests/test_crashingpart.py
@@ -531,12 +531,15 @@
     def test_refusal_is_not(self, world: CrashingWorld) -> None:
         assert not self.reported(world, ServedRequest.refuse)
 
-    def test_held_slot_tells_that_its_stream_has_begun(
+    def test_held_slot_tells_how_long_events_have_come(
         self, world: CrashingWorld
     ) -> None:
         def behave(served: ServedRequest) -> None:
             served.start_stream()
             served.event(0)
+            time.sleep(0.1)
+            assert not held()
+            served.event(1)
             wait_for(held, 'a slot with a stream')
             served.end_stream()
 
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -227,7 +227,7 @@
 
     def on_first_event(self, slot: Slot) -> None:
         """Record that the stream of a slot has begun."""
-        self.slot_client.on_first_event(slot.key.number, clock.now())
+        self.slot_client.on_first_event(slot.key.number, self.progress.times)
 
     def report_crash(self, slot: Slot, now: float) -> None:
         """Report an attempt that ended, it seems, with its endpoint."""
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -11,6 +11,7 @@
 import logbook
 
 from trefoilspool import clock
+from trefoilspool.attempttimes import AttemptTimes
 from trefoilspool.crashreports import CrashReports
 from trefoilspool.departures import EndpointRun
 from trefoilspool.peers import PeerRegistry
@@ -71,21 +72,21 @@
 
     Attributes
     ----------
-    streaming_since : float or None
-        When the first event of its stream was received, in seconds.
+    times : AttemptTimes or None
+        Times of its stream, once that has begun.
     """
 
     def __init__(self, ask: SlotRequest, endpoint: str, now: float) -> None:
         self.ask = ask
         self.endpoint = endpoint
         self.granted_at = now
-        self.streaming_since: float | None = None
+        self.times: AttemptTimes | None = None
 
-    def streaming_s(self, now: float) -> float:
-        """Return the seconds since its first event, 0 before it."""
-        if self.streaming_since is None:
+    def streaming_s(self) -> float:
+        """Return the seconds from the first event to the last one so far."""
+        if self.times is None:
             return 0
-        return now - self.streaming_since
+        return self.times.last_event_at - self.times.first_event_at
 
 
 class SlotClient:
@@ -355,11 +356,19 @@
         if home is not None:
             self.send_message(home.address, release)
 
-    def on_first_event(self, number: int, now: float) -> None:
-        """Record that the stream of a held slot has begun."""
+    def on_first_event(self, number: int, times: AttemptTimes) -> None:
+        """Record that the stream of a held slot has begun.
+
+        Parameters
+        ----------
+        number : int
+            Number of the attempt.
+        times : AttemptTimes
+            Its times, which the request's thread goes on to update.
+        """
         slot = self.held.get(number)
-        if slot is not None and slot.streaming_since is None:
-            slot.streaming_since = now
+        if slot is not None:
+            slot.times = times
 
     def report_crash(
         self, run: EndpointRun, parts: tuple[str, ...], number: int, now: float
@@ -382,7 +391,7 @@
                     slot.ask.prompt_tokens,
                     slot.ask.output_tokens,
                     now - slot.granted_at,
-                    slot.streaming_s(now),
+                    slot.streaming_s(),
                 )
                 for slot in self.held.values()
             ]
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -62,7 +62,7 @@
   4: i32 prompt_tokens
   5: i32 output_tokens
   6: i32 age_ms
-  7: optional i32 streaming_ms // since the first event
+  7: optional i32 streaming_ms // from the first event to the last
 }
 // An attempt that ended with its endpoint at the start of its answer.
 struct CrashReport {
