Read the quarantine after a freeze; write it when reads alone fail

Cause: a host that was frozen takes the datagrams of before as fresh, and a topic that a store does not list before its first write could never be written. Change: a wait that was much longer than wanted brings a read; a home host with news writes even if it could not read, and reads again after it. Result: tests of the task; that of the freeze fails without the change.

--- a/tests/test_crashingpart.py
+++ b/tests/test_crashingpart.py
@@ -26,9 +26,12 @@
     CrashReports,
 )
 from trefoilspool.departures import EndpointRun
+from trefoilspool.errors import LogOutageError
+from trefoilspool.homecontact import HomeContact
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantine import Quarantine, QuarantineEntry
 from trefoilspool.quarantinegossip import QuarantineGossip
+from trefoilspool.quarantinestore import QuarantineStoreTask
 from trefoilspool.slotmessages import (
     Granted,
     HeldSlot,
@@ -36,6 +39,7 @@
     Refused,
     SlotKey,
 )
+from trefoilspool.store import KeyedRecord, KeyedTopic, Page
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
@@ -428,6 +432,89 @@
         wait_for(lambda: world.stored() == {'part0', 'part1'}, 'both parts')
 
 
+class FakeTopic(KeyedTopic):
+    """A topic of which reads may fail."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.fails_to_read = False
+        self.records: dict[str, KeyedRecord] = {}
+
+    def read_latest(self) -> Page:
+        self.reads += 1
+        if self.fails_to_read:
+            raise LogOutageError('status 404')
+        return Page(tuple(self.records.values()), 1, True)
+
+    def read_from(self, start: int, wait_s: float, era: int = 0) -> Page:
+        raise NotImplementedError
+
+    def put(self, key: str, content: bytes) -> None:
+        self.records[key] = KeyedRecord(key, content, 0)
+
+
+class TestStoreTask:
+    @pytest.fixture
+    def topic(self) -> FakeTopic:
+        return FakeTopic()
+
+    @pytest.fixture
+    def task(self, topic: FakeTopic) -> QuarantineStoreTask:
+        """Return the task of a home host that hears another host."""
+        peers = PeerRegistry(HostInfo('h2', '127.0.0.2', 1))
+        peers.on_heartbeat(
+            HostInfo('h1', '127.0.0.1', 1), time.monotonic() + 60
+        )
+        gossip = QuarantineGossip(peers, Quarantine())
+        return QuarantineStoreTask(
+            topic, gossip, peers, HomeContact(peers), threading.Event()
+        )
+
+    def test_host_in_touch_seldom_reads(
+        self, topic: FakeTopic, task: QuarantineStoreTask
+    ) -> None:
+        for _ in range(5):
+            task.try_step()
+        assert topic.reads == 1
+
+    def test_frozen_host_does_not_read(
+        self,
+        topic: FakeTopic,
+        task: QuarantineStoreTask,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        times = itertools.count(time.monotonic(), 5)
+        monkeypatch.setattr(task, 'due', StepsEvent(task.stopping, 3))
+        monkeypatch.setattr('trefoilspool.clock.now', lambda: next(times))
+        task.run()
+        assert topic.reads == 3
+
+    def test_unreadable_topic_is_not_written(
+        self, topic: FakeTopic, task: QuarantineStoreTask
+    ) -> None:
+        topic.fails_to_read = True
+        task.try_step()
+        assert not topic.records
+        task.gossip.quarantine.add('a', 1)
+        task.try_step()
+        assert topic.records
+
+
+class StepsEvent(threading.Event):
+    """Sets another event in the last of some waits."""
+
+    def __init__(self, stopping: threading.Event, steps: int) -> None:
+        super().__init__()
+        self.stopping = stopping
+        self.steps = steps
+
+    def wait(self, timeout: float | None = None) -> bool:
+        self.steps -= 1
+        if not self.steps:
+            self.stopping.set()
+        return True
+
+
 class TestOtherCauses:
     """Endpoints end, but not because of the requests that they have."""
 
--- a/trefoilspool/quarantinestore.py
+++ b/trefoilspool/quarantinestore.py
@@ -18,6 +18,9 @@
 
 RECORD_KEY = 'quarantine'
 CHECK_S = 0.25
+# A host that waited so much longer than it wanted was frozen, and may have
+# missed what others were told.
+FROZEN_S = 0.5
 READ_S = 1.0  # between reads of a host that is cut off
 FIRST_RETRY_S = 0.5
 MAX_RETRY_S = 8.0
@@ -72,8 +75,11 @@
         """Read and write until stopped."""
         pause_s = 0.0
         while not self.stopping.is_set():
+            wake_at = clock.now() + pause_s
             self.due.wait(pause_s)
             self.due.clear()
+            if clock.now() > wake_at + FROZEN_S:
+                self.needs_read = True
             pause_s = self.try_step() * (1 + random.random()) / 2
             self.has_tried.set()
 
@@ -104,7 +110,7 @@
         """Read the record if due; write it if this host knows more."""
         # What another host wrote meanwhile must not be lost by a write.
         if self.needs_read or self.has_news() or self.may_miss_news():
-            self.read()
+            self.try_read()
         if self.has_news():
             self.write()
 
@@ -123,6 +129,21 @@
         """Return the entries of this host that one record holds."""
         return frozenset(wire.fitting_entries(self.gossip.quarantine.entries()))
 
+    def try_read(self) -> None:
+        """Read the record; a host with news writes even if that fails.
+
+        Raises
+        ------
+        LogOutageError
+            When the store did not respond.
+        """
+        try:
+            self.read()
+        except LogOutageError as error:
+            if not self.has_news():
+                raise
+            logger.info('quarantine_not_synced', extra={'error': str(error)})
+
     def read(self) -> None:
         """Read the record and adopt its entries."""
         entries = [
