Let the store of the test be down for writes as well

The stand-in's fault reset fails reads only, and a home host now writes even if it cannot read; status 503 fails both.

--- a/tests/test_crashingpart.py
+++ b/tests/test_crashingpart.py
@@ -403,7 +403,7 @@
         self, world: CrashingWorld
     ) -> None:
         hosts = world.add_hosts(3)
-        with world.cluster.store.failing('reset'):
+        with world.cluster.store.failing(503):
             world.send_all(hosts)
             check_stopped(world, world.wait_for_notice())
             assert not world.stored()
