--- /dev/null
+++ b/trefoilspool/endpointpool.py
@@ -0,0 +1,100 @@
+"""Endpoints that may get requests, and the choice between them."""
+
+from collections.abc import Iterable, Sequence
+
+from trefoilspool.endpointload import EndpointLoad
+from trefoilspool.slotmessages import EndpointSpec, SlotRequest
+
+__all__ = ['EndpointPool']
+
+# If a smaller share of a service's endpoints accepts requests, ejections are
+# ignored.
+MIN_WORKING_SHARE = 0.5
+# A response is in time if it is predicted to end within this share of the time
+# left before the deadline.
+FINISH_SHARE = 0.9
+
+
+class EndpointPool:
+    """Endpoints with their load.
+
+    Attributes
+    ----------
+    by_name : dict
+        Endpoints by name.
+    by_service : dict
+        The same endpoints by service.
+    """
+
+    def __init__(self) -> None:
+        self.by_name: dict[str, EndpointLoad] = {}
+        self.by_service: dict[str, list[EndpointLoad]] = {}
+
+    def replace(self, endpoints: Iterable[EndpointSpec]) -> None:
+        """Replace the endpoints; those of the same run keep their load."""
+        previous = self.by_name
+        self.by_name = {}
+        self.by_service = {}
+        for spec in endpoints:
+            endpoint = previous.get(spec.name)
+            if endpoint is None or endpoint.spec.started_ms != spec.started_ms:
+                endpoint = EndpointLoad(spec)
+            endpoint.spec = spec
+            self.by_name[spec.name] = endpoint
+            self.by_service.setdefault(spec.service, []).append(endpoint)
+
+    def of_service(self, service: str) -> Sequence[EndpointLoad]:
+        """Return the endpoints of a service."""
+        return self.by_service.get(service, ())
+
+    def has_free_slot(self, service: str) -> bool:
+        """Return whether any endpoint of a service has a free slot."""
+        return any(
+            endpoint.free_slots > 0 for endpoint in self.of_service(service)
+        )
+
+    def best(self, ask: SlotRequest, now: float) -> EndpointLoad | None:
+        """Return the endpoint with the best score of those with a free slot.
+
+        An endpoint that is too slow to finish in time is chosen only if all
+        eligible endpoints are too slow.
+        """
+        eligible = self.eligible(ask, now)
+        left = (ask.deadline - now) * FINISH_SHARE
+        in_time = [
+            endpoint
+            for endpoint in eligible
+            if endpoint.predict_finish_s(ask, now) <= left
+        ]
+        free = [
+            endpoint
+            for endpoint in in_time or eligible
+            if endpoint.free_slots > 0
+        ]
+        return min(
+            free,
+            key=lambda endpoint: endpoint.score(ask, now),
+            default=None,
+        )
+
+    def eligible(self, ask: SlotRequest, now: float) -> list[EndpointLoad]:
+        """Return the endpoints that may get a request.
+
+        If fewer than ``MIN_WORKING_SHARE`` of a service's endpoints accept
+        requests, ejections are ignored, as they would overload the rest.
+        """
+        endpoints = self.of_service(ask.service)
+        working = [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.reliability.accepts_requests(
+                now, repeatable=ask.repeatable
+            )
+        ]
+        if len(working) < len(endpoints) * MIN_WORKING_SHARE:
+            working = list(endpoints)
+        return [
+            endpoint
+            for endpoint in working
+            if endpoint.spec.name not in ask.avoid
+        ]
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -10,6 +10,7 @@
 
 from trefoilspool.crashevidence import CrashReport
 from trefoilspool.endpointload import EndpointLoad, Reservation
+from trefoilspool.endpointpool import EndpointPool
 from trefoilspool.grantrates import GrantRates
 from trefoilspool.minimumshares import MinimumShares
 from trefoilspool.promptguard import GuardDecision, PromptGuard
@@ -35,12 +36,6 @@
 
 QUEUE_TIMEOUT_S = 1.0  # callers drop a stream that is silent for 2 s
 QUEUE_TIMEOUT_SHARE = 0.35  # of the time until the deadline
-# If a smaller share of a service's endpoints accepts requests, ejections are
-# ignored.
-MIN_WORKING_SHARE = 0.5
-# A response is in time if it is predicted to end within this share of the time
-# left before the deadline.
-FINISH_SHARE = 0.9
 HOLD_TIMEOUT_S = 1.2  # entry hosts report at least every mesh.MAX_HEARTBEAT_S
 MIN_RETRY_AFTER_S = 0.2
 # Retry-After is at most the time left before the deadline, divided by this.
@@ -67,10 +62,8 @@
 
     Attributes
     ----------
-    available_endpoints : dict
-        Endpoints that may get requests, by name.
-    by_service : dict
-        The same endpoints by service.
+    pool : EndpointPool
+        Endpoints that may get requests.
     queues : dict
         Waiting requests of each service.
     waiting : dict
@@ -87,8 +80,7 @@
 
     def __init__(self, quarantine: Quarantine | None = None) -> None:
         self.guard = PromptGuard(quarantine or Quarantine())
-        self.available_endpoints: dict[str, EndpointLoad] = {}
-        self.by_service: dict[str, list[EndpointLoad]] = {}
+        self.pool = EndpointPool()
         self.queues: dict[str, ServiceQueue] = {}
         self.waiting: dict[SlotKey, QueuedRequest] = {}
         self.reservations: dict[SlotKey, Reservation] = {}
@@ -101,6 +93,11 @@
         self.decisions: list[SlotDecision] = []
         self.events: list[DecisionEvent] = []
 
+    @property
+    def available_endpoints(self) -> dict[str, EndpointLoad]:
+        """Return the endpoints that may get requests, by name."""
+        return self.pool.by_name
+
     def take_decisions(self) -> list[SlotDecision]:
         """Return the decisions since the last call."""
         decisions = self.decisions
@@ -119,16 +116,7 @@
         """Replace the endpoints that may get requests."""
         endpoints = list(endpoints)
         self.guard.on_endpoints(endpoints, now)
-        previous = self.available_endpoints
-        self.available_endpoints = {}
-        self.by_service = {}
-        for spec in endpoints:
-            endpoint = previous.get(spec.name)
-            if endpoint is None or endpoint.spec.started_ms != spec.started_ms:
-                endpoint = EndpointLoad(spec)
-            endpoint.spec = spec
-            self.available_endpoints[spec.name] = endpoint
-            self.by_service.setdefault(spec.service, []).append(endpoint)
+        self.pool.replace(endpoints)
         for service in list(self.queues):
             self.grant_waiting(service, now)
 
@@ -195,7 +183,7 @@
         if self.guard.decide(ask, now) is GuardDecision.refused:
             return RefusalReason.quarantined
         # A new home host may not have the endpoints yet; requests then wait.
-        endpoints = self.by_service.get(ask.service, ())
+        endpoints = self.pool.of_service(ask.service)
         if endpoints and all(
             endpoint.spec.name in ask.avoid for endpoint in endpoints
         ):
@@ -218,69 +206,14 @@
             decision = self.guard.decide(ask, now)
             if decision in HELD_BACK:
                 continue
-            endpoint = self.best_endpoint(ask, now)
+            endpoint = self.pool.best(ask, now)
             if endpoint is not None:
                 self.dequeue(ask.key)
                 is_probe = decision is GuardDecision.probe
                 self.grant(ask, endpoint, now, is_probe=is_probe)
-            elif not self.has_free_slot(service):
+            elif not self.pool.has_free_slot(service):
                 return
 
-    def has_free_slot(self, service: str) -> bool:
-        """Return whether any endpoint of a service has a free slot."""
-        return any(
-            endpoint.free_slots > 0
-            for endpoint in self.by_service.get(service, ())
-        )
-
-    def best_endpoint(
-        self, ask: SlotRequest, now: float
-    ) -> EndpointLoad | None:
-        """Return the endpoint with the best score of those with a free slot.
-
-        An endpoint that is too slow to finish in time is chosen only if all
-        eligible endpoints are too slow.
-        """
-        eligible = self.eligible(ask, now)
-        left = (ask.deadline - now) * FINISH_SHARE
-        in_time = [
-            endpoint
-            for endpoint in eligible
-            if endpoint.predict_finish_s(ask, now) <= left
-        ]
-        free = [
-            endpoint
-            for endpoint in in_time or eligible
-            if endpoint.free_slots > 0
-        ]
-        return min(
-            free,
-            key=lambda endpoint: endpoint.score(ask, now),
-            default=None,
-        )
-
-    def eligible(self, ask: SlotRequest, now: float) -> list[EndpointLoad]:
-        """Return the endpoints that may get a request.
-
-        If fewer than ``MIN_WORKING_SHARE`` of a service's endpoints accept
-        requests, ejections are ignored, as they would overload the rest.
-        """
-        endpoints = self.by_service.get(ask.service, ())
-        working = [
-            endpoint
-            for endpoint in endpoints
-            if endpoint.reliability.accepts_requests(
-                now, repeatable=ask.repeatable
-            )
-        ]
-        if len(working) < len(endpoints) * MIN_WORKING_SHARE:
-            working = list(endpoints)
-        return [
-            endpoint
-            for endpoint in working
-            if endpoint.spec.name not in ask.avoid
-        ]
-
     def grant(
         self,
         ask: SlotRequest,
@@ -330,7 +263,7 @@
                 'waited_s': round(now - ask.arrived_at, 3),
                 'workspace': ask.workspace,
                 'limit_level': bucket and int(bucket.level),
-                'endpoints': len(self.by_service.get(ask.service, ())),
+                'endpoints': len(self.pool.of_service(ask.service)),
             },
         )
 
