Let second attempts with a suspect part wait

Change: they wait in turn like first ones; a part with under a quarter of the runs, not an eighth, is no culprit.

--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -36,7 +36,7 @@
 TRIAL_S = 2.0
 # A part with fewer than one in so many of the runs that ended since its first
 # one is a bystander of other causes.
-MAX_RUNS_PER_OWN = 8
+MAX_RUNS_PER_OWN = 4
 MAX_REPORTS = 512
 MAX_RUNS = 512
 MAX_PARTS = 4096
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -77,9 +77,6 @@
     suspects : dict
         Parts of which one request at a time gets an endpoint, and the time
         before which none does, in seconds.
-    unserved : frozenset of str
-        Those that are not known to have been served; they get no second
-        attempts, as each would cost an endpoint.
     unserved_grants : Counter
         Number of granted requests with a part that are not served yet.
     served_keys : set of SlotKey
@@ -97,7 +94,6 @@
         self.evidence = CrashEvidence(quarantine)
         self.probes = ProbeSchedule(quarantine)
         self.suspects: dict[str, float] = {}
-        self.unserved: frozenset[str] = frozenset()
         self.unserved_grants: Counter[str] = Counter()
         self.served_keys: set[SlotKey] = set()
         self.runs: dict[str, EndpointRun] = {}
@@ -157,8 +153,6 @@
             if ask.repeatable and self.probes.due(covered, now):
                 return GuardDecision.probe
             return GuardDecision.refused
-        if ask.attempt > 1 and self.unserved.intersection(ask.parts):
-            return GuardDecision.refused
         return (
             GuardDecision.waits
             if self.is_held_back(ask, now)
@@ -288,13 +282,10 @@
             if culprit.is_recent and self.unserved_grants[culprit.part]:
                 continue
             self.quarantine_part(culprit, now)
-        suspects = self.evidence.suspects(now)
         self.suspects = {
-            suspect.part: suspect.held_until for suspect in suspects
+            suspect.part: suspect.held_until
+            for suspect in self.evidence.suspects(now)
         }
-        self.unserved = frozenset(
-            suspect.part for suspect in suspects if not suspect.is_recent
-        )
 
     def quarantine_part(self, culprit: Culprit, now: float) -> None:
         """Quarantine a part."""
