--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -23,12 +23,14 @@
 from trefoilspool.why import explain, find_lines
 
 MODULES = (
+    'callerchannel',
     'directory',
     'discovery',
     'exchange',
     'gateway',
     'gatewaydaemon',
     'gatewayhost',
+    'httpserver',
     'jsonlog',
     'mesh',
     'datagramsocket',
@@ -40,10 +42,13 @@
     'quietperiods',
     'replication',
     'requestoutcomes',
+    'requestparser',
+    'responsechunks',
     'serving',
     'slotacquisition',
     'slotclient',
     'slotscheduler',
+    'workerpool',
 )
 CALL = re.compile(
     r"(?:logger\.\w+|self\.log|log_decision|DecisionEvent)\(\s*'([^']+)'"
--- a/trefoilspool/gateway.py
+++ b/trefoilspool/gateway.py
@@ -3,9 +3,10 @@
 import json
 import random
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import NamedTuple
 
+import logbook
 from returns.result import Failure, Result, Success
 
 from trefoilspool import clock
@@ -13,36 +14,60 @@
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.errors import (
     BodyTooLargeError,
+    CallerGoneError,
+    CutResponseError,
+    MayHaveRunError,
     NotReadyError,
+    OverloadedError,
     Problem,
     UnauthorizedError,
 )
 from trefoilspool.filter import Response
+from trefoilspool.responsechunks import StartedChunks, TrackedChunks
 from trefoilspool.routedrequests import RoutedRequest
 from trefoilspool.routing import Configuration, Route, Workspace
 from trefoilspool.serving import RequestServer
 from trefoilspool.telemetry import Metrics, log_decision
 
-__all__ = ['Gateway', 'problem_response']
+__all__ = ['Arrival', 'Gateway', 'problem_response']
 
 STARTING_RETRY_AFTER_S = 0.5
 LEAVING_RETRY_AFTER_S = 0.1  # the retry reaches another host
+BUSY_RETRY_AFTER_S = 0.3
 
+logger = logbook.Logger('gateway')
 
-class ReceivedRequest(NamedTuple):
-    """A request with the configuration in force when it arrived.
+
+class Arrival(NamedTuple):
+    """How a request arrived.
 
     Attributes
     ----------
-    arrived_at : float
-        Monotonic seconds.
+    read_at : float
+        When it had been read whole, in monotonic seconds.
+    overdue : bool
+        Whether no thread became free for it in time.
     client_disconnected : callable
         Returns whether the caller has closed its connection.
     """
 
-    caller_request: CallerRequest
-    arrived_at: float
+    read_at: float
+    overdue: bool
     client_disconnected: Callable[[], bool]
+
+
+class ReceivedRequest(NamedTuple):
+    """A request with the configuration in force when it arrived.
+
+    Attributes
+    ----------
+    queued_s : float
+        Seconds for which the request waited for a thread.
+    """
+
+    caller_request: CallerRequest
+    arrival: Arrival
+    queued_s: float
     configuration: Configuration
 
 
@@ -72,6 +97,8 @@
         response.
     closed : bool
         Whether all requests are rejected.
+    ending : bool
+        Whether requests that still wait are ended with a response.
     open_count : int
         Number of requests whose response has not ended.
     """
@@ -82,69 +109,121 @@
         self.configuration: Configuration | None = None
         self.draining = False
         self.closed = False
+        self.ending = False
         self.open_count = 0
         self.lock = threading.Lock()
 
-    def handle(
-        self, request: CallerRequest, client_disconnected: Callable[[], bool]
-    ) -> Response:
-        """Return the response; a stream is relayed while it is consumed.
-
-        Parameters
-        ----------
-        request : CallerRequest
-            The request.
-        client_disconnected : callable
-            Returns whether the caller has closed its connection.
-        """
-        arrived_at = clock.now()
+    def handle(self, request: CallerRequest, arrival: Arrival) -> Response:
+        """Return the response; a stream is relayed while it is consumed."""
         with self.lock:
             self.open_count += 1
-        response = self.respond(request, arrived_at, client_disconnected)
+        arrival = arrival._replace(
+            client_disconnected=self.or_ending(arrival.client_disconnected)
+        )
+        try:
+            response = self.respond(request, arrival)
+        except Exception:
+            response = self.fail(
+                request.request_id,
+                OverloadedError(
+                    'not run: this host failed', BUSY_RETRY_AFTER_S
+                ),
+            )
         if self.draining:
             response = response._replace(
                 headers=without_content_length(response.headers)
             )
-        return response._replace(chunks=self.track_open(response.chunks))
-
-    def respond(
-        self,
-        request: CallerRequest,
-        arrived_at: float,
-        client_disconnected: Callable[[], bool],
-    ) -> Response:
+        return response._replace(
+            chunks=TrackedChunks(
+                request.request_id, response.chunks, self.on_end
+            )
+        )
+
+    def respond(self, request: CallerRequest, arrival: Arrival) -> Response:
         """Route, authenticate and serve a request."""
         configuration = self.configuration
         if self.closed:
             return self.reject(
-                request,
+                request.request_id,
                 NotReadyError('this host is leaving', LEAVING_RETRY_AFTER_S),
             )
         if configuration is None:
             return self.reject(
-                request,
+                request.request_id,
                 NotReadyError(
                     'this host has not read a configuration yet',
                     STARTING_RETRY_AFTER_S,
                 ),
             )
-        received = ReceivedRequest(
-            request, arrived_at, client_disconnected, configuration
-        )
+        queued_s = clock.now() - arrival.read_at
+        if arrival.overdue:
+            return self.reject(
+                request.request_id,
+                OverloadedError(
+                    f'no thread became free in {queued_s:.3f} s',
+                    BUSY_RETRY_AFTER_S,
+                ),
+            )
+        received = ReceivedRequest(request, arrival, queued_s, configuration)
         routed = find_route(received).bind(authenticate)
         if isinstance(routed, Failure):
-            return self.reject(request, routed.failure())
-        served = self.request_server.serve(routed.unwrap())
+            return self.reject(request.request_id, routed.failure())
+        return self.serve(routed.unwrap())
+
+    def serve(self, routed: RoutedRequest) -> Response:
+        """Serve a routed request up to the first bytes of its response."""
+        try:
+            return self.started_response(routed)
+        except CutResponseError as error:
+            # Nothing of the response has been sent, so it can be another one.
+            return problem_response(MayHaveRunError(str(error)))
+        except Exception:
+            return self.fail(
+                routed.caller_request.request_id,
+                MayHaveRunError('this host failed while it served the request'),
+            )
+
+    def started_response(self, routed: RoutedRequest) -> Response:
+        """Return the response, whose first bytes have been received.
+
+        Raises
+        ------
+        CutResponseError
+            When a stream was cut before an event that the caller lacks.
+        """
+        served = self.request_server.serve(routed)
         if isinstance(served, Failure):
-            return problem_response(served.failure())
+            return problem_response(self.caller_problem(served.failure()))
         response: Response = served.unwrap()
-        return response
+        first = next(response.chunks, b'')
+        return response._replace(chunks=StartedChunks(first, response.chunks))
+
+    def or_ending(
+        self, client_disconnected: Callable[[], bool]
+    ) -> Callable[[], bool]:
+        """Return a check that is also true once all requests are ended."""
+        return lambda: self.ending or client_disconnected()
+
+    def caller_problem(self, problem: Problem) -> Problem:
+        """Return the problem as callers get it.
+
+        One that this host's end has taken for a disconnect may have run.
+        """
+        if self.ending and isinstance(problem, CallerGoneError):
+            return MayHaveRunError('this host ends')
+        return problem
+
+    def fail(self, request_id: str, problem: Problem) -> Response:
+        """Log the exception being handled and return its response."""
+        logger.exception('request_failed', extra={'request': request_id})
+        self.metrics.count('trefoilspool_failed_total')
+        return problem_response(problem)
 
-    def reject(self, request: CallerRequest, problem: Problem) -> Response:
+    def reject(self, request_id: str, problem: Problem) -> Response:
         """Log a request that is not served and return its response."""
         log_decision(
             'reject',
-            request.request_id,
+            request_id,
             reason=problem.slug,
             detail=problem.detail,
             version=self.version,
@@ -159,13 +238,10 @@
         """Return the version of the configuration in force, 0 if none."""
         return self.configuration.version if self.configuration else 0
 
-    def track_open(self, chunks: Iterator[bytes]) -> Iterator[bytes]:
-        """Yield the chunks, then stop counting the request as open."""
-        try:
-            yield from chunks
-        finally:
-            with self.lock:
-                self.open_count -= 1
+    def on_end(self) -> None:
+        """Stop counting a request as open."""
+        with self.lock:
+            self.open_count -= 1
 
 
 def find_route(received: ReceivedRequest) -> Result[MatchedRequest, Problem]:
@@ -192,6 +268,7 @@
 def authenticate(matched: MatchedRequest) -> Result[RoutedRequest, Problem]:
     """Return the request with its workspace, or the problem (401)."""
     received, route = matched
+    arrival = received.arrival
     configuration = received.configuration
     request = received.caller_request
     workspace: Workspace | None = configuration.workspaces_by_key.get(
@@ -210,10 +287,11 @@
             workspace=workspace.name if workspace else '',
             rank=configuration.rank(route, workspace),
             charge=workspace.charge(tokens) if workspace else 0,
-            arrived_at=received.arrived_at,
-            deadline=received.arrived_at + timeout_s,
-            client_disconnected=received.client_disconnected,
+            arrived_at=arrival.read_at,
+            deadline=arrival.read_at + timeout_s,
+            client_disconnected=arrival.client_disconnected,
             version=configuration.version,
+            queued_s=received.queued_s,
         )
     )
 
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -1,18 +1,23 @@
 """The WSGI application of a gateway host."""
 
+import re
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from typing import Any
 
-from trefoilspool.errors import Problem
+from waitress.task import hop_by_hop
+
+from trefoilspool.callerchannel import Application
+from trefoilspool.errors import OverloadedError, Problem
 from trefoilspool.filter import Response
-from trefoilspool.gateway import problem_response
+from trefoilspool.gateway import BUSY_RETRY_AFTER_S, Arrival
 from trefoilspool.gatewayhost import GatewayHost
 from trefoilspool.peertopics import (
     CONFIGURATION_PATH,
     ENDPOINTS_PATH,
     encode_changes,
 )
+from trefoilspool.responsechunks import close_chunks
 from trefoilspool.web import status_line
 
 __all__ = ['GatewayApp']
@@ -20,9 +25,11 @@
 Environ = Mapping[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 METRICS_PATH = '/metrics'
+# A line break within a header of a response, which is sent as a space.
+FOLD = re.compile(r'\s*[\r\n]+\s*')
 
 
-class GatewayApp:
+class GatewayApp(Application):
     """The WSGI application of all listeners.
 
     Parameters
@@ -54,9 +61,19 @@
     ) -> Iterable[bytes]:
         """Return the body of the response to a request."""
         response = self.respond(environ)
-        start_response(status_line(response.status), list(response.headers))
+        try:
+            start_response(
+                status_line(response.status), sendable_headers(response.headers)
+            )
+        except Exception:
+            close_chunks(response.chunks)
+            raise
         return response.chunks
 
+    def request_id(self, environ: Mapping[str, object]) -> str:
+        """Return the id of a caller's request, empty if it has none."""
+        return self.dialect.request_id(environ)
+
     def respond(self, environ: Environ) -> Response:
         """Return a page of this host, or the gateway's response."""
         port = environ['SERVER_PORT']
@@ -65,14 +82,25 @@
             if page is None:
                 return sized_response(HTTPStatus.NOT_FOUND, b'')
             return page(environ['QUERY_STRING'])
+        gateway = self.host.gateway
+        request_id = self.request_id(environ)
         try:
             request = self.dialect.decode_request(environ)
         except Problem as problem:
-            return problem_response(problem)
-        return self.host.gateway.handle(
-            request,
+            return gateway.reject(request_id, problem)
+        except Exception:
+            return gateway.fail(
+                request_id,
+                OverloadedError(
+                    'not run: this host failed', BUSY_RETRY_AFTER_S
+                ),
+            )
+        arrival = Arrival(
+            environ['trefoilspool.read_at'],
+            environ['trefoilspool.overdue'],
             environ['waitress.client_disconnected'],
         )
+        return gateway.handle(request, arrival)
 
     def ready(self, query: str) -> Response:
         """Return the readiness of this host, for the load balancer."""
@@ -102,6 +130,17 @@
     return listener.rpartition(':')[2]
 
 
+def sendable_headers(
+    headers: Iterable[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Return the headers that WSGI lets pass, each on one line."""
+    return [
+        (name, FOLD.sub(' ', text))
+        for name, text in headers
+        if name.lower() not in hop_by_hop
+    ]
+
+
 def sized_response(status: int, body: bytes) -> Response:
     """Return a response with its Content-Length."""
     return Response(
--- a/trefoilspool/httpserver.py
+++ b/trefoilspool/httpserver.py
@@ -1,14 +1,19 @@
 """The HTTP server of a host; its idle connections can be closed."""
 
-from collections.abc import Callable, Iterable, Iterator
+import time
+from collections.abc import Iterator, Sequence
 from typing import Any
 
+import logbook
 import waitress
-from waitress.channel import HTTPChannel
-from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.server import BaseWSGIServer
 from waitress.wasyncore import close_all
 
+from trefoilspool.callerchannel import (
+    Application,
+    CallerChannel,
+    PageChannel,
+)
 from trefoilspool.workerpool import WorkerPool
 
 __all__ = ['HttpServer']
@@ -19,34 +24,11 @@
 MAX_CONNECTIONS = 1000
 MAX_BODY_BYTES = 64_000_000
 MAX_HEADERS_BYTES = 65_536
+# Bodies stay in memory: a full disk would end their requests.
+MAX_BUFFERED_BYTES = 1_000_000_000
+LOOP_PAUSE_S = 0.02
 
-Application = Callable[..., Iterable[bytes]]
-
-
-class StrictParser(HTTPRequestParser):  # type: ignore[misc]
-    """Rejects requests with both chunked encoding and a Content-Length.
-
-    An endpoint could take part of such a body for another request (request
-    smuggling).
-    """
-
-    def parse_header(self, header_plus: bytes) -> None:
-        """Parse the head of a request.
-
-        Raises
-        ------
-        ParsingError
-            When the head is malformed.
-        """
-        super().parse_header(header_plus)
-        if self.chunked and 'CONTENT_LENGTH' in self.headers:
-            raise ParsingError('a chunked body must not have a Content-Length')
-
-
-class StrictChannel(HTTPChannel):  # type: ignore[misc]
-    """A caller's connection, parsed by ``StrictParser``."""
-
-    parser_class = StrictParser
+logger = logbook.Logger('httpserver')
 
 
 class HttpServer:
@@ -54,18 +36,20 @@
 
     Parameters
     ----------
-    application : callable
+    application : Application
         The WSGI application.
-    addresses : iterable of str
-        IP:PORT of each listening socket.
+    addresses : sequence of str
+        IP:PORT of each listening socket. Callers use the first; the others have
+        pages that are answered even while all threads wait.
     """
 
     def __init__(
         self,
         application: Application,
-        addresses: Iterable[str],
+        addresses: Sequence[str],
     ) -> None:
         self.sockets: dict[Any, Any] = {}
+        self.closed = False
         self.worker_pool = WorkerPool()
         self.server = waitress.create_server(
             application,
@@ -77,6 +61,8 @@
             max_request_body_size=MAX_BODY_BYTES,
             max_request_header_size=MAX_HEADERS_BYTES,
             connection_limit=MAX_CONNECTIONS,
+            inbuf_overflow=MAX_BUFFERED_BYTES,
+            outbuf_overflow=MAX_BUFFERED_BYTES,
             channel_timeout=CHANNEL_TIMEOUT_S,
             backlog=BACKLOG,
             clear_untrusted_proxy_headers=False,
@@ -86,16 +72,24 @@
         )
         for dispatcher in self.sockets.values():
             if isinstance(dispatcher, BaseWSGIServer):
-                dispatcher.channel_class = StrictChannel
+                dispatcher.channel_class = channel_class(dispatcher, addresses)
 
     def run(self) -> None:
-        """Serve until the process ends."""
-        self.server.run()
-
-    def channels(self) -> Iterator[HTTPChannel]:
+        """Serve until all sockets are closed."""
+        while self.sockets and not self.closed:
+            try:
+                self.server.run()
+            except Exception:
+                if self.closed:
+                    return
+                # An exception outside the handling of one connection.
+                logger.exception('server_loop_failed')
+                time.sleep(LOOP_PAUSE_S)
+
+    def channels(self) -> Iterator[CallerChannel]:
         """Yield the open connections of callers."""
         for dispatcher in list(self.sockets.values()):
-            if isinstance(dispatcher, HTTPChannel):
+            if isinstance(dispatcher, CallerChannel):
                 yield dispatcher
 
     def close_idle(self) -> int:
@@ -106,23 +100,34 @@
         int
             Number of connections that are being closed.
         """
-        closed = 0
-        for channel in self.channels():
-            with channel.requests_lock:
-                idle = not channel.requests and channel.request is None
-                if idle and not channel.total_outbufs_len:
-                    channel.will_close = True
-                    closed += 1
+        closing = [channel for channel in self.channels() if channel.is_idle()]
+        for channel in closing:
+            # A request may be arriving: the thread that reads it decides.
+            channel.closes_idle = True
             channel.server.pull_trigger()
-        return closed
+        return len(closing)
 
     def has_requests(self) -> bool:
         """Return whether any request is being read, waits or is answered."""
         return any(
-            channel.requests or channel.request or channel.total_outbufs_len
+            channel.requests
+            or channel.request
+            or channel.total_outbufs_len
+            or channel.lingers_until
             for channel in self.channels()
         )
 
     def close(self) -> None:
         """Close all sockets."""
+        self.closed = True
+        self.worker_pool.stop_prompt_thread()
         close_all(self.sockets, ignore_all=True)
+
+
+def channel_class(
+    listener: BaseWSGIServer, addresses: Sequence[str]
+) -> type[CallerChannel]:
+    """Return the kind of the connections that a listener accepts."""
+    caller_port = addresses[0].rpartition(':')[2]
+    is_for_callers = str(listener.effective_port) == caller_port
+    return CallerChannel if is_for_callers else PageChannel
