--- a/tests/test_promptguard.py
+++ b/tests/test_promptguard.py
@@ -175,7 +175,9 @@
         for number in range(3):
             report_crash(scheduler, number, 20)
         scheduler.tick(20)
-        (event,) = events_of(scheduler, 'prompt_part_quarantined')
+        events = events_of(scheduler, 'prompt_part_quarantined')
+        assert len(events) == 1
+        event = events[0]
         assert event.fields['part'] == 'bad'
         assert event.fields['runs'] == ['gone0', 'gone1', 'gone2']
 
@@ -372,7 +374,9 @@
         for step in range(int(UNASKED_S) + 2):
             quarantining.on_ask(ask(100 + step), 20 + step)
             quarantining.tick(20 + step)
-        (event,) = events_of(quarantining, 'prompt_part_released')
+        events = events_of(quarantining, 'prompt_part_released')
+        assert len(events) == 1
+        event = events[0]
         assert event.fields['reason'] == 'unasked'
 
     def test_refused_requests_count_as_asking(
