--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -36,6 +36,9 @@
     'datagramsocket',
     'endpointview',
     'peers',
+    'promptguard',
+    'quarantinegossip',
+    'quarantinestore',
     'quietperiods',
     'replication',
     'requestoutcomes',
@@ -47,7 +50,9 @@
     'slotscheduler',
     'workerpool',
 )
-CALL = re.compile(r"(?:logger\.\w+|log_decision|DecisionEvent)\(\s*'([^']+)'")
+CALL = re.compile(
+    r"(?:logger\.\w+|self\.log|log_decision|DecisionEvent)\(\s*'([^']+)'"
+)
 PAGE = ROOT / 'docs' / 'operators' / 'decision-log.md'
 
 
--- a/trefoilspool/attempttimes.py
+++ b/trefoilspool/attempttimes.py
@@ -2,6 +2,10 @@
 
 __all__ = ['AttemptTimes']
 
+# An endpoint that ends within this time after the first event may have crashed
+# on the request.
+RESPONSE_START_S = 0.1
+
 
 class AttemptTimes:
     """Times and event counts of one attempt; owned by the request's thread.
@@ -43,6 +47,15 @@
         self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
         self.last_event_at = now
 
+    def has_hardly_begun(self, now: float) -> bool:
+        """Return whether at most the very start of a response has arrived."""
+        if self.event_count > 1:
+            return False
+        return (
+            not self.first_byte_s
+            or now - self.first_event_at < RESPONSE_START_S
+        )
+
     def decode_s(self, now: float) -> float:
         """Return the seconds since the first event, 0 without events."""
         return now - self.first_event_at if self.event_count else 0.0
--- /dev/null
+++ b/trefoilspool/crashevidence.py
@@ -0,0 +1,471 @@
+"""Which prompt parts endpoints end under.
+
+A part is blamed for the runs of endpoints that ended under requests with it,
+unless a quarantined part explains them or requests with it are served.
+"""
+
+import bisect
+from collections import OrderedDict, defaultdict, deque
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from trefoilspool.departures import EndpointRun
+from trefoilspool.quarantine import Quarantine
+
+__all__ = ['CrashEvidence', 'CrashReport', 'Culprit']
+
+RETENTION_S = 60.0
+# Longest time between an attempt's end and the sign that its run has ended; the
+# record of an endpoint lapses after some seconds.
+CONFIRMATION_S = 5.0
+# Attempts that break within this time of each other show that a run has ended.
+SIMULTANEOUS_S = 0.3
+MIN_RUNS = 3
+SUSPECT_RUNS = 2
+# Between the end of a run and the next request with a suspect part; time for
+# sound parts to be served, and for endpoints to be back.
+SUSPECT_PAUSE_S = 0.5
+# A part that was served so recently before its first crash, or may have been,
+# needs one run more, and time for requests with it to be served.
+RECENTLY_SERVED_S = 10.0
+# Sound parts have shown that they are, one request at a time, once others that
+# were sent at so many times were served; or, if none are, once endpoints have
+# ended at so many times and for so long.
+MIN_MOMENTS = 5
+MOMENT_S = 0.3
+TRIAL_S = 2.0
+# A part with fewer than one in so many of the runs that ended since its first
+# one is a bystander of other causes.
+MAX_RUNS_PER_OWN = 4
+MAX_REPORTS = 512
+MAX_RUNS = 512
+MAX_PARTS = 4096
+MAX_SERVED = 256  # of which the times are kept
+MAX_SIGNS = 12  # of the end of a run
+NEVER = float('-inf')
+
+
+class CrashReport(NamedTuple):
+    """An attempt that ended with its endpoint before it could be answered.
+
+    At most the very start of an answer had arrived.
+
+    Attributes
+    ----------
+    parts : tuple of str
+        Ids of the prompt's parts, all but the last.
+    number : int
+        Number of the attempt at its entry host.
+    age_s : float
+        Seconds since the attempt ended.
+    """
+
+    run: EndpointRun
+    parts: tuple[str, ...]
+    number: int
+    age_s: float
+
+
+class BrokenAttempt(NamedTuple):
+    """A reported attempt, and when it ended in seconds."""
+
+    run: EndpointRun
+    parts: tuple[str, ...]
+    ended_at: float
+
+
+class RunSigns(NamedTuple):
+    """What is known of the end of a run; times in seconds.
+
+    Attributes
+    ----------
+    ended_at : tuple of float
+        When signs showed that it has ended, oldest first.
+    broken_at : float
+        When the last attempt there broke; minus infinity without one.
+    collapsed_at : float
+        When attempts last broke there at the same time, which only suggests
+        its end; minus infinity if they have not.
+    broken_attempt : tuple of str and int
+        Entry host and number of the last attempt that broke.
+    """
+
+    ended_at: tuple[float, ...] = ()
+    broken_at: float = NEVER
+    collapsed_at: float = NEVER
+    broken_attempt: tuple[str, int] = ('', 0)
+
+    def is_end(self, at: float) -> bool:
+        """Return whether the run ended with an attempt that ended then."""
+        return abs(self.collapsed_at - at) <= SIMULTANEOUS_S or any(
+            abs(ended_at - at) <= CONFIRMATION_S for ended_at in self.ended_at
+        )
+
+
+NO_SIGNS = RunSigns()
+
+
+class Culprit(NamedTuple):
+    """A part under which endpoints end; times in seconds.
+
+    Attributes
+    ----------
+    runs : dict
+        When runs ended under it that nothing else explains, since a request
+        with it was last served.
+    served_at : float
+        When the last request with the part that was served was sent; minus
+        infinity if none is remembered.
+    is_recent : bool
+        Whether that was shortly before the first of the runs ended, or may
+        have been.
+    is_tried : bool
+        Whether it would have been served since then if it were sound; asked
+        only of one with enough runs that was served recently.
+    depth : int
+        Number of parts before it in a prompt.
+    """
+
+    part: str
+    runs: Mapping[EndpointRun, float]
+    served_at: float
+    is_recent: bool
+    is_tried: bool
+    depth: int
+
+    @property
+    def is_proven(self) -> bool:
+        """Return whether the runs suffice for a quarantine."""
+        if self.is_recent:
+            return len(self.runs) > MIN_RUNS and self.is_tried
+        return len(self.runs) >= MIN_RUNS
+
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether requests with the part should go one by one."""
+        return len(self.runs) >= SUSPECT_RUNS + self.is_recent
+
+    @property
+    def held_until(self) -> float:
+        """Return until when requests with the part wait, in seconds."""
+        return max(self.runs.values()) + SUSPECT_PAUSE_S
+
+    @property
+    def order(self) -> tuple[bool, int, float]:
+        """Return a key that is lowest for the likeliest cause."""
+        return self.is_recent, -len(self.runs), self.served_at
+
+
+class CrashEvidence:
+    """Reports of attempts that ended with their endpoints.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        Parts that explain the runs that ended under them.
+
+    Attributes
+    ----------
+    attempts : dict
+        Reported attempts by entry host and number, oldest first.
+    runs : dict
+        Signs of the ends of runs, by run.
+    served_at : dict
+        When the last request with a part that was served was sent, by part.
+    served_times : deque
+        When the last requests that were served were sent, in seconds.
+    known_since : float
+        Since when served requests are known here, in seconds.
+    is_changed : bool
+        Whether there is evidence that has not been judged.
+    blamed : frozenset of str
+        Parts that the last judgement found.
+    ended : list of float
+        When the runs ended that no quarantine explains, oldest first.
+    before : dict
+        Parts before each in the prompts of reports.
+    """
+
+    def __init__(self, quarantine: Quarantine) -> None:
+        self.quarantine = quarantine
+        self.attempts: OrderedDict[tuple[str, int], BrokenAttempt] = (
+            OrderedDict()
+        )
+        self.runs: OrderedDict[EndpointRun, RunSigns] = OrderedDict()
+        self.served_at: OrderedDict[str, float] = OrderedDict()
+        self.served_times: deque[float] = deque(maxlen=MAX_SERVED)
+        self.known_since = float('inf')
+        self.is_changed = False
+        self.blamed: frozenset[str] = frozenset()
+        self.ended: list[float] = []
+        self.before: defaultdict[str, set[str]] = defaultdict(set)
+
+    def on_report(self, entry: str, report: CrashReport, now: float) -> None:
+        """Take a report; repeated ones change nothing."""
+        key = (entry, report.number)
+        if report.age_s > RETENTION_S or key in self.attempts:
+            return
+        ended_at = now - report.age_s
+        self.is_changed = True
+        self.attempts[key] = BrokenAttempt(report.run, report.parts, ended_at)
+        self.on_broken(report.run, key, ended_at)
+        if len(self.attempts) > MAX_REPORTS:
+            self.attempts.popitem(last=False)
+
+    def on_broken(
+        self, run: EndpointRun, attempt: tuple[str, int], at: float
+    ) -> None:
+        """Note an attempt that broke at a run, whether reported or not."""
+        signs = self.runs.get(run, NO_SIGNS)
+        if signs.broken_attempt == attempt:
+            return
+        is_collapse = abs(signs.broken_at - at) <= SIMULTANEOUS_S
+        self.set_signs(
+            run,
+            signs._replace(
+                broken_at=at,
+                broken_attempt=attempt,
+                collapsed_at=at if is_collapse else signs.collapsed_at,
+            ),
+        )
+
+    def on_run_ended(self, run: EndpointRun, now: float) -> None:
+        """Note a sign that a run has ended."""
+        signs = self.runs.get(run, NO_SIGNS)
+        if signs.ended_at and now - signs.ended_at[-1] <= CONFIRMATION_S:
+            return
+        ended_at = (*signs.ended_at[-MAX_SIGNS:], now)
+        self.set_signs(run, signs._replace(ended_at=ended_at))
+
+    def on_run_alive(self, run: EndpointRun, since: float) -> None:
+        """Note that a run has answered a request that was sent at a time.
+
+        Signs of its end from before were wrong.
+        """
+        signs = self.runs.get(run)
+        if signs is not None:
+            collapsed_at = signs.collapsed_at
+            self.runs[run] = signs._replace(
+                collapsed_at=NEVER if collapsed_at < since else collapsed_at,
+                ended_at=tuple(at for at in signs.ended_at if at >= since),
+            )
+
+    def set_signs(self, run: EndpointRun, signs: RunSigns) -> None:
+        """Replace the signs of a run."""
+        self.runs[run] = signs
+        self.is_changed = True
+        if len(self.runs) > MAX_RUNS:
+            self.runs.popitem(last=False)
+
+    def on_served(self, parts: tuple[str, ...], sent_at: float) -> None:
+        """Note that a request with these parts was served."""
+        self.served_times.append(sent_at)
+        self.is_changed |= not self.blamed.isdisjoint(parts)
+        for part in parts:
+            last_at = self.served_at.get(part, NEVER)
+            self.served_at[part] = max(last_at, sent_at)
+            self.served_at.move_to_end(part)
+        while len(self.served_at) > MAX_PARTS:
+            self.served_at.popitem(last=False)
+
+    def forget_old(self, now: float) -> None:
+        """Forget what is older than ``RETENTION_S``."""
+        before = now - RETENTION_S
+        while self.attempts:
+            key, attempt = next(iter(self.attempts.items()))
+            if attempt.ended_at >= before:
+                break
+            self.attempts.pop(key)
+        while self.served_at:
+            part, sent_at = next(iter(self.served_at.items()))
+            if sent_at >= before:
+                break
+            self.served_at.pop(part)
+
+    def judge(self, now: float, unconfirmed_s: float = 0) -> list[Culprit]:
+        """Return the parts under which runs ended that nothing explains.
+
+        Parameters
+        ----------
+        now : float
+            The present time in seconds.
+        unconfirmed_s : float
+            For how long a run counts of which only reports say that it ended.
+        """
+        self.is_changed = False
+        crashes = self.unexplained(now, unconfirmed_s)
+        judged = (
+            self.culprit(part, runs, now)
+            for part, runs in crashes.items()
+            if len(runs) >= SUSPECT_RUNS
+        )
+        found = [
+            culprit
+            for culprit in judged
+            if culprit.runs and self.is_frequent(culprit)
+        ]
+        self.blamed = frozenset(culprit.part for culprit in found)
+        return found
+
+    def culprits(self, now: float) -> list[Culprit]:
+        """Return the parts to quarantine now, likeliest first."""
+        found: list[Culprit] = []
+        judged = self.judge(now)
+        convicted = likeliest(judged)
+        while convicted is not None:
+            found.append(convicted)
+            judged = explain_away(judged, convicted.runs)
+            convicted = likeliest(judged)
+        return found
+
+    def suspects(self, now: float) -> list[Culprit]:
+        """Return the parts of which one request at a time gets an endpoint."""
+        return [
+            culprit
+            for culprit in self.judge(now, unconfirmed_s=CONFIRMATION_S)
+            if culprit.is_suspect
+        ]
+
+    def unexplained(
+        self, now: float, unconfirmed_s: float
+    ) -> dict[str, dict[EndpointRun, float]]:
+        """Return when runs ended under each part that nothing explains.
+
+        Returns
+        -------
+        dict
+            Seconds by run, by part.
+        """
+        crashes: defaultdict[str, dict[EndpointRun, float]] = defaultdict(dict)
+        attempts = [
+            attempt
+            for attempt in self.attempts.values()
+            if now - attempt.ended_at < unconfirmed_s
+            or self.is_end(attempt, now)
+        ]
+        explained = {
+            attempt.run
+            for attempt in attempts
+            if any(
+                self.explains(part, attempt.ended_at) for part in attempt.parts
+            )
+        }
+        self.before.clear()
+        self.ended = sorted(
+            {
+                attempt.run: attempt.ended_at
+                for attempt in reversed(attempts)
+                if attempt.run not in explained
+            }.values()
+        )
+        for attempt in attempts:
+            if attempt.run not in explained:
+                for depth, part in enumerate(attempt.parts):
+                    crashes[part].setdefault(attempt.run, attempt.ended_at)
+                    self.before[part].update(attempt.parts[:depth])
+        return crashes
+
+    def is_end(self, attempt: BrokenAttempt, now: float) -> bool:
+        """Return whether the run of a recent attempt ended with it."""
+        return now - attempt.ended_at <= RETENTION_S and self.runs.get(
+            attempt.run, NO_SIGNS
+        ).is_end(attempt.ended_at)
+
+    def explains(self, part: str, at: float) -> bool:
+        """Return whether a part's quarantine explains a crash at a time.
+
+        One that was lifted explains the crashes before.
+        """
+        since = self.quarantine.since(part)
+        if since is None:
+            return False
+        return part in self.quarantine.active_parts or at < since
+
+    def culprit(
+        self, part: str, runs: Mapping[EndpointRun, float], now: float
+    ) -> Culprit:
+        """Return what speaks for and against a part."""
+        served_at = self.served_at.get(part, NEVER)
+        runs = {run: at for run, at in runs.items() if at > served_at}
+        first_at = min(runs.values(), default=now)
+        known_at = max(served_at, self.known_since)
+        is_recent = first_at - known_at <= RECENTLY_SERVED_S
+        is_tried = len(runs) > MIN_RUNS * 2 and self.is_left(part, first_at)
+        if is_recent and len(runs) > MIN_RUNS and not is_tried:
+            is_tried = self.is_tried(runs.values(), first_at, now)
+        return Culprit(
+            part,
+            runs,
+            served_at,
+            is_recent,
+            is_tried,
+            len(self.before[part]),
+        )
+
+    def is_frequent(self, culprit: Culprit) -> bool:
+        """Return whether a part was at enough of the runs that ended."""
+        first_at = min(culprit.runs.values())
+        ended = len(self.ended) - bisect.bisect_left(self.ended, first_at)
+        return len(culprit.runs) * MAX_RUNS_PER_OWN >= ended
+
+    def is_left(self, part: str, since: float) -> bool:
+        """Return whether the parts before it were all served since a time."""
+        before = self.before[part]
+        return bool(before) and all(
+            self.served_at.get(other, NEVER) > since for other in before
+        )
+
+    def is_tried(
+        self, ended_at: Iterable[float], first_at: float, now: float
+    ) -> bool:
+        """Return whether sound requests would have been served by now."""
+        since = max(first_at, self.known_since)
+        others = [at for at in self.served_times if at >= since]
+        return count_moments(others) >= MIN_MOMENTS or (
+            count_moments(ended_at) >= MIN_MOMENTS and now - since >= TRIAL_S
+        )
+
+
+def likeliest(culprits: list[Culprit]) -> Culprit | None:
+    """Return the likeliest culprit, None if it is not proven yet.
+
+    Of parts with nearly as many runs it is the one that comes last in prompts:
+    the parts before it are in all its reports.
+    """
+    proven = [culprit for culprit in culprits if culprit.is_proven]
+    if not proven:
+        return None
+    first = min(proven, key=lambda culprit: culprit.order)
+    near = [
+        culprit
+        for culprit in culprits
+        if culprit.is_recent == first.is_recent
+        and len(culprit.runs) >= len(first.runs) - 1
+    ]
+    deepest = min(near, key=lambda culprit: (-culprit.depth, culprit.order))
+    return deepest if deepest.is_proven else None
+
+
+def explain_away(
+    culprits: list[Culprit], explained: Mapping[EndpointRun, float]
+) -> list[Culprit]:
+    """Return what is left of culprits without the runs of another one."""
+    left = []
+    for culprit in culprits:
+        runs = {
+            run: at for run, at in culprit.runs.items() if run not in explained
+        }
+        if runs:
+            left.append(culprit._replace(runs=runs))
+    return left
+
+
+def count_moments(times: Iterable[float]) -> int:
+    """Return the number of times that are ``MOMENT_S`` apart."""
+    moments = 0
+    last_at = NEVER
+    for at in sorted(times):
+        if at - last_at >= MOMENT_S:
+            moments += 1
+            last_at = at
+    return moments
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -17,6 +17,7 @@
     StreamCutError,
 )
 from trefoilspool.exchange import EndpointClient, EndpointResponse
+from trefoilspool.quarantine import Quarantine
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.readwait import ReadWait
 from trefoilspool.requestprogress import (
@@ -25,7 +26,7 @@
 )
 from trefoilspool.routedrequests import AttemptFailure, Slot, StartedResponse
 from trefoilspool.routing import RepeatPolicy
-from trefoilspool.slotmessages import AttemptEnding
+from trefoilspool.slotmessages import AttemptEnding, shared_parts
 from trefoilspool.watch import Unwatch, Watch, WatchTask
 
 __all__ = [
@@ -85,6 +86,8 @@
         Sends requests to endpoints.
     watch : WatchTask
         Aborts attempts whose caller disconnected or whose deadline passed.
+    quarantine : Quarantine
+        Prompt parts that get no endpoint.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         quiet_periods: QuietPeriods,
         endpoint_client: EndpointClient,
         watch: WatchTask,
+        quarantine: Quarantine,
     ) -> None:
         self.progress = progress
         self.request = progress.request
@@ -101,6 +105,7 @@
         self.quiet_periods = quiet_periods
         self.endpoint_client = endpoint_client
         self.watch = watch
+        self.quarantine = quarantine
 
     def attempt(
         self, slot: Slot, on_silence: SilentAttemptHandler
@@ -140,7 +145,15 @@
         quiet_s = self.quiet_periods.remaining_s(slot.endpoint, now)
         if quiet_s:
             return f'{slot.endpoint} wants no requests for {quiet_s:.3f} s'
-        return ''
+        return self.quarantine_obstacle(slot)
+
+    def quarantine_obstacle(self, slot: Slot) -> str:
+        """Return which part of the prompt is quarantined, if any is."""
+        prefixes = self.request.caller_request.prompt_prefixes
+        part = self.quarantine.covered(shared_parts(prefixes))
+        if not part or slot.is_probe:
+            return ''
+        return f'endpoints end under prompt part {part}'
 
     def connect(self, endpoint: EndpointRecord) -> EndpointConnection:
         """Return an open connection to an endpoint.
@@ -280,7 +293,14 @@
     def open_stream(
         self, slot: Slot, response: EndpointResponse
     ) -> StartedResponse:
-        """Read a stream up to the end of its first event."""
+        """Read a stream up to the end of its first event.
+
+        Raises
+        ------
+        StreamCutError
+            When it is cut before. Without a length or chunks, any end before
+            the first event is taken for that.
+        """
         progress = self.progress
         head_at = clock.now()
         first_due = progress.read_until(
@@ -291,6 +311,8 @@
         )
         rest = response.events()
         first = next(rest, b'')
+        if not first and response.is_unsized and progress.last_event_number < 0:
+            raise StreamCutError('the connection ended before the first event')
         now = clock.now()
         progress.times.on_first_event(now)
         response.wait.until = progress.next_event_due(now)
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -66,6 +66,12 @@
         self.wait = wait
         self.is_released = False
 
+    @property
+    def is_unsized(self) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        response = self.http_response
+        return response.length is None and not response.chunked
+
     def read_body(self) -> bytes:
         """Return the whole body and release the connection.
 
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -136,6 +136,7 @@
             server.quiet_periods,
             server.endpoint_client,
             server.watch,
+            server.slot_client.quarantine,
         )
         self.replacer = Replacer(
             self.progress, self.slots, self.attempts, self.record_failure
@@ -301,6 +302,7 @@
     ) -> Generator[bytes, None, AttemptFailure | None]:
         """Yield one endpoint's events; return the failure that cut them."""
         ending = AttemptEnding.cancelled
+        self.slots.on_first_event(started.slot)
         try:
             yield from self.relayed_events(started)
             ending = AttemptEnding.completed
--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -17,9 +17,23 @@
     'SlotKey',
     'SlotRelease',
     'SlotRequest',
+    'shared_parts',
 ]
 
 
+def shared_parts(prompt_prefixes: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts, all but the last.
+
+    Parameters
+    ----------
+    prompt_prefixes : tuple of str
+        Ids of the prompt's prefixes, shortest first.
+    """
+    if not prompt_prefixes:
+        return ()
+    return tuple(prompt_prefixes[-1].split('/')[:-1])
+
+
 class SlotKey(NamedTuple):
     """Identifies an attempt by its entry host and its number there."""
 
@@ -49,6 +63,7 @@
     no_endpoint = 2  # the service has no endpoint that the request may use
     budget = 3  # the retry budget of the service is used up
     hopeless = 4  # the caller has disconnected
+    quarantined = 5  # endpoints end under a part of its prompt
 
 
 class SlotRequest(NamedTuple):
@@ -93,9 +108,20 @@
     data_centre: str
     repeatable: bool
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Return the parts that prompts may share: all but the last."""
+        return shared_parts(self.prompt_prefixes)
+
 
 class HeldSlot(NamedTuple):
-    """A slot that an entry host reports as in use."""
+    """A slot that an entry host reports as in use.
+
+    Attributes
+    ----------
+    streaming_s : float
+        Seconds from the first event of its stream to the latest; 0 before.
+    """
 
     key: SlotKey
     service: str
@@ -103,6 +129,7 @@
     prompt_tokens: int
     output_tokens: int
     age_s: float
+    streaming_s: float = 0.0
 
 
 class SlotRelease(NamedTuple):
@@ -151,10 +178,17 @@
 
 
 class Granted(NamedTuple):
-    """The request may be sent to the endpoint."""
+    """The request may be sent to the endpoint.
+
+    Attributes
+    ----------
+    is_probe : bool
+        Whether it tests a quarantined prompt part.
+    """
 
     key: SlotKey
     endpoint: str
+    is_probe: bool = False
 
 
 class Queued(NamedTuple):
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -8,9 +8,13 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
+from trefoilspool.crashevidence import CrashReport
 from trefoilspool.endpointload import EndpointLoad, Reservation
+from trefoilspool.endpointpool import EndpointPool
 from trefoilspool.grantrates import GrantRates
 from trefoilspool.minimumshares import MinimumShares
+from trefoilspool.promptguard import GuardDecision, PromptGuard
+from trefoilspool.quarantine import Quarantine
 from trefoilspool.ratelimits import RateLimits
 from trefoilspool.servicequeue import QueuedRequest, ServiceQueue
 from trefoilspool.slotmessages import (
@@ -32,12 +36,6 @@
 
 QUEUE_TIMEOUT_S = 1.0  # callers drop a stream that is silent for 2 s
 QUEUE_TIMEOUT_SHARE = 0.35  # of the time until the deadline
-# If a smaller share of a service's endpoints accepts requests, ejections are
-# ignored.
-MIN_WORKING_SHARE = 0.5
-# A response is in time if it is predicted to end within this share of the time
-# left before the deadline.
-FINISH_SHARE = 0.9
 HOLD_TIMEOUT_S = 1.2  # entry hosts report at least every mesh.MAX_HEARTBEAT_S
 MIN_RETRY_AFTER_S = 0.2
 # Retry-After is at most the time left before the deadline, divided by this.
@@ -52,6 +50,11 @@
         AttemptEnding.gone,
     )
 )
+# Refused requests that have no claim to a minimum share.
+UNCOUNTED_REFUSALS = frozenset(
+    (RefusalReason.over_limit, RefusalReason.quarantined)
+)
+HELD_BACK = frozenset((GuardDecision.waits, GuardDecision.refused))
 
 
 class SlotScheduler:
@@ -59,10 +62,8 @@
 
     Attributes
     ----------
-    available_endpoints : dict
-        Endpoints that may get requests, by name.
-    by_service : dict
-        The same endpoints by service.
+    pool : EndpointPool
+        Endpoints that may get requests.
     queues : dict
         Waiting requests of each service.
     waiting : dict
@@ -73,11 +74,13 @@
         When each entry host last reported its held slots.
     rate_limits : RateLimits
         Limits and budgets.
+    guard : PromptGuard
+        Prompt parts that get no endpoint.
     """
 
-    def __init__(self) -> None:
-        self.available_endpoints: dict[str, EndpointLoad] = {}
-        self.by_service: dict[str, list[EndpointLoad]] = {}
+    def __init__(self, quarantine: Quarantine | None = None) -> None:
+        self.guard = PromptGuard(quarantine or Quarantine())
+        self.pool = EndpointPool()
         self.queues: dict[str, ServiceQueue] = {}
         self.waiting: dict[SlotKey, QueuedRequest] = {}
         self.reservations: dict[SlotKey, Reservation] = {}
@@ -90,6 +93,11 @@
         self.decisions: list[SlotDecision] = []
         self.events: list[DecisionEvent] = []
 
+    @property
+    def available_endpoints(self) -> dict[str, EndpointLoad]:
+        """Return the endpoints that may get requests, by name."""
+        return self.pool.by_name
+
     def take_decisions(self) -> list[SlotDecision]:
         """Return the decisions since the last call."""
         decisions = self.decisions
@@ -100,22 +108,15 @@
         """Return the log events since the last call."""
         events = self.events
         self.events = []
-        return events
+        return events + self.guard.take_events()
 
     def on_available_endpoints(
         self, endpoints: Iterable[EndpointSpec], now: float
     ) -> None:
         """Replace the endpoints that may get requests."""
-        previous = self.available_endpoints
-        self.available_endpoints = {}
-        self.by_service = {}
-        for spec in endpoints:
-            endpoint = previous.get(spec.name)
-            if endpoint is None or endpoint.spec.started_ms != spec.started_ms:
-                endpoint = EndpointLoad(spec)
-            endpoint.spec = spec
-            self.available_endpoints[spec.name] = endpoint
-            self.by_service.setdefault(spec.service, []).append(endpoint)
+        endpoints = list(endpoints)
+        self.guard.on_endpoints(endpoints, now)
+        self.pool.replace(endpoints)
         for service in list(self.queues):
             self.grant_waiting(service, now)
 
@@ -123,13 +124,15 @@
         """Grant a slot, queue the request, or refuse it."""
         reservation = self.reservations.get(ask.key)
         if reservation is not None:
-            self.decisions.append(Granted(ask.key, reservation.endpoint))
+            self.decisions.append(
+                Granted(ask.key, reservation.endpoint, reservation.is_probe)
+            )
             return
         if ask.key in self.waiting:
             self.decisions.append(Queued(ask.key))
             return
         reason = self.try_admit(ask, now)
-        if reason is not RefusalReason.over_limit:
+        if reason not in UNCOUNTED_REFUSALS:
             self.minimum_shares[ask.service].on_ask(ask.rank, now)
         if reason is not None:
             self.refuse(ask, reason, now)
@@ -140,6 +143,13 @@
         if ask.key in self.waiting:
             self.decisions.append(Queued(ask.key))
 
+    def on_crash_reports(
+        self, entry: str, reports: Iterable[CrashReport], now: float
+    ) -> None:
+        """Take an entry host's reports of attempts that ended endpoints."""
+        for report in reports:
+            self.guard.on_report(entry, report, now)
+
     def queue(self, service: str) -> ServiceQueue:
         """Return the waiting requests of a service."""
         return self.queues.setdefault(service, ServiceQueue())
@@ -170,8 +180,10 @@
         RefusalReason or None
             Why the request is refused; None if it was charged.
         """
+        if self.guard.decide(ask, now) is GuardDecision.refused:
+            return RefusalReason.quarantined
         # A new home host may not have the endpoints yet; requests then wait.
-        endpoints = self.by_service.get(ask.service, ())
+        endpoints = self.pool.of_service(ask.service)
         if endpoints and all(
             endpoint.spec.name in ask.avoid for endpoint in endpoints
         ):
@@ -189,79 +201,35 @@
             if queue
             else frozenset()
         )
-        for ask in queue.candidates(now, preferred):
-            endpoint = self.best_endpoint(ask, now)
+        held_back = self.guard.is_held_back if self.guard.suspects else None
+        for ask in queue.candidates(now, preferred, held_back):
+            decision = self.guard.decide(ask, now)
+            if decision in HELD_BACK:
+                continue
+            endpoint = self.pool.best(ask, now)
             if endpoint is not None:
                 self.dequeue(ask.key)
-                self.grant(ask, endpoint, now)
-            elif not self.has_free_slot(service):
+                is_probe = decision is GuardDecision.probe
+                self.grant(ask, endpoint, now, is_probe=is_probe)
+            elif not self.pool.has_free_slot(service):
                 return
 
-    def has_free_slot(self, service: str) -> bool:
-        """Return whether any endpoint of a service has a free slot."""
-        return any(
-            endpoint.free_slots > 0
-            for endpoint in self.by_service.get(service, ())
-        )
-
-    def best_endpoint(
-        self, ask: SlotRequest, now: float
-    ) -> EndpointLoad | None:
-        """Return the endpoint with the best score of those with a free slot.
-
-        An endpoint that is too slow to finish in time is chosen only if all
-        eligible endpoints are too slow.
-        """
-        eligible = self.eligible(ask, now)
-        left = (ask.deadline - now) * FINISH_SHARE
-        in_time = [
-            endpoint
-            for endpoint in eligible
-            if endpoint.predict_finish_s(ask, now) <= left
-        ]
-        free = [
-            endpoint
-            for endpoint in in_time or eligible
-            if endpoint.free_slots > 0
-        ]
-        return min(
-            free,
-            key=lambda endpoint: endpoint.score(ask, now),
-            default=None,
-        )
-
-    def eligible(self, ask: SlotRequest, now: float) -> list[EndpointLoad]:
-        """Return the endpoints that may get a request.
-
-        If fewer than ``MIN_WORKING_SHARE`` of a service's endpoints accept
-        requests, ejections are ignored, as they would overload the rest.
-        """
-        endpoints = self.by_service.get(ask.service, ())
-        working = [
-            endpoint
-            for endpoint in endpoints
-            if endpoint.reliability.accepts_requests(
-                now, repeatable=ask.repeatable
-            )
-        ]
-        if len(working) < len(endpoints) * MIN_WORKING_SHARE:
-            working = list(endpoints)
-        return [
-            endpoint
-            for endpoint in working
-            if endpoint.spec.name not in ask.avoid
-        ]
-
     def grant(
-        self, ask: SlotRequest, endpoint: EndpointLoad, now: float
+        self,
+        ask: SlotRequest,
+        endpoint: EndpointLoad,
+        now: float,
+        *,
+        is_probe: bool,
     ) -> None:
         """Grant a slot at an endpoint to a request."""
-        endpoint.reserve(ask, now)
-        self.reservations[ask.key] = endpoint.reservations[ask.key]
+        reservation = endpoint.reserve(ask, now, is_probe=is_probe)
+        self.reservations[ask.key] = reservation
+        self.guard.on_granted(ask.key, reservation, now)
         self.rate_limits.record_attempt(ask, now)
         self.grant_rates.record(ask.service, now)
         self.minimum_shares[ask.service].on_grant(ask.rank, now)
-        self.decisions.append(Granted(ask.key, endpoint.spec.name))
+        self.decisions.append(Granted(ask.key, endpoint.spec.name, is_probe))
 
     def refuse(
         self, ask: SlotRequest, reason: RefusalReason, now: float
@@ -295,7 +263,7 @@
                 'waited_s': round(now - ask.arrived_at, 3),
                 'workspace': ask.workspace,
                 'limit_level': bucket and int(bucket.level),
-                'endpoints': len(self.by_service.get(ask.service, ())),
+                'endpoints': len(self.pool.of_service(ask.service)),
             },
         )
 
@@ -312,7 +280,9 @@
         ``RETRY_AFTER_DIVISOR``.
         """
         most = (ask.deadline - now) / RETRY_AFTER_DIVISOR
-        if reason is RefusalReason.over_limit:
+        if reason is RefusalReason.quarantined:
+            wait = most
+        elif reason is RefusalReason.over_limit:
             wait = self.rate_limits.refill_s(ask, now)
         else:
             wait = self.predict_queue_drain_s(ask, now)
@@ -340,7 +310,10 @@
     def on_release(self, release: SlotRelease, now: float) -> None:
         """Free a slot and record how its attempt ended."""
         self.withdraw(release.key, now)
-        reservation = self.cancel_reservation(release.key)
+        reservation = self.reservations.get(release.key)
+        if reservation is not None:
+            self.guard.on_release(release, reservation, now)
+        self.cancel_reservation(release.key, now)
         endpoint = self.available_endpoints.get(release.endpoint)
         if endpoint is not None:
             granted_at = now if reservation is None else reservation.granted_at
@@ -382,16 +355,17 @@
                 )
             )
 
-    def cancel_reservation(self, key: SlotKey) -> Reservation | None:
+    def cancel_reservation(
+        self, key: SlotKey, now: float
+    ) -> Reservation | None:
         """Remove a reservation and return it, None if there is none."""
         reservation = self.reservations.pop(key, None)
-        if (
-            reservation is not None
-            and reservation.endpoint in self.available_endpoints
-        ):
-            self.available_endpoints[reservation.endpoint].reservations.pop(
-                key, None
-            )
+        if reservation is None:
+            return None
+        self.guard.on_freed(key, reservation, now)
+        endpoint = self.available_endpoints.get(reservation.endpoint)
+        if endpoint is not None:
+            endpoint.reservations.pop(key, None)
         return reservation
 
     def on_held_slots(
@@ -408,6 +382,8 @@
             reservation = self.reservations.get(held.key)
             if reservation is None or reservation.endpoint != held.endpoint:
                 self.adopt(held, now)
+            else:
+                self.guard.on_held(held, reservation, now)
         expired_before = now - HOLD_TIMEOUT_S
         for key, reservation in list(self.reservations.items()):
             if key.entry == entry and key not in listed:
@@ -422,7 +398,7 @@
         granted the slot.
         """
         self.dequeue(held.key)
-        replaced = self.cancel_reservation(held.key)
+        replaced = self.cancel_reservation(held.key, now)
         reservation = Reservation(
             held.service,
             held.endpoint,
@@ -433,8 +409,11 @@
             # is refunded when it is released.
             replaced.workspace if replaced else '',
             replaced.charge if replaced else 0,
+            replaced.parts if replaced else (),
+            self.guard.run(held.endpoint),
         )
         self.reservations[held.key] = reservation
+        self.guard.on_granted(held.key, reservation, now)
         if held.endpoint in self.available_endpoints:
             self.available_endpoints[held.endpoint].reservations[held.key] = (
                 reservation
@@ -442,15 +421,18 @@
 
     def reclaim(self, key: SlotKey, now: float) -> None:
         """Free a slot whose release was lost, or whose entry host is lost."""
-        reservation = self.cancel_reservation(key)
+        reservation = self.cancel_reservation(key, now)
         if reservation is not None:
             self.grant_waiting(reservation.service, now)
 
     def tick(self, now: float) -> None:
         """Apply queue timeouts, remove lost entry hosts, grant free slots."""
+        self.guard.tick(now)
         for waiting in list(self.waiting.values()):
             if now >= waiting.timeout_at:
                 self.refuse(waiting.ask, RefusalReason.crowded, now)
+            elif self.guard.decide(waiting.ask, now) is GuardDecision.refused:
+                self.refuse(waiting.ask, RefusalReason.quarantined, now)
         for entry, reported_at in list(self.last_reports.items()):
             if now - reported_at > HOLD_TIMEOUT_S:
                 self.remove_entry(entry, now)
