Release the slots of a request that an unexpected exception ends

The caller got 502, but the slot stayed held until the host ended, and counted against the endpoint. The request's slots are now released as cancelled.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -41,6 +41,7 @@
     'requestoutcomes',
     'requestparser',
     'responsechunks',
+    'replacement',
     'serving',
     'slotacquisition',
     'slotclient',
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -27,6 +27,7 @@
 from waitress import buffers
 from waitress.task import ThreadedTaskDispatcher
 
+from trefoilspool.endpointattempts import EndpointAttempts
 from trefoilspool.gatewayhost import MAX_DRAIN_S
 
 LONG_BODY_BYTES = 8_000_000  # waitress keeps one MB in memory
@@ -191,6 +192,17 @@
         wait_for(lambda: not running.host.gateway.open_count, 'the end')
         assert 'request_failed' in lines_about(log, 'q')
 
+    def test_exception_after_the_send_releases_the_slot(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def start_response(*arguments: object) -> None:
+            raise RuntimeError('unforeseen')
+
+        running, _ = host_with_endpoint(cluster)
+        monkeypatch.setattr(EndpointAttempts, 'start_response', start_response)
+        assert cluster.call(running).status == 502
+        assert not running.host.mesh.client.held
+
     def test_exception_in_a_stream_cuts_it(
         self,
         cluster: GatewayCluster,
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -148,6 +148,9 @@
         except Problem as problem:
             self.record_outcome(problem.status, problem.slug, problem.detail)
             return Failure(problem)
+        except Exception:
+            self.slots.release_held()
+            raise
         return Success(self.caller_response(started))
 
     def record_outcome(
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -19,6 +19,7 @@
     RefusalReason,
     Refused,
     SlotDecision,
+    SlotKey,
     SlotRelease,
     SlotRequest,
 )
@@ -51,6 +52,11 @@
         Endpoints that get no requests of this host for a while.
     data_centre : str
         Data centre of this host.
+
+    Attributes
+    ----------
+    held : dict
+        Slots that have not been released, by key.
     """
 
     def __init__(
@@ -67,6 +73,7 @@
         self.directory = directory
         self.quiet_periods = quiet_periods
         self.data_centre = data_centre
+        self.held: dict[SlotKey, Slot] = {}
 
     def acquire(
         self,
@@ -104,7 +111,9 @@
             waited_s=round(now - started, 4),
             attempt=slot_request.attempt,
         )
-        return Slot(slot_request.key, decision.endpoint, now)
+        slot = Slot(slot_request.key, decision.endpoint, now)
+        self.held[slot.key] = slot
+        return slot
 
     def slot_request(self, avoid: tuple[str, ...]) -> SlotRequest:
         """Return the slot request of the next attempt."""
@@ -191,10 +200,16 @@
             decision.retry_after,
         )
 
+    def release_held(self) -> None:
+        """Release all slots after an unexpected error."""
+        for slot in list(self.held.values()):
+            self.release(slot, AttemptEnding.cancelled, AttemptTimes())
+
     def release(
         self, slot: Slot, ending: AttemptEnding, times: AttemptTimes
     ) -> None:
         """Release a slot and report how its attempt ended."""
+        self.held.pop(slot.key, None)
         self.slot_client.release(
             SlotRelease(
                 slot.key,
