End the wait for a silent endpoint with the request; bound the hand-over

The handler gives up once the deadline has passed or the caller has gone; the wait raises if it gets no later time. - ETIMEDOUT of a dead connection is a TimeoutError; the read went on, met the end and took an unframed body for whole. It is raised now. - The silent endpoint's end was taken for its going on, and the replacement was dropped. Only bytes count. - An interim head of the replacement held the hand-over open for 1 s. The silent attempt is closed when 0.25 s are over. - The slot of a replacement that was replaced itself stayed held; a connect that ended after the deadline gave a negative timeout. - After a suspension, bytes that have arrived are read before a slot is asked for.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -1,5 +1,7 @@
 """Endpoints that fall silent for a while and go on."""
 
+import errno
+import io
 import threading
 import time
 from collections.abc import Iterator
@@ -8,6 +10,9 @@
 from gatewaycluster import GatewayCluster, RunningHost, wait_for
 from platformendpoint import ServedRequest
 
+from trefoilspool import clock
+from trefoilspool.responsebounds import LimitedReader, ReceiveLimits
+
 SILENCE_S = 1.4
 
 
@@ -204,3 +209,109 @@
         response = cluster.call(running, '/chat/1')
         assert response.complete
         assert numbers(response.body) == [0, 1]
+
+    def test_replacement_is_lost_with_the_silent_endpoint(
+        self, cluster: GatewayCluster
+    ) -> None:
+        taken = threading.Event()
+
+        def end(served: ServedRequest) -> None:
+            served.start_stream()
+            served.event(0)
+            assert taken.wait(4)
+            time.sleep(0.05)
+            served.reset()
+
+        def take(served: ServedRequest) -> None:
+            taken.set()
+            time.sleep(0.2)
+            served.stream()
+
+        running = host_with(cluster, 2)
+        behaviours = iter((end, take))
+        for endpoint in cluster.endpoints:
+            endpoint.behaviour = lambda served: next(behaviours)(served)
+        response = cluster.call(running, '/chat/1')
+        assert response.complete
+        assert numbers(response.body) == [0, 1, 2, 3, 4]
+
+    def test_head_that_drips_keeps_both_endpoints_busy(
+        self, cluster: GatewayCluster
+    ) -> None:
+        closed_at: list[float] = []
+        taken_at: list[float] = []
+
+        def stay_silent(served: ServedRequest) -> None:
+            served.start_stream()
+            served.event(0)
+            assert served.client_disconnected(within_s=4)
+            closed_at.append(time.monotonic())
+
+        def drip(served: ServedRequest) -> None:
+            taken_at.append(time.monotonic())
+            served.sock.sendall(b'HTTP/1.1 103 Early Hints\r\n\r\n')
+            time.sleep(0.8)
+            served.stream()
+
+        running = host_with(cluster, 2)
+        behaviours = iter((stay_silent, drip))
+        for endpoint in cluster.endpoints:
+            endpoint.behaviour = lambda served: next(behaviours)(served)
+        response = cluster.call(running, '/chat/1')
+        assert response.complete
+        wait_for(lambda: closed_at, 'the silent attempt to be closed')
+        assert closed_at[0] - taken_at[0] < 0.4
+
+
+class TestSuspendedHost:
+    """A host that stood still past the deadline asks for no more slots."""
+
+    def test_deadline_that_passes_unnoticed_keeps_a_thread(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        running = host_with(cluster, 1)
+        cluster.endpoints[0].behaviour = lambda served: time.sleep(5)
+        asked: list[object] = []
+        client = running.host.mesh.client
+        acquire = client.acquire
+
+        def count(ask: object, disconnected: object) -> object:
+            asked.append(ask)
+            return acquire(ask, disconnected)  # type: ignore[arg-type]
+
+        monkeypatch.setattr(client, 'acquire', count)
+        real_now = clock.now
+        started = real_now()
+
+        def suspended_now() -> float:
+            now = real_now()
+            return now + 3 if now > started + 0.5 else now
+
+        monkeypatch.setattr(clock, 'now', suspended_now)
+        began = time.monotonic()
+        response = cluster.call(running, '/look/1', Deadline_Ms='2000')
+        assert response.status == 504
+        assert time.monotonic() - began < 2.5
+        assert len(asked) < 10
+
+
+class DeadSocket:
+    def makefile(self, mode: str, buffering: int) -> io.BytesIO:
+        return io.BytesIO()
+
+    def gettimeout(self) -> float:
+        return 1
+
+    def settimeout(self, timeout_s: float) -> None:
+        """Take the timeout."""
+
+    def recv_into(self, buffer: object, size: int) -> int:
+        raise TimeoutError(errno.ETIMEDOUT, 'timed out')
+
+
+class TestDeadConnection:
+    def test_timeout_of_the_connection_ends_no_body(self) -> None:
+        """Its error is a TimeoutError like that of a read."""
+        reader = LimitedReader(DeadSocket(), ReceiveLimits())  # type: ignore[arg-type]
+        with pytest.raises(TimeoutError):
+            reader.read(1)
--- a/trefoilspool/connections.py
+++ b/trefoilspool/connections.py
@@ -78,6 +78,18 @@
         """Return whether the idle connection is open with no bytes unread."""
         return self.sock is not None and not self.wait_readable(0)
 
+    def has_bytes(self) -> bool:
+        """Return whether bytes have arrived, rather than the end."""
+        if self.tcp_socket is None:
+            return False
+        try:
+            return bool(
+                self.tcp_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            )
+        except OSError:
+            # Nothing has arrived, or the connection was reset.
+            return False
+
     def wait_readable(self, timeout_s: float) -> bool:
         """Return whether bytes or the end of the connection arrive in time."""
         return first_readable((self,), timeout_s) is not None
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -209,10 +209,23 @@
             return AttemptFailure(ending_after(error), True, str(error))
 
     def read_head(
-        self, sent: SentAttempt, on_silence: SilentAttemptHandler
+        self,
+        sent: SentAttempt,
+        on_silence: SilentAttemptHandler,
+        until: float | None = None,
     ) -> EndpointResponse:
         """Read the head of the response to a sent attempt.
 
+        Parameters
+        ----------
+        sent : SentAttempt
+            The attempt.
+        on_silence : callable
+            Called when ``until`` has passed.
+        until : float or None
+            Time, in seconds, until which the head is waited for; None for
+            that of a first byte.
+
         Raises
         ------
         SendFailedError, EndpointReplacedError
@@ -220,11 +233,17 @@
         """
         wait = ReadWait(
             sent.connection,
-            self.progress.read_until(FIRST_BYTE_TIMEOUT_S, sent.times.sent_at),
+            self.first_byte_due(sent) if until is None else until,
             lambda wait: on_silence(sent, wait),
         )
         return self.endpoint_client.read_head(sent.outbound, wait)
 
+    def first_byte_due(self, sent: SentAttempt) -> float:
+        """Return the time until which a first byte is waited for."""
+        return self.progress.read_until(
+            FIRST_BYTE_TIMEOUT_S, sent.times.sent_at
+        )
+
     def unwatch(self, slot: Slot) -> None:
         """Stop the watch on an attempt."""
         self.watch.post(Unwatch(slot.key.number))
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -30,6 +30,7 @@
 MAX_STRAY_RESPONSES = 1
 # A refusal is sent in one piece; a new connection costs less than this wait.
 DISCARD_TIMEOUT_S = 0.1
+MIN_TIMEOUT_S = 0.001  # zero would make a socket non-blocking
 
 logger = logbook.Logger('exchange')
 
@@ -270,7 +271,7 @@
             When the connection fails; the request may have reached the
             endpoint.
         """
-        connection.sock.settimeout(outbound.remaining_s)
+        connection.sock.settimeout(max(MIN_TIMEOUT_S, outbound.remaining_s))
         try:
             self.write_request(connection, outbound)
         except (OSError, http.client.HTTPException, ValueError) as error:
--- a/trefoilspool/readwait.py
+++ b/trefoilspool/readwait.py
@@ -36,7 +36,8 @@
         self.connection = connection
         self.limits = connection.limits
         self.limits.received_at = 0
-        self.limits.on_timeout = lambda: on_silence(self)
+        self.limits.on_timeout = lambda: self.on_silence(self)
+        self.on_silence = on_silence
         self.until = until
 
     @property
--- a/trefoilspool/replacement.py
+++ b/trefoilspool/replacement.py
@@ -5,7 +5,11 @@
 from trefoilspool import clock
 from trefoilspool.attempttimes import AttemptTimes
 from trefoilspool.connections import first_readable
-from trefoilspool.endpointattempts import EndpointAttempts, SentAttempt
+from trefoilspool.endpointattempts import (
+    EndpointAttempts,
+    SentAttempt,
+    ending_after,
+)
 from trefoilspool.errors import (
     EndpointReplacedError,
     Problem,
@@ -24,6 +28,8 @@
 # go on, before the silent attempt is closed. Two endpoints must not process a
 # request for much longer.
 HANDOVER_S = 0.25
+# Time to read bytes that have arrived, after a suspension for example.
+RESUMED_READ_S = 0.1
 # After a replacement in vain, the next one is sought this much later.
 REPLACEMENT_INTERVAL_S = 0.5
 
@@ -95,8 +101,10 @@
         TimeoutError
             When the request's time is over.
         """
-        if not self.progress.may_replace():
+        if self.is_over() or not self.progress.may_replace():
             return give_up(wait)
+        if wait.has_resumed():
+            return clock.now() + RESUMED_READ_S
         was_silent = not wait.is_dripping()
         self.pending = self.start(silent, wait)
         if self.pending is None:
@@ -114,6 +122,11 @@
             was_silent=was_silent,
         )
 
+    def is_over(self) -> bool:
+        """Return whether the deadline has passed or the caller has gone."""
+        request = self.progress.request
+        return clock.now() >= request.deadline or request.client_disconnected()
+
     @property
     def request_id(self) -> str:
         """Return the id of the request."""
@@ -141,27 +154,58 @@
 
     def taken(self, sent: SentAttempt, wait: ReadWait) -> SentAttempt | None:
         """Return the replacement unless it is refused or no longer needed."""
+        ends_at = clock.now() + HANDOVER_S
         connections = [sent.connection]
         if not wait.is_dripping():
             connections.append(wait.connection)
         first = first_readable(connections, HANDOVER_S)
-        if first is wait.connection:
+        if first is wait.connection and wait.connection.has_bytes():
             self.drop(sent)
             return None
-        if first is None:
+        if first is not sent.connection:
             return sent
+        return self.read_head(sent, wait, ends_at)
+
+    def read_head(
+        self, sent: SentAttempt, silent_wait: ReadWait, ends_at: float
+    ) -> SentAttempt | None:
+        """Read the head of the response to a replacement.
+
+        The silent attempt is closed if that takes until ``ends_at``.
+
+        Returns
+        -------
+        SentAttempt or None
+            The replacement with its response, or what has replaced it in
+            turn; None if it failed.
+        """
+
+        def close_silent(sent: SentAttempt, wait: ReadWait) -> float:
+            silent_wait.connection.abort()
+            wait.on_silence = lambda wait: self.on_silence(sent, wait)
+            return self.attempts.first_byte_due(sent)
+
         try:
-            response = self.attempts.read_head(sent, self.on_silence)
+            response = self.attempts.read_head(sent, close_silent, ends_at)
+        except EndpointReplacedError as error:
+            failure = AttemptFailure(ending_after(error), True, str(error))
+            self.fail(sent, failure)
+            return self.pending
         except SendFailedError as error:
             failure = AttemptFailure(AttemptEnding.broken, True, str(error))
         else:
+            response.wait.on_silence = lambda wait: self.on_silence(sent, wait)
             refusal = self.attempts.refusal(response)
             if refusal is None:
                 return sent._replace(response=response)
             failure = refusal
+        self.fail(sent, failure)
+        return None
+
+    def fail(self, sent: SentAttempt, failure: AttemptFailure) -> None:
+        """Record the failure of a replacement."""
         self.attempts.unwatch(sent.slot)
         self.record_failure(sent.slot, failure, sent.times)
-        return None
 
     def drop(self, sent: SentAttempt) -> None:
         """Cancel a replacement, as the silent endpoint goes on."""
--- a/trefoilspool/responsebounds.py
+++ b/trefoilspool/responsebounds.py
@@ -38,7 +38,6 @@
 # A response may hold this much without a share of the host's budget, so that
 # small responses pass whatever the others hold.
 FREE_BYTES = 81_920
-MIN_WAIT_S = 0.001  # zero would make a socket non-blocking
 PIECE_BYTES = 64  # memory of a piece beyond its bytes
 
 
@@ -101,10 +100,12 @@
         TimeoutError
             When ``read_until`` has passed and bytes are no longer waited for.
         """
-        while self.read_until <= clock.now():
+        if self.read_until <= clock.now():
             self.read_until = self.on_timeout()
         wait_s = min(self.read_until - clock.now(), self.idle_s)
-        return None if wait_s == math.inf else max(wait_s, MIN_WAIT_S)
+        if wait_s <= 0:
+            raise_timeout()
+        return None if wait_s == math.inf else wait_s
 
 
 def raise_timeout() -> float:
@@ -179,8 +180,9 @@
             self.sock.settimeout(self.limits.timeout_s())
             try:
                 return self.sock.recv_into(buffer, size)
-            except TimeoutError:
-                if self.limits.idle_s < math.inf:
+            except TimeoutError as error:
+                # With a number it is the end of the connection.
+                if error.errno is not None or self.limits.idle_s < math.inf:
                     raise
         return self.sock.recv_into(buffer, size)
 
