--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -44,6 +44,7 @@
     'requestoutcomes',
     'requestparser',
     'responsechunks',
+    'replacement',
     'serving',
     'slotacquisition',
     'slotclient',
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -19,6 +19,7 @@
     RefusalReason,
     Refused,
     SlotDecision,
+    SlotKey,
     SlotRelease,
     SlotRequest,
     shared_parts,
@@ -52,6 +53,11 @@
         Endpoints that get no requests of this host for a while.
     data_centre : str
         Data centre of this host.
+
+    Attributes
+    ----------
+    held : dict
+        Slots that have not been released, by key.
     """
 
     def __init__(
@@ -68,6 +74,7 @@
         self.directory = directory
         self.quiet_periods = quiet_periods
         self.data_centre = data_centre
+        self.held: dict[SlotKey, Slot] = {}
 
     @property
     def parts(self) -> tuple[str, ...]:
@@ -110,13 +117,15 @@
             waited_s=round(now - started, 4),
             attempt=slot_request.attempt,
         )
-        return Slot(
+        slot = Slot(
             slot_request.key,
             decision.endpoint,
             now,
             self.slot_client.started_ms(decision.endpoint),
             decision.is_probe,
         )
+        self.held[slot.key] = slot
+        return slot
 
     def slot_request(self, avoid: tuple[str, ...]) -> SlotRequest:
         """Return the slot request of the next attempt."""
@@ -206,6 +215,11 @@
             decision.retry_after,
         )
 
+    def release_held(self) -> None:
+        """Release all slots after an unexpected error."""
+        for slot in list(self.held.values()):
+            self.release(slot, AttemptEnding.cancelled, AttemptTimes())
+
     def release(
         self, slot: Slot, ending: AttemptEnding, times: AttemptTimes
     ) -> None:
@@ -213,6 +227,7 @@
         now = clock.now()
         if ending is AttemptEnding.broken and times.has_hardly_begun(now):
             self.report_crash(slot, now)
+        self.held.pop(slot.key, None)
         self.slot_client.release(
             SlotRelease(
                 slot.key,
