--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -311,11 +311,11 @@
         """Return the parts to quarantine now, likeliest first."""
         found: list[Culprit] = []
         judged = self.judge(now)
-        convicted = likeliest(judged)
-        while convicted is not None:
-            found.append(convicted)
-            judged = explain_away(judged, convicted.runs)
-            convicted = likeliest(judged)
+        first = likeliest(judged)
+        while first is not None:
+            found.append(first)
+            judged = explain_away(judged, first.runs)
+            first = likeliest(judged)
         return found
 
     def suspects(self, now: float) -> list[Culprit]:
