--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -119,7 +119,7 @@
     is_recent : bool
         Whether that was shortly before the first of the runs ended, or may
         have been.
-    is_tried : bool
+    had_chances : bool
         Whether it would have been served since then if it were sound; asked
         only of one with enough runs that was served recently.
     depth : int
@@ -130,14 +130,14 @@
     runs: Mapping[EndpointRun, float]
     served_at: float
     is_recent: bool
-    is_tried: bool
+    had_chances: bool
     depth: int
 
     @property
     def is_proven(self) -> bool:
         """Return whether the runs suffice for a quarantine."""
         if self.is_recent:
-            return len(self.runs) > MIN_RUNS and self.is_tried
+            return len(self.runs) > MIN_RUNS and self.had_chances
         return len(self.runs) >= MIN_RUNS
 
     @property
@@ -390,15 +390,17 @@
         first_at = min(runs.values(), default=now)
         known_at = max(served_at, self.known_since)
         is_recent = first_at - known_at <= RECENTLY_SERVED_S
-        is_tried = len(runs) > MIN_RUNS * 2 and self.is_left(part, first_at)
-        if is_recent and len(runs) > MIN_RUNS and not is_tried:
-            is_tried = self.is_tried(runs.values(), first_at, now)
+        had_chances = len(runs) > MIN_RUNS * 2 and self.is_only_unserved(
+            part, first_at
+        )
+        if is_recent and len(runs) > MIN_RUNS and not had_chances:
+            had_chances = self.had_chances(runs.values(), first_at, now)
         return Culprit(
             part,
             runs,
             served_at,
             is_recent,
-            is_tried,
+            had_chances,
             len(self.before[part]),
         )
 
@@ -408,14 +410,14 @@
         ended = len(self.ended) - bisect.bisect_left(self.ended, first_at)
         return len(culprit.runs) * MAX_RUNS_PER_OWN >= ended
 
-    def is_left(self, part: str, since: float) -> bool:
+    def is_only_unserved(self, part: str, since: float) -> bool:
         """Return whether the parts before it were all served since a time."""
         before = self.before[part]
         return bool(before) and all(
             self.served_at.get(other, NEVER) > since for other in before
         )
 
-    def is_tried(
+    def had_chances(
         self, ended_at: Iterable[float], first_at: float, now: float
     ) -> bool:
         """Return whether sound requests would have been served by now."""
