Log the limits that endpoints name

The head's Server-Limit is decoded, kept by run of the endpoint, and its changes are logged and counted (endpoint_limit, trefoilspool_endpoint_limit_total). Nothing acts on it yet.

A limit ends only with an answer to a request that was sent after it had last been named: answers may overtake each other. Stray responses say nothing.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -26,6 +26,7 @@
     'callerchannel',
     'directory',
     'discovery',
+    'endpointlimits',
     'exchange',
     'gateway',
     'gatewaydaemon',
--- a/trefoilspool/dialect.py
+++ b/trefoilspool/dialect.py
@@ -57,6 +57,8 @@
         Seconds until the deadline.
     resume_after : int
         Number of the last event that the caller has; -1 if none.
+    sent_at : float
+        When it is sent, in monotonic seconds.
     """
 
     caller_request: CallerRequest
@@ -64,6 +66,7 @@
     workspace: str
     remaining_s: float
     resume_after: int
+    sent_at: float = 0.0
 
 
 class ResponseHead(NamedTuple):
@@ -90,6 +93,10 @@
     quiet_s : float
         Seconds for which the endpoint wants no requests from this host; 0 if
         it does not say so.
+    names_limit : bool
+        Whether the endpoint says how many requests a second it takes.
+    limit_per_s : float or None
+        That number, over all hosts; None without a readable one.
     headers : tuple of (str, str)
         Names and values that are relayed to the caller.
     """
@@ -104,6 +111,8 @@
     idle_s: float
     is_leaving: bool
     quiet_s: float
+    names_limit: bool
+    limit_per_s: float | None
     headers: tuple[tuple[str, str], ...]
 
 
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -197,6 +197,7 @@
             request.workspace,
             request.deadline - sent_at,
             progress.last_event_number,
+            sent_at,
         )
         try:
             self.endpoint_client.send(connection, outbound)
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -210,7 +210,12 @@
         self.connection.close()
 
 
-def no_op(endpoint: str, head: ResponseHead) -> None:
+HeadHandler = Callable[[OutboundRequest, ResponseHead, bool], None]
+
+
+def no_op(
+    outbound: OutboundRequest, head: ResponseHead, is_stray: bool
+) -> None:
     """Do nothing."""
 
 
@@ -222,14 +227,14 @@
     dialect : Dialect
         Encodes requests and decodes heads.
     on_head : callable
-        Called with the endpoint's name and each head that it sends, also the
-        head of a stray response.
+        Called with a request and each head that its endpoint sends, and with
+        whether that belongs to an earlier request.
     """
 
     def __init__(
         self,
         dialect: Dialect,
-        on_head: Callable[[str, ResponseHead], None] = no_op,
+        on_head: HeadHandler = no_op,
     ) -> None:
         self.dialect = dialect
         self.on_head = on_head
@@ -334,8 +339,9 @@
                 response.status,
                 response.getheaders(),
             )
-            self.on_head(outbound.endpoint, head)
-            if is_response_to(request_id, head, connection):
+            is_stray = not is_response_to(request_id, head, connection)
+            self.on_head(outbound, head, is_stray)
+            if not is_stray:
                 return EndpointResponse(
                     self.pool, connection, response, head, wait
                 )
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -11,8 +11,9 @@
 
 from trefoilspool import clock
 from trefoilspool.departures import EndpointRecord, EndpointRun
-from trefoilspool.dialect import Dialect, ResponseHead
+from trefoilspool.dialect import Dialect, OutboundRequest, ResponseHead
 from trefoilspool.discovery import DiscoveryTask
+from trefoilspool.endpointlimits import EndpointLimits
 from trefoilspool.endpointview import EndpointsRead, EndpointView
 from trefoilspool.errors import BadRecordError
 from trefoilspool.exchange import EndpointClient
@@ -210,6 +211,7 @@
         self.mesh.quarantine_gossip.on_entry = self.count_quarantine
         self.watch = WatchTask()
         self.quiet_periods = QuietPeriods()
+        self.endpoint_limits = EndpointLimits()
         self.endpoint_client = EndpointClient(
             platform.dialect(), self.on_endpoint_head
         )
@@ -264,11 +266,17 @@
             self.directory.tick(clock.now())
             self.quiet_periods.forget_ended(clock.now())
 
-    def on_endpoint_head(self, endpoint: str, head: ResponseHead) -> None:
+    def on_endpoint_head(
+        self, outbound: OutboundRequest, head: ResponseHead, is_stray: bool
+    ) -> None:
         """Apply what the head of an endpoint's response says of its state."""
         if head.is_other_endpoint:
             return
         now = clock.now()
+        endpoint = outbound.endpoint
+        # A stray response is a copy of an earlier one, or made up.
+        if not is_stray:
+            self.on_limit(endpoint, head, outbound.sent_at, now)
         if head.is_leaving:
             run = self.directory.on_leaving_response(endpoint, now)
             if run is not None:
@@ -280,6 +288,19 @@
             self.metrics.count('trefoilspool_endpoint_quiet_total')
             self.quiet_periods.on_request(endpoint, head.quiet_s, now)
 
+    def on_limit(
+        self, endpoint: str, head: ResponseHead, sent_at: float, now: float
+    ) -> None:
+        """Note how many requests an endpoint says that it takes."""
+        registered = self.directory.endpoints.get(endpoint)
+        if registered is None:
+            return
+        if self.endpoint_limits.on_head(registered.run, head, sent_at, now):
+            state = 'named' if head.names_limit else 'ended'
+            self.metrics.count(
+                f'trefoilspool_endpoint_limit_total{{state="{state}"}}'
+            )
+
     def on_leaving_runs(self, runs: list[EndpointRun]) -> list[EndpointRun]:
         """Apply the runs that a peer reports as leaving; return the new."""
         now = clock.now()
