Grant no more requests than an endpoint has said it takes

A model server that had named a limit of 4.2 a second got 51 requests in 4 s; callers saw nothing, the server was in need.

Cause: nothing read the limit; an endpoint was taken for as able as its slots say. The class: an endpoint's own word on what it takes is passed on to the caller and not obeyed.

Change: each host notes what responses say (any status, stream heads too) and tells the home host, with its next slot requests as well, which tells all. The home host grants each attempt, whatever it is for, from a token bucket by run of the endpoint that begins empty. Endpoints without a token are no candidates, so requests go elsewhere; predicted waits, refusals and Retry-After count the limits. A home host that does not hear all hosts grants its share of a limit; attempts that others granted are charged when it hears of them, up to a second of debt; a host alone prefers endpoints without a limit, else takes an even share.

--- a/trefoilspool/endpointload.py
+++ b/trefoilspool/endpointload.py
@@ -165,7 +165,7 @@
             ask.workspace,
             ask.charge,
             ask.parts,
-            EndpointRun(self.spec.name, self.spec.started_ms),
+            self.spec.run,
             is_probe,
         )
         self.reservations[ask.key] = reservation
--- a/trefoilspool/endpointpool.py
+++ b/trefoilspool/endpointpool.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 
 from trefoilspool.endpointload import EndpointLoad
+from trefoilspool.endpointpacer import EndpointPacer
 from trefoilspool.slotmessages import EndpointSpec, SlotRequest
 
 __all__ = ['EndpointPool']
@@ -18,6 +19,11 @@
 class EndpointPool:
     """Endpoints with their load.
 
+    Parameters
+    ----------
+    pacer : EndpointPacer
+        Counts requests to endpoints that have named a limit.
+
     Attributes
     ----------
     by_name : dict
@@ -26,7 +32,8 @@
         The same endpoints by service.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, pacer: EndpointPacer) -> None:
+        self.pacer = pacer
         self.by_name: dict[str, EndpointLoad] = {}
         self.by_service: dict[str, list[EndpointLoad]] = {}
 
@@ -47,12 +54,33 @@
         """Return the endpoints of a service."""
         return self.by_service.get(service, ())
 
-    def has_free_slot(self, service: str) -> bool:
-        """Return whether any endpoint of a service has a free slot."""
+    def has_free_slot(self, service: str, now: float) -> bool:
+        """Return whether any endpoint of a service may get a request now."""
         return any(
-            endpoint.free_slots > 0 for endpoint in self.of_service(service)
+            endpoint.free_slots > 0
+            and self.pacer.admits(endpoint.spec.run, now)
+            for endpoint in self.of_service(service)
         )
 
+    def limit_wait_s(self, ask: SlotRequest, ahead: int, now: float) -> float:
+        """Return the seconds that the endpoints' limits keep a request waiting.
+
+        Parameters
+        ----------
+        ask : SlotRequest
+            The request.
+        ahead : int
+            Number of requests that get an endpoint before it.
+        now : float
+            The present time in seconds.
+        """
+        runs = [
+            endpoint.spec.run
+            for endpoint in self.of_service(ask.service)
+            if endpoint.spec.name not in ask.avoid
+        ]
+        return self.pacer.wait_s(runs, ahead, now)
+
     def best(self, ask: SlotRequest, now: float) -> EndpointLoad | None:
         """Return the endpoint with the best score of those with a free slot.
 
@@ -78,7 +106,7 @@
         )
 
     def eligible(self, ask: SlotRequest, now: float) -> list[EndpointLoad]:
-        """Return the endpoints that may get a request.
+        """Return the endpoints that may get a request now.
 
         If fewer than ``MIN_WORKING_SHARE`` of a service's endpoints accept
         requests, ejections are ignored, as they would overload the rest.
@@ -97,4 +125,5 @@
             endpoint
             for endpoint in working
             if endpoint.spec.name not in ask.avoid
+            and self.pacer.admits(endpoint.spec.run, now)
         ]
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -13,13 +13,12 @@
 from trefoilspool.departures import EndpointRecord, EndpointRun
 from trefoilspool.dialect import Dialect, OutboundRequest, ResponseHead
 from trefoilspool.discovery import DiscoveryTask
-from trefoilspool.endpointlimits import EndpointLimits
 from trefoilspool.endpointview import EndpointsRead, EndpointView
 from trefoilspool.errors import BadRecordError
 from trefoilspool.exchange import EndpointClient
 from trefoilspool.gateway import Gateway
 from trefoilspool.httpserver import HttpServer
-from trefoilspool.mesh import MeshTask
+from trefoilspool.mesh import MeshTask, send_limits
 from trefoilspool.options import GatewayOptions
 from trefoilspool.peers import HostInfo
 from trefoilspool.peertopics import (
@@ -211,7 +210,6 @@
         self.mesh.quarantine_gossip.on_entry = self.count_quarantine
         self.watch = WatchTask()
         self.quiet_periods = QuietPeriods()
-        self.endpoint_limits = EndpointLimits()
         self.endpoint_client = EndpointClient(
             platform.dialect(), self.on_endpoint_head
         )
@@ -295,7 +293,8 @@
         registered = self.directory.endpoints.get(endpoint)
         if registered is None:
             return
-        if self.endpoint_limits.on_head(registered.run, head, sent_at, now):
+        if self.mesh.limits.on_head(registered.run, head, sent_at, now):
+            self.mesh.call_soon(lambda now: send_limits(self.mesh, now))
             state = 'named' if head.names_limit else 'ended'
             self.metrics.count(
                 f'trefoilspool_endpoint_limit_total{{state="{state}"}}'
--- a/trefoilspool/homecontact.py
+++ b/trefoilspool/homecontact.py
@@ -14,6 +14,9 @@
 # be cut off.
 MIN_TIMEOUT_S = 1.5
 TIMEOUT_PERIODS = 1.5
+# Hosts send heartbeats to their home host only, so one that has sent none in so
+# many periods may have another.
+HEARD_PERIODS = 2.0
 
 
 class HomeContact:
@@ -57,6 +60,14 @@
             HEARTBEAT_S + HEARTBEAT_PER_HOST_S * self.peers.count(),
         )
 
+    def home_share(self, now: float) -> float:
+        """Return the part that a home host grants of what hosts share.
+
+        Hosts that it does not hear may have another home host.
+        """
+        within_s = self.heartbeat_period_s() * HEARD_PERIODS
+        return self.peers.share_heard_lately(within_s, now)
+
     def is_cut_off(self, now: float) -> bool:
         """Return whether other hosts may know what this one was not told."""
         if self.peers.is_home():
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -16,23 +16,25 @@
 from trefoilspool import clock, meshdatagrams
 from trefoilspool.datagramsocket import DatagramSocket
 from trefoilspool.departures import EndpointRun
+from trefoilspool.endpointlimits import EndpointLimits
 from trefoilspool.endpointview import EndpointsRead
 from trefoilspool.helloschedule import HelloSchedule
 from trefoilspool.homecontact import HEARTBEATS_PER_DIGEST, HomeContact
 from trefoilspool.hostlists import HostListSchedule
 from trefoilspool.leavingreports import LeavingReports
+from trefoilspool.limitgossip import LimitGossip
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.quarantinegossip import QuarantineGossip
 from trefoilspool.replica import Position
 from trefoilspool.routing import Configuration
 from trefoilspool.slotclient import SlotClient
-from trefoilspool.slotmessages import EndpointSpec
+from trefoilspool.slotmessages import EndpointSpec, SlotRequest
 from trefoilspool.slotscheduler import SlotScheduler
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
-__all__ = ['MeshTask']
+__all__ = ['MeshTask', 'send_limits']
 
 TICK_S = 0.02
 
@@ -73,6 +75,8 @@
         Quarantined prompt parts.
     on_quarantine_due : callable
         Called when the quarantine has changed.
+    limits : EndpointLimits
+        Limits that endpoints have named.
     """
 
     def __init__(self, own: HostInfo, port: int, seeds: Iterable[str]) -> None:
@@ -81,10 +85,12 @@
         quarantine = Quarantine()
         self.quarantine_gossip = QuarantineGossip(self.peers, quarantine)
         self.on_quarantine_due: Callable[[], None] = do_nothing
+        self.limits = EndpointLimits()
+        self.limit_gossip = LimitGossip(self.peers, self.limits)
         self.client = SlotClient(
-            own.name, self.peers, self.send_message, quarantine
+            own.name, self.peers, self.send_message, quarantine, self.limits
         )
-        self.scheduler = SlotScheduler(quarantine)
+        self.scheduler = SlotScheduler(quarantine, self.limits)
         self.stopping = threading.Event()
         self.callbacks: list[Callable[[float], None]] = []
         self.callbacks_lock = threading.Lock()
@@ -101,13 +107,15 @@
         self.leaving_reports = LeavingReports()
 
     def send_message(self, address: str, message: object) -> None:
-        """Send a message of the slot client; usable from any thread."""
-        self.send(
-            address,
-            meshdatagrams.message_datagram(
-                self.peers.own, message, clock.now()
-            ),
-        )
+        """Send a message of the slot client; usable from any thread.
+
+        A new home host may not know the limits that hold for a slot request.
+        """
+        now = clock.now()
+        datagram = meshdatagrams.message_datagram(self.peers.own, message, now)
+        if isinstance(message, SlotRequest):
+            datagram.limits = self.limit_gossip.own_structs(now)
+        self.send(address, datagram)
 
     def send(self, address: str, datagram: ttypes.Datagram) -> None:
         """Send a datagram; it may be lost, so important ones are repeated."""
@@ -234,6 +242,7 @@
                 wire.host_info_to_wire(self.peers.own),
                 digest=meshdatagrams.digest(self.scheduler, now),
                 quarantine=self.quarantine_gossip.structs(),
+                limits=self.limit_gossip.structs(now),
             )
             self.send(sender.address, reply)
 
@@ -318,6 +327,10 @@
 
     def tick(self, now: float) -> None:
         """Run the scheduler's timers; send heartbeats and hellos if due."""
+        self.limits.tick(now)
+        if self.limits.by_run:
+            share = self.home_contact.home_share(now)
+            self.scheduler.pacer.share = share
         # While all hosts start, several are home host, each for those that it
         # has heard from.
         is_starting = self.hello_schedule.is_starting(now)
@@ -369,6 +382,9 @@
             wire.host_info_to_wire(self.peers.own),
             roll=[wire.held_to_wire(slot) for slot in self.client.held_slots()],
             quarantine=self.quarantine_gossip.structs_for_home(home),
+            limits=self.limit_gossip.structs_for_home(
+                now, home_is_new=home_is_new
+            ),
         )
         leaving = self.leaving_reports.current(now)
         if leaving:
@@ -457,12 +473,29 @@
                 )
 
 
+def on_limits(
+    mesh: MeshTask, sender: HostInfo, structs: list[Any], now: float
+) -> None:
+    """Adopt the limits of a peer; the home host tells all others."""
+    if mesh.limit_gossip.on_structs(sender, structs, now):
+        mesh.send_all(mesh.limit_gossip.datagram(now), now)
+
+
+def send_limits(mesh: MeshTask, now: float) -> None:
+    """Send this host's limits to the home host, or from there all to all."""
+    if mesh.peers.is_home():
+        mesh.send_all(mesh.limit_gossip.datagram(now), now)
+    else:
+        mesh.send_home_or_all(mesh.limit_gossip.own_datagram(now), now)
+
+
 # Handlers by field of Datagram: `ends` holds releases, `verdicts` decisions,
 # `roll` the sender's held slots, `levels` the bucket levels that an earlier
-# home host reported. Quarantined parts and crashes count for the requests in
-# the same datagram.
+# home host reported. Quarantined parts, crashes and limits count for the
+# requests in the same datagram.
 HANDLERS: Mapping[str, Callable[..., None]] = {
     'quarantine': MeshTask.on_quarantine,
+    'limits': on_limits,
     'crashes': MeshTask.on_crash_reports,
     'asks': MeshTask.on_asks,
     'ends': MeshTask.on_releases,
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -113,10 +113,7 @@
         self, endpoints: Iterable[EndpointSpec], now: float
     ) -> None:
         """Note the available endpoints; runs that are not listed have ended."""
-        runs = {
-            spec.name: EndpointRun(spec.name, spec.started_ms)
-            for spec in endpoints
-        }
+        runs = {spec.name: spec.run for spec in endpoints}
         for name, run in self.runs.items():
             if runs.get(name) != run:
                 self.evidence.on_run_ended(run, now)
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -14,6 +14,8 @@
 from trefoilspool.attempttimes import AttemptTimes
 from trefoilspool.crashreports import CrashReports
 from trefoilspool.departures import EndpointRun
+from trefoilspool.endpointlimits import EndpointLimits
+from trefoilspool.endpointpacer import EndpointPacer
 from trefoilspool.peers import PeerRegistry
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.ratelimits import RetryWindow, TokenBucket
@@ -41,6 +43,8 @@
 # keep its delay short.
 SECOND_HOME_AGE_S = 0.1
 RETRY_AFTER_S = 0.3
+# Retry-After is at most the time left before the deadline, divided by this.
+RETRY_AFTER_DIVISOR = 3
 FIRST_NUMBER_BITS = 40  # random start: keys do not repeat after a restart
 
 logger = logbook.Logger('places')
@@ -105,6 +109,8 @@
         Sends a slot request, a release or a crash report to a host's address.
     quarantine : Quarantine, optional
         Prompt parts that get no endpoint.
+    limits : EndpointLimits, optional
+        Limits that endpoints have named.
     """
 
     def __init__(
@@ -113,11 +119,17 @@
         peers: PeerRegistry,
         send_message: MessageSender,
         quarantine: Quarantine | None = None,
+        limits: EndpointLimits | None = None,
     ) -> None:
         self.host = host
         self.peers = peers
         self.send_message = send_message
         self.quarantine = quarantine or Quarantine()
+        # In debt by a random part of a request, so that hosts that lose the
+        # home host together do not send at the same times.
+        self.pacer = EndpointPacer(
+            limits or EndpointLimits(), initial_level=-random.random()
+        )
         self.crash_reports = CrashReports()
         self.lock = threading.Lock()
         self.attempt_numbers = itertools.count(
@@ -293,21 +305,77 @@
         if not candidates:
             return Refused(ask.key, RefusalReason.no_endpoint, RETRY_AFTER_S)
         own = self.own_counts()
+        with self.lock:
+            admitted = self.admitted(candidates, now)
+            if not admitted:
+                return self.refuse_for_limits(ask, candidates, now)
+            chosen = self.less_loaded(admitted, own)
+            self.pacer.charge(chosen.run, now)
+        logger.info(
+            'placed_alone',
+            extra={'endpoint': chosen.name, 'number': ask.key.number},
+        )
+        return Granted(ask.key, chosen.name)
+
+    def admitted(
+        self, candidates: list[EndpointSpec], now: float
+    ) -> list[EndpointSpec]:
+        """Return the endpoints that this host may choose itself.
+
+        Those with a limit only if there is no other, and within an equal share:
+        the home host may grant all of it meanwhile. The caller holds the lock.
+        """
+        limits = self.pacer.limits
+        unlimited = [
+            endpoint
+            for endpoint in candidates
+            if limits.per_s(endpoint.run) is None
+        ]
+        if unlimited:
+            return unlimited
+        self.pacer.share = 1 / max(1, self.peers.count())
+        return [
+            endpoint
+            for endpoint in candidates
+            if self.pacer.admits(endpoint.run, now)
+        ]
+
+    def less_loaded(
+        self, candidates: list[EndpointSpec], own: Mapping[str, int]
+    ) -> EndpointSpec:
+        """Return the less loaded of two random endpoints.
+
+        Parameters
+        ----------
+        candidates : list of EndpointSpec
+            The endpoints.
+        own : mapping
+            Slots that this host holds, by endpoint.
+        """
         sample = random.sample(
             candidates, min(SAMPLED_ENDPOINTS, len(candidates))
         )
-        chosen = min(
+        return min(
             sample,
             key=lambda endpoint: (
                 (self.loads.get(endpoint.name, 0) + own.get(endpoint.name, 0))
                 / endpoint.slots
             ),
         )
-        logger.info(
-            'placed_alone',
-            extra={'endpoint': chosen.name, 'number': ask.key.number},
+
+    def refuse_for_limits(
+        self, ask: SlotRequest, candidates: list[EndpointSpec], now: float
+    ) -> Refused:
+        """Refuse a request that no endpoint takes now, as they have limits."""
+        wait_s = self.pacer.wait_s(
+            [endpoint.run for endpoint in candidates], 0, now
+        )
+        most_s = (ask.deadline - now) / RETRY_AFTER_DIVISOR
+        return Refused(
+            ask.key,
+            RefusalReason.crowded,
+            max(RETRY_AFTER_S, min(wait_s, most_s)),
         )
-        return Granted(ask.key, chosen.name)
 
     def try_charge_locally(self, ask: SlotRequest, now: float) -> bool:
         """Charge this host's equal share of the workspace's limit.
--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -4,6 +4,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from trefoilspool.departures import EndpointRun
+
 __all__ = [
     'AttemptEnding',
     'DecisionEvent',
@@ -176,6 +178,11 @@
     started_ms: int
     event_tokens: int
 
+    @property
+    def run(self) -> EndpointRun:
+        """Return the run of the endpoint's process."""
+        return EndpointRun(self.name, self.started_ms)
+
 
 class Granted(NamedTuple):
     """The request may be sent to the endpoint.
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -9,7 +9,9 @@
 from collections.abc import Iterable
 
 from trefoilspool.crashevidence import CrashReport
+from trefoilspool.endpointlimits import EndpointLimits
 from trefoilspool.endpointload import EndpointLoad, Reservation
+from trefoilspool.endpointpacer import EndpointPacer
 from trefoilspool.endpointpool import EndpointPool
 from trefoilspool.grantrates import GrantRates
 from trefoilspool.minimumshares import MinimumShares
@@ -50,6 +52,7 @@
         AttemptEnding.gone,
     )
 )
+UNSENT_ENDINGS = frozenset((AttemptEnding.unused, AttemptEnding.unreachable))
 # Refused requests that have no claim to a minimum share.
 UNCOUNTED_REFUSALS = frozenset(
     (RefusalReason.over_limit, RefusalReason.quarantined)
@@ -76,11 +79,18 @@
         Limits and budgets.
     guard : PromptGuard
         Prompt parts that get no endpoint.
+    pacer : EndpointPacer
+        Counts requests to endpoints that have named a limit.
     """
 
-    def __init__(self, quarantine: Quarantine | None = None) -> None:
+    def __init__(
+        self,
+        quarantine: Quarantine | None = None,
+        limits: EndpointLimits | None = None,
+    ) -> None:
         self.guard = PromptGuard(quarantine or Quarantine())
-        self.pool = EndpointPool()
+        self.pacer = EndpointPacer(limits or EndpointLimits())
+        self.pool = EndpointPool(self.pacer)
         self.queues: dict[str, ServiceQueue] = {}
         self.waiting: dict[SlotKey, QueuedRequest] = {}
         self.reservations: dict[SlotKey, Reservation] = {}
@@ -157,9 +167,11 @@
     def predict_wait_s(self, ask: SlotRequest, now: float) -> float:
         """Predict the seconds until a new request gets a slot."""
         ahead = self.ahead(ask, now)
+        limit_wait_s = self.pool.limit_wait_s(ask, ahead, now)
         if not ahead:
-            return 0
-        return ahead / self.grant_rates.grants_per_s(ask.service, now)
+            return limit_wait_s
+        per_s = self.grant_rates.grants_per_s(ask.service, now)
+        return max(limit_wait_s, ahead / per_s)
 
     def ahead(self, ask: SlotRequest, now: float) -> int:
         """Count the requests that get a slot before a new one."""
@@ -211,7 +223,7 @@
                 self.dequeue(ask.key)
                 is_probe = decision is GuardDecision.probe
                 self.grant(ask, endpoint, now, is_probe=is_probe)
-            elif not self.pool.has_free_slot(service):
+            elif not self.pool.has_free_slot(service, now):
                 return
 
     def grant(
@@ -226,6 +238,7 @@
         reservation = endpoint.reserve(ask, now, is_probe=is_probe)
         self.reservations[ask.key] = reservation
         self.guard.on_granted(ask.key, reservation, now)
+        self.pacer.charge(reservation.run, now)
         self.rate_limits.record_attempt(ask, now)
         self.grant_rates.record(ask.service, now)
         self.minimum_shares[ask.service].on_grant(ask.rank, now)
@@ -264,6 +277,10 @@
                 'workspace': ask.workspace,
                 'limit_level': bucket and int(bucket.level),
                 'endpoints': len(self.pool.of_service(ask.service)),
+                'limit_wait_s': round(
+                    self.pool.limit_wait_s(ask, self.ahead(ask, now), now),
+                    3,
+                ),
             },
         )
 
@@ -291,7 +308,9 @@
     def predict_queue_drain_s(self, ask: SlotRequest, now: float) -> float:
         """Predict the seconds until all requests waiting now have slots."""
         waiting = len(self.queue(ask.service))
-        return waiting / self.grant_rates.grants_per_s(ask.service, now)
+        per_s = self.grant_rates.grants_per_s(ask.service, now)
+        limit_wait_s = self.pool.limit_wait_s(ask, waiting, now)
+        return max(limit_wait_s, waiting / per_s)
 
     def dequeue(self, key: SlotKey) -> None:
         """Remove a waiting request."""
@@ -313,6 +332,8 @@
         reservation = self.reservations.get(release.key)
         if reservation is not None:
             self.guard.on_release(release, reservation, now)
+        elif release.ending not in UNSENT_ENDINGS:
+            self.pacer.charge_elsewhere(self.guard.run(release.endpoint), now)
         self.cancel_reservation(release.key, now)
         endpoint = self.available_endpoints.get(release.endpoint)
         if endpoint is not None:
@@ -413,6 +434,8 @@
             self.guard.run(held.endpoint),
         )
         self.reservations[held.key] = reservation
+        if replaced is None:
+            self.pacer.charge_elsewhere(reservation.run, now)
         self.guard.on_granted(held.key, reservation, now)
         if held.endpoint in self.available_endpoints:
             self.available_endpoints[held.endpoint].reservations[held.key] = (
@@ -428,6 +451,7 @@
     def tick(self, now: float) -> None:
         """Apply queue timeouts, remove lost entry hosts, grant free slots."""
         self.guard.tick(now)
+        self.pacer.forget_ended()
         for waiting in list(self.waiting.values()):
             if now >= waiting.timeout_at:
                 self.refuse(waiting.ask, RefusalReason.crowded, now)
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -1049,6 +1049,86 @@
         return not (self == other)
 
 
+class EndpointLimit(object):
+    """
+    Attributes:
+     - run
+     - per_s
+     - age_ms
+
+    """
+
+
+    def __init__(self, run=None, per_s=None, age_ms=None,):
+        self.run = run
+        self.per_s = per_s
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.run = EndpointRun()
+                    self.run.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLimit')
+        if self.run is not None:
+            oprot.writeFieldBegin('run', TType.STRUCT, 1)
+            self.run.write(oprot)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.per_s)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Load(object):
     """
     Attributes:
@@ -1298,11 +1378,12 @@
      - leaving
      - crashes
      - quarantine
+     - limits
 
     """
 
 
-    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None, leaving=None, crashes=None, quarantine=None,):
+    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None, leaving=None, crashes=None, quarantine=None, limits=None,):
         self.sender = sender
         self.asks = asks
         self.verdicts = verdicts
@@ -1316,6 +1397,7 @@
         self.leaving = leaving
         self.crashes = crashes
         self.quarantine = quarantine
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1448,6 +1530,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = EndpointLimit()
+                        _elem94.read(iprot)
+                        self.limits.append(_elem94)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1465,29 +1558,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter89 in self.asks:
-                iter89.write(oprot)
+            for iter95 in self.asks:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter90 in self.verdicts:
-                iter90.write(oprot)
+            for iter96 in self.verdicts:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter91 in self.ends:
-                iter91.write(oprot)
+            for iter97 in self.ends:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.roll is not None:
             oprot.writeFieldBegin('roll', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.roll))
-            for iter92 in self.roll:
-                iter92.write(oprot)
+            for iter98 in self.roll:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1497,8 +1590,8 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter93 in self.hosts:
-                iter93.write(oprot)
+            for iter99 in self.hosts:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hello is not None:
@@ -1508,8 +1601,8 @@
         if self.levels is not None:
             oprot.writeFieldBegin('levels', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.levels))
-            for iter94 in self.levels:
-                iter94.write(oprot)
+            for iter100 in self.levels:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_read is not None:
@@ -1519,22 +1612,29 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter95 in self.leaving:
-                iter95.write(oprot)
+            for iter101 in self.leaving:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter96 in self.crashes:
-                iter96.write(oprot)
+            for iter102 in self.crashes:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantine is not None:
             oprot.writeFieldBegin('quarantine', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantine))
-            for iter97 in self.quarantine:
-                iter97.write(oprot)
+            for iter103 in self.quarantine:
+                iter103.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter104 in self.limits:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1645,6 +1745,13 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.BOOL, 'active', None, None, ),  # 3
 )
+all_structs.append(EndpointLimit)
+EndpointLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'run', [EndpointRun, None], None, ),  # 1
+    (2, TType.DOUBLE, 'per_s', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(Load)
 Load.thrift_spec = (
     None,  # 0
@@ -1681,6 +1788,7 @@
     (12, TType.LIST, 'leaving', (TType.STRUCT, [EndpointRun, None], False), None, ),  # 12
     (13, TType.LIST, 'crashes', (TType.STRUCT, [CrashReport, None], False), None, ),  # 13
     (14, TType.LIST, 'quarantine', (TType.STRUCT, [QuarantineEntry, None], False), None, ),  # 14
+    (15, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 15
 )
 fix_spec(all_structs)
 del all_structs
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -15,6 +15,7 @@
 from trefoilspool import slotmessages
 from trefoilspool.crashevidence import CrashReport
 from trefoilspool.departures import EndpointRun
+from trefoilspool.endpointlimits import LimitReport
 from trefoilspool.peers import HostInfo
 from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.replica import Position
@@ -40,6 +41,8 @@
     'held_to_wire',
     'host_info_from_wire',
     'host_info_to_wire',
+    'limits_from_wire',
+    'limits_to_wire',
     'position_from_wire',
     'position_to_wire',
     'quarantine_from_wire',
@@ -56,6 +59,7 @@
     slotmessages.RefusalReason.quarantined: slotmessages.RefusalReason.crowded,
 }
 MAX_QUARANTINE_BYTES = 4096  # the parts in one datagram
+MAX_LIMITS = 128  # in one datagram
 DECODE_ERRORS = (TException, EOFError, ValueError, TypeError)
 
 
@@ -299,6 +303,32 @@
     )
 
 
+def limits_to_wire(
+    reports: Iterable[LimitReport],
+) -> list[ttypes.EndpointLimit] | None:
+    """Build the Thrift structs of endpoints' limits; None without any."""
+    return [
+        ttypes.EndpointLimit(
+            endpoint_run_to_wire(report.run), report.per_s, ms(report.age_s)
+        )
+        for report in reports
+    ][:MAX_LIMITS] or None
+
+
+def limits_from_wire(
+    structs: Iterable[ttypes.EndpointLimit],
+) -> list[LimitReport]:
+    """Build endpoints' limits from their Thrift structs."""
+    return [
+        LimitReport(
+            endpoint_run_from_wire(struct.run),
+            struct.per_s,
+            struct.age_ms / MS_PER_S,
+        )
+        for struct in structs
+    ]
+
+
 def fitting_entries(
     entries: Iterable[QuarantineEntry],
 ) -> list[QuarantineEntry]:
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -77,6 +77,13 @@
   2: i64 revision
   3: bool active
 }
+// How many requests a second a run takes from all hosts.
+struct EndpointLimit {
+  1: EndpointRun run
+  2: optional double per_s  // none: any number again
+  3: i32 age_ms             // since the run said so; of the end of a limit,
+                            // since the request was sent that showed it
+}
 struct Load {
   1: string endpoint
   2: i32 held
@@ -108,4 +115,5 @@
                                          // are leaving
   13: optional list<CrashReport> crashes
   14: optional list<QuarantineEntry> quarantine
+  15: optional list<EndpointLimit> limits
 }
