--- a/tests/platformendpoint.py
+++ b/tests/platformendpoint.py
@@ -192,6 +192,7 @@
                 served.extra_headers = self.extra_headers
                 if not self.responds_before_body:
                     request = request.with_body(reader)
+                    served.request = request
                 self.requests.append(request)
                 expected = request.headers.get('expect-instance', self.name)
                 if expected == self.name:
--- a/tests/test_crashingpart.py
+++ b/tests/test_crashingpart.py
@@ -51,7 +51,7 @@
 RESTART_S = 0.4
 PAUSE_S = 0.1
 # Crashes after which, and time from the last of them within which, the
-# requests have to stop.
+# requests with a part have to stop.
 CRASHES = 5
 NOTICE_S = 3.0
 MAX_REQUESTS = 3
@@ -80,6 +80,9 @@
         What the callers of sound requests got.
     """
 
+    # Crashes after which the requests have to stop.
+    decisive_crashes = CRASHES
+
     def __init__(self, endpoints: int = ENDPOINTS) -> None:
         self.cluster = GatewayCluster()
         self.numbers = itertools.count()
@@ -225,8 +228,9 @@
 
     def wait_for_notice(self) -> float:
         """Wait until requests may no longer arrive; return when that was."""
-        wait_for(lambda: len(self.crashes) >= CRASHES, f'{CRASHES} crashes')
-        noticed_at = self.crashes[CRASHES - 1] + NOTICE_S
+        count = self.decisive_crashes
+        wait_for(lambda: len(self.crashes) >= count, f'{count} crashes')
+        noticed_at = self.crashes[count - 1] + NOTICE_S
         wait_for(lambda: time.monotonic() >= noticed_at, 'the notice')
         return noticed_at
 
