--- a/tests/test_promptguard.py
+++ b/tests/test_promptguard.py
@@ -4,7 +4,8 @@
 from crashworld import Variant, play
 from test_slotscheduler import ask, endpoint_spec, slot_release
 
-from trefoilspool.crashevidence import SUSPECT_PAUSE_S, CrashReport
+from trefoilspool.crashevidence import CrashReport
+from trefoilspool.culprits import SUSPECT_PAUSE_S
 from trefoilspool.departures import EndpointRun
 from trefoilspool.promptguard import UNASKED_S
 from trefoilspool.quarantine import Quarantine, QuarantineEntry
--- /dev/null
+++ b/trefoilspool/culprits.py
@@ -0,0 +1,121 @@
+"""Parts under which endpoints end, and which of them is the likeliest."""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from trefoilspool.departures import EndpointRun
+
+__all__ = [
+    'MIN_RUNS',
+    'NEVER',
+    'SUSPECT_PAUSE_S',
+    'SUSPECT_RUNS',
+    'Culprit',
+    'count_moments',
+    'explain_away',
+    'likeliest',
+]
+
+MIN_RUNS = 3
+SUSPECT_RUNS = 2
+# Between the end of a run and the next request with a suspect part; time for
+# sound parts to be served, and for endpoints to be back.
+SUSPECT_PAUSE_S = 0.5
+MOMENT_S = 0.3
+NEVER = float('-inf')
+
+
+class Culprit(NamedTuple):
+    """A part under which endpoints end; times in seconds.
+
+    Attributes
+    ----------
+    runs : dict
+        When runs ended under it that nothing else explains, since a request
+        with it was last served.
+    served_at : float
+        When the last request with the part that was served was sent; minus
+        infinity if none is remembered.
+    is_recent : bool
+        Whether that was shortly before the first of the runs ended, or may
+        have been.
+    had_chances : bool
+        Whether it would have been served since then if it were sound; asked
+        only of one with enough runs that was served recently.
+    depth : int
+        Number of parts before it in a prompt.
+    """
+
+    part: str
+    runs: Mapping[EndpointRun, float]
+    served_at: float
+    is_recent: bool
+    had_chances: bool
+    depth: int
+
+    @property
+    def is_proven(self) -> bool:
+        """Return whether the runs suffice for a quarantine."""
+        if self.is_recent:
+            return len(self.runs) > MIN_RUNS and self.had_chances
+        return len(self.runs) >= MIN_RUNS
+
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether requests with the part should go one by one."""
+        return len(self.runs) >= SUSPECT_RUNS + self.is_recent
+
+    @property
+    def held_until(self) -> float:
+        """Return until when requests with the part wait, in seconds."""
+        return max(self.runs.values()) + SUSPECT_PAUSE_S
+
+    @property
+    def order(self) -> tuple[bool, int, float]:
+        """Return a key that is lowest for the likeliest cause."""
+        return self.is_recent, -len(self.runs), self.served_at
+
+
+def likeliest(culprits: list[Culprit]) -> Culprit | None:
+    """Return the likeliest culprit, None if it is not proven yet.
+
+    Of parts with nearly as many runs it is the one that comes last in prompts:
+    the parts before it are in all its reports.
+    """
+    proven = [culprit for culprit in culprits if culprit.is_proven]
+    if not proven:
+        return None
+    first = min(proven, key=lambda culprit: culprit.order)
+    near = [
+        culprit
+        for culprit in culprits
+        if culprit.is_recent == first.is_recent
+        and len(culprit.runs) >= len(first.runs) - 1
+    ]
+    deepest = min(near, key=lambda culprit: (-culprit.depth, culprit.order))
+    return deepest if deepest.is_proven else None
+
+
+def explain_away(
+    culprits: list[Culprit], explained: Mapping[EndpointRun, float]
+) -> list[Culprit]:
+    """Return what is left of culprits without the runs of another one."""
+    left = []
+    for culprit in culprits:
+        runs = {
+            run: at for run, at in culprit.runs.items() if run not in explained
+        }
+        if runs:
+            left.append(culprit._replace(runs=runs))
+    return left
+
+
+def count_moments(times: Iterable[float]) -> int:
+    """Return the number of times that are ``MOMENT_S`` apart."""
+    moments = 0
+    last_at = NEVER
+    for at in sorted(times):
+        if at - last_at >= MOMENT_S:
+            moments += 1
+            last_at = at
+    return moments
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -4,13 +4,8 @@
 from collections.abc import Iterable
 from enum import Enum, auto
 
-from trefoilspool.crashevidence import (
-    NEVER,
-    SUSPECT_PAUSE_S,
-    CrashEvidence,
-    CrashReport,
-    Culprit,
-)
+from trefoilspool.crashevidence import CrashEvidence, CrashReport
+from trefoilspool.culprits import NEVER, SUSPECT_PAUSE_S, Culprit
 from trefoilspool.departures import EndpointRun
 from trefoilspool.endpointload import Reservation
 from trefoilspool.quarantine import Quarantine
