Quarantine whole requests that crash endpoint after endpoint

Callers of the service got 502 and 503 meanwhile.

Cause: the guard knew a request only by the parts of its prompt; this one has none, and one with a prompt shares its parts with sound ones. The class is that of prompt parts: a failure that follows a request from endpoint to endpoint is taken for the endpoints' own. The guard covered one form of it.

Change: a fingerprint of path, caller and body is the last of a request's parts, in asks, reports, evidence, quarantine, store and at the check before each send. One cause may end all endpoints of a service under requests that come often, so a whole request is blamed only once it has ended endpoints again a second later. A part of its prompt with one run more goes first. Requests that were served have a bound apart from parts, which they would push out. Time for sound requests to be served is counted by service. attempt_crashed names the id.

A test's list of reported parts has the fingerprint as well now; it compares the parts as before, and what is new.

--- a/tests/crashworld.py
+++ b/tests/crashworld.py
@@ -24,6 +24,7 @@
     SlotKey,
     SlotRelease,
     SlotRequest,
+    blamable_parts,
 )
 from trefoilspool.slotscheduler import SlotScheduler
 
@@ -40,7 +41,10 @@
 RESTART_S = 4.0
 TIMEOUT_S = 8.0
 MAX_ATTEMPTS = 2
-FREE_CRASHES = 5  # after which, and CONTACT_S, poison reaches are counted
+# After so many, and CONTACT_S, requests with a poison part that reach
+# endpoints are counted, or one that comes again.
+FREE_CRASHES = 5
+FREE_CRASHES_OF_ONE = 3
 CONTACT_S = 3.0
 HOME_GAP_S = 1.0  # without a home host
 
@@ -62,6 +66,10 @@
     home_lost_at: float = 0
     same_names: bool = False  # endpoints restart under their names
     prefill_s: float = 0.1  # mean time to the first event
+    endpoints: int = ENDPOINTS
+    has_prompts: bool = True
+    is_whole: bool = False  # the poison is one request that comes again
+    sound_bodies: int = 0  # different sound requests; 0 if none comes again
     length: float = 100
 
 
@@ -73,16 +81,14 @@
     entry: str
     arrived_at: float
     is_poison: bool
+    fingerprint: str
+    part: str  # what the poison requests have in common
     attempts: int = 0
     avoid: tuple[str, ...] = ()
 
     @property
     def parts(self) -> tuple[str, ...]:
-        return tuple(self.prompt[-1].split('/')[:-1])
-
-    @property
-    def part(self) -> str:
-        return self.parts[-1]
+        return blamable_parts(self.prompt, self.fingerprint)
 
 
 @dataclass
@@ -167,7 +173,7 @@
     def play(self) -> Outcome:
         """Play all of it."""
         variant = self.variant
-        for slot in range(ENDPOINTS):
+        for slot in range(variant.endpoints):
             self.start_engine(slot, f'e{slot}')
         self.after(0, self.tick)
         for entry in self.reports:
@@ -203,13 +209,18 @@
             tuple(self.released),
         )
 
+    @property
+    def free_crashes(self) -> int:
+        """Return the crashes from which on the bound holds."""
+        return FREE_CRASHES_OF_ONE if self.variant.is_whole else FREE_CRASHES
+
     def bound_at(self, part: str) -> float:
         """Return until when requests with a part may reach endpoints."""
-        return self.poison_crashes[part][:FREE_CRASHES][-1] + CONTACT_S
+        return self.poison_crashes[part][: self.free_crashes][-1] + CONTACT_S
 
     def reached_late(self, part: str) -> int:
         """Count the requests with a part that reached endpoints too late."""
-        if len(self.poison_crashes[part]) < FREE_CRASHES:
+        if len(self.poison_crashes[part]) < self.free_crashes:
             return 0
         bound_at = self.bound_at(part)
         return sum(at > bound_at for at in self.poison_reached[part])
@@ -259,7 +270,8 @@
 
     def unrelated_crash(self) -> None:
         self.after(self.variant.crash_every, self.unrelated_crash)
-        count = max(1, round(ENDPOINTS * self.variant.crash_share))
+        variant = self.variant
+        count = max(1, round(variant.endpoints * variant.crash_share))
         engines = list(self.engines.values())
         for engine in self.random.sample(engines, min(count, len(engines))):
             self.crash(engine)
@@ -293,18 +305,29 @@
         )
         part = self.random.choice(variant.poison_parts)
         parts = ('own', part) if variant.companion else ('kind0', part)
+        if variant.is_whole:
+            parts = ('kind0', 's0-0')
         is_poison = self.now < variant.poison_until
-        self.arrive(parts, is_poison=is_poison)
+        self.arrive(parts, is_poison=is_poison, part=part)
 
-    def arrive(self, parts: tuple[str, ...], *, is_poison: bool) -> None:
+    def arrive(
+        self, parts: tuple[str, ...], *, is_poison: bool, part: str = ''
+    ) -> None:
+        variant = self.variant
         entry = f'h{self.random.randrange(ENTRIES)}'
-        blocks = (*parts, f'last{next(self.serial)}')
+        body = next(self.serial)
+        if variant.sound_bodies:
+            body = self.random.randrange(variant.sound_bodies)
+        blocks = (*parts, f'last{body}') if variant.has_prompts else ()
         prompt = tuple(
             '/'.join(blocks[: count + 1]) for count in range(len(blocks))
         )
+        fingerprint = f':{body}'
+        if is_poison and variant.is_whole:
+            fingerprint = part
         if not is_poison:
             self.sound_arrivals.append(self.now)
-        self.ask(Request(prompt, entry, self.now, is_poison))
+        self.ask(Request(prompt, entry, self.now, is_poison, fingerprint, part))
 
     def ask(self, request: Request) -> None:
         key = SlotKey(request.entry, next(self.serial))
@@ -337,6 +360,7 @@
                 charge=0,
                 data_centre='z1',
                 repeatable=True,
+                fingerprint=request.fingerprint,
             ),
             self.now,
         )
--- a/tests/test_crashingpart.py
+++ b/tests/test_crashingpart.py
@@ -27,6 +27,7 @@
 )
 from trefoilspool.departures import EndpointRun
 from trefoilspool.errors import LogOutageError
+from trefoilspool.fingerprint import is_fingerprint
 from trefoilspool.homecontact import HomeContact
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantine import Quarantine, QuarantineEntry
@@ -606,8 +607,10 @@
             served.event(0)
             served.reset()
 
+        reports = self.reported(world, behave)
         parts = (SHARED_PART, CRASHING_PART)
-        assert self.reported(world, behave) == [parts]
+        assert [report[:-1] for report in reports] == [parts]
+        assert is_fingerprint(reports[0][-1])
 
     def test_end_in_mid_stream_is_not(self, world: CrashingWorld) -> None:
         def behave(served: ServedRequest) -> None:
--- a/tests/test_promptguard.py
+++ b/tests/test_promptguard.py
@@ -70,6 +70,44 @@
         length=60,
     ),
 }
+WHOLE = {
+    'no_prompt': Variant(has_prompts=False),
+    'prompt': Variant(),
+    'one_in_3_s': Variant(poison_rate=1 / 3),
+    'soon_after_the_start': Variant(has_prompts=False, poison_from=2),
+    'unrelated_crashes': Variant(has_prompts=False, crash_every=4),
+    'garbled': Variant(garbled_share=0.02),
+    'sound_ones_come_again': Variant(has_prompts=False, sound_bodies=12),
+    'home_lost': Variant(home_lost_at=11.5),
+    'same_names': Variant(same_names=True, has_prompts=False),
+    'few_sound': Variant(sound_rate=6, poison_rate=2),
+}
+FEW_ENDPOINTS = {
+    'usual': Variant(),
+    'one_in_3_s': Variant(poison_rate=1 / 3),
+    'soon_after_the_start': Variant(poison_from=3, poison_rate=2),
+}
+SOUND_REPEATS = {
+    'some_end': Variant(sound_bodies=5, crash_every=3, crash_share=0.3),
+    'all_end': Variant(sound_bodies=5, crash_every=9, crash_share=1),
+    'all_end_polled': Variant(
+        sound_rate=8, sound_bodies=30, crash_every=9, crash_share=1
+    ),
+    'all_of_few_end': Variant(
+        sound_rate=30,
+        sound_bodies=40,
+        crash_every=9,
+        crash_share=1,
+        endpoints=4,
+    ),
+    'slow_answers': Variant(
+        sound_rate=25,
+        sound_bodies=10,
+        crash_every=3,
+        crash_share=0.3,
+        prefill_s=0.6,
+    ),
+}
 
 
 def ask_for(
@@ -426,3 +464,47 @@
         outcome = play(Variant(poison_until=35, length=60), seed)
         assert outcome.quarantined == ('bad',)
         assert outcome.released == ('bad',)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+class TestWholeRequests:
+    """One request ends each endpoint that runs it, and comes again."""
+
+    @pytest.mark.parametrize('name', WHOLE)
+    def test_few_reach_endpoints_and_sound_ones_go_on(
+        self, name: str, seed: int
+    ) -> None:
+        variant = WHOLE[name]._replace(
+            is_whole=True, poison_parts=(':bad',), length=60
+        )
+        outcome = play(variant, seed)
+        assert outcome.reached_late <= MAX_LATE
+        assert outcome.quarantined == (':bad',)
+        assert not outcome.sound_refused
+        served_share = outcome.sound_late_served / outcome.sound_late
+        assert served_share >= MIN_SERVED_SHARE
+
+    @pytest.mark.parametrize('name', FEW_ENDPOINTS)
+    def test_all_endpoints_of_a_service_end(self, name: str, seed: int) -> None:
+        variant = FEW_ENDPOINTS[name]._replace(
+            is_whole=True,
+            poison_parts=(':bad',),
+            has_prompts=False,
+            endpoints=4,
+            length=60,
+        )
+        outcome = play(variant, seed)
+        assert outcome.reached_late <= MAX_LATE
+        assert outcome.quarantined == (':bad',)
+        assert not outcome.sound_refused
+
+    @pytest.mark.parametrize('name', SOUND_REPEATS)
+    def test_sound_repeats_are_not_blamed_for_other_ends(
+        self, name: str, seed: int
+    ) -> None:
+        variant = SOUND_REPEATS[name]._replace(
+            poison_rate=0, has_prompts=False, length=60
+        )
+        outcome = play(variant, seed)
+        assert not outcome.quarantined
+        assert not outcome.sound_refused
--- a/trefoilspool/callerrors.py
+++ b/trefoilspool/callerrors.py
@@ -1,6 +1,7 @@
 """Problems that occur only for routed requests."""
 
 from trefoilspool.errors import DeadlineError, OverloadedError, Problem
+from trefoilspool.fingerprint import described
 from trefoilspool.outcome import Outcome
 
 __all__ = [
@@ -27,12 +28,12 @@
 
 
 class QuarantinedError(OverloadedError):
-    """Endpoints end under a part of the request's prompt.
+    """Endpoints end under the request, or a part of its prompt.
 
     Parameters
     ----------
     part : str
-        Id of the part; empty if only the home host knows it yet.
+        Id of either; empty if only the home host knows it yet.
     retry_after : float
         Seconds after which the caller should retry.
     """
@@ -41,8 +42,7 @@
 
     def __init__(self, part: str, retry_after: float) -> None:
         super().__init__(
-            f'no slot: endpoints end under prompt part {part or "unknown"}',
-            retry_after,
+            f'no slot: endpoints end under {described(part)}', retry_after
         )
 
 
--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -1,12 +1,12 @@
-"""Which prompt parts endpoints end under.
+"""Which prompt parts, or whole requests, endpoints end under.
 
-A part is blamed for the runs of endpoints that ended under requests with it,
+Here a part is either. It is blamed for the runs of endpoints that ended under requests with it,
 unless a quarantined part explains them or requests with it are served.
 """
 
 import bisect
-from collections import OrderedDict, defaultdict, deque
-from collections.abc import Iterable, Mapping
+from collections import OrderedDict, defaultdict
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from trefoilspool.culprits import (
@@ -20,6 +20,7 @@
 )
 from trefoilspool.departures import EndpointRun
 from trefoilspool.quarantine import Quarantine
+from trefoilspool.servedrequests import ServedRequests
 
 __all__ = ['CrashEvidence', 'CrashReport']
 
@@ -42,8 +43,6 @@
 MAX_RUNS_PER_OWN = 4
 MAX_REPORTS = 512
 MAX_RUNS = 512
-MAX_PARTS = 4096
-MAX_SERVED = 256  # of which the times are kept
 MAX_SIGNS = 12  # of the end of a run
 
 
@@ -121,10 +120,10 @@
         Reported attempts by entry host and number, oldest first.
     runs : dict
         Signs of the ends of runs, by run.
-    served_at : dict
-        When the last request with a part that was served was sent, by part.
-    served_times : deque
-        When the last requests that were served were sent, in seconds.
+    served : ServedRequests
+        The requests that were served.
+    services : dict
+        Services of endpoints that are available or have ended, by name.
     known_since : float
         Since when served requests are known here, in seconds.
     is_changed : bool
@@ -143,8 +142,8 @@
             OrderedDict()
         )
         self.runs: OrderedDict[EndpointRun, RunSigns] = OrderedDict()
-        self.served_at: OrderedDict[str, float] = OrderedDict()
-        self.served_times: deque[float] = deque(maxlen=MAX_SERVED)
+        self.served = ServedRequests()
+        self.services: dict[str, str] = {}
         self.known_since = float('inf')
         self.is_changed = False
         self.blamed: frozenset[str] = frozenset()
@@ -201,6 +200,16 @@
                 ended_at=tuple(at for at in signs.ended_at if at >= since),
             )
 
+    def on_services(self, services: Mapping[str, str]) -> None:
+        """Note the services of the available endpoints, by name."""
+        ended = {run.name for run in self.runs}
+        known = {
+            name: service
+            for name, service in self.services.items()
+            if name in ended
+        }
+        self.services = {**known, **services}
+
     def set_signs(self, run: EndpointRun, signs: RunSigns) -> None:
         """Replace the signs of a run."""
         self.runs[run] = signs
@@ -208,16 +217,12 @@
         if len(self.runs) > MAX_RUNS:
             self.runs.popitem(last=False)
 
-    def on_served(self, parts: tuple[str, ...], sent_at: float) -> None:
-        """Note that a request with these parts was served."""
-        self.served_times.append(sent_at)
+    def on_served(
+        self, parts: tuple[str, ...], sent_at: float, service: str = ''
+    ) -> None:
+        """Note that a service has served a request with these parts."""
         self.is_changed |= not self.blamed.isdisjoint(parts)
-        for part in parts:
-            last_at = self.served_at.get(part, NEVER)
-            self.served_at[part] = max(last_at, sent_at)
-            self.served_at.move_to_end(part)
-        while len(self.served_at) > MAX_PARTS:
-            self.served_at.popitem(last=False)
+        self.served.add(parts, service, sent_at)
 
     def forget_old(self, now: float) -> None:
         """Forget what is older than ``RETENTION_S``."""
@@ -227,11 +232,7 @@
             if attempt.ended_at >= before:
                 break
             self.attempts.pop(key)
-        while self.served_at:
-            part, sent_at = next(iter(self.served_at.items()))
-            if sent_at >= before:
-                break
-            self.served_at.pop(part)
+        self.served.forget_before(before)
 
     def judge(self, now: float, unconfirmed_s: float = 0) -> list[Culprit]:
         """Return the parts under which runs ended that nothing explains.
@@ -336,7 +337,7 @@
         self, part: str, runs: Mapping[EndpointRun, float], now: float
     ) -> Culprit:
         """Return what speaks for and against a part."""
-        served_at = self.served_at.get(part, NEVER)
+        served_at = self.served.last_at(part)
         runs = {run: at for run, at in runs.items() if at > served_at}
         first_at = min(runs.values(), default=now)
         known_at = max(served_at, self.known_since)
@@ -345,7 +346,7 @@
             part, first_at
         )
         if is_recent and len(runs) > MIN_RUNS and not had_chances:
-            had_chances = self.had_chances(runs.values(), first_at, now)
+            had_chances = self.had_chances(runs, first_at, now)
         return Culprit(
             part,
             runs,
@@ -365,15 +366,25 @@
         """Return whether the parts before it were all served since a time."""
         before = self.before[part]
         return bool(before) and all(
-            self.served_at.get(other, NEVER) > since for other in before
+            self.served.last_at(other) > since for other in before
         )
 
     def had_chances(
-        self, ended_at: Iterable[float], first_at: float, now: float
+        self, runs: Mapping[EndpointRun, float], first_at: float, now: float
     ) -> bool:
-        """Return whether sound requests would have been served by now."""
+        """Return whether sound requests would have been served by now.
+
+        Only those of the same services count: while all endpoints of a service
+        are gone, nothing of it can be served.
+        """
         since = max(first_at, self.known_since)
-        others = [at for at in self.served_times if at >= since]
+        services = {self.services.get(run.name, '') for run in runs}
+        others = [
+            at
+            for service in services
+            for at in self.served.times_since(service, since)
+        ]
         return count_moments(others) >= MIN_MOMENTS or (
-            count_moments(ended_at) >= MIN_MOMENTS and now - since >= TRIAL_S
+            count_moments(runs.values()) >= MIN_MOMENTS
+            and now - since >= TRIAL_S
         )
--- a/trefoilspool/crashreports.py
+++ b/trefoilspool/crashreports.py
@@ -12,7 +12,7 @@
 REPEAT_S = 2.0
 RETENTION_S = 60.0
 MAX_REPORTS = 32  # a datagram holds them all
-MAX_PARTS = 16  # of one prompt; the first ones
+MAX_PARTS = 16  # of one request: the first ones and the last
 
 
 class TimedReport(NamedTuple):
@@ -43,13 +43,15 @@
         run : EndpointRun
             The endpoint's run.
         parts : tuple of str
-            Ids of the prompt's parts, all but the last.
+            Ids of what the endpoint may have ended under, the widest first.
         number : int
             Number of the attempt at this host.
         now : float
             The present time in seconds.
         """
-        report = CrashReport(run, parts[:MAX_PARTS], number, 0)
+        if len(parts) > MAX_PARTS:
+            parts = (*parts[: MAX_PARTS - 1], parts[-1])
+        report = CrashReport(run, parts, number, 0)
         with self.lock:
             self.reports.append(TimedReport(report, now))
         return report
--- a/trefoilspool/culprits.py
+++ b/trefoilspool/culprits.py
@@ -1,9 +1,13 @@
-"""Parts under which endpoints end, and which of them is the likeliest."""
+"""Parts under which endpoints end, and which of them is the likeliest.
+
+A part is one of a prompt, or stands for a whole request.
+"""
 
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from trefoilspool.departures import EndpointRun
+from trefoilspool.fingerprint import is_fingerprint
 
 __all__ = [
     'MIN_RUNS',
@@ -22,6 +26,9 @@
 # sound parts to be served, and for endpoints to be back.
 SUSPECT_PAUSE_S = 0.5
 MOMENT_S = 0.3
+# A whole request is blamed once it has ended endpoints again so much later: one
+# cause may end many endpoints at once under requests that come often.
+MIN_RECURRENCE_S = 1.0
 NEVER = float('-inf')
 
 
@@ -56,10 +63,18 @@
     @property
     def is_proven(self) -> bool:
         """Return whether the runs suffice for a quarantine."""
+        if is_fingerprint(self.part) and not self.has_recurred:
+            return False
         if self.is_recent:
             return len(self.runs) > MIN_RUNS and self.had_chances
         return len(self.runs) >= MIN_RUNS
 
+    @property
+    def has_recurred(self) -> bool:
+        """Return whether the runs did not all end at the same time."""
+        times = self.runs.values()
+        return max(times) - min(times) >= MIN_RECURRENCE_S
+
     @property
     def is_suspect(self) -> bool:
         """Return whether requests with the part should go one by one."""
@@ -80,7 +95,8 @@
     """Return the likeliest culprit, None if it is not proven yet.
 
     Of parts with nearly as many runs it is the one that comes last in prompts:
-    the parts before it are in all its reports.
+    the parts before it are in all its reports. A whole request has to have as
+    many: a run more of a part in its prompt ended under another request.
     """
     proven = [culprit for culprit in culprits if culprit.is_proven]
     if not proven:
@@ -90,12 +106,17 @@
         culprit
         for culprit in culprits
         if culprit.is_recent == first.is_recent
-        and len(culprit.runs) >= len(first.runs) - 1
+        and len(culprit.runs) >= len(first.runs) - slack(culprit.part)
     ]
     deepest = min(near, key=lambda culprit: (-culprit.depth, culprit.order))
     return deepest if deepest.is_proven else None
 
 
+def slack(part: str) -> int:
+    """Return how many runs fewer a likelier part may have."""
+    return 0 if is_fingerprint(part) else 1
+
+
 def explain_away(
     culprits: list[Culprit], explained: Mapping[EndpointRun, float]
 ) -> list[Culprit]:
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -17,6 +17,7 @@
     StreamCutError,
 )
 from trefoilspool.exchange import EndpointClient, EndpointResponse
+from trefoilspool.fingerprint import described
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.readwait import ReadWait
@@ -26,7 +27,7 @@
 )
 from trefoilspool.routedrequests import AttemptFailure, Slot, StartedResponse
 from trefoilspool.routing import RepeatPolicy
-from trefoilspool.slotmessages import AttemptEnding, shared_parts
+from trefoilspool.slotmessages import AttemptEnding
 from trefoilspool.watch import Unwatch, Watch, WatchTask
 
 __all__ = [
@@ -148,12 +149,11 @@
         return self.quarantine_obstacle(slot)
 
     def quarantine_obstacle(self, slot: Slot) -> str:
-        """Return which part of the prompt is quarantined, if any is."""
-        prefixes = self.request.caller_request.prompt_prefixes
-        part = self.quarantine.covered(shared_parts(prefixes))
+        """Return what of the request is quarantined, if anything is."""
+        part = self.quarantine.covered(self.request.parts)
         if not part or slot.is_probe:
             return ''
-        return f'endpoints end under prompt part {part}'
+        return f'endpoints end under {described(part)}'
 
     def connect(self, endpoint: EndpointRecord) -> EndpointConnection:
         """Return an open connection to an endpoint.
--- a/trefoilspool/gateway.py
+++ b/trefoilspool/gateway.py
@@ -23,6 +23,7 @@
     UnauthorizedError,
 )
 from trefoilspool.filter import Response
+from trefoilspool.fingerprint import request_fingerprint
 from trefoilspool.responsechunks import StartedChunks, TrackedChunks
 from trefoilspool.routedrequests import RoutedRequest
 from trefoilspool.routing import Configuration, Route, Workspace
@@ -279,18 +280,20 @@
             return Failure(UnauthorizedError('the key is not known'))
     timeout_s = min(request.remaining_s, route.timeout_s)
     tokens = request.prompt_tokens + request.output_tokens
+    workspace_name = workspace.name if workspace else ''
     return Success(
         RoutedRequest(
             caller_request=request,
             route=route,
             service=route.choose_service(random.random()),
-            workspace=workspace.name if workspace else '',
+            workspace=workspace_name,
             rank=configuration.rank(route, workspace),
             charge=workspace.charge(tokens) if workspace else 0,
             arrived_at=arrival.read_at,
             deadline=arrival.read_at + timeout_s,
             client_disconnected=arrival.client_disconnected,
             version=configuration.version,
+            fingerprint=request_fingerprint(request, workspace_name),
             queued_s=received.queued_s,
         )
     )
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -1,4 +1,7 @@
-"""Decides which prompts get no endpoint: evidence, quarantine, probes."""
+"""Decides which requests get no endpoint: evidence, quarantine, probes.
+
+A part is one of a request's prompt, or stands for the whole request.
+"""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -108,11 +111,15 @@
         self, endpoints: Iterable[EndpointSpec], now: float
     ) -> None:
         """Note the available endpoints; runs that are not listed have ended."""
+        endpoints = list(endpoints)
         runs = {spec.name: spec.run for spec in endpoints}
         for name, run in self.runs.items():
             if runs.get(name) != run:
                 self.evidence.on_run_ended(run, now)
         self.runs = runs
+        self.evidence.on_services(
+            {spec.name: spec.service for spec in endpoints}
+        )
 
     def run(self, name: str) -> EndpointRun:
         """Return the present run of an endpoint."""
@@ -129,10 +136,6 @@
         """Note a sign that a run has ended."""
         self.evidence.on_run_ended(run, now)
 
-    def on_served(self, parts: tuple[str, ...], sent_at: float) -> None:
-        """Note that a request with these parts was served."""
-        self.evidence.on_served(parts, sent_at)
-
     def decide(self, ask: SlotRequest, now: float) -> GuardDecision:
         """Return whether a request may get an endpoint now."""
         self.note_ask(now)
@@ -225,7 +228,9 @@
             return
         self.served_keys.add(key)
         self.uncount(reservation.parts)
-        self.evidence.on_served(reservation.parts, reservation.granted_at)
+        self.evidence.on_served(
+            reservation.parts, reservation.granted_at, reservation.service
+        )
         for part in self.probes.on_served(key):
             self.release_part(part, 'served', now)
 
--- a/trefoilspool/routedrequests.py
+++ b/trefoilspool/routedrequests.py
@@ -7,7 +7,11 @@
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.exchange import EndpointResponse
 from trefoilspool.routing import Route
-from trefoilspool.slotmessages import AttemptEnding, SlotKey
+from trefoilspool.slotmessages import (
+    AttemptEnding,
+    SlotKey,
+    blamable_parts,
+)
 
 __all__ = ['AttemptFailure', 'RoutedRequest', 'Slot', 'StartedResponse']
 
@@ -27,6 +31,8 @@
         Returns whether the caller has closed its connection.
     version : int
         Version of the configuration that routed the request.
+    fingerprint : str
+        Id of requests with the same path, caller and body.
     queued_s : float
         Seconds for which the request waited for a thread.
     """
@@ -41,8 +47,16 @@
     deadline: float
     client_disconnected: Callable[[], bool]
     version: int
+    fingerprint: str
     queued_s: float = 0
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Return what endpoints may end under; see `blamable_parts`."""
+        return blamable_parts(
+            self.caller_request.prompt_prefixes, self.fingerprint
+        )
+
 
 class Slot(NamedTuple):
     """A granted slot: the right to send one attempt to the endpoint.
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -22,7 +22,6 @@
     SlotKey,
     SlotRelease,
     SlotRequest,
-    shared_parts,
 )
 from trefoilspool.telemetry import log_decision
 
@@ -76,11 +75,6 @@
         self.data_centre = data_centre
         self.held: dict[SlotKey, Slot] = {}
 
-    @property
-    def parts(self) -> tuple[str, ...]:
-        """Return the parts that the request's prompt may share."""
-        return shared_parts(self.request.caller_request.prompt_prefixes)
-
     def acquire(
         self,
         avoid: tuple[str, ...] = (),
@@ -147,6 +141,7 @@
             charge=request.charge,
             data_centre=self.data_centre,
             repeatable=request.route.repeats is not RepeatPolicy.never,
+            fingerprint=request.fingerprint,
         )
 
     def decide(
@@ -202,7 +197,7 @@
                 failure._replace(detail=detail), clock.now()
             )
         if decision.reason is RefusalReason.quarantined:
-            part = self.slot_client.quarantine.covered(self.parts)
+            part = self.slot_client.quarantine.covered(self.request.parts)
             return QuarantinedError(part, decision.retry_after)
         over_limit = decision.reason is RefusalReason.over_limit
         if over_limit and not progress.sent_attempts:
@@ -251,11 +246,11 @@
             self.request.caller_request.request_id,
             endpoint=slot.endpoint,
             run=slot.started_ms,
-            parts=self.parts,
+            parts=self.request.parts,
             place=slot.key.number,
         )
         self.slot_client.report_crash(
-            slot.run, self.parts, slot.key.number, now
+            slot.run, self.request.parts, slot.key.number, now
         )
 
 
--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -19,21 +19,27 @@
     'SlotKey',
     'SlotRelease',
     'SlotRequest',
-    'shared_parts',
+    'blamable_parts',
 ]
 
 
-def shared_parts(prompt_prefixes: tuple[str, ...]) -> tuple[str, ...]:
-    """Return the ids of a prompt's parts, all but the last.
+def blamable_parts(
+    prompt_prefixes: tuple[str, ...], fingerprint: str
+) -> tuple[str, ...]:
+    """Return the ids of what endpoints may end under, the widest first.
+
+    These are the parts of the prompt that others may share, all but the last,
+    and then the whole request.
 
     Parameters
     ----------
     prompt_prefixes : tuple of str
         Ids of the prompt's prefixes, shortest first.
+    fingerprint : str
+        Id of the whole request; empty if unknown.
     """
-    if not prompt_prefixes:
-        return ()
-    return tuple(prompt_prefixes[-1].split('/')[:-1])
+    parts = prompt_prefixes[-1].split('/')[:-1] if prompt_prefixes else []
+    return (*parts, fingerprint) if fingerprint else tuple(parts)
 
 
 class SlotKey(NamedTuple):
@@ -91,6 +97,8 @@
         Charge against the workspace's rate limit, in tokens or requests.
     repeatable : bool
         Whether the request may be sent again after a failure.
+    fingerprint : str
+        Id of requests with the same path, caller and body; empty if unknown.
     """
 
     key: SlotKey
@@ -109,11 +117,12 @@
     charge: int
     data_centre: str
     repeatable: bool
+    fingerprint: str = ''
 
     @property
     def parts(self) -> tuple[str, ...]:
-        """Return the parts that prompts may share: all but the last."""
-        return shared_parts(self.prompt_prefixes)
+        """Return what endpoints may end under; see `blamable_parts`."""
+        return blamable_parts(self.prompt_prefixes, self.fingerprint)
 
 
 class HeldSlot(NamedTuple):
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -283,11 +283,12 @@
      - data_centre
      - waited_ms
      - repeatable
+     - fingerprint
 
     """
 
 
-    def __init__(self, request=None, service_name=None, workspace=None, rank=None, prompt_tokens=None, output_tokens=None, aim_ms=None, left_ms=None, avoid=None, attempt=None, parts=None, streams=None, charge=None, data_centre=None, waited_ms=None, repeatable=None,):
+    def __init__(self, request=None, service_name=None, workspace=None, rank=None, prompt_tokens=None, output_tokens=None, aim_ms=None, left_ms=None, avoid=None, attempt=None, parts=None, streams=None, charge=None, data_centre=None, waited_ms=None, repeatable=None, fingerprint=None,):
         self.request = request
         self.service_name = service_name
         self.workspace = workspace
@@ -304,6 +305,7 @@
         self.data_centre = data_centre
         self.waited_ms = waited_ms
         self.repeatable = repeatable
+        self.fingerprint = fingerprint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -404,6 +406,11 @@
                     self.repeatable = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -484,6 +491,10 @@
             oprot.writeFieldBegin('repeatable', TType.BOOL, 16)
             oprot.writeBool(self.repeatable)
             oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 17)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1696,6 +1707,7 @@
     (14, TType.STRING, 'data_centre', 'UTF8', None, ),  # 14
     (15, TType.I32, 'waited_ms', None, None, ),  # 15
     (16, TType.BOOL, 'repeatable', None, None, ),  # 16
+    (17, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 17
 )
 all_structs.append(Verdict)
 Verdict.thrift_spec = (
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -154,6 +154,7 @@
         data_centre=ask.data_centre,
         waited_ms=ms(now - ask.arrived_at),
         repeatable=ask.repeatable,
+        fingerprint=ask.fingerprint or None,
     )
 
 
@@ -180,6 +181,7 @@
         charge=wire.charge,
         data_centre=wire.data_centre,
         repeatable=bool(wire.repeatable),
+        fingerprint=wire.fingerprint or '',
     )
 
 
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -36,6 +36,7 @@
   14: string data_centre
   15: i32 waited_ms         // since the request arrived at its entry
   16: bool repeatable
+  17: optional string fingerprint // of the path, the caller and the body
 }
 struct Verdict {
   1: i64 request
@@ -67,7 +68,8 @@
 // An attempt that ended with its endpoint at the start of its answer.
 struct CrashReport {
   1: EndpointRun run
-  2: list<string> parts     // of the prompt, all but the last
+  2: list<string> parts     // of the prompt, all but the last; then the
+                            // fingerprint of the request
   3: i64 request
   4: i32 age_ms             // since its end
 }
