Keep the end of a process that an answer of its successor follows

Cause: an answer was taken as showing that all earlier signs of the run's end were wrong. A refused connection is no such sign: the process had ended.

Change: the release of a slot says that a connection was refused; such ends stay in the evidence.

--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -104,6 +104,16 @@
         evidence.on_run_alive(run(1), 2)
         assert not culprits(evidence, 4)
 
+    def test_later_answer_does_not_undo_a_refused_connection(
+        self, evidence: CrashEvidence
+    ) -> None:
+        """Another process responds, of which no record has come yet."""
+        for number in range(3):
+            report(evidence, number, 'bad')
+            evidence.on_run_ended(run(number), number + 0.2, is_down=True)
+            evidence.on_run_alive(run(number), number + 0.6)
+        assert culprits(evidence, 4) == ['bad']
+
     def test_repeated_report_counts_once(self, evidence: CrashEvidence) -> None:
         for number in range(3):
             crash(evidence, 1, 'bad')
--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -82,6 +82,10 @@
     ----------
     ended_at : tuple of float
         When signs showed that it has ended, oldest first.
+    down_at : tuple of float
+        When it refused a connection, oldest first. Its process had ended then,
+        even if one with the same record responds later: without the store no
+        host hears of a restart.
     broken_at : float
         When the last attempt there broke; minus infinity without one.
     collapsed_at : float
@@ -92,6 +96,7 @@
     """
 
     ended_at: tuple[float, ...] = ()
+    down_at: tuple[float, ...] = ()
     broken_at: float = NEVER
     collapsed_at: float = NEVER
     broken_attempt: tuple[str, int] = ('', 0)
@@ -99,13 +104,21 @@
     def is_end(self, at: float) -> bool:
         """Return whether the run ended with an attempt that ended then."""
         return abs(self.collapsed_at - at) <= SIMULTANEOUS_S or any(
-            abs(ended_at - at) <= CONFIRMATION_S for ended_at in self.ended_at
+            abs(sign_at - at) <= CONFIRMATION_S
+            for sign_at in self.ended_at + self.down_at
         )
 
 
 NO_SIGNS = RunSigns()
 
 
+def with_sign(times: tuple[float, ...], now: float) -> tuple[float, ...]:
+    """Return the times of signs with one more, unless the last is recent."""
+    if times and now - times[-1] <= CONFIRMATION_S:
+        return times
+    return (*times[-MAX_SIGNS:], now)
+
+
 class CrashEvidence:
     """Reports of attempts that ended with their endpoints.
 
@@ -179,13 +192,18 @@
             ),
         )
 
-    def on_run_ended(self, run: EndpointRun, now: float) -> None:
-        """Note a sign that a run has ended."""
+    def on_run_ended(
+        self, run: EndpointRun, now: float, *, is_down: bool = False
+    ) -> None:
+        """Note a sign that a run has ended, such as a refused connection."""
         signs = self.runs.get(run, NO_SIGNS)
-        if signs.ended_at and now - signs.ended_at[-1] <= CONFIRMATION_S:
-            return
-        ended_at = (*signs.ended_at[-MAX_SIGNS:], now)
-        self.set_signs(run, signs._replace(ended_at=ended_at))
+        if is_down:
+            down_at = with_sign(signs.down_at, now)
+            signs = signs._replace(down_at=down_at)
+        ended_at = with_sign(signs.ended_at, now)
+        signs = signs._replace(ended_at=ended_at)
+        if signs != self.runs.get(run):
+            self.set_signs(run, signs)
 
     def on_run_alive(self, run: EndpointRun, since: float) -> None:
         """Note that a run has answered a request that was sent at a time.
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -12,6 +12,7 @@
 from trefoilspool.errors import (
     ConnectFailedError,
     EndpointError,
+    EndpointRefusedConnectionError,
     EndpointReplacedError,
     SendFailedError,
     StreamCutError,
@@ -132,7 +133,12 @@
         try:
             connection = self.connect(endpoint)
         except ConnectFailedError as error:
-            return AttemptFailure(AttemptEnding.unreachable, False, str(error))
+            return AttemptFailure(
+                AttemptEnding.unreachable,
+                False,
+                str(error),
+                is_down=isinstance(error, EndpointRefusedConnectionError),
+            )
         return self.send(slot, connection)
 
     def obstacle(self, slot: Slot, now: float) -> str:
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -214,7 +214,7 @@
         if is_completed or has_streamed(release):
             self.on_request_served(release.key, reservation, now)
         if release.ending in END_SIGNS:
-            self.evidence.on_run_ended(run, now)
+            self.evidence.on_run_ended(run, now, is_down=release.is_down)
         if release.ending in UNSENT_ENDINGS:
             self.probes.on_unused(release.key, now)
         if release.ending is AttemptEnding.broken:
--- a/trefoilspool/routedrequests.py
+++ b/trefoilspool/routedrequests.py
@@ -109,9 +109,12 @@
         Whether the endpoint may have run the request.
     response : StartedResponse or None
         The endpoint's own error response, which may be relayed.
+    is_down : bool
+        Whether the endpoint refused a connection: its process has ended.
     """
 
     ending: AttemptEnding
     may_have_run: bool
     detail: str
     response: StartedResponse | None = None
+    is_down: bool = False
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -230,7 +230,7 @@
         self.progress.on_failure(failure, ending, slot.endpoint)
         if failure.ending is AttemptEnding.gone:
             self.server.directory.on_displaced(slot.endpoint)
-        self.slots.release(slot, ending, times)
+        self.slots.release(slot, ending, times, is_down=failure.is_down)
         log_decision(
             'fault',
             self.request.caller_request.request_id,
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -216,9 +216,26 @@
             self.release(slot, AttemptEnding.cancelled, AttemptTimes())
 
     def release(
-        self, slot: Slot, ending: AttemptEnding, times: AttemptTimes
+        self,
+        slot: Slot,
+        ending: AttemptEnding,
+        times: AttemptTimes,
+        *,
+        is_down: bool = False,
     ) -> None:
-        """Release a slot and report how its attempt ended."""
+        """Release a slot and report how its attempt ended.
+
+        Parameters
+        ----------
+        slot : Slot
+            The slot.
+        ending : AttemptEnding
+            How its attempt ended.
+        times : AttemptTimes
+            When the parts of the response arrived.
+        is_down : bool
+            Whether the endpoint refused a connection.
+        """
         now = clock.now()
         if ending is AttemptEnding.broken and times.has_hardly_begun(now):
             self.report_crash(slot, now)
@@ -232,6 +249,7 @@
                 times.event_count,
                 times.decode_s(now),
                 self.request.caller_request.prompt_tokens,
+                is_down,
             )
         )
 
--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -154,6 +154,8 @@
         Events received of a stream.
     decode_s : float
         Seconds from the first event to the last.
+    is_down : bool
+        Whether the endpoint refused a connection: its process has ended.
     """
 
     key: SlotKey
@@ -163,6 +165,7 @@
     events: int
     decode_s: float
     prompt_tokens: int
+    is_down: bool = False
 
 
 class EndpointSpec(NamedTuple):
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -646,11 +646,12 @@
      - events
      - decode_ms
      - prompt_tokens
+     - down
 
     """
 
 
-    def __init__(self, request=None, ending=None, endpoint=None, first_ms=None, events=None, decode_ms=None, prompt_tokens=None,):
+    def __init__(self, request=None, ending=None, endpoint=None, first_ms=None, events=None, decode_ms=None, prompt_tokens=None, down=None,):
         self.request = request
         self.ending = ending
         self.endpoint = endpoint
@@ -658,6 +659,7 @@
         self.events = events
         self.decode_ms = decode_ms
         self.prompt_tokens = prompt_tokens
+        self.down = down
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -703,6 +705,11 @@
                     self.prompt_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.down = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -741,6 +748,10 @@
             oprot.writeFieldBegin('prompt_tokens', TType.I32, 7)
             oprot.writeI32(self.prompt_tokens)
             oprot.writeFieldEnd()
+        if self.down is not None:
+            oprot.writeFieldBegin('down', TType.BOOL, 8)
+            oprot.writeBool(self.down)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1730,6 +1741,7 @@
     (5, TType.I32, 'events', None, None, ),  # 5
     (6, TType.I32, 'decode_ms', None, None, ),  # 6
     (7, TType.I32, 'prompt_tokens', None, None, ),  # 7
+    (8, TType.BOOL, 'down', None, None, ),  # 8
 )
 all_structs.append(Holding)
 Holding.thrift_spec = (
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -235,6 +235,7 @@
         release.events,
         ms(release.decode_s),
         release.prompt_tokens,
+        release.is_down or None,
     )
 
 
@@ -250,6 +251,7 @@
         wire.events,
         wire.decode_ms / MS_PER_S,
         wire.prompt_tokens,
+        bool(wire.down),
     )
 
 
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -55,6 +55,7 @@
   5: i32 events
   6: i32 decode_ms          // from the first event to the last
   7: i32 prompt_tokens
+  8: optional bool down     // the endpoint refused a connection
 }
 struct Holding {
   1: i64 request
