--- a/tests/soakchecks.py
+++ b/tests/soakchecks.py
@@ -1,19 +1,26 @@
 """Checks of a ledger that take in the whole run: lost answers, crashes."""
 
+import bisect
 from collections import defaultdict
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Mapping
 
 from soakledger import (
     CONTACT_S,
     DEADLINE_S,
+    Arrival,
     BadPart,
     Ledger,
+    LimitSpan,
     SentRequest,
 )
 
 LOSS_SLACK_S = 0.2  # lossSlackMs of the users' pages
 ANSWER_SLACK_S = 0.5  # an answer may come so long after its deadline
 DECISIVE_CRASHES = 5  # after so many, the part is known
+LIMIT_WINDOW_S = 4.0
+LIMIT_SHARE = 1.5
+LIMIT_SPARE = 5
+TOLD_SLACK_S = 0.5  # from an answer that names a limit until its host obeys
 ALLOWED_BAD_ARRIVALS = 3
 MIN_SERVED_RATIO = 0.5
 MIN_REQUESTS = 20  # fewer sound requests show nothing
@@ -27,6 +34,7 @@
         *check_answers(ledger),
         *check_bad_arrivals(ledger),
         *check_sound_requests(ledger),
+        *check_limits(ledger),
     ]
 
 
@@ -132,6 +140,51 @@
         )
 
 
+def check_limits(ledger: Ledger) -> Iterator[str]:
+    """Check that endpoints get what they said they take."""
+    for span in ledger.limits:
+        allowed = span.per_s * LIMIT_WINDOW_S * LIMIT_SHARE + LIMIT_SPARE
+        times = counted_arrivals(ledger, span)
+        for number, first in enumerate(times):
+            end = first + LIMIT_WINDOW_S
+            if end < span.started + CONTACT_S:
+                continue
+            count = bisect.bisect_right(times, end) - number
+            if count > allowed:
+                yield f'LIMIT: {count} requests in 4 s beside {span}'
+                break
+
+
+def counted_arrivals(ledger: Ledger, span: LimitSpan) -> list[float]:
+    """Return when requests came from hosts that knew a limit, in order."""
+    told: dict[str, float] = {}
+    for naming in ledger.namings:
+        sent = ledger.sent.get(naming.request_id)
+        if naming.endpoint == span.endpoint and sent and sent.status:
+            told[sent.host] = min(told.get(sent.host, sent.ended), sent.ended)
+    return sorted(
+        arrival.time
+        for arrival in ledger.arrivals
+        if arrival.endpoint == span.endpoint
+        and span.started + TOLD_SLACK_S <= arrival.time < span.ended
+        and is_held_to(ledger, told, arrival)
+    )
+
+
+def is_held_to(
+    ledger: Ledger, told: Mapping[str, float], arrival: Arrival
+) -> bool:
+    """Return whether an arrival is from a host that knew of a limit."""
+    sent = ledger.sent.get(arrival.request_id)
+    if sent is None or sent.host not in told:
+        return False
+    own = {f'{fault} {sent.host}' for fault in ('kill', 'term', 'pause')}
+    excuses = {*own, 'kill_all', 'reset', f'link {arrival.endpoint}'}
+    return arrival.time >= told[sent.host] + TOLD_SLACK_S and ledger.is_clear(
+        excuses, arrival.time, arrival.time
+    )
+
+
 def served_share(requests: Collection[SentRequest]) -> float:
     """Return the share of requests that were served whole."""
     served = [
--- a/tests/soakendpoint.py
+++ b/tests/soakendpoint.py
@@ -50,6 +50,8 @@
         self.varied = varied
         self.fault = ''
         self.says_leaving = False
+        self.limit_per_s = 0.0  # named in all responses; 0 if none is
+        self.limit_lock = threading.Lock()
         # Cleared while the endpoint is silent.
         self.awake = threading.Event()
         self.awake.set()
@@ -72,9 +74,13 @@
     def handle_request(self, served: ServedRequest) -> None:
         """Serve a request, or fail it according to the current fault."""
         fault = self.fault if self.random.random() < 0.5 else ''
-        self.ledger.on_arrival(
-            Arrival(served.request.request_id, self.name, time.monotonic())
+        arrival = Arrival(
+            served.request.request_id, self.name, time.monotonic()
         )
+        self.ledger.on_arrival(arrival)
+        if self.limit_per_s:
+            served.extra_headers = (f'Server-Limit: {self.limit_per_s}',)
+            self.ledger.on_naming(arrival)
         if fault == 'refuse':
             served.refuse()
             return
@@ -83,7 +89,7 @@
             served.refuse_for(str(QUIET_S))
             return
         if self.says_leaving:
-            served.extra_headers = ('Server-Leaving: 1',)
+            served.extra_headers += ('Server-Leaving: 1',)
             self.say(served, 0)
         self.run(served, fault)
 
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable, Mapping
 
-from soakledger import BadPart, FaultSpan
+from soakledger import BadPart, FaultSpan, LimitSpan
 from soakproxy import Mode, Proxy
 from soakworld import GRACE_S, SoakHost, World
 
@@ -16,6 +16,7 @@
 ENDPOINT_FAULTS = ('error', 'hang', 'refuse', 'cut')
 STORE_FAULTS = (503, 429, 'silent', 'reset', 'lost')
 RACK_HOSTS = 12
+LIMIT_S = (4.5, 7.5)
 SILENCE_S = (0.6, 1.6)
 SILENCE_REST_S = 1.0  # between two silences of an endpoint
 SERIES_GAP_S = 0.5
@@ -273,6 +274,24 @@
     time.sleep(max(0, until - time.monotonic()))
 
 
+def name_limit(world: World, rng: random.Random) -> str:
+    """Make an endpoint name a limit, and at times a lower one later."""
+    endpoint = rng.choice(world.endpoints)
+    per_s = rng.choice((0.5, 2, 3.9, 6))
+    factors = rng.choice(((1,), (4, 1)))
+    with endpoint.limit_lock:
+        for factor in factors:
+            started = time.monotonic()
+            endpoint.limit_per_s = per_s * factor
+            time.sleep(rng.uniform(*LIMIT_S))
+            ended = time.monotonic()
+            world.ledger.on_limit(
+                LimitSpan(endpoint.name, per_s * factor, started, ended)
+            )
+        endpoint.limit_per_s = 0.0
+    return f'limit {endpoint.name}'
+
+
 PLANNED_FAULTS: Mapping[str, Fault] = {
     'term': term,
     'hup': hup,
@@ -313,8 +332,15 @@
 }
 
 
+FIRST_SEED_WITH_LIMITS = 300
+LIMIT_FAULTS: Mapping[str, Fault] = {'name_limit': name_limit}
+
+
 def fault_table(seed: int, *, planned_only: bool) -> Mapping[str, Fault]:
     """Return the faults from which a seed chooses."""
+    if seed >= FIRST_SEED_WITH_LIMITS:
+        own = NEWEST_PLANNED_FAULTS if planned_only else NEWEST_FAULTS
+        return {**own, **LIMIT_FAULTS}
     if seed >= FIRST_SEED_WITH_SERIES:
         return NEWEST_PLANNED_FAULTS if planned_only else NEWEST_FAULTS
     table = PLANNED_FAULTS if planned_only else ALL_FAULTS
@@ -332,6 +358,7 @@
 
 def inject_fault(world: World, name: str, seed: int) -> None:
     """Run a fault to its end, and restart hosts that have ended."""
-    record(world, lambda: NEWEST_FAULTS[name](world, random.Random(seed)))
+    fault = {**NEWEST_FAULTS, **LIMIT_FAULTS}[name]
+    record(world, lambda: fault(world, random.Random(seed)))
     for host in world.hosts:
         host.restart_if_ended()
--- a/tests/soakledger.py
+++ b/tests/soakledger.py
@@ -94,6 +94,15 @@
     started: float
 
 
+class LimitSpan(NamedTuple):
+    """For how long an endpoint named a limit in all its responses."""
+
+    endpoint: str
+    per_s: float
+    started: float
+    ended: float
+
+
 class Arrival(NamedTuple):
     """A request as it reached an endpoint, whether it ran or not."""
 
@@ -115,6 +124,9 @@
         self.violations: list[str] = []
         self.signs: list[Sign] = []
         self.arrivals: list[Arrival] = []
+        self.limits: list[LimitSpan] = []
+        # What the responses that named a limit belong to.
+        self.namings: list[Arrival] = []
         # Ids of the requests whose answer an endpoint broke off or failed.
         self.broken_off: set[str] = set()
         self.bad_part: BadPart | None = None
@@ -137,6 +149,14 @@
         with self.lock:
             self.arrivals.append(arrival)
 
+    def on_limit(self, span: LimitSpan) -> None:
+        with self.lock:
+            self.limits.append(span)
+
+    def on_naming(self, naming: Arrival) -> None:
+        with self.lock:
+            self.namings.append(naming)
+
     def on_broken_off(self, request_id: str) -> None:
         with self.lock:
             self.broken_off.add(request_id)
