--- a/tests/soak.py
+++ b/tests/soak.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
@@ -20,8 +21,10 @@
 from soakcallers import Caller, KeptCaller
 from soakchecks import all_violations
 from soakfaults import (
+    FIRST_SEED_WITH_LIMITS,
     FIRST_SEED_WITH_SERIES,
     crash_by_part,
+    crash_by_request,
     fault_table,
     inject_fault,
 )
@@ -108,10 +111,11 @@
         planned_only = rng.random() < PLANNED_ONLY_SHARE
         table = fault_table(seed, planned_only=planned_only or plan.crashes)
         if plan.crashes:
-            faults.append('crash_by_part')
+            crash = crash_of(seed)
+            faults.append(crash.__name__)
             time.sleep(CRASH_START_S)
             futures.append(
-                pool.submit(crash_by_part, world, random.Random(seed), until)
+                pool.submit(crash, world, random.Random(seed), until)
             )
         while time.monotonic() < until:
             name = rng.choice(tuple(table))
@@ -128,6 +132,13 @@
     return Result(seed, all_violations(world.ledger), statuses, faults)
 
 
+def crash_of(seed: int) -> Callable[[World, random.Random, float], None]:
+    """Return what crashes endpoints: a prompt part, or one request."""
+    if seed >= FIRST_SEED_WITH_LIMITS and seed % 2:
+        return crash_by_request
+    return crash_by_part
+
+
 def recover(world: World, caller: Caller) -> None:
     """Check that every host serves requests again."""
     try:
--- a/tests/soakcallers.py
+++ b/tests/soakcallers.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 
 from gatewaycluster import AUTHORITY, KEY
-from soakledger import DEADLINE_S, MAX_RUNS, SentRequest
+from soakledger import DEADLINE_S, MAX_RUNS, BadPart, SentRequest
 from soakworld import SoakHost, World
 
 MEAN_PAUSE_S = 0.03
@@ -20,6 +20,7 @@
 RECONNECT_S = 0.1  # after a connection that a host refused or closed
 BODY = b'prompt'
 BAD_SHARE = 0.15  # of requests while a part crashes endpoints
+REPEAT_SHARE = 0.1  # of requests that come again, while one crashes endpoints
 FIRST_PART = '5c1e07a2:800'
 MIDDLE_PARTS = ('91bd3f06:410', 'a07715cc:120', '44e1d9b0:260')
 
@@ -51,12 +52,16 @@
         return self.send(kind, kind)
 
     def send(
-        self, kind: str, route: str, parts: tuple[str, ...] = ()
+        self,
+        kind: str,
+        route: str,
+        parts: tuple[str, ...] = (),
+        path: str = '',
     ) -> SentRequest:
         """Send a request to a route and record the response."""
         self.count += 1
         request_id = f'{self.name}-{self.count}'
-        path = f'/{route}/{request_id}'
+        path = path or f'/{route}/{request_id}'
         headers = {
             'Host': AUTHORITY,
             'Authorization': f'Bearer {KEY}',
@@ -176,9 +181,19 @@
         parts = [self.random.choice(MIDDLE_PARTS) for _ in range(2)]
         bad = self.world.ledger.bad_part
         if bad and self.random.random() < BAD_SHARE:
-            kind = bad.route
-            parts.insert(self.random.randrange(3), bad.part)
-        self.send(kind, kind, (FIRST_PART, *parts))
+            self.send_bad(bad, parts)
+        elif bad and bad.path and self.random.random() < REPEAT_SHARE:
+            self.send(kind, kind, path=f'/{kind}/again')
+        else:
+            self.send(kind, kind, (FIRST_PART, *parts))
+
+    def send_bad(self, bad: BadPart, parts: list[str]) -> None:
+        """Send a request that crashes endpoints."""
+        if bad.path:
+            self.send(bad.route, bad.route, path=bad.path)
+            return
+        parts.insert(self.random.randrange(3), bad.part)
+        self.send(bad.route, bad.route, (FIRST_PART, *parts))
 
     def send_whole(
         self,
@@ -187,7 +202,9 @@
         headers: Mapping[str, str],
     ) -> None:
         """Send a request to its last byte, at times with a pause before it."""
-        if self.random.random() > SPLIT_BODY_SHARE:
+        bad = self.world.ledger.bad_part
+        is_bad = bad is not None and path == bad.path
+        if is_bad or self.random.random() > SPLIT_BODY_SHARE:
             super().send_whole(connection, path, headers)
             return
         connection.putrequest('POST', path, skip_host=True)
--- a/tests/soakchecks.py
+++ b/tests/soakchecks.py
@@ -17,6 +17,7 @@
 LOSS_SLACK_S = 0.2  # lossSlackMs of the users' pages
 ANSWER_SLACK_S = 0.5  # an answer may come so long after its deadline
 DECISIVE_CRASHES = 5  # after so many, the part is known
+DECISIVE_CRASHES_OF_ONE = 3  # the same for a whole request
 LIMIT_WINDOW_S = 4.0
 LIMIT_SHARE = 1.5
 LIMIT_SPARE = 5
@@ -74,8 +75,10 @@
 def check_bad_arrivals(ledger: Ledger) -> Iterator[str]:
     """Check that a part is held back once it has crashed endpoints."""
     known_at = decisive_crash(ledger)
-    is_known = len(ledger.crashes) >= DECISIVE_CRASHES
-    if known_at is None or ledger.bad_part is None or not is_known:
+    if known_at is None or ledger.bad_part is None:
+        return
+    decisive = decisive_count(ledger.bad_part)
+    if len(ledger.crashes) < decisive:
         return
     late = [
         arrival
@@ -88,8 +91,8 @@
     ]
     if len(late) > ALLOWED_BAD_ARRIVALS:
         yield (
-            f'BUDGET: {len(late)} requests with the part that had crashed '
-            f'{DECISIVE_CRASHES} endpoints reached endpoints up to '
+            f'BUDGET: {len(late)} requests of the kind that had crashed '
+            f'{decisive} endpoints reached endpoints up to '
             f'{late[-1].time - known_at:.1f} s later; '
             f'{len(ledger.crashes)} crashes in all'
         )
@@ -97,14 +100,21 @@
 
 def decisive_crash(ledger: Ledger) -> float | None:
     """Return when the decisive crash was, the last one if there are fewer."""
-    times = sorted(ledger.crashes)[:DECISIVE_CRASHES]
+    if ledger.bad_part is None:
+        return None
+    times = sorted(ledger.crashes)[: decisive_count(ledger.bad_part)]
     return times[-1] if times else None
 
 
+def decisive_count(bad: BadPart) -> int:
+    """Return after how many crashes requests have to stop."""
+    return DECISIVE_CRASHES_OF_ONE if bad.path else DECISIVE_CRASHES
+
+
 def is_bad(ledger: Ledger, bad: BadPart, request_id: str) -> bool:
-    """Return whether a request was sent with the part that crashes."""
+    """Return whether a request is one that crashes endpoints."""
     sent = ledger.sent.get(request_id)
-    return sent is not None and bad.part in sent.parts
+    return sent is not None and bad.is_in(sent)
 
 
 def is_in_touch(ledger: Ledger, host: str, time: float) -> bool:
@@ -125,7 +135,7 @@
         for sent in ledger.sent.values()
         if sent.kind == bad.route
         and sent.path.startswith(f'/{bad.route}/')
-        and bad.part not in sent.parts
+        and not bad.is_in(sent)
         and is_in_touch(ledger, sent.host, sent.started)
     ]
     before = [sent for sent in sound if sent.ended < bad.started]
--- a/tests/soakendpoint.py
+++ b/tests/soakendpoint.py
@@ -130,13 +130,16 @@
         )
 
     def must_crash(self, served: ServedRequest) -> bool:
-        """Return whether a request has the part that crashes endpoints.
+        """Return whether a request is one that crashes endpoints.
 
         Half of them crash the endpoint after the head of the response.
         """
         bad = self.ledger.bad_part
+        if bad is None:
+            return False
         parts = served.request.headers.get('prefix-hash', '').split(',')
-        if bad is None or bad.part not in parts:
+        target = served.request.line.split()[1]
+        if bad.part not in parts and target != bad.path:
             return False
         time.sleep(self.random.random() * MAX_WORK_S)
         if self.random.random() < 0.5:
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -274,6 +274,15 @@
     time.sleep(max(0, until - time.monotonic()))
 
 
+def crash_by_request(world: World, rng: random.Random, until: float) -> None:
+    """Let one request that comes again crash endpoints until a time."""
+    route = rng.choice(CRASHING_ROUTES)
+    world.ledger.bad_part = BadPart(
+        '', route, time.monotonic(), f'/{route}/bad{rng.randrange(10**5):05d}'
+    )
+    time.sleep(max(0, until - time.monotonic()))
+
+
 def name_limit(world: World, rng: random.Random) -> str:
     """Make an endpoint name a limit, and at times a lower one later."""
     endpoint = rng.choice(world.endpoints)
--- a/tests/soakledger.py
+++ b/tests/soakledger.py
@@ -87,11 +87,19 @@
 
 
 class BadPart(NamedTuple):
-    """A prompt part that crashes endpoints, and the route that gets it."""
+    """A prompt part that crashes endpoints, and the route that gets it.
+
+    Or one whole request, if ``path`` is not empty; it has no part then.
+    """
 
     part: str
     route: str
     started: float
+    path: str = ''
+
+    def is_in(self, sent: 'SentRequest') -> bool:
+        """Return whether a request crashes endpoints."""
+        return sent.path == self.path if self.path else self.part in sent.parts
 
 
 class LimitSpan(NamedTuple):
