Tell a new home host what was served under the one before

Change: a heartbeat to a new home host tells which prompt parts its host saw served of late, and for how long no others were. Once all entry hosts have told, 0.6 s after it took over, the new home host judges prompt parts as the old one would. Whole requests, most of which come once, are left out.

--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -19,7 +19,9 @@
     likeliest,
 )
 from trefoilspool.departures import EndpointRun
+from trefoilspool.fingerprint import is_fingerprint
 from trefoilspool.quarantine import Quarantine
+from trefoilspool.servedreports import ServedReport
 from trefoilspool.servedrequests import ServedRequests
 
 __all__ = ['CrashEvidence', 'CrashReport']
@@ -41,6 +43,8 @@
 # A part with fewer than one in so many of the runs that ended since its first
 # one is a bystander of other causes.
 MAX_RUNS_PER_OWN = 4
+# Within this time all entry hosts have sent a heartbeat to a new home host.
+SETTLING_S = 0.6
 MAX_REPORTS = 512
 MAX_RUNS = 512
 MAX_SIGNS = 12  # of the end of a run
@@ -139,6 +143,10 @@
         Services of endpoints that are available or have ended, by name.
     known_since : float
         Since when served requests are known here, in seconds.
+    entries : frozenset of str
+        Entry hosts that report to this host.
+    covered_since : dict
+        Since when it is known what each entry host saw served, in seconds.
     is_changed : bool
         Whether there is evidence that has not been judged.
     blamed : frozenset of str
@@ -158,6 +166,8 @@
         self.served = ServedRequests()
         self.services: dict[str, str] = {}
         self.known_since = float('inf')
+        self.entries: frozenset[str] = frozenset()
+        self.covered_since: dict[str, float] = {}
         self.is_changed = False
         self.blamed: frozenset[str] = frozenset()
         self.ended: list[float] = []
@@ -242,6 +252,32 @@
         self.is_changed |= not self.blamed.isdisjoint(parts)
         self.served.add(parts, service, sent_at)
 
+    def on_served_report(
+        self, entry: str, report: ServedReport, now: float
+    ) -> None:
+        """Take what an entry host saw served under an earlier home host."""
+        for part, age_s in report.parts:
+            self.served.note(part, now - age_s)
+        covered_since = now - report.covered_s
+        before = self.covered_since.get(entry, covered_since)
+        self.covered_since[entry] = min(before, covered_since)
+        self.is_changed = True
+
+    def known_since_of(self, part: str, now: float) -> float:
+        """Return since when it is known whether a part was served, in seconds.
+
+        For prompt parts that is earlier than this host is home host, once all
+        entry hosts have told what they saw served.
+        """
+        is_settled = now - self.known_since >= SETTLING_S
+        if is_fingerprint(part) or not (is_settled and self.entries):
+            return self.known_since
+        told = [
+            self.covered_since.get(entry, self.known_since)
+            for entry in self.entries
+        ]
+        return min(self.known_since, max(told))
+
     def forget_old(self, now: float) -> None:
         """Forget what is older than ``RETENTION_S``."""
         before = now - RETENTION_S
@@ -358,7 +394,7 @@
         served_at = self.served.last_at(part)
         runs = {run: at for run, at in runs.items() if at > served_at}
         first_at = min(runs.values(), default=now)
-        known_at = max(served_at, self.known_since)
+        known_at = max(served_at, self.known_since_of(part, now))
         is_recent = first_at - known_at <= RECENTLY_SERVED_S
         had_chances = len(runs) > MIN_RUNS * 2 and self.is_only_unserved(
             part, first_at
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -395,6 +395,9 @@
         if crashes:
             datagram.crashes = list(map(wire.crash_report_to_wire, crashes))
         if home_is_new:
+            datagram.served = wire.served_to_wire(
+                self.client.served_report(now)
+            )
             datagram.levels = meshdatagrams.levels_to_wire(
                 self.client.levels.items()
             )
@@ -473,6 +476,14 @@
                 )
 
 
+def on_served(
+    mesh: MeshTask, sender: HostInfo, struct: Any, now: float
+) -> None:
+    """Pass what an entry host saw served to the slot scheduler."""
+    report = wire.served_from_wire(struct)
+    mesh.scheduler.guard.on_served_report(sender.name, report, now)
+
+
 def on_limits(
     mesh: MeshTask, sender: HostInfo, structs: list[Any], now: float
 ) -> None:
@@ -495,6 +506,7 @@
 # requests in the same datagram.
 HANDLERS: Mapping[str, Callable[..., None]] = {
     'quarantine': MeshTask.on_quarantine,
+    'served': on_served,
     'limits': on_limits,
     'crashes': MeshTask.on_crash_reports,
     'asks': MeshTask.on_asks,
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -13,7 +13,9 @@
 from trefoilspool.endpointload import Reservation
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.quarantineprobes import ProbeSchedule
+from trefoilspool.servedreports import ServedReport
 from trefoilspool.slotmessages import (
+    SERVED_STREAMING_S,
     AttemptEnding,
     DecisionEvent,
     EndpointSpec,
@@ -21,14 +23,13 @@
     SlotKey,
     SlotRelease,
     SlotRequest,
+    has_streamed,
 )
 
 __all__ = ['GuardDecision', 'PromptGuard']
 
 CHECK_INTERVAL_S = 0.1
 IDLE_CHECK_INTERVAL_S = 0.5  # without new evidence
-# A request is served once its stream has gone on for so long.
-SERVED_STREAMING_S = 0.25
 # A broken attempt with an event counts as a crash if the event came so shortly
 # before.
 MAX_START_S = 0.1
@@ -254,6 +255,16 @@
         else:
             self.evidence.on_broken(run, (key.entry, key.number), now)
 
+    def on_served_report(
+        self, entry: str, report: ServedReport, now: float
+    ) -> None:
+        """Take what an entry host saw served before this one was home host."""
+        self.evidence.on_served_report(entry, report, now)
+
+    def on_entries(self, entries: Iterable[str]) -> None:
+        """Note the entry hosts that report to this host."""
+        self.evidence.entries = frozenset(entries)
+
     def tick(self, now: float) -> None:
         """Quarantine culprits, lift quarantines that nobody asks for."""
         interval_s = (
@@ -337,11 +348,3 @@
         self.events.extend(
             DecisionEvent(event, {'part': part, **fields}) for part in parts
         )
-
-
-def has_streamed(release: SlotRelease) -> bool:
-    """Return whether an attempt had streamed for some time when it ended.
-
-    After a single event the endpoint may just have been silent.
-    """
-    return release.events > 1 and release.decode_s > SERVED_STREAMING_S
--- a/trefoilspool/servedrequests.py
+++ b/trefoilspool/servedrequests.py
@@ -46,9 +46,13 @@
         times = self.times.setdefault(service, deque(maxlen=MAX_SERVED))
         times.append(sent_at)
         for part in parts:
-            table = self.table(part)
-            table[part] = max(table.get(part, NEVER), sent_at)
-            table.move_to_end(part)
+            self.note(part, sent_at)
+
+    def note(self, part: str, sent_at: float) -> None:
+        """Note that a request with a part was served, sent at a time."""
+        table = self.table(part)
+        table[part] = max(table.get(part, NEVER), sent_at)
+        table.move_to_end(part)
         while len(self.by_part) > MAX_PARTS:
             self.by_part.popitem(last=False)
         while len(self.by_fingerprint) > MAX_FINGERPRINTS:
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -20,7 +20,9 @@
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.ratelimits import RetryWindow, TokenBucket
 from trefoilspool.routing import Workspace
+from trefoilspool.servedreports import ServedLog, ServedReport
 from trefoilspool.slotmessages import (
+    SERVED_STREAMING_S,
     AttemptEnding,
     EndpointSpec,
     Granted,
@@ -32,6 +34,7 @@
     SlotKey,
     SlotRelease,
     SlotRequest,
+    has_streamed,
 )
 
 __all__ = ['SlotClient']
@@ -131,6 +134,7 @@
             limits or EndpointLimits(), initial_level=-random.random()
         )
         self.crash_reports = CrashReports()
+        self.served_log = ServedLog(clock.now())
         self.lock = threading.Lock()
         self.attempt_numbers = itertools.count(
             random.getrandbits(FIRST_NUMBER_BITS)
@@ -419,7 +423,9 @@
     def release(self, release: SlotRelease) -> None:
         """Release a slot."""
         with self.lock:
-            self.held.pop(release.key.number, None)
+            slot = self.held.pop(release.key.number, None)
+        if slot is not None and is_served(release):
+            self.served_log.add(slot.ask.parts, slot.granted_at)
         home = self.peers.home()
         if home is not None:
             self.send_message(home.address, release)
@@ -447,6 +453,18 @@
         if home is not None:
             self.send_message(home.address, report)
 
+    def served_report(self, now: float) -> ServedReport:
+        """Return the prompt parts that this host saw served of late."""
+        with self.lock:
+            streaming = [
+                slot
+                for slot in self.held.values()
+                if slot.streaming_s() > SERVED_STREAMING_S
+            ]
+        for slot in streaming:
+            self.served_log.add(slot.ask.parts, slot.granted_at)
+        return self.served_log.report(now)
+
     def held_slots(self) -> list[HeldSlot]:
         """Return all slots that this host holds."""
         now = clock.now()
@@ -465,6 +483,11 @@
             ]
 
 
+def is_served(release: SlotRelease) -> bool:
+    """Return whether an attempt shows that its request can be served."""
+    return release.ending is AttemptEnding.completed or has_streamed(release)
+
+
 def next_decision(
     inbox: 'queue.SimpleQueue[SlotDecision]',
     timeout_s: float,
--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -13,6 +13,7 @@
     'Granted',
     'HeldSlot',
     'Queued',
+    'SERVED_STREAMING_S',
     'RefusalReason',
     'Refused',
     'SlotDecision',
@@ -20,8 +21,12 @@
     'SlotRelease',
     'SlotRequest',
     'blamable_parts',
+    'has_streamed',
 ]
 
+# A request is served once its stream has gone on for so long.
+SERVED_STREAMING_S = 0.25
+
 
 def blamable_parts(
     prompt_prefixes: tuple[str, ...], fingerprint: str
@@ -168,6 +173,14 @@
     is_down: bool = False
 
 
+def has_streamed(release: SlotRelease) -> bool:
+    """Return whether an attempt had streamed for some time when it ended.
+
+    After a single event the endpoint may just have been silent.
+    """
+    return release.events > 1 and release.decode_s > SERVED_STREAMING_S
+
+
 class EndpointSpec(NamedTuple):
     """Properties of an endpoint, from the directory.
 
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -397,6 +397,7 @@
     ) -> None:
         """Apply the full list of the slots that an entry host holds."""
         self.last_reports[entry] = now
+        self.guard.on_entries(self.last_reports)
         listed = set()
         for held in held_slots:
             listed.add(held.key)
@@ -466,6 +467,7 @@
     def remove_entry(self, entry: str, now: float) -> None:
         """Drop the slots and waiting requests of a lost entry host."""
         self.last_reports.pop(entry, None)
+        self.guard.on_entries(self.last_reports)
         for waiting_key in list(self.waiting):
             if waiting_key.entry == entry:
                 self.withdraw(waiting_key, now)
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -1151,6 +1151,101 @@
         return not (self == other)
 
 
+class Served(object):
+    """
+    Attributes:
+     - parts
+     - ages_ms
+     - covered_ms
+
+    """
+
+
+    def __init__(self, parts=None, ages_ms=None, covered_ms=None,):
+        self.parts = parts
+        self.ages_ms = ages_ms
+        self.covered_ms = covered_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.ages_ms = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readI32()
+                        self.ages_ms.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.covered_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Served')
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.parts))
+            for iter33 in self.parts:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ages_ms is not None:
+            oprot.writeFieldBegin('ages_ms', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.ages_ms))
+            for iter34 in self.ages_ms:
+                oprot.writeI32(iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.covered_ms is not None:
+            oprot.writeFieldBegin('covered_ms', TType.I32, 3)
+            oprot.writeI32(self.covered_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Load(object):
     """
     Attributes:
@@ -1323,22 +1418,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = Load()
-                        _elem26.read(iprot)
-                        self.loads.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Load()
+                        _elem40.read(iprot)
+                        self.loads.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.levels = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = Level()
-                        _elem32.read(iprot)
-                        self.levels.append(_elem32)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = Level()
+                        _elem46.read(iprot)
+                        self.levels.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1355,15 +1450,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter33 in self.loads:
-                iter33.write(oprot)
+            for iter47 in self.loads:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.levels is not None:
             oprot.writeFieldBegin('levels', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.levels))
-            for iter34 in self.levels:
-                iter34.write(oprot)
+            for iter48 in self.levels:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1401,11 +1496,12 @@
      - crashes
      - quarantine
      - limits
+     - served
 
     """
 
 
-    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None, leaving=None, crashes=None, quarantine=None, limits=None,):
+    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None, leaving=None, crashes=None, quarantine=None, limits=None, served=None,):
         self.sender = sender
         self.asks = asks
         self.verdicts = verdicts
@@ -1420,6 +1516,7 @@
         self.crashes = crashes
         self.quarantine = quarantine
         self.limits = limits
+        self.served = served
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1439,44 +1536,44 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Ask()
-                        _elem40.read(iprot)
-                        self.asks.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Ask()
+                        _elem54.read(iprot)
+                        self.asks.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.verdicts = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = Verdict()
-                        _elem46.read(iprot)
-                        self.verdicts.append(_elem46)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = Verdict()
+                        _elem60.read(iprot)
+                        self.verdicts.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = End()
-                        _elem52.read(iprot)
-                        self.ends.append(_elem52)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = End()
+                        _elem66.read(iprot)
+                        self.ends.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.roll = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = Holding()
-                        _elem58.read(iprot)
-                        self.roll.append(_elem58)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = Holding()
+                        _elem72.read(iprot)
+                        self.roll.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1489,11 +1586,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = HostCard()
-                        _elem64.read(iprot)
-                        self.hosts.append(_elem64)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = HostCard()
+                        _elem78.read(iprot)
+                        self.hosts.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1505,11 +1602,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.levels = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = Level()
-                        _elem70.read(iprot)
-                        self.levels.append(_elem70)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = Level()
+                        _elem84.read(iprot)
+                        self.levels.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1522,47 +1619,53 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = EndpointRun()
-                        _elem76.read(iprot)
-                        self.leaving.append(_elem76)
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = EndpointRun()
+                        _elem90.read(iprot)
+                        self.leaving.append(_elem90)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = CrashReport()
-                        _elem82.read(iprot)
-                        self.crashes.append(_elem82)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = CrashReport()
+                        _elem96.read(iprot)
+                        self.crashes.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.quarantine = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = QuarantineEntry()
-                        _elem88.read(iprot)
-                        self.quarantine.append(_elem88)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = QuarantineEntry()
+                        _elem102.read(iprot)
+                        self.quarantine.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = EndpointLimit()
-                        _elem94.read(iprot)
-                        self.limits.append(_elem94)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = EndpointLimit()
+                        _elem108.read(iprot)
+                        self.limits.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.served = Served()
+                    self.served.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1580,29 +1683,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter95 in self.asks:
-                iter95.write(oprot)
+            for iter109 in self.asks:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter96 in self.verdicts:
-                iter96.write(oprot)
+            for iter110 in self.verdicts:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter97 in self.ends:
-                iter97.write(oprot)
+            for iter111 in self.ends:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.roll is not None:
             oprot.writeFieldBegin('roll', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.roll))
-            for iter98 in self.roll:
-                iter98.write(oprot)
+            for iter112 in self.roll:
+                iter112.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1612,8 +1715,8 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter99 in self.hosts:
-                iter99.write(oprot)
+            for iter113 in self.hosts:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hello is not None:
@@ -1623,8 +1726,8 @@
         if self.levels is not None:
             oprot.writeFieldBegin('levels', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.levels))
-            for iter100 in self.levels:
-                iter100.write(oprot)
+            for iter114 in self.levels:
+                iter114.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_read is not None:
@@ -1634,31 +1737,35 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter101 in self.leaving:
-                iter101.write(oprot)
+            for iter115 in self.leaving:
+                iter115.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter102 in self.crashes:
-                iter102.write(oprot)
+            for iter116 in self.crashes:
+                iter116.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantine is not None:
             oprot.writeFieldBegin('quarantine', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantine))
-            for iter103 in self.quarantine:
-                iter103.write(oprot)
+            for iter117 in self.quarantine:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter104 in self.limits:
-                iter104.write(oprot)
+            for iter118 in self.limits:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.served is not None:
+            oprot.writeFieldBegin('served', TType.STRUCT, 16)
+            self.served.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1776,6 +1883,13 @@
     (2, TType.DOUBLE, 'per_s', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(Served)
+Served.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'ages_ms', (TType.I32, None, False), None, ),  # 2
+    (3, TType.I32, 'covered_ms', None, None, ),  # 3
+)
 all_structs.append(Load)
 Load.thrift_spec = (
     None,  # 0
@@ -1813,6 +1927,7 @@
     (13, TType.LIST, 'crashes', (TType.STRUCT, [CrashReport, None], False), None, ),  # 13
     (14, TType.LIST, 'quarantine', (TType.STRUCT, [QuarantineEntry, None], False), None, ),  # 14
     (15, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 15
+    (16, TType.STRUCT, 'served', [Served, None], None, ),  # 16
 )
 fix_spec(all_structs)
 del all_structs
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -19,6 +19,7 @@
 from trefoilspool.peers import HostInfo
 from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.replica import Position
+from trefoilspool.servedreports import ServedPart, ServedReport
 from trefoilspool.wire.gen.mesh import ttypes
 
 __all__ = [
@@ -47,6 +48,8 @@
     'position_to_wire',
     'quarantine_from_wire',
     'quarantine_to_wire',
+    'served_from_wire',
+    'served_to_wire',
     'slot_release_from_wire',
     'slot_release_to_wire',
 ]
@@ -333,6 +336,26 @@
     ]
 
 
+def served_to_wire(report: ServedReport) -> ttypes.Served:
+    """Build the Thrift struct of what an entry host saw served."""
+    return ttypes.Served(
+        [served.part for served in report.parts],
+        [ms(served.age_s) for served in report.parts],
+        ms(report.covered_s),
+    )
+
+
+def served_from_wire(struct: ttypes.Served) -> ServedReport:
+    """Build what an entry host saw served from its Thrift struct."""
+    return ServedReport(
+        tuple(
+            ServedPart(part, age_ms / MS_PER_S)
+            for part, age_ms in zip(struct.parts, struct.ages_ms, strict=False)
+        ),
+        struct.covered_ms / MS_PER_S,
+    )
+
+
 def fitting_entries(
     entries: Iterable[QuarantineEntry],
 ) -> list[QuarantineEntry]:
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -87,6 +87,12 @@
   3: i32 age_ms             // since the run said so; of the end of a limit,
                             // since the request was sent that showed it
 }
+// Prompt parts that an entry saw served.
+struct Served {
+  1: list<string> parts
+  2: list<i32> ages_ms      // since a request with each was last sent
+  3: i32 covered_ms         // for so long no others were served there
+}
 struct Load {
   1: string endpoint
   2: i32 held
@@ -119,4 +125,5 @@
   13: optional list<CrashReport> crashes
   14: optional list<QuarantineEntry> quarantine
   15: optional list<EndpointLimit> limits
+  16: optional Served served // for a new home
 }
