Split the host's tasks: home service, endpoint signs, platform interface

Handlers of datagrams are a table of bound methods. No change of behaviour; one test calls the moved handler.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -33,6 +33,7 @@
     'gatewayhost',
     'httpserver',
     'jsonlog',
+    'homeservice',
     'mesh',
     'datagramsocket',
     'endpointview',
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -202,7 +202,7 @@
         self, mesh: MeshTask, sent: Sent
     ) -> None:
         for _ in range(8):
-            mesh.on_held_slots(host_info(2), [], 1)
+            mesh.home_service.on_held_slots(host_info(2), [], 1)
         assert len(sent) == 2
         assert all(datagram.digest is not None for _, datagram in sent)
         assert len(wire.encode(sent[0][1])) < 200
--- a/trefoilspool/gatewaydaemon.py
+++ b/trefoilspool/gatewaydaemon.py
@@ -7,7 +7,8 @@
 import logbook
 
 from trefoilspool.gatewayapp import GatewayApp
-from trefoilspool.gatewayhost import GatewayHost, Platform
+from trefoilspool.gatewayhost import GatewayHost
+from trefoilspool.gatewayplatform import Platform
 from trefoilspool.httpserver import HttpServer
 from trefoilspool.jsonlog import QueuedJsonHandler
 from trefoilspool.options import GatewayOptions
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -3,22 +3,20 @@
 import secrets
 import threading
 import time
-from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 import logbook
 
 from trefoilspool import clock
-from trefoilspool.departures import EndpointRecord, EndpointRun
-from trefoilspool.dialect import Dialect, OutboundRequest, ResponseHead
 from trefoilspool.discovery import DiscoveryTask
+from trefoilspool.endpointsigns import EndpointSigns
 from trefoilspool.endpointview import EndpointsRead, EndpointView
 from trefoilspool.errors import BadRecordError
 from trefoilspool.exchange import EndpointClient
 from trefoilspool.gateway import Gateway
+from trefoilspool.gatewayplatform import Platform
 from trefoilspool.httpserver import HttpServer
-from trefoilspool.mesh import MeshTask, send_limits
+from trefoilspool.mesh import MeshTask
 from trefoilspool.options import GatewayOptions
 from trefoilspool.peers import HostInfo
 from trefoilspool.peertopics import (
@@ -38,11 +36,11 @@
 )
 from trefoilspool.routing import Configuration
 from trefoilspool.serving import RequestServer
-from trefoilspool.store import KeyedRecord, KeyedSource, KeyedTopic
+from trefoilspool.store import KeyedRecord
 from trefoilspool.telemetry import Metrics
 from trefoilspool.watch import WatchTask
 
-__all__ = ['GatewayHost', 'Platform', 'StoreTopics']
+__all__ = ['GatewayHost']
 
 NS_PER_US = 1000
 # Below the start time, so that two starts in one microsecond differ.
@@ -71,61 +69,6 @@
 logger = logbook.Logger('gateway')
 
 
-class StoreTopics(NamedTuple):
-    """The topics of the store.
-
-    Attributes
-    ----------
-    settings, endpoints : KeyedSource
-        Replicated by every host.
-    hosts : KeyedTopic
-        Records of the hosts, for discovery.
-    quarantine : KeyedTopic
-        The quarantined prompt parts.
-    """
-
-    settings: KeyedSource
-    endpoints: KeyedSource
-    hosts: KeyedTopic
-    quarantine: KeyedTopic
-
-
-class Platform(ABC):
-    """Interface of a platform's adapter."""
-
-    @abstractmethod
-    def dialect(self) -> Dialect:
-        """Return the codec of requests and responses."""
-
-    @abstractmethod
-    def topics(self) -> StoreTopics:
-        """Return the topics of the store."""
-
-    @abstractmethod
-    def decode_configuration(self, content: bytes) -> Configuration:
-        """Decode the configuration from the content of its record.
-
-        Raises
-        ------
-        BadRecordError
-            When the content is invalid.
-        """
-
-    @abstractmethod
-    def decode_endpoint(self, key: str, content: bytes) -> EndpointRecord:
-        """Decode an endpoint from the key and content of its record.
-
-        Raises
-        ------
-        BadRecordError
-            When the content is invalid.
-        """
-
-    @abstractmethod
-    def readiness_path(self) -> str:
-        """Return the path of the load balancer's readiness check."""
-
-
 class GatewayHost:
     """A host that serves routed requests, with all its tasks.
 
@@ -165,7 +108,6 @@
         self.mesh = MeshTask(
             own_info, options.mesh_port, options.seed_addresses
         )
-        self.mesh.on_leaving_runs = self.on_leaving_runs
         topics = platform.topics()
         self.configuration_content = b''
         self.configuration_lock = threading.Lock()
@@ -210,8 +152,12 @@
         self.mesh.quarantine_gossip.on_entry = self.count_quarantine
         self.watch = WatchTask()
         self.quiet_periods = QuietPeriods()
+        self.endpoint_signs = EndpointSigns(
+            self.directory, self.quiet_periods, self.mesh, self.metrics
+        )
+        self.mesh.on_leaving_runs = self.endpoint_signs.on_leaving_runs
         self.endpoint_client = EndpointClient(
-            platform.dialect(), self.on_endpoint_head
+            platform.dialect(), self.endpoint_signs.on_head
         )
         self.gateway = Gateway(
             RequestServer(
@@ -264,60 +210,6 @@
             self.directory.tick(clock.now())
             self.quiet_periods.forget_ended(clock.now())
 
-    def on_endpoint_head(
-        self, outbound: OutboundRequest, head: ResponseHead, is_stray: bool
-    ) -> None:
-        """Apply what the head of an endpoint's response says of its state."""
-        if head.is_other_endpoint:
-            return
-        now = clock.now()
-        endpoint = outbound.endpoint
-        # A stray response is a copy of an earlier one, or made up.
-        if not is_stray:
-            self.on_limit(endpoint, head, outbound.sent_at, now)
-        if head.is_leaving:
-            run = self.directory.on_leaving_response(endpoint, now)
-            if run is not None:
-                self.count_leaving('response')
-                self.mesh.call_soon(
-                    lambda now: self.mesh.send_leaving(run, now)
-                )
-        if head.quiet_s:
-            self.metrics.count('trefoilspool_endpoint_quiet_total')
-            self.quiet_periods.on_request(endpoint, head.quiet_s, now)
-
-    def on_limit(
-        self, endpoint: str, head: ResponseHead, sent_at: float, now: float
-    ) -> None:
-        """Note how many requests an endpoint says that it takes."""
-        registered = self.directory.endpoints.get(endpoint)
-        if registered is None:
-            return
-        if self.mesh.limits.on_head(registered.run, head, sent_at, now):
-            self.mesh.call_soon(lambda now: send_limits(self.mesh, now))
-            state = 'named' if head.names_limit else 'ended'
-            self.metrics.count(
-                f'trefoilspool_endpoint_limit_total{{state="{state}"}}'
-            )
-
-    def on_leaving_runs(self, runs: list[EndpointRun]) -> list[EndpointRun]:
-        """Apply the runs that a peer reports as leaving; return the new."""
-        now = clock.now()
-        new = [
-            run
-            for run in runs
-            if self.directory.on_leaving_run(run, now, 'peer')
-        ]
-        for _ in new:
-            self.count_leaving('peer')
-        return new
-
-    def count_leaving(self, source: str) -> None:
-        """Count an endpoint's run that is leaving, by who reported it."""
-        self.metrics.count(
-            f'trefoilspool_endpoint_leaving_total{{source="{source}"}}'
-        )
-
     def count_quarantine(self, entry: QuarantineEntry) -> None:
         """Count a change of a prompt part's quarantine."""
         state = 'quarantined' if entry.active else 'lifted'
--- /dev/null
+++ b/trefoilspool/homeservice.py
@@ -0,0 +1,133 @@
+"""The home host's service to entry hosts: slots for their requests."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+
+from trefoilspool import meshdatagrams
+from trefoilspool.homecontact import HEARTBEATS_PER_DIGEST
+from trefoilspool.limitgossip import LimitGossip
+from trefoilspool.peers import HostInfo, PeerRegistry
+from trefoilspool.quarantinegossip import QuarantineGossip
+from trefoilspool.slotscheduler import SlotScheduler
+from trefoilspool.wire import mesh as wire
+from trefoilspool.wire.gen.mesh import ttypes
+
+__all__ = ['HomeService']
+
+logger = logbook.Logger('mesh')
+
+DatagramSender = Callable[[str, ttypes.Datagram], None]
+
+
+class HomeService:
+    """Passes datagrams to the slot scheduler, and its decisions back.
+
+    Parameters
+    ----------
+    scheduler : SlotScheduler
+        Grants the slots.
+    peers : PeerRegistry
+        The known hosts.
+    quarantine_gossip : QuarantineGossip
+        Quarantined parts, for digests.
+    limit_gossip : LimitGossip
+        Limits of endpoints, for digests.
+    send : callable
+        Sends a datagram to a host's address.
+    """
+
+    def __init__(
+        self,
+        scheduler: SlotScheduler,
+        peers: PeerRegistry,
+        quarantine_gossip: QuarantineGossip,
+        limit_gossip: LimitGossip,
+        send: DatagramSender,
+    ) -> None:
+        self.scheduler = scheduler
+        self.peers = peers
+        self.quarantine_gossip = quarantine_gossip
+        self.limit_gossip = limit_gossip
+        self.send = send
+        self.heartbeat_counts: Counter[str] = Counter()
+
+    def on_asks(self, sender: HostInfo, asks: list[Any], now: float) -> None:
+        """Pass slot requests to the slot scheduler."""
+        for ask in asks:
+            self.scheduler.on_ask(
+                wire.ask_from_wire(ask, sender.name, now), now
+            )
+
+    def on_releases(
+        self, sender: HostInfo, releases: list[Any], now: float
+    ) -> None:
+        """Pass releases to the slot scheduler."""
+        for release in releases:
+            self.scheduler.on_release(
+                wire.slot_release_from_wire(release, sender.name), now
+            )
+
+    def on_held_slots(
+        self, sender: HostInfo, slots: list[Any], now: float
+    ) -> None:
+        """Record the slots of an entry host; reply with a digest if due."""
+        self.scheduler.on_held_slots(
+            sender.name,
+            wire.held_from_wire(slots, sender.name),
+            now,
+        )
+        due = not self.heartbeat_counts[sender.name] % HEARTBEATS_PER_DIGEST
+        self.heartbeat_counts[sender.name] += 1
+        if due:
+            reply = ttypes.Datagram(
+                wire.host_info_to_wire(self.peers.own),
+                digest=meshdatagrams.digest(self.scheduler, now),
+                quarantine=self.quarantine_gossip.structs(),
+                limits=self.limit_gossip.structs(now),
+            )
+            self.send(sender.address, reply)
+
+    def on_levels(
+        self, sender: HostInfo, levels: list[Any], now: float
+    ) -> None:
+        """Adopt the bucket levels that an earlier home host reported."""
+        for level in levels:
+            self.scheduler.rate_limits.on_level(
+                level.workspace, level.tokens, now
+            )
+
+    def on_crash_reports(
+        self, sender: HostInfo, reports: list[Any], now: float
+    ) -> None:
+        """Pass an entry host's crash reports to the slot scheduler."""
+        self.scheduler.on_crash_reports(
+            sender.name, list(map(wire.crash_report_from_wire, reports)), now
+        )
+
+    def on_served(self, sender: HostInfo, struct: Any, now: float) -> None:
+        """Pass what an entry host saw served to the slot scheduler."""
+        report = wire.served_from_wire(struct)
+        self.scheduler.guard.on_served_report(sender.name, report, now)
+
+    def send_decisions(self) -> None:
+        """Log the scheduler's events; send its decisions to entry hosts."""
+        for event in self.scheduler.take_events():
+            logger.info(event.event, extra=dict(event.fields))
+        by_entry: dict[str, list[Any]] = {}
+        for decision in self.scheduler.take_decisions():
+            by_entry.setdefault(decision.key.entry, []).append(
+                wire.decision_to_wire(decision),
+            )
+        for entry, decisions in by_entry.items():
+            host = self.peers.hosts.get(entry)
+            if host is not None:
+                self.send(
+                    host.address,
+                    ttypes.Datagram(
+                        wire.host_info_to_wire(self.peers.own),
+                        verdicts=decisions,
+                    ),
+                )
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -7,7 +7,6 @@
 """
 
 import threading
-from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -19,7 +18,8 @@
 from trefoilspool.endpointlimits import EndpointLimits
 from trefoilspool.endpointview import EndpointsRead
 from trefoilspool.helloschedule import HelloSchedule
-from trefoilspool.homecontact import HEARTBEATS_PER_DIGEST, HomeContact
+from trefoilspool.homecontact import HomeContact
+from trefoilspool.homeservice import HomeService
 from trefoilspool.hostlists import HostListSchedule
 from trefoilspool.leavingreports import LeavingReports
 from trefoilspool.limitgossip import LimitGossip
@@ -34,12 +34,13 @@
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
-__all__ = ['MeshTask', 'send_limits']
+__all__ = ['MeshTask']
 
 TICK_S = 0.02
 
 logger = logbook.Logger('mesh')
 
+DatagramHandler = Callable[[HostInfo, Any, float], object]
 LeavingRunsHandler = Callable[[list[EndpointRun]], list[EndpointRun]]
 
 
@@ -91,6 +92,13 @@
             own.name, self.peers, self.send_message, quarantine, self.limits
         )
         self.scheduler = SlotScheduler(quarantine, self.limits)
+        self.home_service = HomeService(
+            self.scheduler,
+            self.peers,
+            self.quarantine_gossip,
+            self.limit_gossip,
+            lambda address, datagram: self.send(address, datagram),
+        )
         self.stopping = threading.Event()
         self.callbacks: list[Callable[[float], None]] = []
         self.callbacks_lock = threading.Lock()
@@ -98,13 +106,38 @@
         self.heartbeat_at = 0.0
         self.hello_schedule = HelloSchedule()
         self.ticked_at = 0.0
-        self.heartbeat_counts: Counter[str] = Counter()
         self.host_list_schedule = HostListSchedule()
         self.home_contact = HomeContact(self.peers)
         self.heartbeat_home = ''
         self.endpoints_read: EndpointsRead | None = None
         self.on_leaving_runs: LeavingRunsHandler = no_runs
         self.leaving_reports = LeavingReports()
+        self.handlers = self.handler_table()
+
+    def handler_table(self) -> Mapping[str, DatagramHandler]:
+        """Return the handlers by field of `ttypes.Datagram`.
+
+        `ends` holds releases, `verdicts` decisions, `roll` the sender's held
+        slots, `levels` the bucket levels that an earlier home host reported.
+        What comes before `asks` counts for the requests in the same datagram.
+        """
+        service = self.home_service
+        return {
+            'quarantine': self.quarantine_gossip.on_structs,
+            'served': service.on_served,
+            'limits': self.on_limits,
+            'crashes': service.on_crash_reports,
+            'asks': service.on_asks,
+            'ends': service.on_releases,
+            'verdicts': self.on_decisions,
+            'roll': service.on_held_slots,
+            'digest': self.on_digest,
+            'hosts': self.on_hosts,
+            'hello': self.on_hello,
+            'levels': service.on_levels,
+            'endpoints_read': self.on_endpoints_read,
+            'leaving': self.on_leaving,
+        }
 
     def send_message(self, address: str, message: object) -> None:
         """Send a message of the slot client; usable from any thread.
@@ -163,7 +196,7 @@
         if now - self.ticked_at >= TICK_S:
             self.ticked_at = now
             self.tick(now)
-        self.send_decisions()
+        self.home_service.send_decisions()
 
     def pause_s(self, now: float) -> float:
         """Return the seconds until the next timer is due."""
@@ -192,26 +225,10 @@
         sender = wire.host_info_from_wire(datagram.sender)
         if not self.peers.on_heartbeat(sender, now):
             return
-        for field, handler in HANDLERS.items():
+        for field, handler in self.handlers.items():
             content = getattr(datagram, field)
             if content is not None:
-                handler(self, sender, content, now)
-
-    def on_asks(self, sender: HostInfo, asks: list[Any], now: float) -> None:
-        """Pass slot requests to the slot scheduler."""
-        for ask in asks:
-            self.scheduler.on_ask(
-                wire.ask_from_wire(ask, sender.name, now), now
-            )
-
-    def on_releases(
-        self, sender: HostInfo, releases: list[Any], now: float
-    ) -> None:
-        """Pass releases to the slot scheduler."""
-        for release in releases:
-            self.scheduler.on_release(
-                wire.slot_release_from_wire(release, sender.name), now
-            )
+                handler(sender, content, now)
 
     def on_decisions(
         self,
@@ -226,26 +243,6 @@
                 wire.decision_from_wire(decision, self.peers.own.name),
             )
 
-    def on_held_slots(
-        self, sender: HostInfo, slots: list[Any], now: float
-    ) -> None:
-        """Record the slots of an entry host; reply with a digest if due."""
-        self.scheduler.on_held_slots(
-            sender.name,
-            wire.held_from_wire(slots, sender.name),
-            now,
-        )
-        due = not self.heartbeat_counts[sender.name] % HEARTBEATS_PER_DIGEST
-        self.heartbeat_counts[sender.name] += 1
-        if due:
-            reply = ttypes.Datagram(
-                wire.host_info_to_wire(self.peers.own),
-                digest=meshdatagrams.digest(self.scheduler, now),
-                quarantine=self.quarantine_gossip.structs(),
-                limits=self.limit_gossip.structs(now),
-            )
-            self.send(sender.address, reply)
-
     def on_digest(
         self,
         sender: HostInfo,
@@ -260,15 +257,6 @@
         )
         self.home_contact.on_digest(sender, now)
 
-    def on_levels(
-        self, sender: HostInfo, levels: list[Any], now: float
-    ) -> None:
-        """Adopt the bucket levels that an earlier home host reported."""
-        for level in levels:
-            self.scheduler.rate_limits.on_level(
-                level.workspace, level.tokens, now
-            )
-
     def on_hosts(self, sender: HostInfo, hosts: list[Any], now: float) -> None:
         """Add the hosts of a peer's list."""
         self.peers.on_host_list(map(wire.host_info_from_wire, hosts), now)
@@ -311,19 +299,19 @@
         datagram = meshdatagrams.leaving_datagram(self.peers.own, [run])
         self.send_home_or_all(datagram, now)
 
-    def on_crash_reports(
-        self, sender: HostInfo, reports: list[Any], now: float
-    ) -> None:
-        """Pass an entry host's crash reports to the slot scheduler."""
-        self.scheduler.on_crash_reports(
-            sender.name, list(map(wire.crash_report_from_wire, reports)), now
-        )
-
-    def on_quarantine(
+    def on_limits(
         self, sender: HostInfo, structs: list[Any], now: float
     ) -> None:
-        """Adopt a peer's entries of quarantined parts."""
-        self.quarantine_gossip.on_structs(sender, structs, now)
+        """Adopt the limits of a peer; the home host tells all others."""
+        if self.limit_gossip.on_structs(sender, structs, now):
+            self.send_all(self.limit_gossip.datagram(now), now)
+
+    def send_limits(self, now: float) -> None:
+        """Send this host's limits to the home host, or from there all to all."""
+        if self.peers.is_home():
+            self.send_all(self.limit_gossip.datagram(now), now)
+        else:
+            self.send_home_or_all(self.limit_gossip.own_datagram(now), now)
 
     def tick(self, now: float) -> None:
         """Run the scheduler's timers; send heartbeats and hellos if due."""
@@ -454,69 +442,3 @@
         for host in self.peers.recent(now):
             if host.name != self.peers.own.name:
                 self.send(host.address, datagram)
-
-    def send_decisions(self) -> None:
-        """Log the scheduler's events; send its decisions to entry hosts."""
-        for event in self.scheduler.take_events():
-            logger.info(event.event, extra=dict(event.fields))
-        by_entry: dict[str, list[Any]] = {}
-        for decision in self.scheduler.take_decisions():
-            by_entry.setdefault(decision.key.entry, []).append(
-                wire.decision_to_wire(decision),
-            )
-        for entry, decisions in by_entry.items():
-            host = self.peers.hosts.get(entry)
-            if host is not None:
-                self.send(
-                    host.address,
-                    ttypes.Datagram(
-                        wire.host_info_to_wire(self.peers.own),
-                        verdicts=decisions,
-                    ),
-                )
-
-
-def on_served(
-    mesh: MeshTask, sender: HostInfo, struct: Any, now: float
-) -> None:
-    """Pass what an entry host saw served to the slot scheduler."""
-    report = wire.served_from_wire(struct)
-    mesh.scheduler.guard.on_served_report(sender.name, report, now)
-
-
-def on_limits(
-    mesh: MeshTask, sender: HostInfo, structs: list[Any], now: float
-) -> None:
-    """Adopt the limits of a peer; the home host tells all others."""
-    if mesh.limit_gossip.on_structs(sender, structs, now):
-        mesh.send_all(mesh.limit_gossip.datagram(now), now)
-
-
-def send_limits(mesh: MeshTask, now: float) -> None:
-    """Send this host's limits to the home host, or from there all to all."""
-    if mesh.peers.is_home():
-        mesh.send_all(mesh.limit_gossip.datagram(now), now)
-    else:
-        mesh.send_home_or_all(mesh.limit_gossip.own_datagram(now), now)
-
-
-# Handlers by field of Datagram: `ends` holds releases, `verdicts` decisions,
-# `roll` the sender's held slots, `levels` the bucket levels that an earlier
-# home host reported. Quarantined parts, crashes and limits count for the
-# requests in the same datagram.
-HANDLERS: Mapping[str, Callable[..., None]] = {
-    'quarantine': MeshTask.on_quarantine,
-    'served': on_served,
-    'limits': on_limits,
-    'crashes': MeshTask.on_crash_reports,
-    'asks': MeshTask.on_asks,
-    'ends': MeshTask.on_releases,
-    'verdicts': MeshTask.on_decisions,
-    'roll': MeshTask.on_held_slots,
-    'digest': MeshTask.on_digest,
-    'hosts': MeshTask.on_hosts,
-    'hello': MeshTask.on_hello,
-    'levels': MeshTask.on_levels,
-    'endpoints_read': MeshTask.on_endpoints_read,
-    'leaving': MeshTask.on_leaving,
-}
