Split the prediction of waits from the slot scheduler

No change of behaviour. Without any named limit the pacer does nothing: it costs sound requests no look-up by endpoint.

--- a/tests/test_slotscheduler.py
+++ b/tests/test_slotscheduler.py
@@ -17,11 +17,8 @@
     SlotRelease,
     SlotRequest,
 )
-from trefoilspool.slotscheduler import (
-    HOLD_TIMEOUT_S,
-    QUEUE_TIMEOUT_S,
-    SlotScheduler,
-)
+from trefoilspool.slotscheduler import HOLD_TIMEOUT_S, SlotScheduler
+from trefoilspool.waitprediction import QUEUE_TIMEOUT_S
 
 SERVICE = 'engines'
 
--- a/trefoilspool/endpointpacer.py
+++ b/trefoilspool/endpointpacer.py
@@ -64,6 +64,8 @@
 
     def admits(self, run: EndpointRun, now: float) -> bool:
         """Return whether a run may get a request now."""
+        if not self.limits.by_run:
+            return True
         bucket = self.bucket(run, now)
         return bucket is None or bucket.level > 0
 
--- a/trefoilspool/endpointpool.py
+++ b/trefoilspool/endpointpool.py
@@ -74,6 +74,8 @@
         now : float
             The present time in seconds.
         """
+        if not self.pacer.limits.by_run:
+            return 0
         runs = [
             endpoint.spec.run
             for endpoint in self.of_service(ask.service)
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -36,6 +36,7 @@
     SlotRequest,
     has_streamed,
 )
+from trefoilspool.waitprediction import RETRY_AFTER_DIVISOR
 
 __all__ = ['SlotClient']
 
@@ -46,8 +47,6 @@
 # keep its delay short.
 SECOND_HOME_AGE_S = 0.1
 RETRY_AFTER_S = 0.3
-# Retry-After is at most the time left before the deadline, divided by this.
-RETRY_AFTER_DIVISOR = 3
 FIRST_NUMBER_BITS = 40  # random start: keys do not repeat after a restart
 
 logger = logbook.Logger('places')
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -33,15 +33,11 @@
     SlotRelease,
     SlotRequest,
 )
+from trefoilspool.waitprediction import WaitPredictor
 
 __all__ = ['SlotScheduler']
 
-QUEUE_TIMEOUT_S = 1.0  # callers drop a stream that is silent for 2 s
-QUEUE_TIMEOUT_SHARE = 0.35  # of the time until the deadline
 HOLD_TIMEOUT_S = 1.2  # entry hosts report at least every mesh.MAX_HEARTBEAT_S
-MIN_RETRY_AFTER_S = 0.2
-# Retry-After is at most the time left before the deadline, divided by this.
-RETRY_AFTER_DIVISOR = 3
 
 # Charges of attempts with these endings are refunded.
 NOT_RUN_ENDINGS = frozenset(
@@ -77,6 +73,8 @@
         When each entry host last reported its held slots.
     rate_limits : RateLimits
         Limits and budgets.
+    waits : WaitPredictor
+        How long requests wait.
     guard : PromptGuard
         Prompt parts that get no endpoint.
     pacer : EndpointPacer
@@ -91,7 +89,7 @@
         self.guard = PromptGuard(quarantine or Quarantine())
         self.pacer = EndpointPacer(limits or EndpointLimits())
         self.pool = EndpointPool(self.pacer)
-        self.queues: dict[str, ServiceQueue] = {}
+        self.queues: defaultdict[str, ServiceQueue] = defaultdict(ServiceQueue)
         self.waiting: dict[SlotKey, QueuedRequest] = {}
         self.reservations: dict[SlotKey, Reservation] = {}
         self.last_reports: dict[str, float] = {}
@@ -100,6 +98,13 @@
         self.minimum_shares: defaultdict[str, MinimumShares] = defaultdict(
             MinimumShares
         )
+        self.waits = WaitPredictor(
+            self.queues,
+            self.pool,
+            self.grant_rates,
+            self.minimum_shares,
+            self.rate_limits,
+        )
         self.decisions: list[SlotDecision] = []
         self.events: list[DecisionEvent] = []
 
@@ -147,7 +152,9 @@
         if reason is not None:
             self.refuse(ask, reason, now)
             return
-        self.waiting[ask.key] = QueuedRequest(ask, self.timeout_at(ask, now))
+        self.waiting[ask.key] = QueuedRequest(
+            ask, self.waits.timeout_at(ask, now)
+        )
         self.queue(ask.service).add(ask)
         self.grant_waiting(ask.service, now)
         if ask.key in self.waiting:
@@ -162,27 +169,7 @@
 
     def queue(self, service: str) -> ServiceQueue:
         """Return the waiting requests of a service."""
-        return self.queues.setdefault(service, ServiceQueue())
-
-    def predict_wait_s(self, ask: SlotRequest, now: float) -> float:
-        """Predict the seconds until a new request gets a slot."""
-        ahead = self.ahead(ask, now)
-        limit_wait_s = self.pool.limit_wait_s(ask, ahead, now)
-        if not ahead:
-            return limit_wait_s
-        per_s = self.grant_rates.grants_per_s(ask.service, now)
-        return max(limit_wait_s, ahead / per_s)
-
-    def ahead(self, ask: SlotRequest, now: float) -> int:
-        """Count the requests that get a slot before a new one."""
-        preferred = self.minimum_shares[ask.service].underserved(now)
-        return self.queue(ask.service).ahead(ask, now, preferred)
-
-    def timeout_at(self, ask: SlotRequest, now: float) -> float:
-        """Return the time of a request's queue timeout."""
-        since = now if ask.attempt > 1 else ask.arrived_at
-        share = (ask.deadline - since) * QUEUE_TIMEOUT_SHARE
-        return since + min(QUEUE_TIMEOUT_S, share)
+        return self.queues[service]
 
     def try_admit(self, ask: SlotRequest, now: float) -> RefusalReason | None:
         """Charge a new request to its workspace, or return why it is refused.
@@ -200,8 +187,8 @@
             endpoint.spec.name in ask.avoid for endpoint in endpoints
         ):
             return RefusalReason.no_endpoint
-        wait = self.predict_wait_s(ask, now)
-        if wait and now + wait > self.timeout_at(ask, now):
+        wait = self.waits.predict_wait_s(ask, now)
+        if wait and now + wait > self.waits.timeout_at(ask, now):
             return RefusalReason.crowded
         return self.rate_limits.try_charge(ask, now)
 
@@ -249,7 +236,7 @@
     ) -> None:
         """Refuse a request, with a suggested delay before a retry."""
         self.withdraw(ask.key, now)
-        retry_after = self.retry_after(ask, reason, now)
+        retry_after = self.waits.retry_after(ask, reason, now)
         self.decisions.append(Refused(ask.key, reason, retry_after))
         self.events.append(self.refusal_event(ask, reason, now))
 
@@ -269,7 +256,7 @@
                 'reason': reason.name,
                 'service': ask.service,
                 'rank': ask.rank,
-                'ahead': self.ahead(ask, now),
+                'ahead': self.waits.ahead(ask, now),
                 'places_a_s': round(
                     self.grant_rates.grants_per_s(ask.service, now), 1
                 ),
@@ -278,40 +265,14 @@
                 'limit_level': bucket and int(bucket.level),
                 'endpoints': len(self.pool.of_service(ask.service)),
                 'limit_wait_s': round(
-                    self.pool.limit_wait_s(ask, self.ahead(ask, now), now),
+                    self.pool.limit_wait_s(
+                        ask, self.waits.ahead(ask, now), now
+                    ),
                     3,
                 ),
             },
         )
 
-    def retry_after(
-        self,
-        ask: SlotRequest,
-        reason: RefusalReason,
-        now: float,
-    ) -> float:
-        """Return the suggested delay before a retry, in seconds.
-
-        This is the predicted time until the queue is drained or the token
-        bucket refilled, within the bounds set by ``MIN_RETRY_AFTER_S`` and
-        ``RETRY_AFTER_DIVISOR``.
-        """
-        most = (ask.deadline - now) / RETRY_AFTER_DIVISOR
-        if reason is RefusalReason.quarantined:
-            wait = most
-        elif reason is RefusalReason.over_limit:
-            wait = self.rate_limits.refill_s(ask, now)
-        else:
-            wait = self.predict_queue_drain_s(ask, now)
-        return min(max(wait, MIN_RETRY_AFTER_S), max(most, MIN_RETRY_AFTER_S))
-
-    def predict_queue_drain_s(self, ask: SlotRequest, now: float) -> float:
-        """Predict the seconds until all requests waiting now have slots."""
-        waiting = len(self.queue(ask.service))
-        per_s = self.grant_rates.grants_per_s(ask.service, now)
-        limit_wait_s = self.pool.limit_wait_s(ask, waiting, now)
-        return max(limit_wait_s, waiting / per_s)
-
     def dequeue(self, key: SlotKey) -> None:
         """Remove a waiting request."""
         waiting = self.waiting.pop(key, None)
