--- a/tests/platformendpoint.py
+++ b/tests/platformendpoint.py
@@ -185,6 +185,13 @@
                 ).start()
 
     def serve(self, sock: socket.socket) -> None:
+        """Serve a connection; release it unless a behaviour keeps it."""
+        if self.serve_requests(sock):
+            self.open_sockets.discard(sock)
+            sock.close()
+
+    def serve_requests(self, sock: socket.socket) -> bool:
+        """Serve requests; return whether the peer ended the connection."""
         with contextlib.suppress(OSError):
             reader = sock.makefile('rb')
             for request in iter(lambda: read_request(reader), None):
@@ -203,7 +210,8 @@
                 if self.responds_before_body:
                     self.requests[-1] = request.with_body(reader)
                 if not served.open:
-                    return
+                    return False
+        return True
 
     def close(self) -> None:
         self.listener.close()
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -49,9 +49,10 @@
         slot: object,
         ending: AttemptEnding,
         times: object,
+        **changes: object,
     ) -> None:
         seen.append(ending)
-        release(acquirer, slot, ending, times)  # type: ignore[arg-type]
+        release(acquirer, slot, ending, times, **changes)  # type: ignore[arg-type]
 
     monkeypatch.setattr(SlotAcquirer, 'release', record)
     return seen
