Forget what hosts told at an earlier time as home host; repeat limits less

By reading: a host that is home host again took what it had been told of served parts the first time for complete, though it had not heard what was served between. A report 10 s or more after the one before replaces it; a test.

Slot requests repeat limits heard in the last 60 s, and limits of which nothing was heard for 300 s are forgotten, so that endpoints that are gone do not fill datagrams.

--- a/tests/test_servedreports.py
+++ b/tests/test_servedreports.py
@@ -4,7 +4,11 @@
 from test_crashevidence import crash, culprits
 from test_slotscheduler import ask, slot_release
 
-from trefoilspool.crashevidence import SETTLING_S, CrashEvidence
+from trefoilspool.crashevidence import (
+    SAME_HOME_S,
+    SETTLING_S,
+    CrashEvidence,
+)
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.servedreports import (
@@ -92,6 +96,15 @@
         evidence.known_since = 2.5 - SETTLING_S / 2
         assert not culprits(evidence, 2.5)
 
+    def test_report_of_an_earlier_time_as_home_host_is_out_of_date(
+        self, evidence: CrashEvidence
+    ) -> None:
+        """What was served between is unknown if the later one covers less."""
+        evidence.entries = frozenset(('h1',))
+        evidence.on_served_report('h1', NOTHING_SERVED, -SAME_HOME_S)
+        evidence.on_served_report('h1', ServedReport((), 1), 1.2)
+        assert not culprits(evidence, 2.5)
+
     def test_part_that_another_host_saw_served_is_recent(
         self, evidence: CrashEvidence
     ) -> None:
--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -1,7 +1,8 @@
 """Which prompt parts, or whole requests, endpoints end under.
 
-Here a part is either. It is blamed for the runs of endpoints that ended under requests with it,
-unless a quarantined part explains them or requests with it are served.
+Here a part is either. It is blamed for the runs of endpoints that ended under
+requests with it, unless a quarantined part explains them or requests with it
+are served.
 """
 
 import bisect
@@ -47,6 +48,8 @@
 MAX_RUNS_PER_OWN = 4
 # Within this time all entry hosts have sent a heartbeat to a new home host.
 SETTLING_S = 0.6
+# They report once what they saw served; again if the home host has changed.
+SAME_HOME_S = 10.0
 MAX_REPORTS = 512
 MAX_RUNS = 512
 
@@ -72,6 +75,13 @@
     age_s: float
 
 
+class Coverage(NamedTuple):
+    """Since when, and when, an entry host told what it saw served; seconds."""
+
+    since: float
+    told_at: float
+
+
 class BrokenAttempt(NamedTuple):
     """A reported attempt, and when it ended in seconds."""
 
@@ -102,8 +112,8 @@
         Since when served requests are known here, in seconds.
     entries : frozenset of str
         Entry hosts that report to this host.
-    covered_since : dict
-        Since when it is known what each entry host saw served, in seconds.
+    coverage : dict
+        Since when it is known what each entry host saw served.
     is_changed : bool
         Whether there is evidence that has not been judged.
     blamed : frozenset of str
@@ -124,7 +134,7 @@
         self.services: dict[str, str] = {}
         self.known_since = float('inf')
         self.entries: frozenset[str] = frozenset()
-        self.covered_since: dict[str, float] = {}
+        self.coverage: dict[str, Coverage] = {}
         self.is_changed = False
         self.blamed: frozenset[str] = frozenset()
         self.ended: list[float] = []
@@ -215,9 +225,12 @@
         """Take what an entry host saw served under an earlier home host."""
         for part, age_s in report.parts:
             self.served.note(part, now - age_s)
-        covered_since = now - report.covered_s
-        before = self.covered_since.get(entry, covered_since)
-        self.covered_since[entry] = min(before, covered_since)
+        told = Coverage(now - report.covered_s, now)
+        before = self.coverage.get(entry, told)
+        # A later report is about another time as home host.
+        if now - before.told_at < SAME_HOME_S:
+            told = told._replace(since=min(before.since, told.since))
+        self.coverage[entry] = told
         self.is_changed = True
 
     def known_since_of(self, part: str, now: float) -> float:
@@ -229,11 +242,11 @@
         is_settled = now - self.known_since >= SETTLING_S
         if is_fingerprint(part) or not (is_settled and self.entries):
             return self.known_since
-        told = [
-            self.covered_since.get(entry, self.known_since)
-            for entry in self.entries
-        ]
-        return min(self.known_since, max(told))
+        nothing = Coverage(self.known_since, now)
+        covered_since = max(
+            self.coverage.get(entry, nothing).since for entry in self.entries
+        )
+        return min(self.known_since, covered_since)
 
     def forget_old(self, now: float) -> None:
         """Forget what is older than ``RETENTION_S``."""
--- a/trefoilspool/endpointlimits.py
+++ b/trefoilspool/endpointlimits.py
@@ -11,8 +11,9 @@
 
 __all__ = ['EndpointLimits', 'LimitReport']
 
-# A limit of which nothing was heard for so long is forgotten.
-RETENTION_S = 3600.0
+# A limit of which nothing was heard for so long is forgotten. An endpoint with
+# a limit gets a request within seconds while any come.
+RETENTION_S = 300.0
 # How long the end of a limit is remembered, so that an older report does not
 # bring it back.
 ENDED_RETENTION_S = 60.0
--- a/trefoilspool/limitgossip.py
+++ b/trefoilspool/limitgossip.py
@@ -12,6 +12,8 @@
 # Heartbeats repeat what an endpoint has said for so long, as datagrams may be
 # lost.
 REPEAT_S = 2.0
+# Slot requests repeat it for so long, for a home host that has just begun.
+REPEAT_WITH_ASKS_S = 60.0
 
 
 class LimitGossip:
@@ -52,6 +54,12 @@
         """Return those of all that endpoints have said to this host."""
         return wire.limits_to_wire(self.limits.own_reports(now))
 
+    def structs_for_ask(self, now: float) -> list[ttypes.EndpointLimit] | None:
+        """Return those that a slot request repeats."""
+        return wire.limits_to_wire(
+            self.limits.own_reports(now, REPEAT_WITH_ASKS_S)
+        )
+
     def structs_for_home(
         self, now: float, *, home_is_new: bool
     ) -> list[ttypes.EndpointLimit] | None:
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -147,7 +147,7 @@
         now = clock.now()
         datagram = meshdatagrams.message_datagram(self.peers.own, message, now)
         if isinstance(message, SlotRequest):
-            datagram.limits = self.limit_gossip.own_structs(now)
+            datagram.limits = self.limit_gossip.structs_for_ask(now)
         self.send(address, datagram)
 
     def send(self, address: str, datagram: ttypes.Datagram) -> None:
