--- a/tests/soakchecks.py
+++ b/tests/soakchecks.py
@@ -203,4 +203,4 @@
     return len(served) / len(requests)
 
 
-__all__ = ['all_violations']
+__all__ = ['all_violations', 'check_bad_arrivals', 'check_limits']
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,13 +4,14 @@
 
 import pytest
 from soak import soak
-from soakchecks import all_violations
+from soakchecks import all_violations, check_bad_arrivals, check_limits
 from soakfaults import FIRST_SEED_WITH_ALL
 from soakledger import (
     Arrival,
     BadPart,
     FaultSpan,
     Ledger,
+    LimitSpan,
     Run,
     SentRequest,
     Sign,
@@ -21,6 +22,8 @@
 SERIES_SEED = 207  # five hosts, planned work and silences
 CRASHING_SEED = 202  # five hosts, planned work and a part that crashes
 CRASHING_S = 18
+LIMITS_SEED = 305  # endpoints name limits beside planned work
+CRASHING_REQUEST_SEED = 309  # one request crashes endpoints
 
 # Seeds that once violated a guarantee, with the cause.
 REGRESSIONS = {
@@ -211,6 +214,60 @@
         assert [text[:4] for text in violations] == ['LOST'] * lost
 
 
+class TestCrashingRequest:
+    """One request that crashes endpoints is held back after three crashes."""
+
+    @pytest.mark.parametrize(
+        ('count', 'at', 'held'), [(4, 14.9, 0), (3, 15.1, 0), (4, 15.1, 1)]
+    )
+    def test_repeats(self, count: int, at: float, held: int) -> None:
+        made = Ledger()
+        made.bad_part = BadPart('', 'look', 10, '/look/bad')
+        for crashed_at in (10, 11, 12):
+            made.on_crash(crashed_at)
+        for number in range(count):
+            name = f'q{number}'
+            made.on_sent(
+                sent_request(
+                    request_id=name, path='/look/bad', started=at, status=503
+                )
+            )
+            made.on_arrival(Arrival(name, 'i-1', at))
+            # A sound request of the same path does not count.
+            made.on_sent(sent_request(request_id=f's{number}', started=at))
+            made.on_run(run(request_id=f's{number}'))
+            made.on_arrival(Arrival(f's{number}', 'i-1', at))
+        codes = [text[:6] for text in check_bad_arrivals(made)]
+        assert codes == ['BUDGET'] * held
+
+
+class TestLimits:
+    """An endpoint takes so many from hosts that it has told."""
+
+    def ledger_of(self, count: int, host: str = 'h1') -> Ledger:
+        """Return a ledger with as many arrivals within 4 s."""
+        made = Ledger()
+        made.on_limit(LimitSpan('i-1', 2, 10, 20))
+        made.on_sent(sent_request(started=10, ended=10.1))
+        made.on_naming(Arrival('q1', 'i-1', 10))
+        for number in range(count):
+            name = f'r{number}'
+            made.on_sent(sent_request(request_id=name, host=host, status=503))
+            made.on_arrival(Arrival(name, 'i-1', 12 + number * 3.9 / count))
+        return made
+
+    @pytest.mark.parametrize(('count', 'held'), [(17, 0), (18, 1)])
+    def test_requests_of_a_told_host(self, count: int, held: int) -> None:
+        made = self.ledger_of(count)
+        codes = [text[:5] for text in check_limits(made)]
+        assert codes == ['LIMIT'] * held
+        made.on_span(FaultSpan('pause h1', 11, 12))
+        assert not list(check_limits(made))
+
+    def test_requests_of_a_host_that_was_not_told(self) -> None:
+        assert not list(check_limits(self.ledger_of(40, 'h2')))
+
+
 @pytest.mark.alone
 class TestSoak:
     def test_short_run_has_no_violations(self, tmp_path: pathlib.Path) -> None:
@@ -235,6 +292,18 @@
     def test_part_that_crashes_endpoints(self, tmp_path: pathlib.Path) -> None:
         assert not soak(CRASHING_SEED, CRASHING_S, tmp_path).violations
 
+    def test_short_run_with_limits(self, tmp_path: pathlib.Path) -> None:
+        result = soak(LIMITS_SEED, SOAK_S, tmp_path)
+        assert not result.violations
+        assert 'name_limit' in result.faults
+
+    def test_request_that_crashes_endpoints(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        result = soak(CRASHING_REQUEST_SEED, CRASHING_S, tmp_path)
+        assert not result.violations
+        assert 'crash_by_request' in result.faults
+
     @pytest.mark.parametrize('seed', REGRESSIONS)
     def test_regression_seed(self, seed: int, tmp_path: pathlib.Path) -> None:
         assert not soak(seed, SOAK_S * 2, tmp_path).violations
