Share a limit between home hosts by who reports to them

Cause: any datagram counted, also a notice or a reply of a host that reports to another home host. Change: only reports of held slots of the last 1.5 periods count, which a host sends to the one that it takes for the home host.

--- a/tests/test_endpointpacer.py
+++ b/tests/test_endpointpacer.py
@@ -18,6 +18,7 @@
     LimitReport,
 )
 from trefoilspool.endpointpacer import MAX_DEBT_S, MIN_PER_S
+from trefoilspool.homecontact import HomeContact
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.slotmessages import (
     AttemptEnding,
@@ -256,13 +257,33 @@
         assert [each.key.number for each in granted] == [2]
 
 
-class TestHeardShare:
-    def test_hosts_that_are_not_heard_or_leave(self) -> None:
+class TestHomeShare:
+    """Hosts may differ for a while on which of them is the home host."""
+
+    @pytest.fixture
+    def contact(self) -> HomeContact:
         peers = PeerRegistry(HostInfo('h1', '127.0.0.1', 1))
         for number in range(2, 5):
             host = HostInfo(f'h{number}', f'127.0.0.{number}', 1)
-            peers.on_heartbeat(host, number)
-        assert peers.share_heard_lately(1, 4.5) == 2 / 4
+            peers.on_heartbeat(host, 9.9)
+        return HomeContact(peers)
+
+    def test_two_home_hosts_grant_one_limit(self, contact: HomeContact) -> None:
+        """All hosts are heard, but each reports to one of the two."""
+        first = contact.home_share([9.9, 9.8], 10)
+        second = contact.home_share([9.9, 9.8], 10)
+        assert first + second == 1
+
+    def test_host_that_reports_no_more(self, contact: HomeContact) -> None:
+        assert contact.home_share([9.9, 9.9, 9.9, 9.9], 10) == 1
+        assert contact.home_share([9.9, 9.9, 9.9, 9.5], 10) == 3 / 4
+
+    def test_new_home_host_grants_its_own_share(
+        self, contact: HomeContact
+    ) -> None:
+        assert contact.home_share([], 10) == 1 / 4
+
+    def test_leaving_hosts_do_not_count(self, contact: HomeContact) -> None:
         gone = HostInfo('h2', '127.0.0.2', 1, leaving=True)
-        peers.on_heartbeat(gone, 4)
-        assert peers.share_heard_lately(1, 4.5) == 2 / 3
+        contact.peers.on_heartbeat(gone, 9.9)
+        assert contact.home_share([9.9, 9.9], 10) == 2 / 3
--- a/trefoilspool/homecontact.py
+++ b/trefoilspool/homecontact.py
@@ -1,5 +1,7 @@
 """How a host keeps in touch with the home host."""
 
+from collections.abc import Iterable
+
 from trefoilspool.peers import HostInfo, PeerRegistry
 
 __all__ = ['HEARTBEATS_PER_DIGEST', 'HomeContact']
@@ -14,9 +16,8 @@
 # be cut off.
 MIN_TIMEOUT_S = 1.5
 TIMEOUT_PERIODS = 1.5
-# Hosts send heartbeats to their home host only, so one that has sent none in so
-# many periods may have another.
-HEARD_PERIODS = 2.0
+# A host that has not reported for so many periods may have another home host.
+REPORTED_PERIODS = 1.5
 
 
 class HomeContact:
@@ -60,13 +61,23 @@
             HEARTBEAT_S + HEARTBEAT_PER_HOST_S * self.peers.count(),
         )
 
-    def home_share(self, now: float) -> float:
-        """Return the part that a home host grants of what hosts share.
+    def home_share(self, reported_at: Iterable[float], now: float) -> float:
+        """Return the part that this host grants of what home hosts share.
+
+        Hosts report to the one that they take for the home host. Others may
+        grant the rest to those that do not report here.
 
-        Hosts that it does not hear may have another home host.
+        Parameters
+        ----------
+        reported_at : iterable of float
+            When each host last reported its held slots here, in seconds.
+        now : float
+            The present time in seconds.
         """
-        within_s = self.heartbeat_period_s() * HEARD_PERIODS
-        return self.peers.share_heard_lately(within_s, now)
+        within_s = self.heartbeat_period_s() * REPORTED_PERIODS
+        reporting = sum(now - at < within_s for at in reported_at)
+        hosts = max(1, self.peers.staying_count())
+        return min(1, max(1, reporting) / hosts)
 
     def is_cut_off(self, now: float) -> bool:
         """Return whether other hosts may know what this one was not told."""
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -317,8 +317,9 @@
         """Run the scheduler's timers; send heartbeats and hellos if due."""
         self.limits.tick(now)
         if self.limits.by_run:
-            share = self.home_contact.home_share(now)
-            self.scheduler.pacer.share = share
+            self.scheduler.pacer.share = self.home_contact.home_share(
+                self.scheduler.last_reports.values(), now
+            )
         # While all hosts start, several are home host, each for those that it
         # has heard from.
         is_starting = self.hello_schedule.is_starting(now)
--- a/trefoilspool/peers.py
+++ b/trefoilspool/peers.py
@@ -213,23 +213,10 @@
             heard = sum(map(self.is_responsive, self.hosts))
             return heard / len(self.hosts)
 
-    def share_heard_lately(self, within_s: float, now: float) -> float:
-        """Return the share of the hosts that have lately sent a heartbeat.
-
-        As in `hears_all`, only the home host gets them from all. Hosts that
-        leave do not count; this host does.
-        """
+    def staying_count(self) -> int:
+        """Return the number of known hosts that are not leaving."""
         with self.lock:
-            others = [
-                name
-                for name, host in self.hosts.items()
-                if name != self.own.name and not host.leaving
-            ]
-            heard = sum(
-                now - self.last_heartbeat_at.get(name, 0) < within_s
-                for name in others
-            )
-            return (heard + 1) / (len(others) + 1)
+            return sum(not host.leaving for host in self.hosts.values())
 
     def hears_all(self, within_s: float, now: float) -> bool:
         """Return whether every other host has sent a heartbeat lately.
