Close what the tests' clusters leave open

Both are the two of test_httpserver that call select() in a process with more than 1,024 descriptors: each cluster of a test left its connections between hosts and endpoints open, 36 to 54 descriptors, and the new tests start thirty more clusters.

--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -124,6 +124,13 @@
         self.host.stop()
         self.server.close()
 
+    def close_idle_connections(self) -> None:
+        """Close the connections that are kept to endpoints."""
+        pool = self.host.endpoint_client.pool
+        for idle in list(pool.idle.values()):
+            for connection in list(idle):
+                connection.close()
+
     def cut_datagrams(self) -> None:
         """Drop all datagrams to and from other hosts."""
         mesh = self.host.mesh
@@ -260,5 +267,7 @@
         for running in self.hosts:
             running.stop()
         for endpoint in self.endpoints:
-            endpoint.close()
+            endpoint.crash()
+        for running in self.hosts:
+            running.close_idle_connections()
         self.store.close()
