--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -122,6 +122,51 @@
         assert not culprits(evidence, 4)
 
 
+class TestProcesses:
+    """Processes that start under the record of one that ended."""
+
+    def crash_again(
+        self, evidence: CrashEvidence, at: float, *parts: str
+    ) -> None:
+        """Let the present process of the first run end."""
+        evidence.on_report('h1', CrashReport(run(1), parts, int(at), 0), at)
+
+    def test_one_after_refused_connections_counts_by_itself(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for at in (1, 2, 3):
+            self.crash_again(evidence, at, 'bad')
+            for delay_s in (0.1, 0.2, 0.3):
+                evidence.on_run_ended(run(1), at + delay_s, is_down=True)
+        assert culprits(evidence, 4) == ['bad']
+
+    def test_attempts_without_refusals_between_count_once(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for at in (1, 2, 3):
+            self.crash_again(evidence, at, 'bad')
+        evidence.on_run_ended(run(1), 3.1, is_down=True)
+        assert not culprits(evidence, 4)
+
+    def test_late_reports_of_an_end_count_once(
+        self, evidence: CrashEvidence
+    ) -> None:
+        self.crash_again(evidence, 1, 'bad')
+        evidence.on_run_ended(run(1), 1.02, is_down=True)
+        evidence.on_report('h2', CrashReport(run(1), ('bad',), 1, 0), 1.1)
+        evidence.on_report('h3', CrashReport(run(1), ('bad',), 1, 0), 1.2)
+        assert not culprits(evidence, 2)
+
+    def test_quarantine_explains_only_the_process_that_it_ended(
+        self, evidence: CrashEvidence
+    ) -> None:
+        evidence.quarantine.add('known', 0)
+        for at, part in ((1, 'known'), (2, 'bad'), (3, 'bad'), (4, 'bad')):
+            self.crash_again(evidence, at, part)
+            evidence.on_run_ended(run(1), at + 0.2, is_down=True)
+        assert culprits(evidence, 5) == ['bad']
+
+
 class TestCulprits:
     def test_served_part_is_none(self, evidence: CrashEvidence) -> None:
         for number in range(6):
--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -39,6 +39,7 @@
             ('target', '/other'),
             ('authority', 'other'),
             ('method', 'PUT'),
+            ('prompt_prefixes', ('aa', 'aa/bb')),
         ],
     )
     def test_other_requests_have_others(
--- a/tests/test_promptguard.py
+++ b/tests/test_promptguard.py
@@ -303,6 +303,17 @@
         suspecting.tick(21.5)
         assert suspecting.take_decisions()[-1].key.number == 6
 
+    def test_it_waits_after_each_crash_of_a_run(
+        self, suspecting: SlotScheduler
+    ) -> None:
+        """An endpoint came back and ended again; its record stayed."""
+        again = CrashReport(EndpointRun('gone1', 1), ('k', 'bad'), 7, 0)
+        suspecting.on_crash_reports('h1', [again], 21)
+        suspecting.tick(21.2)
+        assert isinstance(ask_for(suspecting, 5, 21.3), Queued)
+        suspecting.tick(21 + SUSPECT_PAUSE_S)
+        assert isinstance(suspecting.take_decisions()[-1], Granted)
+
     def test_second_attempt_waits_as_well(
         self, suspecting: SlotScheduler
     ) -> None:
