Tell the processes apart that run under one record of an endpoint

The ends of an endpoint counted once for each record, and without the store a restarted one keeps its record; the pause after a suspect's crash was counted from the first end of a run. A request was known by path, caller and body alone, whatever its prompt.

Change: - Ends at one record count by process: a refused connection between them tells two apart (`first_breaks`, `EndedProcess`). Refused connections are kept as outages. - A suspect waits after its last crash, not after the first of each run. - The fingerprint holds the shared part of the prompt. The last part is left out: it may belong to one request only. - Requests in test_crashingpart have a body each, as requests with different prompts have. Their checks are as they were; that requests with one body and different prompts differ is a test of its own (test_fingerprint).

--- a/tests/test_crashingpart.py
+++ b/tests/test_crashingpart.py
@@ -170,11 +170,12 @@
         self, running: RunningHost, part: str, path: str = '/chat/1'
     ) -> CallerResponse:
         """Send one request with a part that is not its first or last."""
+        number = next(self.numbers)
         return self.cluster.call(
             running,
             path,
-            Prefix_Hash=f'{SHARED_PART}:64,{part}:64,'
-            f'{next(self.numbers):x}ff:64',
+            body=f'prompt {number}'.encode(),
+            Prefix_Hash=f'{SHARED_PART}:64,{part}:64,{number:x}ff:64',
             Deadline_Ms='2000',
         )
 
--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -6,7 +6,12 @@
 from headers import PlatformDialect, prompt_prefixes
 
 from trefoilspool.crashreports import MAX_PARTS, CrashReports
-from trefoilspool.culprits import MIN_RECURRENCE_S, Culprit, likeliest
+from trefoilspool.culprits import (
+    MIN_RECURRENCE_S,
+    Culprit,
+    EndedProcess,
+    likeliest,
+)
 from trefoilspool.departures import EndpointRun
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.fingerprint import is_fingerprint, request_fingerprint
@@ -50,6 +55,17 @@
             request_of_caller, 'w'
         )
 
+    def test_last_part_of_the_prompt_may_differ(
+        self, request_of_caller: CallerRequest
+    ) -> None:
+        first, second = (
+            request_of_caller._replace(prompt_prefixes=('aa', f'aa/{last}'))
+            for last in ('bb', 'cc')
+        )
+        assert request_fingerprint(first, 'w') == request_fingerprint(
+            second, 'w'
+        )
+
     def test_other_callers_have_others(
         self, request_of_caller: CallerRequest
     ) -> None:
@@ -79,9 +95,11 @@
     """A whole request and a part of its prompt, with about as many runs."""
 
     def culprit(self, part: str, *ended_at: float) -> Culprit:
-        runs = {EndpointRun(f'e{at}', 1): at for at in ended_at}
+        ends = {
+            EndedProcess(EndpointRun(f'e{at}', 1), at): at for at in ended_at
+        }
         depth = 1 if is_fingerprint(part) else 0
-        return Culprit(part, runs, -1, False, True, depth)
+        return Culprit(part, ends, -1, False, True, depth)
 
     def test_request_that_all_ended_under_is_taken(self) -> None:
         times = (0, 0.1, MIN_RECURRENCE_S)
--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -11,10 +11,11 @@
 from typing import NamedTuple
 
 from trefoilspool.culprits import (
-    MIN_RUNS,
+    MIN_ENDS,
     NEVER,
-    SUSPECT_RUNS,
+    SUSPECT_ENDS,
     Culprit,
+    EndedProcess,
     count_moments,
     explain_away,
     likeliest,
@@ -27,6 +28,8 @@
     NO_SIGNS,
     SIMULTANEOUS_S,
     RunSigns,
+    first_breaks,
+    with_refusal,
     with_sign,
 )
 from trefoilspool.servedreports import ServedReport
@@ -119,7 +122,7 @@
     blamed : frozenset of str
         Parts that the last judgement found.
     ended : list of float
-        When the runs ended that no quarantine explains, oldest first.
+        When the processes ended that no quarantine explains, oldest first.
     before : dict
         Parts before each in the prompts of reports.
     """
@@ -175,8 +178,8 @@
         """Note a sign that a run has ended, such as a refused connection."""
         signs = self.runs.get(run, NO_SIGNS)
         if is_down:
-            down_at = with_sign(signs.down_at, now)
-            signs = signs._replace(down_at=down_at)
+            outages = with_refusal(signs.outages, now)
+            signs = signs._replace(outages=outages)
         ended_at = with_sign(signs.ended_at, now)
         signs = signs._replace(ended_at=ended_at)
         if signs != self.runs.get(run):
@@ -271,14 +274,14 @@
         self.is_changed = False
         crashes = self.unexplained(now, unconfirmed_s)
         judged = (
-            self.culprit(part, runs, now)
-            for part, runs in crashes.items()
-            if len(runs) >= SUSPECT_RUNS
+            self.culprit(part, ends, now)
+            for part, ends in crashes.items()
+            if len(ends) >= SUSPECT_ENDS
         )
         found = [
             culprit
             for culprit in judged
-            if culprit.runs and self.is_frequent(culprit)
+            if culprit.ends and self.is_frequent(culprit)
         ]
         self.blamed = frozenset(culprit.part for culprit in found)
         return found
@@ -290,7 +293,7 @@
         first = likeliest(judged)
         while first is not None:
             found.append(first)
-            judged = explain_away(judged, first.runs)
+            judged = explain_away(judged, first.ends)
             first = likeliest(judged)
         return found
 
@@ -304,24 +307,26 @@
 
     def unexplained(
         self, now: float, unconfirmed_s: float
-    ) -> dict[str, dict[EndpointRun, float]]:
-        """Return when runs ended under each part that nothing explains.
+    ) -> dict[str, dict[EndedProcess, float]]:
+        """Return when processes ended under each part that nothing explains.
 
         Returns
         -------
         dict
-            Seconds by run, by part.
+            Seconds by process, by part.
         """
-        crashes: defaultdict[str, dict[EndpointRun, float]] = defaultdict(dict)
-        attempts = [
-            attempt
-            for attempt in self.attempts.values()
-            if now - attempt.ended_at < unconfirmed_s
-            or self.is_end(attempt, now)
-        ]
+        crashes: defaultdict[str, dict[EndedProcess, float]] = defaultdict(dict)
+        attempts = self.by_process(
+            [
+                attempt
+                for attempt in self.attempts.values()
+                if now - attempt.ended_at < unconfirmed_s
+                or self.is_end(attempt, now)
+            ]
+        )
         explained = {
-            attempt.run
-            for attempt in attempts
+            process
+            for process, attempt in attempts
             if any(
                 self.explains(part, attempt.ended_at) for part in attempt.parts
             )
@@ -329,18 +334,35 @@
         self.before.clear()
         self.ended = sorted(
             {
-                attempt.run: attempt.ended_at
-                for attempt in reversed(attempts)
-                if attempt.run not in explained
+                process: attempt.ended_at
+                for process, attempt in reversed(attempts)
+                if process not in explained
             }.values()
         )
-        for attempt in attempts:
-            if attempt.run not in explained:
+        for process, attempt in attempts:
+            if process not in explained:
                 for depth, part in enumerate(attempt.parts):
-                    crashes[part].setdefault(attempt.run, attempt.ended_at)
+                    crashes[part].setdefault(process, attempt.ended_at)
                     self.before[part].update(attempt.parts[:depth])
         return crashes
 
+    def by_process(
+        self, attempts: list[BrokenAttempt]
+    ) -> list[tuple[EndedProcess, BrokenAttempt]]:
+        """Return the attempts, each with the process that it was at."""
+        times: defaultdict[EndpointRun, set[float]] = defaultdict(set)
+        for run, _, ended_at in attempts:
+            times[run].add(ended_at)
+        processes: dict[tuple[EndpointRun, float], EndedProcess] = {}
+        for run, broken_at in times.items():
+            firsts = first_breaks(self.runs.get(run, NO_SIGNS), broken_at)
+            for at, first_at in firsts.items():
+                processes[run, at] = EndedProcess(run, first_at)
+        return [
+            (processes[attempt.run, attempt.ended_at], attempt)
+            for attempt in attempts
+        ]
+
     def is_end(self, attempt: BrokenAttempt, now: float) -> bool:
         """Return whether the run of a recent attempt ended with it."""
         return now - attempt.ended_at <= RETENTION_S and self.runs.get(
@@ -358,22 +380,22 @@
         return part in self.quarantine.active_parts or at < since
 
     def culprit(
-        self, part: str, runs: Mapping[EndpointRun, float], now: float
+        self, part: str, ends: Mapping[EndedProcess, float], now: float
     ) -> Culprit:
         """Return what speaks for and against a part."""
         served_at = self.served.last_at(part)
-        runs = {run: at for run, at in runs.items() if at > served_at}
-        first_at = min(runs.values(), default=now)
+        ends = {process: at for process, at in ends.items() if at > served_at}
+        first_at = min(ends.values(), default=now)
         known_at = max(served_at, self.known_since_of(part, now))
         is_recent = first_at - known_at <= RECENTLY_SERVED_S
-        had_chances = len(runs) > MIN_RUNS * 2 and self.is_only_unserved(
+        had_chances = len(ends) > MIN_ENDS * 2 and self.is_only_unserved(
             part, first_at
         )
-        if is_recent and len(runs) > MIN_RUNS and not had_chances:
-            had_chances = self.had_chances(runs, first_at, now)
+        if is_recent and len(ends) > MIN_ENDS and not had_chances:
+            had_chances = self.had_chances(ends, first_at, now)
         return Culprit(
             part,
-            runs,
+            ends,
             served_at,
             is_recent,
             had_chances,
@@ -381,10 +403,10 @@
         )
 
     def is_frequent(self, culprit: Culprit) -> bool:
-        """Return whether a part was at enough of the runs that ended."""
-        first_at = min(culprit.runs.values())
+        """Return whether a part was at enough of the processes that ended."""
+        first_at = min(culprit.ends.values())
         ended = len(self.ended) - bisect.bisect_left(self.ended, first_at)
-        return len(culprit.runs) * MAX_RUNS_PER_OWN >= ended
+        return len(culprit.ends) * MAX_RUNS_PER_OWN >= ended
 
     def is_only_unserved(self, part: str, since: float) -> bool:
         """Return whether the parts before it were all served since a time."""
@@ -394,7 +416,7 @@
         )
 
     def had_chances(
-        self, runs: Mapping[EndpointRun, float], first_at: float, now: float
+        self, ends: Mapping[EndedProcess, float], first_at: float, now: float
     ) -> bool:
         """Return whether sound requests would have been served by now.
 
@@ -402,13 +424,13 @@
         are gone, nothing of it can be served.
         """
         since = max(first_at, self.known_since)
-        services = {self.services.get(run.name, '') for run in runs}
+        services = {self.services.get(process.run.name, '') for process in ends}
         others = [
             at
             for service in services
             for at in self.served.times_since(service, since)
         ]
         return count_moments(others) >= MIN_MOMENTS or (
-            count_moments(runs.values()) >= MIN_MOMENTS
+            count_moments(ends.values()) >= MIN_MOMENTS
             and now - since >= TRIAL_S
         )
--- a/trefoilspool/culprits.py
+++ b/trefoilspool/culprits.py
@@ -10,19 +10,20 @@
 from trefoilspool.fingerprint import is_fingerprint
 
 __all__ = [
-    'MIN_RUNS',
+    'MIN_ENDS',
     'NEVER',
     'SUSPECT_PAUSE_S',
-    'SUSPECT_RUNS',
+    'SUSPECT_ENDS',
     'Culprit',
+    'EndedProcess',
     'count_moments',
     'explain_away',
     'likeliest',
 ]
 
-MIN_RUNS = 3
-SUSPECT_RUNS = 2
-# Between the end of a run and the next request with a suspect part; time for
+MIN_ENDS = 3
+SUSPECT_ENDS = 2
+# Between the end of a process and the next request with a suspect part; time for
 # sound parts to be served, and for endpoints to be back.
 SUSPECT_PAUSE_S = 0.5
 MOMENT_S = 0.3
@@ -32,19 +33,32 @@
 NEVER = float('-inf')
 
 
+class EndedProcess(NamedTuple):
+    """A process that ended; several may have run under one record.
+
+    Attributes
+    ----------
+    broken_at : float
+        When the first attempt there broke, in seconds.
+    """
+
+    run: EndpointRun
+    broken_at: float
+
+
 class Culprit(NamedTuple):
     """A part under which endpoints end; times in seconds.
 
     Attributes
     ----------
-    runs : dict
-        When runs ended under it that nothing else explains, since a request
-        with it was last served.
+    ends : dict
+        When processes ended under it that nothing else explains, since a
+        request with it was last served.
     served_at : float
         When the last request with the part that was served was sent; minus
         infinity if none is remembered.
     is_recent : bool
-        Whether that was shortly before the first of the runs ended, or may
+        Whether that was shortly before the first of them ended, or may
         have been.
     had_chances : bool
         Whether it would have been served since then if it were sound; asked
@@ -54,7 +68,7 @@
     """
 
     part: str
-    runs: Mapping[EndpointRun, float]
+    ends: Mapping[EndedProcess, float]
     served_at: float
     is_recent: bool
     had_chances: bool
@@ -62,41 +76,41 @@
 
     @property
     def is_proven(self) -> bool:
-        """Return whether the runs suffice for a quarantine."""
+        """Return whether the ends suffice for a quarantine."""
         if is_fingerprint(self.part) and not self.has_recurred:
             return False
         if self.is_recent:
-            return len(self.runs) > MIN_RUNS and self.had_chances
-        return len(self.runs) >= MIN_RUNS
+            return len(self.ends) > MIN_ENDS and self.had_chances
+        return len(self.ends) >= MIN_ENDS
 
     @property
     def has_recurred(self) -> bool:
-        """Return whether the runs did not all end at the same time."""
-        times = self.runs.values()
+        """Return whether they were not all at the same time."""
+        times = self.ends.values()
         return max(times) - min(times) >= MIN_RECURRENCE_S
 
     @property
     def is_suspect(self) -> bool:
         """Return whether requests with the part should go one by one."""
-        return len(self.runs) >= SUSPECT_RUNS + self.is_recent
+        return len(self.ends) >= SUSPECT_ENDS + self.is_recent
 
     @property
     def held_until(self) -> float:
         """Return until when requests with the part wait, in seconds."""
-        return max(self.runs.values()) + SUSPECT_PAUSE_S
+        return max(self.ends.values()) + SUSPECT_PAUSE_S
 
     @property
     def order(self) -> tuple[bool, int, float]:
         """Return a key that is lowest for the likeliest cause."""
-        return self.is_recent, -len(self.runs), self.served_at
+        return self.is_recent, -len(self.ends), self.served_at
 
 
 def likeliest(culprits: list[Culprit]) -> Culprit | None:
     """Return the likeliest culprit, None if it is not proven yet.
 
-    Of parts with nearly as many runs it is the one that comes last in prompts:
+    Of parts with nearly as many ends it is the one that comes last in prompts:
     the parts before it are in all its reports. A whole request has to have as
-    many: a run more of a part in its prompt ended under another request.
+    many: one more of a part in its prompt was under another request.
     """
     proven = [culprit for culprit in culprits if culprit.is_proven]
     if not proven:
@@ -106,28 +120,30 @@
         culprit
         for culprit in culprits
         if culprit.is_recent == first.is_recent
-        and len(culprit.runs) >= len(first.runs) - slack(culprit.part)
+        and len(culprit.ends) >= len(first.ends) - slack(culprit.part)
     ]
     deepest = min(near, key=lambda culprit: (-culprit.depth, culprit.order))
     return deepest if deepest.is_proven else None
 
 
 def slack(part: str) -> int:
-    """Return how many runs fewer a likelier part may have."""
+    """Return how many ends fewer a likelier part may have."""
     return 0 if is_fingerprint(part) else 1
 
 
 def explain_away(
-    culprits: list[Culprit], explained: Mapping[EndpointRun, float]
+    culprits: list[Culprit], explained: Mapping[EndedProcess, float]
 ) -> list[Culprit]:
-    """Return what is left of culprits without the runs of another one."""
+    """Return what is left of culprits without the ends of another one."""
     left = []
     for culprit in culprits:
-        runs = {
-            run: at for run, at in culprit.runs.items() if run not in explained
+        ends = {
+            process: at
+            for process, at in culprit.ends.items()
+            if process not in explained
         }
-        if runs:
-            left.append(culprit._replace(runs=runs))
+        if ends:
+            left.append(culprit._replace(ends=ends))
     return left
 
 
--- a/trefoilspool/fingerprint.py
+++ b/trefoilspool/fingerprint.py
@@ -14,6 +14,9 @@
 def request_fingerprint(request: CallerRequest, workspace: str) -> str:
     """Return the id of requests with this path, caller and body.
 
+    They also share the parts of their prompts, but the last, which may belong
+    to one request only.
+
     Parameters
     ----------
     request : CallerRequest
@@ -27,6 +30,7 @@
         request.authority,
         request.target,
         workspace,
+        *request.prompt_prefixes[-2:-1],
         str(len(request.body)),
     )
     digest.update('\n'.join(names).encode())
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -291,7 +291,10 @@
                 continue
             self.quarantine_part(culprit, now)
         self.suspects = {
-            suspect.part: suspect.held_until
+            # An unconfirmed end may have come since the last one.
+            suspect.part: max(
+                suspect.held_until, self.suspects.get(suspect.part, NEVER)
+            )
             for suspect in self.evidence.suspects(now)
         }
 
@@ -304,8 +307,8 @@
         self.log(
             'prompt_part_quarantined',
             [part],
-            runs=sorted(run.name for run in culprit.runs),
-            after_s=round(now - min(culprit.runs.values()), 3),
+            runs=sorted(process.run.name for process in culprit.ends),
+            after_s=round(now - min(culprit.ends.values()), 3),
             served_before_s=(
                 round(now - culprit.served_at, 3)
                 if culprit.served_at > NEVER
