Check by a connection whether an endpoint ended under a request

If the connection is refused, the crash report that heartbeats repeat says so, and the home host takes it for a sign of the process's end. A new home host, which has seen no signs itself, hears it too. A refusal at an end is not one from before it, and refusals may become known in any order.

--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -13,6 +13,7 @@
 )
 from trefoilspool.departures import EndpointRun
 from trefoilspool.quarantine import Quarantine
+from trefoilspool.runsigns import Outage, with_refusal
 
 LATER_S = 20.0  # after which served requests are no longer recent
 
@@ -148,6 +149,24 @@
         evidence.on_run_ended(run(1), 3.1, is_down=True)
         assert not culprits(evidence, 4)
 
+    def test_repeated_report_tells_that_the_endpoint_is_down(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for at in (1, 2, 3):
+            self.crash_again(evidence, at, 'bad')
+            evidence.on_report(
+                'h1', CrashReport(run(1), ('bad',), at, 0.4, True), at + 0.4
+            )
+        assert culprits(evidence, 4) == ['bad']
+
+    def test_refusal_at_an_end_is_not_from_before_it(
+        self, evidence: CrashEvidence
+    ) -> None:
+        for at in (1, 2, 3):
+            self.crash_again(evidence, at, 'bad')
+        evidence.on_report('h1', CrashReport(run(1), (), 3, 0.4, True), 3.4)
+        assert not culprits(evidence, 4)
+
     def test_late_reports_of_an_end_count_once(
         self, evidence: CrashEvidence
     ) -> None:
@@ -167,6 +186,14 @@
         assert culprits(evidence, 5) == ['bad']
 
 
+class TestOutages:
+    def test_refusals_that_are_close_are_one(self) -> None:
+        outages: tuple[Outage, ...] = ()
+        for at in (5, 5.8, 9, 4.5, 20, 5.1):
+            outages = with_refusal(outages, at)
+        assert outages == (Outage(4.5, 5.8), Outage(9, 9), Outage(20, 20))
+
+
 class TestCulprits:
     def test_served_part_is_none(self, evidence: CrashEvidence) -> None:
         for number in range(6):
--- a/tests/test_crashingpart.py
+++ b/tests/test_crashingpart.py
@@ -646,6 +646,18 @@
         self.reported(world, behave)
         assert self.response.complete
 
+    def test_repeated_report_tells_that_the_endpoint_is_down(self) -> None:
+        reports = CrashReports()
+        for number in range(3):
+            reports.add(EndpointRun('i-1', 1), ('a',), number, 0)
+        assert reports.confirm(3, 1) is None
+        confirmed = reports.confirm(1, 1)
+        assert confirmed is not None
+        assert confirmed.age_s == 1
+        assert [
+            report.is_down for report in reports.current(1, home_is_new=False)
+        ] == [False, True, False]
+
     def test_new_home_host_gets_older_reports(self) -> None:
         reports = CrashReports()
         for number in range(MAX_REPORTS + 8):
@@ -674,7 +686,7 @@
         key = SlotKey('h1', 1)
         granted = Granted(key, 'i-1', is_probe=True)
         held = HeldSlot(key, 's', 'i-1', 1, 1, 2, 1)
-        report = CrashReport(EndpointRun('i-1', 5), ('a', 'b'), 1, 0.25)
+        report = CrashReport(EndpointRun('i-1', 5), ('a', 'b'), 1, 0.25, True)
         entries = [
             QuarantineEntry('a', 3, True),
             QuarantineEntry('b', 4, False),
--- a/tests/test_endchecks.py
+++ b/tests/test_endchecks.py
@@ -1,5 +1,6 @@
 """Whether a host finds out that an endpoint ended under its request."""
 
+import socket
 import time
 from collections.abc import Iterator
 
@@ -9,8 +10,17 @@
 from test_crashingpart import CRASHING_PART, CrashingWorld
 
 from trefoilspool.crashevidence import CrashEvidence
+from trefoilspool.departures import EndpointRecord, EndpointRun
+from trefoilspool.endchecks import (
+    DELAY_S,
+    MAX_PENDING,
+    BrokenStart,
+    CheckResult,
+    EndCheckTask,
+)
 from trefoilspool.runsigns import NO_SIGNS, RunSigns
 
+ADDRESS = '127.0.0.1'
 BREAKS = 4
 
 
@@ -32,6 +42,45 @@
     return known[0] if known else NO_SIGNS
 
 
+class TestTask:
+    @pytest.fixture
+    def ended(self) -> list[int]:
+        return []
+
+    @pytest.fixture
+    def task(self, ended: list[int]) -> EndCheckTask:
+        """Return a task that knows an endpoint on a port that is closed."""
+        with socket.create_server((ADDRESS, 0)) as listener:
+            port = listener.getsockname()[1]
+        record = EndpointRecord('i-1', 's', ADDRESS, port, 'z', 1, False, 7)
+        return EndCheckTask({'i-1': record}, ended.append)
+
+    def test_attempts_at_one_run_are_checked_together(
+        self, task: EndCheckTask, ended: list[int]
+    ) -> None:
+        for number in range(3):
+            task.handle(BrokenStart(EndpointRun('i-1', 7), number))
+        task.tick()
+        assert not ended
+        assert 0 < task.pause_s() <= DELAY_S
+        time.sleep(DELAY_S)
+        task.tick()
+        assert ended == [0, 1, 2]
+        assert task.pause_s() > DELAY_S
+
+    def test_another_run_says_nothing_of_the_one_that_broke(
+        self, task: EndCheckTask
+    ) -> None:
+        assert task.check(EndpointRun('i-1', 7)) is CheckResult.refuses
+        assert task.check(EndpointRun('i-1', 8)) is CheckResult.unknown
+        assert task.check(EndpointRun('i-2', 7)) is CheckResult.unknown
+
+    def test_pending_checks_are_bounded(self, task: EndCheckTask) -> None:
+        for number in range(MAX_PENDING + 9):
+            task.handle(BrokenStart(EndpointRun(f'i-{number}', 7), number))
+        assert len(task.pending) == MAX_PENDING
+
+
 class TestEndSeen:
     """The store tells nothing, and no other request comes."""
 
--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -70,12 +70,15 @@
         Number of the attempt at its entry host.
     age_s : float
         Seconds since the attempt ended.
+    is_down : bool
+        Whether the endpoint refused a connection right after it.
     """
 
     run: EndpointRun
     parts: tuple[str, ...]
     number: int
     age_s: float
+    is_down: bool = False
 
 
 class Coverage(NamedTuple):
@@ -144,16 +147,26 @@
         self.before: defaultdict[str, set[str]] = defaultdict(set)
 
     def on_report(self, entry: str, report: CrashReport, now: float) -> None:
-        """Take a report; repeated ones change nothing."""
-        key = (entry, report.number)
-        if report.age_s > RETENTION_S or key in self.attempts:
+        """Take a report; a repeated one may tell that the endpoint is down."""
+        if report.age_s > RETENTION_S:
             return
-        ended_at = now - report.age_s
-        self.is_changed = True
-        self.attempts[key] = BrokenAttempt(report.run, report.parts, ended_at)
-        self.on_broken(report.run, key, ended_at)
-        if len(self.attempts) > MAX_REPORTS:
+        key = (entry, report.number)
+        if key not in self.attempts:
+            self.add_attempt(
+                key,
+                BrokenAttempt(report.run, report.parts, now - report.age_s),
+            )
+        if report.is_down:
+            ended_at = self.attempts[key].ended_at
+            self.on_run_ended(report.run, ended_at, is_down=True)
+
+    def add_attempt(self, key: tuple[str, int], attempt: BrokenAttempt) -> None:
+        """Add an attempt; the oldest one gives way."""
+        if len(self.attempts) >= MAX_REPORTS:
             self.attempts.popitem(last=False)
+        self.is_changed = True
+        self.attempts[key] = attempt
+        self.on_broken(attempt.run, key, attempt.ended_at)
 
     def on_broken(
         self, run: EndpointRun, attempt: tuple[str, int], at: float
--- a/trefoilspool/crashreports.py
+++ b/trefoilspool/crashreports.py
@@ -56,6 +56,24 @@
             self.reports.append(TimedReport(report, now))
         return report
 
+    def confirm(self, number: int, now: float) -> CrashReport | None:
+        """Note that an attempt's endpoint is down; return the report, if kept.
+
+        Parameters
+        ----------
+        number : int
+            Number of the attempt at this host.
+        now : float
+            The present time in seconds.
+        """
+        with self.lock:
+            for place, timed in enumerate(self.reports):
+                if timed.report.number == number:
+                    report = timed.report._replace(is_down=True)
+                    self.reports[place] = timed._replace(report=report)
+                    return report._replace(age_s=now - timed.ended_at)
+        return None
+
     def current(self, now: float, *, home_is_new: bool) -> list[CrashReport]:
         """Return the reports that a heartbeat repeats."""
         if not self.reports:
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -9,6 +9,7 @@
 
 from trefoilspool import clock
 from trefoilspool.discovery import DiscoveryTask
+from trefoilspool.endchecks import EndCheckTask
 from trefoilspool.endpointsigns import EndpointSigns
 from trefoilspool.endpointview import EndpointsRead, EndpointView
 from trefoilspool.errors import BadRecordError
@@ -151,6 +152,10 @@
         self.mesh.on_quarantine_due = self.quarantine_task.on_due
         self.mesh.quarantine_gossip.on_entry = self.count_quarantine
         self.watch = WatchTask()
+        self.end_checks = EndCheckTask(
+            self.directory.endpoints, self.mesh.client.on_endpoint_down
+        )
+        self.mesh.client.on_broken_start = self.end_checks.post
         self.quiet_periods = QuietPeriods()
         self.endpoint_signs = EndpointSigns(
             self.directory, self.quiet_periods, self.mesh, self.metrics
@@ -187,6 +192,7 @@
         """Yield the loop of each task."""
         yield self.mesh.run
         yield self.watch.run
+        yield self.end_checks.run
         yield self.settings_task.run
         yield self.endpoints_task.run
         yield self.discovery_task.run
--- a/trefoilspool/runsigns.py
+++ b/trefoilspool/runsigns.py
@@ -32,6 +32,10 @@
     first_at: float
     last_at: float
 
+    def is_near(self, at: float) -> bool:
+        """Return whether a connection that is refused then belongs to it."""
+        return self.first_at - OUTAGE_GAP_S <= at <= self.last_at + OUTAGE_GAP_S
+
 
 class RunSigns(NamedTuple):
     """What is known of the end of a run; times in seconds.
@@ -101,17 +105,23 @@
     first_at = NEVER
     for at in sorted(broken_at):
         is_later = at - first_at > SIMULTANEOUS_S
-        if is_later and (first_at == NEVER or signs.was_down(first_at, at)):
+        # A refusal at the end of this one is not from before it.
+        until = at - SIMULTANEOUS_S
+        if is_later and (first_at == NEVER or signs.was_down(first_at, until)):
             first_at = at
         firsts[at] = first_at
     return firsts
 
 
-def with_refusal(outages: tuple[Outage, ...], now: float) -> tuple[Outage, ...]:
-    """Return the outages with one more refused connection."""
-    if outages and now - outages[-1].last_at <= OUTAGE_GAP_S:
-        return (*outages[:-1], Outage(outages[-1].first_at, now))
-    return (*outages[-MAX_SIGNS:], Outage(now, now))
+def with_refusal(outages: tuple[Outage, ...], at: float) -> tuple[Outage, ...]:
+    """Return the outages with one more refused connection, oldest first."""
+    near = {outage for outage in outages if outage.is_near(at)}
+    merged = Outage(
+        min((at, *(first_at for first_at, _ in near))),
+        max((at, *(last_at for _, last_at in near))),
+    )
+    others = set(outages) - near
+    return tuple(sorted((*others, merged)))[-MAX_SIGNS:]
 
 
 def with_sign(times: tuple[float, ...], now: float) -> tuple[float, ...]:
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -12,8 +12,10 @@
 
 from trefoilspool import clock
 from trefoilspool.attempttimes import AttemptTimes
+from trefoilspool.crashevidence import CrashReport
 from trefoilspool.crashreports import CrashReports
 from trefoilspool.departures import EndpointRun
+from trefoilspool.endchecks import BrokenStart
 from trefoilspool.endpointlimits import EndpointLimits
 from trefoilspool.endpointpacer import EndpointPacer
 from trefoilspool.peers import PeerRegistry
@@ -113,6 +115,11 @@
         Prompt parts that get no endpoint.
     limits : EndpointLimits, optional
         Limits that endpoints have named.
+
+    Attributes
+    ----------
+    on_broken_start : callable
+        Called with each crashed attempt, to check its endpoint.
     """
 
     def __init__(
@@ -133,6 +140,7 @@
             limits or EndpointLimits(), initial_level=-random.random()
         )
         self.crash_reports = CrashReports()
+        self.on_broken_start: Callable[[BrokenStart], None] = lambda _: None
         self.served_log = ServedLog(clock.now())
         self.lock = threading.Lock()
         self.attempt_numbers = itertools.count(
@@ -447,7 +455,17 @@
         self, run: EndpointRun, parts: tuple[str, ...], number: int, now: float
     ) -> None:
         """Report an attempt that ended with its endpoint to the home host."""
-        report = self.crash_reports.add(run, parts, number, now)
+        self.send_report(self.crash_reports.add(run, parts, number, now))
+        self.on_broken_start(BrokenStart(run, number))
+
+    def on_endpoint_down(self, number: int) -> None:
+        """Report that the endpoint of a crashed attempt is down."""
+        report = self.crash_reports.confirm(number, clock.now())
+        if report is not None:
+            self.send_report(report)
+
+    def send_report(self, report: CrashReport) -> None:
+        """Send a report to the home host; heartbeats repeat it."""
         home = self.peers.home()
         if home is not None:
             self.send_message(home.address, report)
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -900,15 +900,17 @@
      - parts
      - request
      - age_ms
+     - down
 
     """
 
 
-    def __init__(self, run=None, parts=None, request=None, age_ms=None,):
+    def __init__(self, run=None, parts=None, request=None, age_ms=None, down=None,):
         self.run = run
         self.parts = parts
         self.request = request
         self.age_ms = age_ms
+        self.down = down
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -945,6 +947,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.down = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -974,6 +981,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 4)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.down is not None:
+            oprot.writeFieldBegin('down', TType.BOOL, 5)
+            oprot.writeBool(self.down)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1868,6 +1879,7 @@
     (2, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.I64, 'request', None, None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'down', None, None, ),  # 5
 )
 all_structs.append(QuarantineEntry)
 QuarantineEntry.thrift_spec = (
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -297,6 +297,7 @@
         list(report.parts),
         report.number,
         ms(report.age_s),
+        report.is_down or None,
     )
 
 
@@ -307,6 +308,7 @@
         tuple(wire.parts),
         wire.request,
         wire.age_ms / MS_PER_S,
+        bool(wire.down),
     )
 
 
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -73,6 +73,7 @@
                             // fingerprint of the request
   3: i64 request
   4: i32 age_ms             // since its end
+  5: optional bool down     // its endpoint refused a connection after it
 }
 // The state of a part of prompts under which endpoints end.
 struct QuarantineEntry {
