--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -26,6 +26,7 @@
     'callerchannel',
     'directory',
     'discovery',
+    'endchecks',
     'endpointlimits',
     'exchange',
     'gateway',
