Move the choice without a home host, and the ends of processes, out

`LocalChoice` (localchoice.py) chooses endpoints while no home host replies; `ProcessEnds` (processends.py) keeps the signs of ended runs. Code was moved, not changed; tests name the new places. `has_news` stands for the flag that both parts had in common. One sentence of EndpointPacer says now what the share follows: who reports, not who is heard.

--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -3,17 +3,20 @@
 import pytest
 
 from trefoilspool.crashevidence import (
-    CONFIRMATION_S,
     MAX_REPORTS,
-    MAX_RUNS,
     RETENTION_S,
-    SIMULTANEOUS_S,
     CrashEvidence,
     CrashReport,
 )
 from trefoilspool.departures import EndpointRun
+from trefoilspool.processends import MAX_RUNS
 from trefoilspool.quarantine import Quarantine
-from trefoilspool.runsigns import Outage, with_refusal
+from trefoilspool.runsigns import (
+    CONFIRMATION_S,
+    SIMULTANEOUS_S,
+    Outage,
+    with_refusal,
+)
 
 LATER_S = 20.0  # after which served requests are no longer recent
 
@@ -41,7 +44,7 @@
 def crash(evidence: CrashEvidence, number: int, *parts: str) -> None:
     """Let a run end in the second of its number."""
     report(evidence, number, *parts)
-    evidence.on_run_ended(run(number), number + 0.2)
+    evidence.ends.on_run_ended(run(number), number + 0.2)
 
 
 def culprits(evidence: CrashEvidence, now: float) -> list[str]:
@@ -61,7 +64,7 @@
     ) -> None:
         for number in range(3):
             report(evidence, number, 'bad')
-            evidence.on_run_ended(run(number), number + CONFIRMATION_S - 1)
+            evidence.ends.on_run_ended(run(number), number + CONFIRMATION_S - 1)
         assert culprits(evidence, 7) == ['bad']
 
     def test_run_that_ended_much_later_is_none(
@@ -69,14 +72,14 @@
     ) -> None:
         for number in range(3):
             report(evidence, number, 'bad')
-            evidence.on_run_ended(run(number), number + CONFIRMATION_S + 1)
+            evidence.ends.on_run_ended(run(number), number + CONFIRMATION_S + 1)
         assert not culprits(evidence, 9)
 
     def test_sign_may_come_before_the_report(
         self, evidence: CrashEvidence
     ) -> None:
         for number in range(3):
-            evidence.on_run_ended(run(number), number - 0.5)
+            evidence.ends.on_run_ended(run(number), number - 0.5)
             report(evidence, number, 'bad', age_s=0.6)
         assert culprits(evidence, 3) == ['bad']
 
@@ -85,7 +88,7 @@
     ) -> None:
         for number in range(3):
             report(evidence, number, 'bad')
-            evidence.on_broken(run(number), ('h2', number), number + 0.1)
+            evidence.ends.on_broken(run(number), ('h2', number), number + 0.1)
         assert culprits(evidence, 3) == ['bad']
 
     def test_attempts_that_broke_apart_do_not(
@@ -94,7 +97,7 @@
         for number in range(3):
             report(evidence, number, 'bad')
             later = number + SIMULTANEOUS_S + 0.1
-            evidence.on_broken(run(number), ('h2', number), later)
+            evidence.ends.on_broken(run(number), ('h2', number), later)
         assert not culprits(evidence, 3)
 
     def test_later_answer_shows_that_the_signs_were_wrong(
@@ -102,7 +105,7 @@
     ) -> None:
         for number in range(3):
             crash(evidence, number, 'bad')
-        evidence.on_run_alive(run(1), 2)
+        evidence.ends.on_run_alive(run(1), 2)
         assert not culprits(evidence, 4)
 
     def test_later_answer_does_not_undo_a_refused_connection(
@@ -111,8 +114,8 @@
         """Another process responds, of which no record has come yet."""
         for number in range(3):
             report(evidence, number, 'bad')
-            evidence.on_run_ended(run(number), number + 0.2, is_down=True)
-            evidence.on_run_alive(run(number), number + 0.6)
+            evidence.ends.on_run_ended(run(number), number + 0.2, is_down=True)
+            evidence.ends.on_run_alive(run(number), number + 0.6)
         assert culprits(evidence, 4) == ['bad']
 
     def test_repeated_report_counts_once(self, evidence: CrashEvidence) -> None:
@@ -138,7 +141,7 @@
         for at in (1, 2, 3):
             self.crash_again(evidence, at, 'bad')
             for delay_s in (0.1, 0.2, 0.3):
-                evidence.on_run_ended(run(1), at + delay_s, is_down=True)
+                evidence.ends.on_run_ended(run(1), at + delay_s, is_down=True)
         assert culprits(evidence, 4) == ['bad']
 
     def test_attempts_without_refusals_between_count_once(
@@ -146,7 +149,7 @@
     ) -> None:
         for at in (1, 2, 3):
             self.crash_again(evidence, at, 'bad')
-        evidence.on_run_ended(run(1), 3.1, is_down=True)
+        evidence.ends.on_run_ended(run(1), 3.1, is_down=True)
         assert not culprits(evidence, 4)
 
     def test_repeated_report_tells_that_the_endpoint_is_down(
@@ -171,7 +174,7 @@
         self, evidence: CrashEvidence
     ) -> None:
         self.crash_again(evidence, 1, 'bad')
-        evidence.on_run_ended(run(1), 1.02, is_down=True)
+        evidence.ends.on_run_ended(run(1), 1.02, is_down=True)
         evidence.on_report('h2', CrashReport(run(1), ('bad',), 1, 0), 1.1)
         evidence.on_report('h3', CrashReport(run(1), ('bad',), 1, 0), 1.2)
         assert not culprits(evidence, 2)
@@ -182,7 +185,7 @@
         evidence.quarantine.add('known', 0)
         for at, part in ((1, 'known'), (2, 'bad'), (3, 'bad'), (4, 'bad')):
             self.crash_again(evidence, at, part)
-            evidence.on_run_ended(run(1), at + 0.2, is_down=True)
+            evidence.ends.on_run_ended(run(1), at + 0.2, is_down=True)
         assert culprits(evidence, 5) == ['bad']
 
 
@@ -263,7 +266,7 @@
         evidence.on_served(('shared', 'bad'), -1)
         for number in range(7):
             report(evidence, number, 'shared', 'bad', age_s=number)
-            evidence.on_run_ended(run(number), 0.2)
+            evidence.ends.on_run_ended(run(number), 0.2)
         assert not culprits(evidence, 7)
         evidence.on_served(('shared',), 7)
         assert culprits(evidence, 8) == ['bad']
@@ -311,4 +314,4 @@
         for number in range(MAX_REPORTS * 2):
             crash(evidence, number, f'p{number}')
         assert len(evidence.attempts) == MAX_REPORTS
-        assert len(evidence.runs) == MAX_RUNS
+        assert len(evidence.ends.runs) == MAX_RUNS
--- a/tests/test_endchecks.py
+++ b/tests/test_endchecks.py
@@ -36,7 +36,7 @@
     evidence: CrashEvidence = running.host.mesh.scheduler.guard.evidence
     known = [
         of_run
-        for run, of_run in evidence.runs.items()
+        for run, of_run in evidence.ends.runs.items()
         if run.name == world.cluster.endpoints[0].name
     ]
     return known[0] if known else NO_SIGNS
--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -34,6 +34,7 @@
     'gatewayhost',
     'httpserver',
     'jsonlog',
+    'localchoice',
     'homeservice',
     'mesh',
     'datagramsocket',
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -212,7 +212,7 @@
     def client(self, peers: PeerRegistry, sender: FakeSender) -> SlotClient:
         made = SlotClient('h1', peers, sender)
         sender.client = made
-        made.on_available_endpoints(
+        made.choice.on_available_endpoints(
             [EndpointSpec(name, 's', 'z', 4, 1, 7) for name in 'abc'],
         )
         return made
@@ -273,7 +273,7 @@
         self, client: SlotClient
     ) -> None:
         limit = Workspace('w', frozenset(), None, 5, 500, True, 200)
-        client.workspaces = {'w': limit}
+        client.choice.workspaces = {'w': limit}
         decisions = [
             client.choose_locally(slot_request(client, charge=100))
             for _ in range(3)
@@ -293,7 +293,7 @@
     def test_local_retries_have_a_budget_by_service(
         self, client: SlotClient
     ) -> None:
-        client.on_available_endpoints(
+        client.choice.on_available_endpoints(
             [EndpointSpec(name, name, 'z', 4, 1, 7) for name in ('s', 't')],
         )
         hosts = client.peers.count()
@@ -313,7 +313,7 @@
     def test_local_decision_prefers_less_loaded_endpoint(
         self, client: SlotClient
     ) -> None:
-        client.on_loads({'a': 4, 'b': 0}, frozenset(('c',)), {})
+        client.choice.on_loads({'a': 4, 'b': 0}, frozenset(('c',)), {})
         found = [client.choose_locally(slot_request(client)) for _ in range(8)]
         assert {decision.endpoint for decision in found} == {'b'}  # type: ignore[union-attr]
 
--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -12,7 +12,6 @@
 
 from trefoilspool.culprits import (
     MIN_ENDS,
-    NEVER,
     SUSPECT_ENDS,
     Culprit,
     EndedProcess,
@@ -22,16 +21,9 @@
 )
 from trefoilspool.departures import EndpointRun
 from trefoilspool.fingerprint import is_fingerprint
+from trefoilspool.processends import BrokenAttempt, ProcessEnds
 from trefoilspool.quarantine import Quarantine
-from trefoilspool.runsigns import (
-    CONFIRMATION_S,
-    NO_SIGNS,
-    SIMULTANEOUS_S,
-    RunSigns,
-    first_breaks,
-    with_refusal,
-    with_sign,
-)
+from trefoilspool.runsigns import CONFIRMATION_S
 from trefoilspool.servedreports import ServedReport
 from trefoilspool.servedrequests import ServedRequests
 
@@ -54,7 +46,6 @@
 # They report once what they saw served; again if the home host has changed.
 SAME_HOME_S = 10.0
 MAX_REPORTS = 512
-MAX_RUNS = 512
 
 
 class CrashReport(NamedTuple):
@@ -88,14 +79,6 @@
     told_at: float
 
 
-class BrokenAttempt(NamedTuple):
-    """A reported attempt, and when it ended in seconds."""
-
-    run: EndpointRun
-    parts: tuple[str, ...]
-    ended_at: float
-
-
 class CrashEvidence:
     """Reports of attempts that ended with their endpoints.
 
@@ -108,8 +91,8 @@
     ----------
     attempts : dict
         Reported attempts by entry host and number, oldest first.
-    runs : dict
-        Signs of the ends of runs, by run.
+    ends : ProcessEnds
+        Signs of the ends of runs.
     served : ServedRequests
         The requests that were served.
     services : dict
@@ -121,7 +104,7 @@
     coverage : dict
         Since when it is known what each entry host saw served.
     is_changed : bool
-        Whether there is evidence that has not been judged.
+        Whether there are reports that have not been judged.
     blamed : frozenset of str
         Parts that the last judgement found.
     ended : list of float
@@ -135,7 +118,7 @@
         self.attempts: OrderedDict[tuple[str, int], BrokenAttempt] = (
             OrderedDict()
         )
-        self.runs: OrderedDict[EndpointRun, RunSigns] = OrderedDict()
+        self.ends = ProcessEnds()
         self.served = ServedRequests()
         self.services: dict[str, str] = {}
         self.known_since = float('inf')
@@ -146,6 +129,11 @@
         self.ended: list[float] = []
         self.before: defaultdict[str, set[str]] = defaultdict(set)
 
+    @property
+    def has_news(self) -> bool:
+        """Return whether there is evidence that has not been judged."""
+        return self.is_changed or self.ends.is_changed
+
     def on_report(self, entry: str, report: CrashReport, now: float) -> None:
         """Take a report; a repeated one may tell that the endpoint is down."""
         if report.age_s > RETENTION_S:
@@ -158,7 +146,7 @@
             )
         if report.is_down:
             ended_at = self.attempts[key].ended_at
-            self.on_run_ended(report.run, ended_at, is_down=True)
+            self.ends.on_run_ended(report.run, ended_at, is_down=True)
 
     def add_attempt(self, key: tuple[str, int], attempt: BrokenAttempt) -> None:
         """Add an attempt; the oldest one gives way."""
@@ -166,54 +154,11 @@
             self.attempts.popitem(last=False)
         self.is_changed = True
         self.attempts[key] = attempt
-        self.on_broken(attempt.run, key, attempt.ended_at)
-
-    def on_broken(
-        self, run: EndpointRun, attempt: tuple[str, int], at: float
-    ) -> None:
-        """Note an attempt that broke at a run, whether reported or not."""
-        signs = self.runs.get(run, NO_SIGNS)
-        if signs.broken_attempt == attempt:
-            return
-        is_collapse = abs(signs.broken_at - at) <= SIMULTANEOUS_S
-        self.set_signs(
-            run,
-            signs._replace(
-                broken_at=at,
-                broken_attempt=attempt,
-                collapsed_at=at if is_collapse else signs.collapsed_at,
-            ),
-        )
-
-    def on_run_ended(
-        self, run: EndpointRun, now: float, *, is_down: bool = False
-    ) -> None:
-        """Note a sign that a run has ended, such as a refused connection."""
-        signs = self.runs.get(run, NO_SIGNS)
-        if is_down:
-            outages = with_refusal(signs.outages, now)
-            signs = signs._replace(outages=outages)
-        ended_at = with_sign(signs.ended_at, now)
-        signs = signs._replace(ended_at=ended_at)
-        if signs != self.runs.get(run):
-            self.set_signs(run, signs)
-
-    def on_run_alive(self, run: EndpointRun, since: float) -> None:
-        """Note that a run has answered a request that was sent at a time.
-
-        Signs of its end from before were wrong.
-        """
-        signs = self.runs.get(run)
-        if signs is not None:
-            collapsed_at = signs.collapsed_at
-            self.runs[run] = signs._replace(
-                collapsed_at=NEVER if collapsed_at < since else collapsed_at,
-                ended_at=tuple(at for at in signs.ended_at if at >= since),
-            )
+        self.ends.on_broken(attempt.run, key, attempt.ended_at)
 
     def on_services(self, services: Mapping[str, str]) -> None:
         """Note the services of the available endpoints, by name."""
-        ended = {run.name for run in self.runs}
+        ended = {run.name for run in self.ends.runs}
         known = {
             name: service
             for name, service in self.services.items()
@@ -221,13 +166,6 @@
         }
         self.services = {**known, **services}
 
-    def set_signs(self, run: EndpointRun, signs: RunSigns) -> None:
-        """Replace the signs of a run."""
-        self.runs[run] = signs
-        self.is_changed = True
-        if len(self.runs) > MAX_RUNS:
-            self.runs.popitem(last=False)
-
     def on_served(
         self, parts: tuple[str, ...], sent_at: float, service: str = ''
     ) -> None:
@@ -285,6 +223,7 @@
             For how long a run counts of which only reports say that it ended.
         """
         self.is_changed = False
+        self.ends.is_changed = False
         crashes = self.unexplained(now, unconfirmed_s)
         judged = (
             self.culprit(part, ends, now)
@@ -329,7 +268,7 @@
             Seconds by process, by part.
         """
         crashes: defaultdict[str, dict[EndedProcess, float]] = defaultdict(dict)
-        attempts = self.by_process(
+        attempts = self.ends.by_process(
             [
                 attempt
                 for attempt in self.attempts.values()
@@ -359,28 +298,10 @@
                     self.before[part].update(attempt.parts[:depth])
         return crashes
 
-    def by_process(
-        self, attempts: list[BrokenAttempt]
-    ) -> list[tuple[EndedProcess, BrokenAttempt]]:
-        """Return the attempts, each with the process that it was at."""
-        times: defaultdict[EndpointRun, set[float]] = defaultdict(set)
-        for run, _, ended_at in attempts:
-            times[run].add(ended_at)
-        processes: dict[tuple[EndpointRun, float], EndedProcess] = {}
-        for run, broken_at in times.items():
-            firsts = first_breaks(self.runs.get(run, NO_SIGNS), broken_at)
-            for at, first_at in firsts.items():
-                processes[run, at] = EndedProcess(run, first_at)
-        return [
-            (processes[attempt.run, attempt.ended_at], attempt)
-            for attempt in attempts
-        ]
-
     def is_end(self, attempt: BrokenAttempt, now: float) -> bool:
         """Return whether the run of a recent attempt ended with it."""
-        return now - attempt.ended_at <= RETENTION_S and self.runs.get(
-            attempt.run, NO_SIGNS
-        ).is_end(attempt.ended_at)
+        is_recent = now - attempt.ended_at <= RETENTION_S
+        return is_recent and self.ends.is_end(attempt)
 
     def explains(self, part: str, at: float) -> bool:
         """Return whether a part's quarantine explains a crash at a time.
--- a/trefoilspool/endpointpacer.py
+++ b/trefoilspool/endpointpacer.py
@@ -21,7 +21,7 @@
     """Counts requests against the limits of endpoints, in token buckets.
 
     One place grants for all hosts; a host that does not reach it, and a home
-    host that does not hear all others, grant a share of each limit.
+    host to which not all others report, grant a share of each limit.
 
     Parameters
     ----------
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -163,7 +163,7 @@
 
     def set_available_endpoints(self, endpoints: list[EndpointSpec]) -> None:
         """Replace the endpoints that may get requests."""
-        self.client.on_available_endpoints(endpoints)
+        self.client.choice.on_available_endpoints(endpoints)
         self.call_soon(
             lambda now: self.scheduler.on_available_endpoints(endpoints, now)
         )
@@ -171,7 +171,7 @@
     def set_configuration(self, configuration: Configuration) -> None:
         """Replace the rate limits by those of a configuration."""
         limits = configuration.workspaces
-        self.client.workspaces = limits
+        self.client.choice.workspaces = limits
         self.call_soon(
             lambda now: self.scheduler.rate_limits.on_workspaces(limits, now),
         )
@@ -250,7 +250,7 @@
         now: float,
     ) -> None:
         """Pass the counts and levels of the home host to the slot client."""
-        self.client.on_loads(
+        self.client.choice.on_loads(
             {load.endpoint: load.held for load in digest.loads},
             frozenset(load.endpoint for load in digest.loads if load.ejected),
             {level.workspace: level.tokens for level in digest.levels},
@@ -388,7 +388,7 @@
                 self.client.served_report(now)
             )
             datagram.levels = meshdatagrams.levels_to_wire(
-                self.client.levels.items()
+                self.client.choice.levels.items()
             )
         return datagram
 
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -116,7 +116,7 @@
         runs = {spec.name: spec.run for spec in endpoints}
         for name, run in self.runs.items():
             if runs.get(name) != run:
-                self.evidence.on_run_ended(run, now)
+                self.evidence.ends.on_run_ended(run, now)
         self.runs = runs
         self.evidence.on_services(
             {spec.name: spec.service for spec in endpoints}
@@ -135,7 +135,7 @@
 
     def on_run_ended(self, run: EndpointRun, now: float) -> None:
         """Note a sign that a run has ended."""
-        self.evidence.on_run_ended(run, now)
+        self.evidence.ends.on_run_ended(run, now)
 
     def decide(self, ask: SlotRequest, now: float) -> GuardDecision:
         """Return whether a request may get an endpoint now."""
@@ -211,11 +211,11 @@
         run = reservation.run
         is_completed = release.ending is AttemptEnding.completed
         if is_completed:
-            self.evidence.on_run_alive(run, reservation.granted_at)
+            self.evidence.ends.on_run_alive(run, reservation.granted_at)
         if is_completed or has_streamed(release):
             self.on_request_served(release.key, reservation, now)
         if release.ending in END_SIGNS:
-            self.evidence.on_run_ended(run, now, is_down=release.is_down)
+            self.evidence.ends.on_run_ended(run, now, is_down=release.is_down)
         if release.ending in UNSENT_ENDINGS:
             self.probes.on_unused(release.key, now)
         if release.ending is AttemptEnding.broken:
@@ -253,7 +253,7 @@
             report = CrashReport(run, reservation.parts, key.number, 0)
             self.on_report(key.entry, report, now)
         else:
-            self.evidence.on_broken(run, (key.entry, key.number), now)
+            self.evidence.ends.on_broken(run, (key.entry, key.number), now)
 
     def on_served_report(
         self, entry: str, report: ServedReport, now: float
@@ -269,7 +269,7 @@
         """Quarantine culprits, lift quarantines that nobody asks for."""
         interval_s = (
             CHECK_INTERVAL_S
-            if self.evidence.is_changed
+            if self.evidence.has_news
             else IDLE_CHECK_INTERVAL_S
         )
         if now - self.checked_at < interval_s:
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -4,8 +4,7 @@
 import queue
 import random
 import threading
-from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable
 from typing import NamedTuple
 
 import logbook
@@ -17,16 +16,13 @@
 from trefoilspool.departures import EndpointRun
 from trefoilspool.endchecks import BrokenStart
 from trefoilspool.endpointlimits import EndpointLimits
-from trefoilspool.endpointpacer import EndpointPacer
+from trefoilspool.localchoice import RETRY_AFTER_S, LocalChoice
 from trefoilspool.peers import PeerRegistry
 from trefoilspool.quarantine import Quarantine
-from trefoilspool.ratelimits import RetryWindow, TokenBucket
-from trefoilspool.routing import Workspace
 from trefoilspool.servedreports import ServedLog, ServedReport
 from trefoilspool.slotmessages import (
     SERVED_STREAMING_S,
     AttemptEnding,
-    EndpointSpec,
     Granted,
     HeldSlot,
     Queued,
@@ -38,17 +34,14 @@
     SlotRequest,
     has_streamed,
 )
-from trefoilspool.waitprediction import RETRY_AFTER_DIVISOR
 
 __all__ = ['SlotClient']
 
 REPLY_TIMEOUT_S = 0.03  # a home host replies in about 2 ms
 QUEUED_TIMEOUT_S = 0.1
-SAMPLED_ENDPOINTS = 2
 # A request younger than this is decided locally after one lost home host, to
 # keep its delay short.
 SECOND_HOME_AGE_S = 0.1
-RETRY_AFTER_S = 0.3
 FIRST_NUMBER_BITS = 40  # random start: keys do not repeat after a restart
 
 logger = logbook.Logger('places')
@@ -118,6 +111,8 @@
 
     Attributes
     ----------
+    choice : LocalChoice
+        Chooses endpoints while no home host replies.
     on_broken_start : callable
         Called with each crashed attempt, to check its endpoint.
     """
@@ -134,10 +129,8 @@
         self.peers = peers
         self.send_message = send_message
         self.quarantine = quarantine or Quarantine()
-        # In debt by a random part of a request, so that hosts that lose the
-        # home host together do not send at the same times.
-        self.pacer = EndpointPacer(
-            limits or EndpointLimits(), initial_level=-random.random()
+        self.choice = LocalChoice(
+            peers, self.quarantine, limits or EndpointLimits()
         )
         self.crash_reports = CrashReports()
         self.on_broken_start: Callable[[BrokenStart], None] = lambda _: None
@@ -148,15 +141,6 @@
         )
         self.pending: dict[int, queue.SimpleQueue[SlotDecision]] = {}
         self.held: dict[int, GrantedSlot] = {}
-        self.available_endpoints: Mapping[str, EndpointSpec] = {}
-        self.loads: Mapping[str, int] = {}
-        self.ejected: frozenset[str] = frozenset()
-        self.levels: Mapping[str, int] = {}
-        self.workspaces: Mapping[str, Workspace] = {}
-        self.buckets: dict[str, TokenBucket] = {}
-        self.retry_windows: defaultdict[str, RetryWindow] = defaultdict(
-            RetryWindow
-        )
 
     def new_key(self) -> SlotKey:
         """Return the key of a new attempt."""
@@ -173,38 +157,11 @@
                     address, unused_release(decision.key, decision.endpoint)
                 )
 
-    def on_available_endpoints(self, endpoints: Iterable[EndpointSpec]) -> None:
-        """Replace the endpoints that may get requests."""
-        self.available_endpoints = {
-            endpoint.name: endpoint for endpoint in endpoints
-        }
-
     def started_ms(self, endpoint: str) -> int:
         """Return the Unix milliseconds of an endpoint's start, 0 if unknown."""
-        spec = self.available_endpoints.get(endpoint)
+        spec = self.choice.available_endpoints.get(endpoint)
         return spec.started_ms if spec else 0
 
-    def on_loads(
-        self,
-        loads: Mapping[str, int],
-        ejected: frozenset[str],
-        levels: Mapping[str, int],
-    ) -> None:
-        """Store the counts of held slots and the levels from the home host.
-
-        Parameters
-        ----------
-        loads : mapping
-            Held slots by endpoint.
-        ejected : frozenset of str
-            Endpoints that get no requests.
-        levels : mapping
-            Tokens in the rate limit's token bucket, by workspace.
-        """
-        self.loads = loads
-        self.ejected = ejected
-        self.levels = levels
-
     def acquire(
         self, ask: SlotRequest, client_disconnected: Callable[[], bool]
     ) -> SlotDecision:
@@ -262,6 +219,10 @@
                 break
         return self.choose_locally(ask)
 
+    def choose_locally(self, ask: SlotRequest) -> SlotDecision:
+        """Choose an endpoint without the home host."""
+        return self.choice.choose(ask, self.own_counts(), clock.now())
+
     def request_from_home(
         self,
         address: str,
@@ -295,130 +256,6 @@
                 return decision
         return None
 
-    def choose_locally(self, ask: SlotRequest) -> SlotDecision:
-        """Choose an endpoint without the home host.
-
-        The less loaded of two random endpoints is chosen, by the home host's
-        last counts and this host's own slots.
-        """
-        now = clock.now()
-        if self.quarantine.covered(ask.parts):
-            return Refused(ask.key, RefusalReason.quarantined, RETRY_AFTER_S)
-        if not self.try_charge_locally(ask, now):
-            return Refused(ask.key, RefusalReason.over_limit, RETRY_AFTER_S)
-        candidates = [
-            endpoint
-            for endpoint in self.available_endpoints.values()
-            if endpoint.service == ask.service
-            and endpoint.name not in ask.avoid
-            and endpoint.name not in self.ejected
-        ]
-        if not candidates:
-            return Refused(ask.key, RefusalReason.no_endpoint, RETRY_AFTER_S)
-        own = self.own_counts()
-        with self.lock:
-            admitted = self.admitted(candidates, now)
-            if not admitted:
-                return self.refuse_for_limits(ask, candidates, now)
-            chosen = self.less_loaded(admitted, own)
-            self.pacer.charge(chosen.run, now)
-        logger.info(
-            'placed_alone',
-            extra={'endpoint': chosen.name, 'number': ask.key.number},
-        )
-        return Granted(ask.key, chosen.name)
-
-    def admitted(
-        self, candidates: list[EndpointSpec], now: float
-    ) -> list[EndpointSpec]:
-        """Return the endpoints that this host may choose itself.
-
-        Those with a limit only if there is no other, and within an equal share:
-        the home host may grant all of it meanwhile. The caller holds the lock.
-        """
-        limits = self.pacer.limits
-        unlimited = [
-            endpoint
-            for endpoint in candidates
-            if limits.per_s(endpoint.run) is None
-        ]
-        if unlimited:
-            return unlimited
-        self.pacer.share = 1 / max(1, self.peers.count())
-        return [
-            endpoint
-            for endpoint in candidates
-            if self.pacer.admits(endpoint.run, now)
-        ]
-
-    def less_loaded(
-        self, candidates: list[EndpointSpec], own: Mapping[str, int]
-    ) -> EndpointSpec:
-        """Return the less loaded of two random endpoints.
-
-        Parameters
-        ----------
-        candidates : list of EndpointSpec
-            The endpoints.
-        own : mapping
-            Slots that this host holds, by endpoint.
-        """
-        sample = random.sample(
-            candidates, min(SAMPLED_ENDPOINTS, len(candidates))
-        )
-        return min(
-            sample,
-            key=lambda endpoint: (
-                (self.loads.get(endpoint.name, 0) + own.get(endpoint.name, 0))
-                / endpoint.slots
-            ),
-        )
-
-    def refuse_for_limits(
-        self, ask: SlotRequest, candidates: list[EndpointSpec], now: float
-    ) -> Refused:
-        """Refuse a request that no endpoint takes now, as they have limits."""
-        wait_s = self.pacer.wait_s(
-            [endpoint.run for endpoint in candidates], 0, now
-        )
-        most_s = (ask.deadline - now) / RETRY_AFTER_DIVISOR
-        return Refused(
-            ask.key,
-            RefusalReason.crowded,
-            max(RETRY_AFTER_S, min(wait_s, most_s)),
-        )
-
-    def try_charge_locally(self, ask: SlotRequest, now: float) -> bool:
-        """Charge this host's equal share of the workspace's limit.
-
-        Returns
-        -------
-        bool
-            Whether the share, and for a retry the local retry budget, allows
-            the request.
-        """
-        hosts = max(1, self.peers.count())
-        is_retry = ask.attempt > 1
-        with self.lock:
-            window = self.retry_windows[ask.service]
-            if not window.allows_retry(now, hosts) and is_retry:
-                return False
-            window.record(retry=is_retry, now=now)
-        limit = self.workspaces.get(ask.workspace)
-        if limit is None or not limit.rate or not ask.charge:
-            return True
-        with self.lock:
-            bucket = self.buckets.get(ask.workspace)
-            rate, burst = limit.rate / hosts, limit.burst / hosts
-            if bucket is None:
-                bucket = TokenBucket(rate, burst, now)
-                self.buckets[ask.workspace] = bucket
-            bucket.set_limit(rate, burst, now)
-            if bucket.level <= 0 and ask.attempt == 1:
-                return False
-            bucket.level -= ask.charge
-        return True
-
     def own_counts(self) -> dict[str, int]:
         """Return the number of slots that this host holds, by endpoint."""
         counts: dict[str, int] = {}
