Let the soak excuse a request that was lost before the endpoint of its answer

The check excused faults only of endpoints that a request had reached.

Change: an impaired link to the endpoint that such an answer names excuses it as well. Nothing else does: a crash there, or a link to another, is still a violation, as the new test shows.

--- a/tests/soakchecks.py
+++ b/tests/soakchecks.py
@@ -1,6 +1,7 @@
 """Checks of a ledger that take in the whole run: lost answers, crashes."""
 
 import bisect
+import re
 from collections import defaultdict
 from collections.abc import Collection, Iterator, Mapping
 
@@ -26,6 +27,7 @@
 MIN_SERVED_RATIO = 0.5
 MIN_REQUESTS = 20  # fewer sound requests show nothing
 HTTP_OK = 200
+NO_RESPONSE = re.compile(rb'no response from ([\w-]+): ')
 
 
 def all_violations(ledger: Ledger) -> list[str]:
@@ -69,6 +71,9 @@
     faults = {'kill_all', f'kill {sent.host}', f'pause {sent.host}', 'reset'}
     for name in endpoints:
         faults |= {f'crash {name}', f'link {name}', f'fails {name}'}
+    # It may have been lost on the way to an endpoint, which the answer names.
+    for name in NO_RESPONSE.findall(sent.body):
+        faults.add(f'link {name.decode()}')
     return not ledger.is_clear(faults, sent.started, sent.ended)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -141,6 +141,18 @@
         cut.on_span(FaultSpan(name, -2, -1.7))
         assert not all_violations(cut)
 
+    def test_fault_on_the_way_to_an_endpoint_that_the_answer_names(
+        self, cut: Ledger
+    ) -> None:
+        """It reached i-1, which turned it away, and was lost before i-2."""
+        detail = b'{"detail": "no response from i-2: ConnectionResetError()"}'
+        cut.on_sent(sent_request(status=502, body=detail, whole_at=1.2))
+        cut.on_span(FaultSpan('link i-3', 1, 2))
+        cut.on_span(FaultSpan('crash i-2', 1, 2))
+        assert 'LOST' in all_violations(cut)[0]
+        cut.on_span(FaultSpan('link i-2', 1, 2))
+        assert not all_violations(cut)
+
     def test_answer_that_the_endpoint_broke_off(self, cut: Ledger) -> None:
         cut.on_broken_off('q1')
         assert not all_violations(cut)
