Add failing tests of a request that came through four times too many

Cause: a home host that has just started cannot tell a sound request before others have been served, and lets the suspect through every 0.5 s meanwhile.

--- a/tests/crashworld.py
+++ b/tests/crashworld.py
@@ -14,6 +14,7 @@
 
 from trefoilspool.crashevidence import CrashReport
 from trefoilspool.departures import EndpointRun
+from trefoilspool.endchecks import DELAY_S
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.slotmessages import (
     AttemptEnding,
@@ -575,6 +576,16 @@
         report = CrashReport(attempt.run, parts, number, 0)
         self.reports[entry][number] = (report, self.now)
         self.send_reports(entry, [(report, self.now)])
+        self.after(DELAY_S, lambda: self.check_end(entry, report))
+
+    def check_end(self, entry: str, report: CrashReport) -> None:
+        """Report once more if the endpoint refuses a connection."""
+        if report.run.name in self.engines:
+            return
+        _, at = self.reports[entry][report.number]
+        repeated = (report._replace(is_down=True), at)
+        self.reports[entry][report.number] = repeated
+        self.send_reports(entry, [repeated])
 
     def follow(self, attempt: Attempt, ending: AttemptEnding) -> None:
         """Note an answer, or ask again."""
--- a/tests/test_promptguard.py
+++ b/tests/test_promptguard.py
@@ -30,6 +30,8 @@
 # The rule: more may not reach endpoints 3 s after the fifth crash.
 MAX_LATE = 3
 SEEDS = (1, 2)
+# Of 301 to 360; a request came through four times too many.
+SEEDS_WITH_FOUR = (301, 339, 354)
 # Of sound requests past the bound; the rule asks for half of the usual share.
 MIN_SERVED_SHARE = 0.9
 
@@ -519,3 +521,20 @@
         outcome = play(variant, seed)
         assert not outcome.quarantined
         assert not outcome.sound_refused
+
+
+class TestSoonAfterTheStart:
+    """Nobody is served at first, and a test of the quarantine counts."""
+
+    @pytest.mark.parametrize('seed', SEEDS_WITH_FOUR)
+    def test_all_endpoints_end_soon_after_the_start(self, seed: int) -> None:
+        variant = FEW_ENDPOINTS['soon_after_the_start']._replace(
+            is_whole=True,
+            poison_parts=(':bad',),
+            has_prompts=False,
+            endpoints=4,
+            length=60,
+        )
+        outcome = play(variant, seed)
+        assert outcome.reached_late <= MAX_LATE
+        assert outcome.quarantined == (':bad',)
