Let a suspect wait longer after each crash, and try sound requests first

Change: the pause after a suspect's crash doubles with each time at which processes ended under it, from 0.5 to 4 s. It stays at 0.5 s for a part that comes before a suspect with the same ends: sound requests share it, and one of them is to be tried before the likelier cause is.

--- a/tests/test_promptguard.py
+++ b/tests/test_promptguard.py
@@ -316,6 +316,25 @@
         suspecting.tick(21 + SUSPECT_PAUSE_S)
         assert isinstance(suspecting.take_decisions()[-1], Granted)
 
+    def test_it_waits_longer_after_each_crash(
+        self, scheduler: SlotScheduler
+    ) -> None:
+        """A request that shares only the part before it is tried first."""
+        for number, at in enumerate((20, 21)):
+            report_crash(scheduler, number, at)
+        scheduler.tick(21.2)
+        scheduler.take_decisions()
+        later = 21 + SUSPECT_PAUSE_S
+        assert isinstance(ask_for(scheduler, 5, later), Queued)
+        sound = ('k', 'k/good', 'k/good/6')
+        granted = ask_for(scheduler, 6, later, prompt_prefixes=sound)
+        assert isinstance(granted, Granted)
+        scheduler.on_release(slot_release(6, granted.endpoint), later + 0.1)
+        scheduler.tick(later + 0.2)
+        assert not scheduler.take_decisions()
+        scheduler.tick(21 + 2 * SUSPECT_PAUSE_S)
+        assert scheduler.take_decisions()[-1].key.number == 5
+
     def test_second_attempt_waits_as_well(
         self, suspecting: SlotScheduler
     ) -> None:
--- a/trefoilspool/culprits.py
+++ b/trefoilspool/culprits.py
@@ -24,8 +24,11 @@
 MIN_ENDS = 3
 SUSPECT_ENDS = 2
 # Between the end of a process and the next request with a suspect part; time for
-# sound parts to be served, and for endpoints to be back.
+# sound parts to be served, and for endpoints to be back. It doubles with each
+# time at which processes ended, but for a part before the likelier cause: there
+# a sound request, which shares it, is to be tried first.
 SUSPECT_PAUSE_S = 0.5
+MAX_SUSPECT_PAUSE_S = 4.0
 MOMENT_S = 0.3
 # A whole request is blamed once it has ended endpoints again so much later: one
 # cause may end many endpoints at once under requests that come often.
@@ -94,10 +97,20 @@
         """Return whether requests with the part should go one by one."""
         return len(self.ends) >= SUSPECT_ENDS + self.is_recent
 
-    @property
-    def held_until(self) -> float:
+    def held_until(self, suspects: Iterable['Culprit']) -> float:
         """Return until when requests with the part wait, in seconds."""
-        return max(self.ends.values()) + SUSPECT_PAUSE_S
+        pause_s = SUSPECT_PAUSE_S
+        if not any(map(self.is_before, suspects)):
+            moments = count_moments(self.ends.values())
+            doubled_s = SUSPECT_PAUSE_S * float(2 ** (moments - 1))
+            pause_s = min(doubled_s, MAX_SUSPECT_PAUSE_S)
+        return max(self.ends.values()) + pause_s
+
+    def is_before(self, other: 'Culprit') -> bool:
+        """Return whether a later part of the prompts has all its ends."""
+        return (
+            self.depth < other.depth and self.ends.keys() <= other.ends.keys()
+        )
 
     @property
     def order(self) -> tuple[bool, int, float]:
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -290,12 +290,14 @@
             if culprit.is_recent and self.unserved_grants[culprit.part]:
                 continue
             self.quarantine_part(culprit, now)
+        suspects = self.evidence.suspects(now)
         self.suspects = {
             # An unconfirmed end may have come since the last one.
             suspect.part: max(
-                suspect.held_until, self.suspects.get(suspect.part, NEVER)
+                suspect.held_until(suspects),
+                self.suspects.get(suspect.part, NEVER),
             )
-            for suspect in self.evidence.suspects(now)
+            for suspect in suspects
         }
 
     def quarantine_part(self, culprit: Culprit, now: float) -> None:
