Correct the outcome in a stream's last event

Callers of a stream that was cut and could not be resumed were told the outcome of the last attempt alone: failed, or even not_run after they had received tokens.

Cause: Settle corrects the outcome of a problem response, but a stream's problem comes after its head and was written into the last event as it was. Seen when an endpoint that cuts streams is chosen again to resume one, refuses with 500, and the retry budget is spent. Class: an outcome that holds for one attempt is told for the request.

Change: correct_outcome moves to responses.py, and the last event uses it too; a keyed request's stored outcome and its release follow it.

The existing tests changed only the module from which they import correct_outcome.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -90,6 +90,17 @@
                     result.text if number % 2 == 0 else '',
                 )
 
+    def test_stream_that_no_endpoint_resumes_may_have_run(
+        self, system: Cluster
+    ) -> None:
+        for engine in ('engine0', 'engine1'):
+            system.fault(engine, cut_after=10)
+        for number in range(3):
+            text = f'cut everywhere {number}'
+            result = system.call('h0', stock_call(text))
+            assert result.outcome == 'may_have_run'
+            assert expected_text(text).startswith(result.text)
+
     def test_repeated_tokens_are_dropped(self, system: Cluster) -> None:
         for engine in ('engine0', 'engine1'):
             system.fault(engine, repeat=1)
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -1,15 +1,24 @@
 """The pipeline's end of a request whose step fails unexpectedly."""
 
+import json
+from collections.abc import Iterator
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
 from returns.result import Result, Success
 
-from trefoilspool.errors import EndpointFailedError, MayHaveRunError
+from trefoilspool.endpoint import Token
+from trefoilspool.errors import (
+    EndpointFailedError,
+    EndpointRefusedError,
+    MayHaveRunError,
+    Problem,
+)
 from trefoilspool.filter import Response
-from trefoilspool.filters.settle import correct_outcome
 from trefoilspool.outcome import Outcome
 from trefoilspool.pipeline import Filters, Pipeline
+from trefoilspool.responses import correct_outcome, stream_events
 
 
 def never_disconnected() -> bool:
@@ -105,3 +114,33 @@
             self.claimed(result_unknown=False),
         )
         assert problem.outcome is Outcome.failed
+
+
+class TestOutcomeOfStream:
+    """The last event after a stream was cut and could not be resumed."""
+
+    def cut_tokens(self, problem: Problem) -> Iterator[Token]:
+        yield Token(0, '{}')
+        raise problem
+
+    @pytest.mark.parametrize(
+        ('problem', 'result_unknown', 'expected'),
+        [
+            (EndpointFailedError('status 500'), True, Outcome.may_have_run),
+            (EndpointRefusedError('refused', 1), True, Outcome.may_have_run),
+            (EndpointRefusedError('refused', 1), False, Outcome.interrupted),
+            (EndpointFailedError('status 500'), False, Outcome.failed),
+        ],
+    )
+    def test_last_attempt_does_not_hide_an_earlier_one(
+        self, problem: Problem, result_unknown: bool, expected: Outcome
+    ) -> None:
+        progress = SimpleNamespace(
+            sent=True, result_unknown=result_unknown, outcome=None
+        )
+        claimed: Any = SimpleNamespace(job=SimpleNamespace(progress=progress))
+        tokens = self.cut_tokens(problem)
+        streamed = list(stream_events(claimed, next(tokens), tokens))
+        document = json.loads(streamed[-1].decode().partition('data: ')[2])
+        assert document['outcome'] == expected
+        assert progress.outcome is expected
--- a/trefoilspool/filters/settle.py
+++ b/trefoilspool/filters/settle.py
@@ -16,6 +16,7 @@
     Response,
 )
 from trefoilspool.outcome import Outcome
+from trefoilspool.responses import correct_outcome
 from trefoilspool.results import ResultStore
 from trefoilspool.telemetry import Metrics, log_decision
 
@@ -161,22 +162,6 @@
     return Outcome.interrupted if progress.sent else Outcome.not_run
 
 
-def correct_outcome(problem: Problem, claimed: ClaimedJob) -> Problem:
-    """Replace an outcome that holds for the last attempt only.
-
-    ``not_run`` is not true if the request was sent, nor is ``failed`` if the
-    result of an earlier attempt is unknown.
-    """
-    progress = claimed.job.progress
-    not_run = problem.outcome is Outcome.not_run and progress.sent
-    failed = problem.outcome is Outcome.failed and progress.result_unknown
-    if not_run or failed:
-        unknown = progress.result_unknown
-        outcome = Outcome.may_have_run if unknown else Outcome.interrupted
-        problem.outcome = outcome  # type: ignore[misc]
-    return problem
-
-
 def problem_response(problem: Problem) -> Response:
     """Return the response of a problem."""
     headers = [
--- a/trefoilspool/responses.py
+++ b/trefoilspool/responses.py
@@ -1,4 +1,4 @@
-"""Bodies and events of chat and text completion responses."""
+"""Bodies, events and outcomes of chat and text completion responses."""
 
 import json
 import time
@@ -10,7 +10,12 @@
 from trefoilspool.filter import ClaimedJob, Job
 from trefoilspool.outcome import Outcome
 
-__all__ = ['chunk_text', 'completion_body', 'stream_events']
+__all__ = [
+    'chunk_text',
+    'completion_body',
+    'correct_outcome',
+    'stream_events',
+]
 
 
 class ResponseFormat(NamedTuple):
@@ -69,6 +74,22 @@
     }
 
 
+def correct_outcome(problem: Problem, claimed: ClaimedJob) -> Problem:
+    """Replace an outcome that holds for the last attempt only.
+
+    ``not_run`` is not true if the request was sent, nor is ``failed`` if the
+    result of an earlier attempt is unknown.
+    """
+    progress = claimed.job.progress
+    not_run = problem.outcome is Outcome.not_run and progress.sent
+    failed = problem.outcome is Outcome.failed and progress.result_unknown
+    if not_run or failed:
+        unknown = progress.result_unknown
+        outcome = Outcome.may_have_run if unknown else Outcome.interrupted
+        problem.outcome = outcome  # type: ignore[misc]
+    return problem
+
+
 def stream_events(
     claimed: ClaimedJob,
     first: Token | None,
@@ -82,7 +103,8 @@
                 yield format_event(token)
         yield b'data: [DONE]\n\n'
         document: dict[str, object] = {'outcome': Outcome.completed.value}
-    except Problem as problem:
+    except Problem as last_problem:
+        problem = correct_outcome(last_problem, claimed)
         claimed.job.progress.outcome = problem.outcome
         document = dict(problem.document())
     yield f'event: outcome\ndata: {json.dumps(document)}\n\n'.encode()
