Split the mesh task: sender, broadcasts, heartbeats

The datagrams to one or all hosts, what a host tells all others, and the content of heartbeats are modules of their own now; the task keeps the socket, the timers and the table of handlers.

Moves only: no decision, message or period changes. Tests reach the moved methods under their new names, their assertions are as before.

--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -134,7 +134,7 @@
     def cut_datagrams(self) -> None:
         """Drop all datagrams to and from other hosts."""
         mesh = self.host.mesh
-        send, on_datagram = mesh.send, mesh.on_datagram
+        send, on_datagram = mesh.sender.send, mesh.on_datagram
 
         def send_own(address: str, datagram: object) -> None:
             if address == self.address:
@@ -144,7 +144,7 @@
             if address == self.address:
                 on_datagram(body, address, now)
 
-        mesh.send, mesh.on_datagram = send_own, on_own
+        mesh.sender.send, mesh.on_datagram = send_own, on_own
 
     def is_stopped(self) -> bool:
         """Return whether the host's addresses can be bound again."""
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -47,7 +47,9 @@
 @pytest.fixture
 def sent(mesh: MeshTask, monkeypatch: pytest.MonkeyPatch) -> Sent:
     found: Sent = []
-    monkeypatch.setattr(mesh, 'send', lambda *message: found.append(message))
+    monkeypatch.setattr(
+        mesh.sender, 'send', lambda *message: found.append(message)
+    )
     return found
 
 
@@ -122,7 +124,7 @@
     def test_home_sends_new_version_to_all(
         self, mesh: MeshTask, sent: Sent
     ) -> None:
-        mesh.send_version(1)
+        mesh.broadcasts.send_version(1)
         assert len(sent) == mesh.peers.count() - 1
         assert all(datagram.hosts is None for _, datagram in sent)
 
@@ -132,7 +134,7 @@
         mesh.peers.update_own(mesh.peers.own._replace(leaving=True))
         home = mesh.peers.home()
         assert home is not None
-        mesh.send_version(1)
+        mesh.broadcasts.send_version(1)
         assert [address for address, _ in sent] == [home.address]
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -358,7 +358,7 @@
             if datagram.hello:
                 sent.append(now)
 
-        monkeypatch.setattr(mesh, 'send', send)
+        monkeypatch.setattr(mesh.sender, 'send', send)
         for now in times:
             mesh.tick(now)
         return sent
--- a/trefoilspool/endpointsigns.py
+++ b/trefoilspool/endpointsigns.py
@@ -54,7 +54,7 @@
             if run is not None:
                 self.count_leaving('response')
                 self.mesh.call_soon(
-                    lambda now: self.mesh.send_leaving(run, now)
+                    lambda now: self.mesh.broadcasts.send_leaving(run, now)
                 )
         if head.quiet_s:
             self.metrics.count('trefoilspool_endpoint_quiet_total')
@@ -68,7 +68,7 @@
         if registered is None:
             return
         if self.mesh.limits.on_head(registered.run, head, sent_at, now):
-            self.mesh.call_soon(self.mesh.send_limits)
+            self.mesh.call_soon(self.mesh.broadcasts.send_limits)
             state = 'named' if head.names_limit else 'ended'
             self.metrics.count(
                 f'trefoilspool_endpoint_limit_total{{state="{state}"}}'
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -160,7 +160,7 @@
         self.endpoint_signs = EndpointSigns(
             self.directory, self.quiet_periods, self.mesh, self.metrics
         )
-        self.mesh.on_leaving_runs = self.endpoint_signs.on_leaving_runs
+        self.mesh.broadcasts.on_leaving_runs = self.endpoint_signs.on_leaving_runs
         self.endpoint_client = EndpointClient(
             platform.dialect(), self.endpoint_signs.on_head
         )
@@ -256,7 +256,9 @@
         self.on_endpoints_current()
         changed_to = self.endpoints.changed_to()
         self.mesh.call_soon(
-            lambda now: self.mesh.send_endpoints_read(changed_to, now)
+            lambda now: self.mesh.broadcasts.send_endpoints_read(
+                changed_to, now
+            )
         )
 
     def on_endpoints_current(self) -> None:
--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -1,7 +1,6 @@
 """The home host's service to entry hosts: slots for their requests."""
 
 from collections import Counter
-from collections.abc import Callable
 from typing import Any
 
 import logbook
@@ -9,6 +8,7 @@
 from trefoilspool import meshdatagrams
 from trefoilspool.homecontact import HEARTBEATS_PER_DIGEST
 from trefoilspool.limitgossip import LimitGossip
+from trefoilspool.meshsender import MeshSender
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantinegossip import QuarantineGossip
 from trefoilspool.slotscheduler import SlotScheduler
@@ -19,8 +19,6 @@
 
 logger = logbook.Logger('mesh')
 
-DatagramSender = Callable[[str, ttypes.Datagram], None]
-
 
 class HomeService:
     """Passes datagrams to the slot scheduler, and its decisions back.
@@ -35,8 +33,8 @@
         Quarantined parts, for digests.
     limit_gossip : LimitGossip
         Limits of endpoints, for digests.
-    send : callable
-        Sends a datagram to a host's address.
+    sender : MeshSender
+        Sends datagrams.
     """
 
     def __init__(
@@ -45,13 +43,13 @@
         peers: PeerRegistry,
         quarantine_gossip: QuarantineGossip,
         limit_gossip: LimitGossip,
-        send: DatagramSender,
+        sender: MeshSender,
     ) -> None:
         self.scheduler = scheduler
         self.peers = peers
         self.quarantine_gossip = quarantine_gossip
         self.limit_gossip = limit_gossip
-        self.send = send
+        self.sender = sender
         self.heartbeat_counts: Counter[str] = Counter()
 
     def on_asks(self, sender: HostInfo, asks: list[Any], now: float) -> None:
@@ -88,7 +86,7 @@
                 quarantine=self.quarantine_gossip.structs(),
                 limits=self.limit_gossip.structs(now),
             )
-            self.send(sender.address, reply)
+            self.sender.send(sender.address, reply)
 
     def on_levels(
         self, sender: HostInfo, levels: list[Any], now: float
@@ -124,7 +122,7 @@
         for entry, decisions in by_entry.items():
             host = self.peers.hosts.get(entry)
             if host is not None:
-                self.send(
+                self.sender.send(
                     host.address,
                     ttypes.Datagram(
                         wire.host_info_to_wire(self.peers.own),
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -13,20 +13,20 @@
 import logbook
 
 from trefoilspool import clock, meshdatagrams
+from trefoilspool.broadcasts import Broadcasts
 from trefoilspool.datagramsocket import DatagramSocket
-from trefoilspool.departures import EndpointRun
 from trefoilspool.endpointlimits import EndpointLimits
 from trefoilspool.endpointview import EndpointsRead
+from trefoilspool.heartbeats import Heartbeats
 from trefoilspool.helloschedule import HelloSchedule
 from trefoilspool.homecontact import HomeContact
 from trefoilspool.homeservice import HomeService
 from trefoilspool.hostlists import HostListSchedule
-from trefoilspool.leavingreports import LeavingReports
 from trefoilspool.limitgossip import LimitGossip
+from trefoilspool.meshsender import MeshSender
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.quarantinegossip import QuarantineGossip
-from trefoilspool.replica import Position
 from trefoilspool.routing import Configuration
 from trefoilspool.slotclient import SlotClient
 from trefoilspool.slotmessages import EndpointSpec, SlotRequest
@@ -41,12 +41,6 @@
 logger = logbook.Logger('mesh')
 
 DatagramHandler = Callable[[HostInfo, Any, float], object]
-LeavingRunsHandler = Callable[[list[EndpointRun]], list[EndpointRun]]
-
-
-def no_runs(runs: list[EndpointRun]) -> list[EndpointRun]:
-    """Return no runs: none of them is new."""
-    return []
 
 
 def do_nothing() -> None:
@@ -67,11 +61,10 @@
 
     Attributes
     ----------
-    on_leaving_runs : callable
-        Called with the endpoints' runs that a peer reports as leaving; returns
-        those that were not known before.
-    leaving_reports : LeavingReports
-        Runs that told this host that they are leaving.
+    sender : MeshSender
+        Sends datagrams.
+    broadcasts : Broadcasts
+        What this host tells all others.
     quarantine_gossip : QuarantineGossip
         Quarantined prompt parts.
     on_quarantine_due : callable
@@ -83,6 +76,8 @@
     def __init__(self, own: HostInfo, port: int, seeds: Iterable[str]) -> None:
         self.seeds = [seed for seed in seeds if seed != own.address]
         self.peers = PeerRegistry(own)
+        self.socket = DatagramSocket(own.address, port)
+        self.sender = MeshSender(self.socket, self.peers)
         quarantine = Quarantine()
         self.quarantine_gossip = QuarantineGossip(self.peers, quarantine)
         self.on_quarantine_due: Callable[[], None] = do_nothing
@@ -97,12 +92,11 @@
             self.peers,
             self.quarantine_gossip,
             self.limit_gossip,
-            lambda address, datagram: self.send(address, datagram),
+            self.sender,
         )
         self.stopping = threading.Event()
         self.callbacks: list[Callable[[float], None]] = []
         self.callbacks_lock = threading.Lock()
-        self.socket = DatagramSocket(own.address, port)
         self.heartbeat_at = 0.0
         self.hello_schedule = HelloSchedule()
         self.ticked_at = 0.0
@@ -110,8 +104,14 @@
         self.home_contact = HomeContact(self.peers)
         self.heartbeat_home = ''
         self.endpoints_read: EndpointsRead | None = None
-        self.on_leaving_runs: LeavingRunsHandler = no_runs
-        self.leaving_reports = LeavingReports()
+        self.broadcasts = Broadcasts(self.sender, self.peers, self.limit_gossip)
+        self.heartbeats = Heartbeats(
+            self.client,
+            self.home_contact,
+            self.quarantine_gossip,
+            self.limit_gossip,
+            self.broadcasts.leaving_reports,
+        )
         self.handlers = self.handler_table()
 
     def handler_table(self) -> Mapping[str, DatagramHandler]:
@@ -125,7 +125,7 @@
         return {
             'quarantine': self.quarantine_gossip.on_structs,
             'served': service.on_served,
-            'limits': self.on_limits,
+            'limits': self.broadcasts.on_limits,
             'crashes': service.on_crash_reports,
             'asks': service.on_asks,
             'ends': service.on_releases,
@@ -136,7 +136,7 @@
             'hello': self.on_hello,
             'levels': service.on_levels,
             'endpoints_read': self.on_endpoints_read,
-            'leaving': self.on_leaving,
+            'leaving': self.broadcasts.on_leaving,
         }
 
     def send_message(self, address: str, message: object) -> None:
@@ -148,11 +148,7 @@
         datagram = meshdatagrams.message_datagram(self.peers.own, message, now)
         if isinstance(message, SlotRequest):
             datagram.limits = self.limit_gossip.structs_for_ask(now)
-        self.send(address, datagram)
-
-    def send(self, address: str, datagram: ttypes.Datagram) -> None:
-        """Send a datagram; it may be lost, so important ones are repeated."""
-        self.socket.send(address, wire.encode(datagram))
+        self.sender.send(address, datagram)
 
     def call_soon(self, callback: Callable[[float], None]) -> None:
         """Run a callback on the task's thread; usable from any thread."""
@@ -231,10 +227,7 @@
                 handler(sender, content, now)
 
     def on_decisions(
-        self,
-        sender: HostInfo,
-        decisions: list[Any],
-        now: float,
+        self, sender: HostInfo, decisions: list[Any], now: float
     ) -> None:
         """Pass decisions to the requests that wait for them."""
         for decision in decisions:
@@ -244,10 +237,7 @@
             )
 
     def on_digest(
-        self,
-        sender: HostInfo,
-        digest: ttypes.Digest,
-        now: float,
+        self, sender: HostInfo, digest: ttypes.Digest, now: float
     ) -> None:
         """Pass the counts and levels of the home host to the slot client."""
         self.client.choice.on_loads(
@@ -264,7 +254,7 @@
     def on_hello(self, sender: HostInfo, wants_hosts: bool, now: float) -> None:
         """Reply with the list of hosts if requested, else with a heartbeat."""
         own = self.peers.own
-        self.send(
+        self.sender.send(
             sender.address,
             meshdatagrams.host_list(own, self.peers.recent(now))
             if wants_hosts
@@ -272,47 +262,13 @@
         )
 
     def on_endpoints_read(
-        self,
-        sender: HostInfo,
-        changed_to: Any,
-        now: float,
+        self, sender: HostInfo, changed_to: Any, now: float
     ) -> None:
         """Record that a peer has just read the endpoint records."""
         self.endpoints_read = EndpointsRead(
             sender, wire.position_from_wire(changed_to), now
         )
 
-    def on_leaving(self, sender: HostInfo, runs: list[Any], now: float) -> None:
-        """Apply the runs that a peer reports; the home host tells all others."""
-        new = self.on_leaving_runs(list(map(wire.endpoint_run_from_wire, runs)))
-        if new and self.peers.is_home():
-            self.send_all(
-                meshdatagrams.leaving_datagram(self.peers.own, new), now
-            )
-
-    def send_leaving(self, run: EndpointRun, now: float) -> None:
-        """Report a run that is leaving to the home host, or from there to all.
-
-        Heartbeats repeat it for a while, as datagrams may be lost.
-        """
-        self.leaving_reports.add(run, now)
-        datagram = meshdatagrams.leaving_datagram(self.peers.own, [run])
-        self.send_home_or_all(datagram, now)
-
-    def on_limits(
-        self, sender: HostInfo, structs: list[Any], now: float
-    ) -> None:
-        """Adopt the limits of a peer; the home host tells all others."""
-        if self.limit_gossip.on_structs(sender, structs, now):
-            self.send_all(self.limit_gossip.datagram(now), now)
-
-    def send_limits(self, now: float) -> None:
-        """Send this host's limits to the home host, or from there all to all."""
-        if self.peers.is_home():
-            self.send_all(self.limit_gossip.datagram(now), now)
-        else:
-            self.send_home_or_all(self.limit_gossip.own_datagram(now), now)
-
     def tick(self, now: float) -> None:
         """Run the scheduler's timers; send heartbeats and hellos if due."""
         self.limits.tick(now)
@@ -331,7 +287,7 @@
         if self.quarantine_gossip.tick(now):
             self.on_quarantine_due()
             if self.peers.is_home():
-                self.send_all(self.quarantine_gossip.datagram(), now)
+                self.sender.send_all(self.quarantine_gossip.datagram(), now)
         if (
             home_changed
             or now - self.heartbeat_at >= self.home_contact.heartbeat_period_s()
@@ -355,91 +311,32 @@
                 extra={'home': home.name, 'before': self.heartbeat_home},
             )
             self.heartbeat_home = home.name
-        self.send(home.address, self.heartbeat(home, now))
+        self.sender.send(home.address, self.heartbeats.datagram(home, now))
         self.peers.forget(now)
         is_home = home.name == self.peers.own.name
         if is_home and self.host_list_schedule.due(self.peers.recent(now), now):
-            self.send_all(
+            self.sender.send_all(
                 meshdatagrams.host_list(self.peers.own, self.peers.recent(now)),
                 now,
             )
 
-    def heartbeat(self, home: HostInfo, now: float) -> ttypes.Datagram:
-        """Return a heartbeat; one for a new home host holds more."""
-        home_is_new = self.home_contact.is_new(home)
-        datagram = ttypes.Datagram(
-            wire.host_info_to_wire(self.peers.own),
-            roll=[wire.held_to_wire(slot) for slot in self.client.held_slots()],
-            quarantine=self.quarantine_gossip.structs_for_home(home),
-            limits=self.limit_gossip.structs_for_home(
-                now, home_is_new=home_is_new
-            ),
-        )
-        leaving = self.leaving_reports.current(now)
-        if leaving:
-            datagram.leaving = list(map(wire.endpoint_run_to_wire, leaving))
-        crashes = self.client.crash_reports.current(
-            now, home_is_new=home_is_new
-        )
-        if crashes:
-            datagram.crashes = list(map(wire.crash_report_to_wire, crashes))
-        if home_is_new:
-            datagram.served = wire.served_to_wire(
-                self.client.served_report(now)
-            )
-            datagram.levels = meshdatagrams.levels_to_wire(
-                self.client.choice.levels.items()
-            )
-        return datagram
-
     def announce(self) -> None:
         """Send this host's state to all hosts; usable from any thread."""
-        self.call_soon(self.send_host_info)
+        self.call_soon(self.broadcasts.send_host_info)
 
     def announce_version(self) -> None:
         """Announce the configuration in force; usable from any thread.
 
         Hosts that have an older configuration can then read it here.
         """
-        self.call_soon(self.send_version)
-
-    def send_version(self, now: float) -> None:
-        """Send this host's state to the home host, or from there to all."""
-        self.send_home_or_all(
-            meshdatagrams.host_info_datagram(self.peers.own), now
-        )
-
-    def send_host_info(self, now: float) -> None:
-        """Send this host's state to all hosts."""
-        self.send_all(meshdatagrams.host_info_datagram(self.peers.own), now)
-
-    def send_home_or_all(self, datagram: ttypes.Datagram, now: float) -> None:
-        """Send a datagram to the home host, or from there to all."""
-        home = self.peers.home()
-        if home is None or home.name == self.peers.own.name:
-            self.send_all(datagram, now)
-        else:
-            self.send(home.address, datagram)
+        self.call_soon(self.broadcasts.send_version)
 
     def send_hellos(self, now: float) -> None:
         """Request heartbeats from unresponsive hosts, host lists from seeds."""
         own = wire.host_info_to_wire(self.peers.own)
         ping = ttypes.Datagram(own, hello=False)
         for host in self.peers.unresponsive():
-            self.send(host.address, ping)
+            self.sender.send(host.address, ping)
         if self.peers.count() <= 1:
             for seed in self.seeds:
-                self.send(seed, ttypes.Datagram(own, hello=True))
-
-    def send_endpoints_read(self, changed_to: Position, now: float) -> None:
-        """Notify all hosts that this one has read the endpoint records."""
-        self.send_all(
-            meshdatagrams.endpoints_read_datagram(self.peers.own, changed_to),
-            now,
-        )
-
-    def send_all(self, datagram: ttypes.Datagram, now: float) -> None:
-        """Send a datagram to all other hosts."""
-        for host in self.peers.recent(now):
-            if host.name != self.peers.own.name:
-                self.send(host.address, datagram)
+                self.sender.send(seed, ttypes.Datagram(own, hello=True))
