Split the gateway host: endpoint records, draining

The tasks that keep the endpoints' records current are endpointsync.py, the wait for open requests of a leaving host is draining.py.

Moves only; constants keep their values. Tests follow the names, their assertions are as before.

--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -18,7 +18,7 @@
 from soakproxy import Proxy
 
 GRACE_S = 8.0
-# gatewayhost.ENDPOINTS_READERS of them read the endpoints from the store, the
+# endpointsync.READERS of them read the endpoints from the store, the
 # other two get them from peers.
 HOST_COUNT = 5
 ENDPOINT_COUNT = 4
--- a/tests/test_endpointsigns.py
+++ b/tests/test_endpointsigns.py
@@ -76,7 +76,10 @@
             leaving.name,
             leaving.record('engines', capacity=7, sequence=2),
         )
-        wait_for(lambda: running.host.endpoints.end > offset, 'the record')
+        wait_for(
+            lambda: running.host.endpoint_sync.view.replica.end > offset,
+            'the record',
+        )
         assert running.host.directory.get(leaving.name) is None
 
     def test_later_run_is_available(self, cluster: GatewayCluster) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -18,7 +18,7 @@
 )
 from platformendpoint import ServedRequest
 
-from trefoilspool.gatewayhost import ENDPOINTS_READERS
+from trefoilspool.endpointsync import READERS
 
 CONFIG_BOUND_S = 2.0
 LEAVING_BOUND_S = 2.0
@@ -595,18 +595,18 @@
         return [
             running
             for running in hosts
-            if running.host.mesh.peers.is_preferred_home(ENDPOINTS_READERS)
+            if running.host.mesh.peers.is_preferred_home(READERS)
         ]
 
     def test_other_hosts_drop_a_leaving_endpoint_in_time(
         self, cluster: GatewayCluster
     ) -> None:
         hosts = self.cluster_of(cluster)
-        assert len(self.readers(hosts)) == ENDPOINTS_READERS
+        assert len(self.readers(hosts)) == READERS
         wait_for(
             lambda: (
                 not any(
-                    other.host.should_read_endpoints()
+                    other.host.endpoint_sync.should_read()
                     for other in hosts
                     if other not in self.readers(hosts)
                 )
@@ -635,7 +635,7 @@
             candidate for candidate in hosts if candidate not in readers
         )
         wait_for(
-            other.host.should_read_endpoints,
+            other.host.endpoint_sync.should_read,
             'a host that reads the store itself',
         )
         cluster.register(cluster.endpoints[0], state='draining')
@@ -657,9 +657,9 @@
         other = next(
             candidate for candidate in hosts if candidate not in readers
         )
-        other.host.endpoints_task.outage_began_at = time.monotonic()
+        other.host.endpoint_sync.store_task.outage_began_at = time.monotonic()
         wait_for(
-            lambda: other.host.endpoints_task.outage_began_at is None,
+            lambda: other.host.endpoint_sync.store_task.outage_began_at is None,
             'the end of the outage',
         )
 
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -234,7 +234,10 @@
         cluster.store.put('keyed.servers', left.name, b'')
         cluster.wait_for_endpoints(running, 1)
         cluster.store.restore(backup)
-        wait_for(lambda: running.host.endpoints.era == 1, 'the new era')
+        wait_for(
+            lambda: running.host.endpoint_sync.view.replica.era == 1,
+            'the new era',
+        )
         assert running.host.directory.get(left.name) is None
         # The endpoint was alive after all: it renews its record.
         cluster.register(left, sequence=9)
@@ -248,7 +251,10 @@
         cluster.register(leaving, state='draining')
         cluster.wait_for_endpoints(running, 1)
         cluster.store.restore(backup)
-        wait_for(lambda: running.host.endpoints.era == 1, 'the new era')
+        wait_for(
+            lambda: running.host.endpoint_sync.view.replica.era == 1,
+            'the new era',
+        )
         assert running.host.directory.get(leaving.name) is None
 
     def test_endpoint_missing_from_the_backup_may_register_again(
@@ -260,7 +266,10 @@
         late, lost = cluster.add_endpoint(), cluster.add_endpoint()
         cluster.wait_for_endpoints(running, 3)
         cluster.store.restore(backup)
-        wait_for(lambda: running.host.endpoints.era == 1, 'the new era')
+        wait_for(
+            lambda: running.host.endpoint_sync.view.replica.era == 1,
+            'the new era',
+        )
         assert running.host.directory.get(late.name)
         cluster.register(late)
         cluster.wait_for_endpoints(running, 2)
@@ -278,15 +287,15 @@
             for running in hosts
             if not running.host.mesh.peers.is_preferred_home(3)
         )
-        refused.endpoints_task.source.connection.port = 1
-        refused.endpoints_task.source.connection.close()
+        refused.endpoint_sync.store_task.source.connection.port = 1
+        refused.endpoint_sync.store_task.source.connection.close()
         backup = cluster.store.backup()
         cluster.add_endpoint()
         cluster.store.restore(backup)
         cluster.register(cluster.endpoints[1], capacity=9)
         wait_for(
             lambda: (
-                refused.endpoints.era == 1
+                refused.endpoint_sync.view.replica.era == 1
                 and 9 in {spec.slots for spec in refused.directory.published}
             ),
             'the new era at the refused host',
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -27,8 +27,8 @@
 from waitress import buffers
 from waitress.task import ThreadedTaskDispatcher
 
+from trefoilspool.draining import MAX_DRAIN_S
 from trefoilspool.endpointattempts import EndpointAttempts
-from trefoilspool.gatewayhost import MAX_DRAIN_S
 
 LONG_BODY_BYTES = 8_000_000  # waitress keeps one MB in memory
 ANSWER_BOUND_S = 3.0  # for a request that no endpoint needs to answer
--- /dev/null
+++ b/trefoilspool/endpointsync.py
@@ -0,0 +1,142 @@
+"""Keeps a host's endpoint records current, from the store or from peers."""
+
+import threading
+from collections.abc import Callable
+
+from trefoilspool import clock
+from trefoilspool.departures import EndpointRecord
+from trefoilspool.endpointview import EndpointsRead, EndpointView
+from trefoilspool.mesh import MeshTask
+from trefoilspool.peertopics import ENDPOINTS_PATH, PeerTopic
+from trefoilspool.replication import (
+    PeerFetchTask,
+    PollInterval,
+    StoreReplicationTask,
+)
+from trefoilspool.store import KeyedSource
+
+__all__ = ['EndpointSync']
+
+# A leaving endpoint must get no new requests after 2 s.
+PAUSE_S = 1.1
+POLLING = PollInterval(0, PAUSE_S)
+# Hosts that read the endpoint records from the store and notify the others.
+READERS = 3
+FETCH_SPREAD_S = 0.3
+
+
+class EndpointSync:
+    """The tasks that read the endpoint records, and their notices to peers.
+
+    A few hosts read the store for all. The others fetch from a reader what it
+    has and they lack.
+
+    Parameters
+    ----------
+    topic : KeyedSource
+        The endpoint records in the store.
+    decode : callable
+        Decodes a record's key and content; see `EndpointView`.
+    mesh : MeshTask
+        Carries the notices; gets the available endpoints.
+    control_port : int
+        Port at which peers serve their records.
+    stopping : threading.Event
+        Ends the tasks when set.
+
+    Attributes
+    ----------
+    view : EndpointView
+        The records, and how current they are.
+    store_task : StoreReplicationTask
+        Reads the store.
+    peer_task : PeerFetchTask
+        Reads peers.
+    """
+
+    def __init__(
+        self,
+        topic: KeyedSource,
+        decode: Callable[[str, bytes], EndpointRecord],
+        mesh: MeshTask,
+        control_port: int,
+        stopping: threading.Event,
+    ) -> None:
+        self.mesh = mesh
+        self.control_port = control_port
+        self.view = EndpointView(
+            decode, self.outage_ended_at, mesh.set_available_endpoints
+        )
+        self.store_task = StoreReplicationTask(
+            'endpoints',
+            topic,
+            self.view.replica,
+            POLLING,
+            stopping,
+            self.should_read,
+            self.on_read,
+        )
+        self.peer_task = PeerFetchTask(
+            'endpoints',
+            self.find_newer,
+            stopping,
+            min_polls_behind=1,
+            spread_s=FETCH_SPREAD_S,
+        )
+
+    def outage_ended_at(self) -> float:
+        """Return when the last outage of the store ended; during one, now."""
+        if self.store_task.outage_began_at is not None:
+            return clock.now()
+        return self.store_task.outage_ended_at
+
+    def should_read(self) -> bool:
+        """Return whether this host reads the store.
+
+        A host that is no reader reads it itself once its own records are
+        stale, because the readers' notices do not arrive.
+        """
+        if self.mesh.peers.is_preferred_home(READERS):
+            return True
+        return self.view.is_stale()
+
+    def on_read(self) -> None:
+        """Announce to peers that this host has read the store."""
+        self.mark_current(clock.now())
+        changed_to = self.view.replica.changed_to()
+        self.mesh.call_soon(
+            lambda now: self.mesh.broadcasts.send_endpoints_read(
+                changed_to, now
+            )
+        )
+
+    def mark_current(self, at: float) -> None:
+        """Record when this host had all endpoint records.
+
+        If other hosts read the store for this host, the store is available, so
+        an outage seen in this host's own last read has ended.
+        """
+        self.view.mark_current(at)
+        if not self.mesh.peers.is_preferred_home(READERS):
+            self.store_task.on_store_available()
+
+    def find_newer(self) -> Callable[[], None] | None:
+        """Return a function that reads the changes of a peer, or None.
+
+        Also records that this host's records are current if the peer that was
+        heard last has no further changes.
+        """
+        read = self.mesh.endpoints_read
+        if read is None:
+            return None
+        if self.view.lacks(read):
+            return lambda: self.fetch(read)
+        if self.view.confirms(read):
+            self.mark_current(read.received_at)
+        return None
+
+    def fetch(self, read: EndpointsRead) -> None:
+        """Read the records that a peer has and this host lacks."""
+        source = PeerTopic(read.peer.address, self.control_port, ENDPOINTS_PATH)
+        if self.view.fetch(source, read.changed_to):
+            self.mark_current(clock.now())
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -119,7 +119,7 @@
     def endpoints(self, query: str) -> Response:
         """Return the endpoint records from a position on, for a peer."""
         try:
-            body = encode_changes(self.host.endpoints, query)
+            body = encode_changes(self.host.endpoint_sync.view.replica, query)
         except ValueError:
             return sized_response(HTTPStatus.BAD_REQUEST, b'')
         return sized_response(HTTPStatus.OK, body)
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -9,9 +9,10 @@
 
 from trefoilspool import clock
 from trefoilspool.discovery import DiscoveryTask
+from trefoilspool.draining import await_open_requests
 from trefoilspool.endchecks import EndCheckTask
 from trefoilspool.endpointsigns import EndpointSigns
-from trefoilspool.endpointview import EndpointsRead, EndpointView
+from trefoilspool.endpointsync import EndpointSync
 from trefoilspool.errors import BadRecordError
 from trefoilspool.exchange import EndpointClient
 from trefoilspool.gateway import Gateway
@@ -20,12 +21,7 @@
 from trefoilspool.mesh import MeshTask
 from trefoilspool.options import GatewayOptions
 from trefoilspool.peers import HostInfo
-from trefoilspool.peertopics import (
-    CONFIGURATION_PATH,
-    ENDPOINTS_PATH,
-    PeerTopic,
-    peer_page,
-)
+from trefoilspool.peertopics import CONFIGURATION_PATH, peer_page
 from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.quarantinestore import QuarantineStoreTask
 from trefoilspool.quietperiods import QuietPeriods
@@ -46,25 +42,12 @@
 NS_PER_US = 1000
 # Below the start time, so that two starts in one microsecond differ.
 RANDOM_BITS = 4
-DRAIN_POLL_S = 0.05
 CLEANUP_INTERVAL_S = 1.0
-# By then the load balancer sends no more requests to a draining host.
-ACCEPT_DURING_DRAIN_S = 2.8
-MIN_DRAIN_S = 3.2
-MAX_DRAIN_S = 7.5  # the platform kills the process after 8 s
-# From here on requests that still wait are ended, so that they get an answer.
-END_REQUESTS_S = 7.2
 # A read of the settings waits this long for the next record. If its connection
 # stalls, the host reads the records from a peer meanwhile.
 SETTINGS_LONG_POLL_S = 8.0
 SETTINGS_PAUSE_S = 0.02
-# A leaving endpoint must get no new requests after 2 s.
-ENDPOINTS_PAUSE_S = 1.1
-# Hosts that read the endpoint records from the store and notify the others.
-ENDPOINTS_READERS = 3
 SETTINGS_POLLING = PollInterval(SETTINGS_LONG_POLL_S, SETTINGS_PAUSE_S)
-ENDPOINTS_POLLING = PollInterval(0, ENDPOINTS_PAUSE_S)
-FETCH_SPREAD_S = 0.3
 CONFIGURATION_KEY = 'config'
 
 logger = logbook.Logger('gateway')
@@ -86,8 +69,8 @@
         Number of this run of the process; later runs have larger ones.
     configuration_content : bytes
         Content of the record of the configuration in force, for peers.
-    endpoint_view : EndpointView
-        The endpoints' records.
+    endpoint_sync : EndpointSync
+        Keeps the endpoints' records current.
     quiet_periods : QuietPeriods
         Endpoints that get no requests of this host for a while.
     """
@@ -121,22 +104,14 @@
             self.stopping,
             on_restored=self.on_settings_restored,
         )
-        self.endpoint_view = EndpointView(
-            platform.decode_endpoint,
-            self.outage_ended_at,
-            self.mesh.set_available_endpoints,
-        )
-        self.directory = self.endpoint_view.directory
-        self.endpoints = self.endpoint_view.replica
-        self.endpoints_task = StoreReplicationTask(
-            'endpoints',
+        self.endpoint_sync = EndpointSync(
             topics.endpoints,
-            self.endpoints,
-            ENDPOINTS_POLLING,
+            platform.decode_endpoint,
+            self.mesh,
+            options.control_port,
             self.stopping,
-            self.should_read_endpoints,
-            self.on_endpoints_read,
         )
+        self.directory = self.endpoint_sync.view.directory
         self.discovery_task = DiscoveryTask(
             topics.hosts,
             self.mesh.peers,
@@ -160,7 +135,9 @@
         self.endpoint_signs = EndpointSigns(
             self.directory, self.quiet_periods, self.mesh, self.metrics
         )
-        self.mesh.broadcasts.on_leaving_runs = self.endpoint_signs.on_leaving_runs
+        self.mesh.broadcasts.on_leaving_runs = (
+            self.endpoint_signs.on_leaving_runs
+        )
         self.endpoint_client = EndpointClient(
             platform.dialect(), self.endpoint_signs.on_head
         )
@@ -177,12 +154,6 @@
             self.metrics,
         )
 
-    def outage_ended_at(self) -> float:
-        """Return when the last outage of the store ended; during one, now."""
-        if self.endpoints_task.outage_began_at is not None:
-            return clock.now()
-        return self.endpoints_task.outage_ended_at
-
     def start(self) -> None:
         """Start the tasks."""
         for task_loop in self.task_loops():
@@ -194,19 +165,13 @@
         yield self.watch.run
         yield self.end_checks.run
         yield self.settings_task.run
-        yield self.endpoints_task.run
+        yield self.endpoint_sync.store_task.run
         yield self.discovery_task.run
         yield self.quarantine_task.run
         yield PeerFetchTask(
             'settings', self.find_newer_configuration, self.stopping
         ).run
-        yield PeerFetchTask(
-            'endpoints',
-            self.find_newer_endpoints,
-            self.stopping,
-            min_polls_behind=1,
-            spread_s=FETCH_SPREAD_S,
-        ).run
+        yield self.endpoint_sync.peer_task.run
         yield self.clean_up
 
     def clean_up(self) -> None:
@@ -240,64 +205,6 @@
             peer.name,
         )
 
-    def should_read_endpoints(self) -> bool:
-        """Return whether this host reads the endpoints from the store.
-
-        A few hosts read for the others. Another host reads the store itself
-        once its own records are stale, because the readers' notices do not
-        arrive.
-        """
-        if self.mesh.peers.is_preferred_home(ENDPOINTS_READERS):
-            return True
-        return self.endpoint_view.is_stale()
-
-    def on_endpoints_read(self) -> None:
-        """Announce to peers that this host has read the endpoints."""
-        self.on_endpoints_current()
-        changed_to = self.endpoints.changed_to()
-        self.mesh.call_soon(
-            lambda now: self.mesh.broadcasts.send_endpoints_read(
-                changed_to, now
-            )
-        )
-
-    def on_endpoints_current(self) -> None:
-        """Record that this host now has all endpoint records."""
-        self.mark_endpoints_current(clock.now())
-
-    def mark_endpoints_current(self, at: float) -> None:
-        """Record when this host had all endpoint records.
-
-        If other hosts read the store for this host, the store is available, so
-        an outage seen in this host's own last read has ended.
-        """
-        self.endpoint_view.mark_current(at)
-        if not self.mesh.peers.is_preferred_home(ENDPOINTS_READERS):
-            self.endpoints_task.on_store_available()
-
-    def find_newer_endpoints(self) -> Callable[[], None] | None:
-        """Return a function that reads the changes of a peer, or None.
-
-        Also records that this host's endpoint records are current if the peer
-        that was heard last has no further changes.
-        """
-        read = self.mesh.endpoints_read
-        if read is None:
-            return None
-        if self.endpoint_view.lacks(read):
-            return lambda: self.fetch_endpoints(read)
-        if self.endpoint_view.confirms(read):
-            self.mark_endpoints_current(read.received_at)
-        return None
-
-    def fetch_endpoints(self, read: EndpointsRead) -> None:
-        """Read the endpoint records that a peer has and this host lacks."""
-        source = PeerTopic(
-            read.peer.address, self.options.control_port, ENDPOINTS_PATH
-        )
-        if self.endpoint_view.fetch(source, read.changed_to):
-            self.on_endpoints_current()
-
     def on_settings(self, records: tuple[KeyedRecord, ...]) -> None:
         """Apply the configuration among new records."""
         for record in records:
@@ -395,22 +302,12 @@
             Server whose idle connections are closed, so that their callers
             connect to other hosts.
         """
-        started = clock.now()
         gateway = self.gateway
         gateway.draining = True
         self.publish_own_info()
         self.mesh.announce()
         logger.info('draining', extra={'open': gateway.open_count})
-        while clock.now() < started + MAX_DRAIN_S:
-            elapsed_s = clock.now() - started
-            gateway.closed = elapsed_s >= ACCEPT_DURING_DRAIN_S
-            gateway.ending = elapsed_s >= END_REQUESTS_S
-            server.close_idle()
-            # The gateway does not count a request that no thread has taken.
-            is_busy = gateway.open_count or server.has_requests()
-            if elapsed_s >= MIN_DRAIN_S and not is_busy:
-                break
-            time.sleep(DRAIN_POLL_S)
+        await_open_requests(gateway, server)
         logger.info('drained', extra={'open': gateway.open_count})
 
     def stop(self) -> None:
