Move the history of served requests out of the crash evidence

Which requests were served, and since when that is known, is servedhistory.py.

Tests follow the names, their assertions are as before.

--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -24,7 +24,7 @@
 @pytest.fixture
 def evidence() -> CrashEvidence:
     made = CrashEvidence(Quarantine())
-    made.known_since = -100
+    made.history.known_since = -100
     return made
 
 
@@ -283,7 +283,7 @@
         self, evidence: CrashEvidence
     ) -> None:
         """It has the reports, but saw nothing served of the shared part."""
-        evidence.known_since = 4
+        evidence.history.known_since = 4
         for number in range(4):
             crash(evidence, number, 'shared', 'bad')
         assert not culprits(evidence, 5)
--- a/tests/test_servedreports.py
+++ b/tests/test_servedreports.py
@@ -4,13 +4,10 @@
 from test_crashevidence import crash, culprits
 from test_slotscheduler import ask, slot_release
 
-from trefoilspool.crashevidence import (
-    SAME_HOME_S,
-    SETTLING_S,
-    CrashEvidence,
-)
+from trefoilspool.crashevidence import CrashEvidence
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantine import Quarantine
+from trefoilspool.servedhistory import SAME_HOME_S, SETTLING_S
 from trefoilspool.servedreports import (
     MAX_REPORTED,
     ServedLog,
@@ -69,8 +66,8 @@
     @pytest.fixture
     def evidence(self) -> CrashEvidence:
         made = CrashEvidence(Quarantine())
-        made.known_since = 1
-        made.entries = frozenset(('h1', 'h2'))
+        made.history.known_since = 1
+        made.history.entries = frozenset(('h1', 'h2'))
         for number in range(3):
             crash(made, number, 'bad')
         return made
@@ -78,7 +75,7 @@
     def test_it_judges_what_all_hosts_have_told(
         self, evidence: CrashEvidence
     ) -> None:
-        for entry in evidence.entries:
+        for entry in evidence.history.entries:
             evidence.on_served_report(entry, NOTHING_SERVED, 1.2)
         assert culprits(evidence, 2.5) == ['bad']
 
@@ -91,16 +88,16 @@
     def test_it_waits_until_all_may_have_reported(
         self, evidence: CrashEvidence
     ) -> None:
-        evidence.entries = frozenset(('h1',))
+        evidence.history.entries = frozenset(('h1',))
         evidence.on_served_report('h1', NOTHING_SERVED, 1.2)
-        evidence.known_since = 2.5 - SETTLING_S / 2
+        evidence.history.known_since = 2.5 - SETTLING_S / 2
         assert not culprits(evidence, 2.5)
 
     def test_report_of_an_earlier_time_as_home_host_is_out_of_date(
         self, evidence: CrashEvidence
     ) -> None:
         """What was served between is unknown if the later one covers less."""
-        evidence.entries = frozenset(('h1',))
+        evidence.history.entries = frozenset(('h1',))
         evidence.on_served_report('h1', NOTHING_SERVED, -SAME_HOME_S)
         evidence.on_served_report('h1', ServedReport((), 1), 1.2)
         assert not culprits(evidence, 2.5)
--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -20,12 +20,11 @@
     likeliest,
 )
 from trefoilspool.departures import EndpointRun
-from trefoilspool.fingerprint import is_fingerprint
 from trefoilspool.processends import BrokenAttempt, ProcessEnds
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.runsigns import CONFIRMATION_S
+from trefoilspool.servedhistory import ServedHistory
 from trefoilspool.servedreports import ServedReport
-from trefoilspool.servedrequests import ServedRequests
 
 __all__ = ['CrashEvidence', 'CrashReport']
 
@@ -41,10 +40,6 @@
 # A part with fewer than one in so many of the runs that ended since its first
 # one is a bystander of other causes.
 MAX_RUNS_PER_OWN = 4
-# Within this time all entry hosts have sent a heartbeat to a new home host.
-SETTLING_S = 0.6
-# They report once what they saw served; again if the home host has changed.
-SAME_HOME_S = 10.0
 MAX_REPORTS = 512
 
 
@@ -72,13 +67,6 @@
     is_down: bool = False
 
 
-class Coverage(NamedTuple):
-    """Since when, and when, an entry host told what it saw served; seconds."""
-
-    since: float
-    told_at: float
-
-
 class CrashEvidence:
     """Reports of attempts that ended with their endpoints.
 
@@ -93,16 +81,10 @@
         Reported attempts by entry host and number, oldest first.
     ends : ProcessEnds
         Signs of the ends of runs.
-    served : ServedRequests
+    history : ServedHistory
         The requests that were served.
     services : dict
         Services of endpoints that are available or have ended, by name.
-    known_since : float
-        Since when served requests are known here, in seconds.
-    entries : frozenset of str
-        Entry hosts that report to this host.
-    coverage : dict
-        Since when it is known what each entry host saw served.
     is_changed : bool
         Whether there are reports that have not been judged.
     blamed : frozenset of str
@@ -119,11 +101,8 @@
             OrderedDict()
         )
         self.ends = ProcessEnds()
-        self.served = ServedRequests()
+        self.history = ServedHistory()
         self.services: dict[str, str] = {}
-        self.known_since = float('inf')
-        self.entries: frozenset[str] = frozenset()
-        self.coverage: dict[str, Coverage] = {}
         self.is_changed = False
         self.blamed: frozenset[str] = frozenset()
         self.ended: list[float] = []
@@ -171,37 +150,15 @@
     ) -> None:
         """Note that a service has served a request with these parts."""
         self.is_changed |= not self.blamed.isdisjoint(parts)
-        self.served.add(parts, service, sent_at)
+        self.history.served.add(parts, service, sent_at)
 
     def on_served_report(
         self, entry: str, report: ServedReport, now: float
     ) -> None:
         """Take what an entry host saw served under an earlier home host."""
-        for part, age_s in report.parts:
-            self.served.note(part, now - age_s)
-        told = Coverage(now - report.covered_s, now)
-        before = self.coverage.get(entry, told)
-        # A later report is about another time as home host.
-        if now - before.told_at < SAME_HOME_S:
-            told = told._replace(since=min(before.since, told.since))
-        self.coverage[entry] = told
+        self.history.on_report(entry, report, now)
         self.is_changed = True
 
-    def known_since_of(self, part: str, now: float) -> float:
-        """Return since when it is known whether a part was served, in seconds.
-
-        For prompt parts that is earlier than this host is home host, once all
-        entry hosts have told what they saw served.
-        """
-        is_settled = now - self.known_since >= SETTLING_S
-        if is_fingerprint(part) or not (is_settled and self.entries):
-            return self.known_since
-        nothing = Coverage(self.known_since, now)
-        covered_since = max(
-            self.coverage.get(entry, nothing).since for entry in self.entries
-        )
-        return min(self.known_since, covered_since)
-
     def forget_old(self, now: float) -> None:
         """Forget what is older than ``RETENTION_S``."""
         before = now - RETENTION_S
@@ -210,7 +167,7 @@
             if attempt.ended_at >= before:
                 break
             self.attempts.pop(key)
-        self.served.forget_before(before)
+        self.history.served.forget_before(before)
 
     def judge(self, now: float, unconfirmed_s: float = 0) -> list[Culprit]:
         """Return the parts under which runs ended that nothing explains.
@@ -317,10 +274,10 @@
         self, part: str, ends: Mapping[EndedProcess, float], now: float
     ) -> Culprit:
         """Return what speaks for and against a part."""
-        served_at = self.served.last_at(part)
+        served_at = self.history.served.last_at(part)
         ends = {process: at for process, at in ends.items() if at > served_at}
         first_at = min(ends.values(), default=now)
-        known_at = max(served_at, self.known_since_of(part, now))
+        known_at = max(served_at, self.history.known_since_of(part, now))
         is_recent = first_at - known_at <= RECENTLY_SERVED_S
         had_chances = len(ends) > MIN_ENDS * 2 and self.is_only_unserved(
             part, first_at
@@ -346,7 +303,7 @@
         """Return whether the parts before it were all served since a time."""
         before = self.before[part]
         return bool(before) and all(
-            self.served.last_at(other) > since for other in before
+            self.history.served.last_at(other) > since for other in before
         )
 
     def had_chances(
@@ -357,12 +314,12 @@
         Only those of the same services count: while all endpoints of a service
         are gone, nothing of it can be served.
         """
-        since = max(first_at, self.known_since)
+        since = max(first_at, self.history.known_since)
         services = {self.services.get(process.run.name, '') for process in ends}
         others = [
             at
             for service in services
-            for at in self.served.times_since(service, since)
+            for at in self.history.served.times_since(service, since)
         ]
         return count_moments(others) >= MIN_MOMENTS or (
             count_moments(ends.values()) >= MIN_MOMENTS
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -167,7 +167,7 @@
         """Note that requests come to this host."""
         if now - self.last_ask_at > HOME_IDLE_S:
             self.home_since = now
-            self.evidence.known_since = now
+            self.evidence.history.known_since = now
         self.last_ask_at = now
 
     def on_granted(
@@ -263,7 +263,7 @@
 
     def on_entries(self, entries: Iterable[str]) -> None:
         """Note the entry hosts that report to this host."""
-        self.evidence.entries = frozenset(entries)
+        self.evidence.history.entries = frozenset(entries)
 
     def tick(self, now: float) -> None:
         """Quarantine culprits, lift quarantines that nobody asks for."""
