Split the slot scheduler: reservations, waiting requests, log events

The granted slots, the waiting requests and the events for the log are modules of their own; the scheduler keeps the decisions.

Tests follow the names, their assertions are as before; test_gatewaylogs also reads the module of the events.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -52,6 +52,7 @@
     'serving',
     'slotacquisition',
     'slotclient',
+    'slotevents',
     'slotscheduler',
     'workerpool',
 )
--- a/tests/test_slotscheduler.py
+++ b/tests/test_slotscheduler.py
@@ -261,7 +261,7 @@
             scheduler.on_ask(ask(number), 0)
         for number in range(10, 30):
             scheduler.on_ask(ask(number), 0)
-        assert len(scheduler.queue(SERVICE)) < 20
+        assert len(scheduler.waiting.queues[SERVICE]) < 20
         scheduler.take_decisions()
 
     def test_request_that_would_time_out_is_refused_at_once(
@@ -587,7 +587,7 @@
         event = scheduler.take_events()[0]
         assert event.event == 'place_refused'
         assert event.fields['reason'] == 'crowded'
-        assert event.fields['ahead'] == len(scheduler.queue(SERVICE))
+        assert event.fields['ahead'] == len(scheduler.waiting.queues[SERVICE])
         assert not scheduler.take_events()
 
     def test_ejection_is_logged_once(self, scheduler: SlotScheduler) -> None:
--- a/trefoilspool/benches/slotscheduler.py
+++ b/trefoilspool/benches/slotscheduler.py
@@ -4,7 +4,6 @@
 
 from trefoilspool.bench import Bench, measure_memory, measure_time
 from trefoilspool.peers import HostInfo
-from trefoilspool.servicequeue import QueuedRequest
 from trefoilspool.slotmessages import (
     AttemptEnding,
     EndpointSpec,
@@ -137,8 +136,7 @@
 
 def enqueue(scheduler: SlotScheduler, ask: SlotRequest) -> None:
     """Queue a request without a queue timeout."""
-    scheduler.waiting[ask.key] = QueuedRequest(ask, math.inf)
-    scheduler.queue(ask.service).add(ask)
+    scheduler.waiting.add(ask, math.inf)
 
 
 def release_and_enqueue(scheduler: SlotScheduler) -> None:
--- a/trefoilspool/servicequeue.py
+++ b/trefoilspool/servicequeue.py
@@ -2,26 +2,18 @@
 
 import itertools
 from collections.abc import Callable, Iterator
-from typing import NamedTuple
 
 from sortedcontainers import SortedKeyList
 
 from trefoilspool.slotmessages import SlotKey, SlotRequest
 
-__all__ = ['QueuedRequest', 'ServiceQueue']
+__all__ = ['ServiceQueue']
 
 MIN_FIRST_BYTE_S = 0.05  # shortest time from the grant to the first byte
 MAX_CANDIDATES = 12
 NO_RANKS: frozenset[int] = frozenset()
 
 
-class QueuedRequest(NamedTuple):
-    """A waiting request and the time of its queue timeout, in seconds."""
-
-    ask: SlotRequest
-    timeout_at: float
-
-
 def due_order(ask: SlotRequest) -> tuple[float, SlotKey]:
     """Return the sort key of a request within its rank."""
     return ask.first_byte_due, ask.key
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -5,12 +5,13 @@
 recorded traffic can be replayed.
 """
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable
 
 from trefoilspool.crashevidence import CrashReport
 from trefoilspool.endpointlimits import EndpointLimits
-from trefoilspool.endpointload import EndpointLoad, Reservation
+from trefoilspool.endpointload import EndpointLoad
 from trefoilspool.endpointpacer import EndpointPacer
 from trefoilspool.endpointpool import EndpointPool
 from trefoilspool.grantrates import GrantRates
@@ -18,7 +19,8 @@
 from trefoilspool.promptguard import GuardDecision, PromptGuard
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.ratelimits import RateLimits
-from trefoilspool.servicequeue import QueuedRequest, ServiceQueue
+from trefoilspool.reservations import Reservations
+from trefoilspool.slotevents import judged_event, refusal_event
 from trefoilspool.slotmessages import (
     AttemptEnding,
     DecisionEvent,
@@ -33,6 +35,7 @@
     SlotRelease,
     SlotRequest,
 )
+from trefoilspool.waitingrequests import WaitingRequests
 from trefoilspool.waitprediction import WaitPredictor
 
 __all__ = ['SlotScheduler']
@@ -63,12 +66,10 @@
     ----------
     pool : EndpointPool
         Endpoints that may get requests.
-    queues : dict
-        Waiting requests of each service.
-    waiting : dict
-        Waiting requests of all services, by key.
-    reservations : dict
-        Granted slots that have not been released, by key.
+    waiting : WaitingRequests
+        Requests that wait for a slot.
+    reservations : Reservations
+        Granted slots that have not been released.
     last_reports : dict
         When each entry host last reported its held slots.
     rate_limits : RateLimits
@@ -89,9 +90,8 @@
         self.guard = PromptGuard(quarantine or Quarantine())
         self.pacer = EndpointPacer(limits or EndpointLimits())
         self.pool = EndpointPool(self.pacer)
-        self.queues: defaultdict[str, ServiceQueue] = defaultdict(ServiceQueue)
-        self.waiting: dict[SlotKey, QueuedRequest] = {}
-        self.reservations: dict[SlotKey, Reservation] = {}
+        self.waiting = WaitingRequests()
+        self.reservations = Reservations(self.pool, self.guard)
         self.last_reports: dict[str, float] = {}
         self.rate_limits = RateLimits()
         self.grant_rates = GrantRates()
@@ -99,7 +99,7 @@
             MinimumShares
         )
         self.waits = WaitPredictor(
-            self.queues,
+            self.waiting,
             self.pool,
             self.grant_rates,
             self.minimum_shares,
@@ -132,7 +132,7 @@
         endpoints = list(endpoints)
         self.guard.on_endpoints(endpoints, now)
         self.pool.replace(endpoints)
-        for service in list(self.queues):
+        for service in list(self.waiting.queues):
             self.grant_waiting(service, now)
 
     def on_ask(self, ask: SlotRequest, now: float) -> None:
@@ -152,10 +152,7 @@
         if reason is not None:
             self.refuse(ask, reason, now)
             return
-        self.waiting[ask.key] = QueuedRequest(
-            ask, self.waits.timeout_at(ask, now)
-        )
-        self.queue(ask.service).add(ask)
+        self.waiting.add(ask, self.waits.timeout_at(ask, now))
         self.grant_waiting(ask.service, now)
         if ask.key in self.waiting:
             self.decisions.append(Queued(ask.key))
@@ -167,10 +164,6 @@
         for report in reports:
             self.guard.on_report(entry, report, now)
 
-    def queue(self, service: str) -> ServiceQueue:
-        """Return the waiting requests of a service."""
-        return self.queues[service]
-
     def try_admit(self, ask: SlotRequest, now: float) -> RefusalReason | None:
         """Charge a new request to its workspace, or return why it is refused.
 
@@ -194,7 +187,7 @@
 
     def grant_waiting(self, service: str, now: float) -> None:
         """Grant free slots to the waiting requests of a service."""
-        queue = self.queue(service)
+        queue = self.waiting.queues[service]
         preferred = (
             self.minimum_shares[service].underserved(now)
             if queue
@@ -207,7 +200,7 @@
                 continue
             endpoint = self.pool.best(ask, now)
             if endpoint is not None:
-                self.dequeue(ask.key)
+                self.waiting.remove(ask.key)
                 is_probe = decision is GuardDecision.probe
                 self.grant(ask, endpoint, now, is_probe=is_probe)
             elif not self.pool.has_free_slot(service, now):
@@ -223,8 +216,7 @@
     ) -> None:
         """Grant a slot at an endpoint to a request."""
         reservation = endpoint.reserve(ask, now, is_probe=is_probe)
-        self.reservations[ask.key] = reservation
-        self.guard.on_granted(ask.key, reservation, now)
+        self.reservations.add(ask.key, reservation, now)
         self.pacer.charge(reservation.run, now)
         self.rate_limits.record_attempt(ask, now)
         self.grant_rates.record(ask.service, now)
@@ -238,46 +230,7 @@
         self.withdraw(ask.key, now)
         retry_after = self.waits.retry_after(ask, reason, now)
         self.decisions.append(Refused(ask.key, reason, retry_after))
-        self.events.append(self.refusal_event(ask, reason, now))
-
-    def refusal_event(
-        self,
-        ask: SlotRequest,
-        reason: RefusalReason,
-        now: float,
-    ) -> DecisionEvent:
-        """Return the log event of a refusal."""
-        bucket = self.rate_limits.buckets.get(ask.workspace)
-        return DecisionEvent(
-            'place_refused',
-            {
-                'entry': ask.key.entry,
-                'number': ask.key.number,
-                'reason': reason.name,
-                'service': ask.service,
-                'rank': ask.rank,
-                'ahead': self.waits.ahead(ask, now),
-                'places_a_s': round(
-                    self.grant_rates.grants_per_s(ask.service, now), 1
-                ),
-                'waited_s': round(now - ask.arrived_at, 3),
-                'workspace': ask.workspace,
-                'limit_level': bucket and int(bucket.level),
-                'endpoints': len(self.pool.of_service(ask.service)),
-                'limit_wait_s': round(
-                    self.pool.limit_wait_s(
-                        ask, self.waits.ahead(ask, now), now
-                    ),
-                    3,
-                ),
-            },
-        )
-
-    def dequeue(self, key: SlotKey) -> None:
-        """Remove a waiting request."""
-        waiting = self.waiting.pop(key, None)
-        if waiting is not None:
-            self.queues[waiting.ask.service].remove(waiting.ask)
+        self.events.append(refusal_event(ask, reason, self.waits, now))
 
     def withdraw(self, key: SlotKey, now: float) -> None:
         """Remove a waiting request and refund its charge."""
@@ -285,7 +238,7 @@
         if waiting is not None:
             ask = waiting.ask
             self.rate_limits.refund(ask.workspace, ask.charge, now)
-            self.dequeue(key)
+            self.waiting.remove(key)
 
     def on_release(self, release: SlotRelease, now: float) -> None:
         """Free a slot and record how its attempt ended."""
@@ -295,7 +248,7 @@
             self.guard.on_release(release, reservation, now)
         elif release.ending not in UNSENT_ENDINGS:
             self.pacer.charge_elsewhere(self.guard.run(release.endpoint), now)
-        self.cancel_reservation(release.key, now)
+        self.reservations.cancel(release.key, now)
         endpoint = self.available_endpoints.get(release.endpoint)
         if endpoint is not None:
             granted_at = now if reservation is None else reservation.granted_at
@@ -322,33 +275,7 @@
         endpoint.record_release(release, granted_at, now)
         after = endpoint.reliability.state
         if after is not before:
-            self.events.append(
-                DecisionEvent(
-                    'endpoint_judged',
-                    {
-                        'endpoint': endpoint.spec.name,
-                        'before': before.name,
-                        'after': after.name,
-                        'ending': release.ending.name,
-                        'failure_share': round(
-                            endpoint.reliability.failure_share(now), 3
-                        ),
-                    },
-                )
-            )
-
-    def cancel_reservation(
-        self, key: SlotKey, now: float
-    ) -> Reservation | None:
-        """Remove a reservation and return it, None if there is none."""
-        reservation = self.reservations.pop(key, None)
-        if reservation is None:
-            return None
-        self.guard.on_freed(key, reservation, now)
-        endpoint = self.available_endpoints.get(reservation.endpoint)
-        if endpoint is not None:
-            endpoint.reservations.pop(key, None)
-        return reservation
+            self.events.append(judged_event(endpoint, before, release, now))
 
     def on_held_slots(
         self,
@@ -359,54 +286,33 @@
         """Apply the full list of the slots that an entry host holds."""
         self.last_reports[entry] = now
         self.guard.on_entries(self.last_reports)
-        listed = set()
+        held_keys = set()
         for held in held_slots:
-            listed.add(held.key)
-            reservation = self.reservations.get(held.key)
-            if reservation is None or reservation.endpoint != held.endpoint:
-                self.adopt(held, now)
-            else:
-                self.guard.on_held(held, reservation, now)
-        expired_before = now - HOLD_TIMEOUT_S
-        for key, reservation in list(self.reservations.items()):
-            if key.entry == entry and key not in listed:
-                # A recent grant may still be in transit to the entry host.
-                if reservation.granted_at < expired_before:
-                    self.reclaim(key, now)
+            held_keys.add(held.key)
+            self.on_held_slot(held, now)
+        for key in self.reservations.missing(
+            entry, held_keys, now - HOLD_TIMEOUT_S
+        ):
+            self.reclaim(key, now)
 
-    def adopt(self, held: HeldSlot, now: float) -> None:
-        """Reserve a slot that an entry host holds without a reservation here.
+    def on_held_slot(self, held: HeldSlot, now: float) -> None:
+        """Apply one held slot; it may have been granted elsewhere.
 
-        The entry host chose the endpoint itself, or another home host
-        granted the slot.
+        The entry host chose the endpoint itself, or another home host granted
+        the slot.
         """
-        self.dequeue(held.key)
-        replaced = self.cancel_reservation(held.key, now)
-        reservation = Reservation(
-            held.service,
-            held.endpoint,
-            now - held.age_s,
-            held.prompt_tokens,
-            held.output_tokens,
-            # A slot that another host granted was not charged here, so nothing
-            # is refunded when it is released.
-            replaced.workspace if replaced else '',
-            replaced.charge if replaced else 0,
-            replaced.parts if replaced else (),
-            self.guard.run(held.endpoint),
-        )
-        self.reservations[held.key] = reservation
-        if replaced is None:
-            self.pacer.charge_elsewhere(reservation.run, now)
-        self.guard.on_granted(held.key, reservation, now)
-        if held.endpoint in self.available_endpoints:
-            self.available_endpoints[held.endpoint].reservations[held.key] = (
-                reservation
-            )
+        reservation = self.reservations.get(held.key)
+        if reservation is not None and reservation.endpoint == held.endpoint:
+            self.guard.on_held(held, reservation, now)
+            return
+        self.waiting.remove(held.key)
+        adopted = self.reservations.adopt(held, now)
+        if reservation is None:
+            self.pacer.charge_elsewhere(adopted.run, now)
 
     def reclaim(self, key: SlotKey, now: float) -> None:
         """Free a slot whose release was lost, or whose entry host is lost."""
-        reservation = self.cancel_reservation(key, now)
+        reservation = self.reservations.cancel(key, now)
         if reservation is not None:
             self.grant_waiting(reservation.service, now)
 
@@ -414,7 +320,7 @@
         """Apply queue timeouts, remove lost entry hosts, grant free slots."""
         self.guard.tick(now)
         self.pacer.forget_ended()
-        for waiting in list(self.waiting.values()):
+        for waiting in self.waiting.all():
             if now >= waiting.timeout_at:
                 self.refuse(waiting.ask, RefusalReason.crowded, now)
             elif self.guard.decide(waiting.ask, now) is GuardDecision.refused:
@@ -422,16 +328,15 @@
         for entry, reported_at in list(self.last_reports.items()):
             if now - reported_at > HOLD_TIMEOUT_S:
                 self.remove_entry(entry, now)
-        for service in self.queues:
+        for service in self.waiting.queues:
             self.grant_waiting(service, now)
 
     def remove_entry(self, entry: str, now: float) -> None:
         """Drop the slots and waiting requests of a lost entry host."""
         self.last_reports.pop(entry, None)
         self.guard.on_entries(self.last_reports)
-        for waiting_key in list(self.waiting):
-            if waiting_key.entry == entry:
-                self.withdraw(waiting_key, now)
-        for held_key in list(self.reservations):
-            if held_key.entry == entry:
-                self.reclaim(held_key, now)
+        for waiting in self.waiting.all():
+            if waiting.ask.key.entry == entry:
+                self.withdraw(waiting.ask.key, now)
+        for held_key in self.reservations.missing(entry, (), math.inf):
+            self.reclaim(held_key, now)
--- /dev/null
+++ b/trefoilspool/waitingrequests.py
@@ -0,0 +1,65 @@
+"""The requests of all services that wait for a slot."""
+
+from collections import defaultdict
+from typing import NamedTuple
+
+from trefoilspool.servicequeue import ServiceQueue
+from trefoilspool.slotmessages import SlotKey, SlotRequest
+
+__all__ = ['QueuedRequest', 'WaitingRequests']
+
+
+class QueuedRequest(NamedTuple):
+    """A waiting request and the time of its queue timeout, in seconds."""
+
+    ask: SlotRequest
+    timeout_at: float
+
+
+class WaitingRequests:
+    """Waiting requests, by key and in the order in which they get slots.
+
+    Attributes
+    ----------
+    by_key : dict
+        The requests with their timeouts.
+    queues : defaultdict
+        Their order in each service.
+    """
+
+    def __init__(self) -> None:
+        self.by_key: dict[SlotKey, QueuedRequest] = {}
+        self.queues: defaultdict[str, ServiceQueue] = defaultdict(ServiceQueue)
+
+    def __len__(self) -> int:
+        return len(self.by_key)
+
+    def __contains__(self, key: SlotKey) -> bool:
+        return key in self.by_key
+
+    def get(self, key: SlotKey) -> QueuedRequest | None:
+        """Return a waiting request, None if it does not wait."""
+        return self.by_key.get(key)
+
+    def all(self) -> list[QueuedRequest]:
+        """Return the requests, those that have waited longest first."""
+        return list(self.by_key.values())
+
+    def add(self, ask: SlotRequest, timeout_at: float) -> None:
+        """Add a request.
+
+        Parameters
+        ----------
+        ask : SlotRequest
+            The request.
+        timeout_at : float
+            When it is refused if it still waits, in seconds.
+        """
+        self.by_key[ask.key] = QueuedRequest(ask, timeout_at)
+        self.queues[ask.service].add(ask)
+
+    def remove(self, key: SlotKey) -> None:
+        """Remove a request if it waits."""
+        waiting = self.by_key.pop(key, None)
+        if waiting is not None:
+            self.queues[waiting.ask.service].remove(waiting.ask)
--- a/trefoilspool/waitprediction.py
+++ b/trefoilspool/waitprediction.py
@@ -6,8 +6,8 @@
 from trefoilspool.grantrates import GrantRates
 from trefoilspool.minimumshares import MinimumShares
 from trefoilspool.ratelimits import RateLimits
-from trefoilspool.servicequeue import ServiceQueue
 from trefoilspool.slotmessages import RefusalReason, SlotRequest
+from trefoilspool.waitingrequests import WaitingRequests
 
 __all__ = ['QUEUE_TIMEOUT_S', 'RETRY_AFTER_DIVISOR', 'WaitPredictor']
 
@@ -23,8 +23,8 @@
 
     Parameters
     ----------
-    queues : defaultdict
-        Waiting requests of each service.
+    waiting : WaitingRequests
+        Requests that wait for a slot.
     pool : EndpointPool
         Endpoints that may get requests.
     grant_rates : GrantRates
@@ -37,13 +37,13 @@
 
     def __init__(
         self,
-        queues: defaultdict[str, ServiceQueue],
+        waiting: WaitingRequests,
         pool: EndpointPool,
         grant_rates: GrantRates,
         minimum_shares: defaultdict[str, MinimumShares],
         rate_limits: RateLimits,
     ) -> None:
-        self.queues = queues
+        self.waiting = waiting
         self.pool = pool
         self.grant_rates = grant_rates
         self.minimum_shares = minimum_shares
@@ -61,7 +61,7 @@
     def ahead(self, ask: SlotRequest, now: float) -> int:
         """Count the requests that get a slot before a new one."""
         preferred = self.minimum_shares[ask.service].underserved(now)
-        return self.queues[ask.service].ahead(ask, now, preferred)
+        return self.waiting.queues[ask.service].ahead(ask, now, preferred)
 
     def timeout_at(self, ask: SlotRequest, now: float) -> float:
         """Return the time of a request's queue timeout."""
@@ -92,7 +92,7 @@
 
     def predict_queue_drain_s(self, ask: SlotRequest, now: float) -> float:
         """Predict the seconds until all requests waiting now have slots."""
-        waiting = len(self.queues[ask.service])
+        waiting = len(self.waiting.queues[ask.service])
         per_s = self.grant_rates.grants_per_s(ask.service, now)
         limit_wait_s = self.pool.limit_wait_s(ask, waiting, now)
         return max(limit_wait_s, waiting / per_s)
