--- a/trefoilspool/crashevidence.py
+++ b/trefoilspool/crashevidence.py
@@ -51,7 +51,7 @@
     Attributes
     ----------
     parts : tuple of str
-        Ids of the prompt's parts, all but the last.
+        Ids of the prompt's parts, all but the last, and of the whole request.
     number : int
         Number of the attempt at its entry host.
     age_s : float
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -47,7 +47,7 @@
 
 
 class GuardDecision(Enum):
-    """Whether a request may get an endpoint, as far as its prompt goes.
+    """Whether a request may get an endpoint, as far as its parts go.
 
     Attributes
     ----------
@@ -64,7 +64,7 @@
 
 
 class PromptGuard:
-    """The home host's decisions on prompt parts under which endpoints end.
+    """The home host's decisions on parts under which endpoints end.
 
     Parameters
     ----------
