--- a/trefoilspool/reservations.py
+++ b/trefoilspool/reservations.py
@@ -62,7 +62,7 @@
         return reservation
 
     def adopt(self, held: HeldSlot, now: float) -> Reservation:
-        """Add a slot that an entry host holds otherwise than known here."""
+        """Replace what is known of a slot by what its entry host reports."""
         replaced = self.cancel(held.key, now)
         reservation = Reservation(
             held.service,
@@ -93,7 +93,7 @@
             Slots that it reports as held.
         before : float
             Slots granted from then on are left out, as their grants may still
-            be in transit; in seconds.
+            be in transit; in seconds, infinite to leave none out.
         """
         return [
             key
