Log how long a version's read waited, and how it came into force

Change: version_in_force has the read, store_lost the seconds waited. No logic changes. tests/test_replica, test_docs and test_gatewaylogs pass.

--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -49,6 +49,7 @@
 SETTINGS_PAUSE_S = 0.02
 SETTINGS_POLLING = PollInterval(SETTINGS_LONG_POLL_S, SETTINGS_PAUSE_S)
 CONFIGURATION_KEY = 'config'
+STORE = 'store'  # as the source of a configuration
 
 logger = logbook.Logger('gateway')
 
@@ -209,7 +210,7 @@
         """Apply the configuration among new records."""
         for record in records:
             if record.key == CONFIGURATION_KEY and record.content:
-                self.on_configuration(record.content, 'store')
+                self.on_configuration(record.content, STORE)
 
     def on_settings_restored(self) -> None:
         """Write this host's own record again: the store may have lost it."""
@@ -255,6 +256,9 @@
             extra={
                 'version': configuration.version,
                 'source': source,
+                'read': self.settings_task.last_read._asdict()
+                if source == STORE
+                else None,
                 'routes': len(configuration.routes.routes),
                 'limits': {
                     workspace.name: (workspace.rate, workspace.burst)
--- a/trefoilspool/replication.py
+++ b/trefoilspool/replication.py
@@ -41,6 +41,21 @@
     pause_s: float
 
 
+class StoreRead(NamedTuple):
+    """A read of the store.
+
+    Attributes
+    ----------
+    is_whole : bool
+        Whether all records were read, rather than those from an offset on.
+    duration_s : float
+        Seconds that it has taken, with the wait for a record.
+    """
+
+    is_whole: bool
+    duration_s: float
+
+
 def always_true() -> bool:
     """Return true."""
     return True
@@ -72,6 +87,11 @@
         Called after each read.
     on_restored : callable
         Called after the first read of a new era of the store.
+
+    Attributes
+    ----------
+    last_read : StoreRead
+        The last read that the store has answered.
     """
 
     def __init__(
@@ -96,6 +116,8 @@
         self.outage_began_at: float | None = None
         self.outage_ended_at = 0.0
         self.needs_full_read = True
+        self.last_read = StoreRead(is_whole=True, duration_s=0)
+        self.read_began_at = 0.0
 
     def run(self) -> None:
         """Read until stopped."""
@@ -134,7 +156,9 @@
 
     def read(self) -> None:
         """Read once; the whole topic at first and after a trimmed read."""
-        if self.needs_full_read or self.replica.end < 0:
+        self.read_began_at = clock.now()
+        is_whole = self.needs_full_read or self.replica.end < 0
+        if is_whole:
             page = self.source.read_latest()
         else:
             page = self.source.read_from(
@@ -142,6 +166,7 @@
                 self.poll_interval.wait_s,
                 self.replica.era,
             )
+        self.last_read = StoreRead(is_whole, clock.now() - self.read_began_at)
         self.on_store_available()
         self.apply(page)
         self.needs_full_read = False
@@ -183,7 +208,11 @@
             self.outage_began_at = clock.now()
             logger.warning(
                 'store_lost',
-                extra={'topic': self.topic, 'error': str(error)},
+                extra={
+                    'topic': self.topic,
+                    'error': str(error),
+                    'waited_s': round(clock.now() - self.read_began_at, 3),
+                },
             )
 
 
