Move the reading of the configuration out of the gateway host

A pure move into settingssync: the store's task, the peers' task, the decoding and the version in force.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -378,7 +378,7 @@
         )
         offset = cluster.store.put('keyed.op', 'config', configuration(3))
         wait_for(
-            lambda: running.host.settings.end > offset,
+            lambda: running.host.settings_sync.replica.end > offset,
             'the old version to be read',
         )
         assert cluster.call(running, '/new/1').status == 200
@@ -391,7 +391,7 @@
         running = cluster.add_host()
         offset = cluster.store.put('keyed.op', 'config', b'{"version": ')
         wait_for(
-            lambda: running.host.settings.end > offset,
+            lambda: running.host.settings_sync.replica.end > offset,
             'the record to be read',
         )
         assert cluster.call(running).status == 200
@@ -408,9 +408,9 @@
             ),
             'the hosts to discover each other',
         )
-        second.host.settings_task.source.connection.host = '127.0.0.1'
-        second.host.settings_task.source.connection.port = 1
-        second.host.settings_task.source.connection.close()
+        connection = second.host.settings_sync.store_task.source.connection
+        connection.host, connection.port = '127.0.0.1', 1
+        connection.close()
         cluster.configure(9, routeTable=[route('new', 'idempotent')])
         changed_at = time.monotonic()
         wait_for(
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -211,7 +211,9 @@
         self, cluster: GatewayCluster
     ) -> None:
         running = self.host_whose_version_is_undone(cluster)
-        wait_for(lambda: running.host.settings.era == 1, 'the new era')
+        wait_for(
+            lambda: running.host.settings_sync.replica.era == 1, 'the new era'
+        )
         assert cluster.call(running, '/new/1').status == 200
         assert cluster.call(running, '/look/1').status == 404
         cluster.configure(8, routeTable=[route('next', 'idempotent')])
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -114,7 +114,7 @@
 
     def configuration(self, query: str) -> Response:
         """Return the configuration in force, for a peer."""
-        return sized_response(HTTPStatus.OK, self.host.configuration_content)
+        return sized_response(HTTPStatus.OK, self.host.settings_sync.content)
 
     def endpoints(self, query: str) -> Response:
         """Return the endpoint records from a position on, for a peer."""
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -13,7 +13,6 @@
 from trefoilspool.endchecks import EndCheckTask
 from trefoilspool.endpointsigns import EndpointSigns
 from trefoilspool.endpointsync import EndpointSync
-from trefoilspool.errors import BadRecordError
 from trefoilspool.exchange import EndpointClient
 from trefoilspool.gateway import Gateway
 from trefoilspool.gatewayplatform import Platform
@@ -21,19 +20,12 @@
 from trefoilspool.mesh import MeshTask
 from trefoilspool.options import GatewayOptions
 from trefoilspool.peers import HostInfo
-from trefoilspool.peertopics import CONFIGURATION_PATH, peer_page
 from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.quarantinestore import QuarantineStoreTask
 from trefoilspool.quietperiods import QuietPeriods
-from trefoilspool.replica import Replica
-from trefoilspool.replication import (
-    PeerFetchTask,
-    PollInterval,
-    StoreReplicationTask,
-)
 from trefoilspool.routing import Configuration
 from trefoilspool.serving import RequestServer
-from trefoilspool.store import KeyedRecord
+from trefoilspool.settingssync import SettingsSync
 from trefoilspool.telemetry import Metrics
 from trefoilspool.watch import WatchTask
 
@@ -43,13 +35,6 @@
 # Below the start time, so that two starts in one microsecond differ.
 RANDOM_BITS = 4
 CLEANUP_INTERVAL_S = 1.0
-# A read of the settings waits this long for the next record. If its connection
-# stalls, the host reads the records from a peer meanwhile.
-SETTINGS_LONG_POLL_S = 8.0
-SETTINGS_PAUSE_S = 0.02
-SETTINGS_POLLING = PollInterval(SETTINGS_LONG_POLL_S, SETTINGS_PAUSE_S)
-CONFIGURATION_KEY = 'config'
-STORE = 'store'  # as the source of a configuration
 
 logger = logbook.Logger('gateway')
 
@@ -68,8 +53,8 @@
     ----------
     incarnation : int
         Number of this run of the process; later runs have larger ones.
-    configuration_content : bytes
-        Content of the record of the configuration in force, for peers.
+    settings_sync : SettingsSync
+        Keeps the configuration current.
     endpoint_sync : EndpointSync
         Keeps the endpoints' records current.
     quiet_periods : QuietPeriods
@@ -94,16 +79,14 @@
             own_info, options.mesh_port, options.seed_addresses
         )
         topics = platform.topics()
-        self.configuration_content = b''
-        self.configuration_lock = threading.Lock()
-        self.settings = Replica(self.on_settings)
-        self.settings_task = StoreReplicationTask(
-            'settings',
+        self.settings_sync = SettingsSync(
             topics.settings,
-            self.settings,
-            SETTINGS_POLLING,
+            lambda content: platform.decode_configuration(content),
+            self.put_in_force,
+            self.on_settings_restored,
+            self.mesh.peers,
+            options.control_port,
             self.stopping,
-            on_restored=self.on_settings_restored,
         )
         self.endpoint_sync = EndpointSync(
             topics.endpoints,
@@ -165,13 +148,11 @@
         yield self.mesh.run
         yield self.watch.run
         yield self.end_checks.run
-        yield self.settings_task.run
+        yield self.settings_sync.store_task.run
         yield self.endpoint_sync.store_task.run
         yield self.discovery_task.run
         yield self.quarantine_task.run
-        yield PeerFetchTask(
-            'settings', self.find_newer_configuration, self.stopping
-        ).run
+        yield self.settings_sync.peer_task.run
         yield self.endpoint_sync.peer_task.run
         yield self.clean_up
 
@@ -189,83 +170,17 @@
             f'trefoilspool_prompt_parts_total{{state="{state}"}}'
         )
 
-    def find_newer_configuration(self) -> Callable[[], None] | None:
-        """Return a function that adopts a peer's configuration if newer."""
-        ahead = [
-            host
-            for host in self.mesh.peers.responsive()
-            if host.settings_version > self.gateway.version
-        ]
-        if not ahead:
-            return None
-        peer = max(ahead, key=lambda host: host.settings_version)
-        return lambda: self.on_configuration(
-            peer_page(
-                peer.address, self.options.control_port, CONFIGURATION_PATH
-            ),
-            peer.name,
-        )
-
-    def on_settings(self, records: tuple[KeyedRecord, ...]) -> None:
-        """Apply the configuration among new records."""
-        for record in records:
-            if record.key == CONFIGURATION_KEY and record.content:
-                self.on_configuration(record.content, STORE)
-
     def on_settings_restored(self) -> None:
         """Write this host's own record again: the store may have lost it."""
         self.metrics.count('trefoilspool_store_restored_total')
         self.discovery_task.on_store_restored()
         self.quarantine_task.on_store_restored()
 
-    def on_configuration(self, content: bytes, source: str) -> None:
-        """Apply a configuration if it is valid and newer.
-
-        A restored store may show an earlier version for a while, which stays
-        without effect.
-
-        Parameters
-        ----------
-        content : bytes
-            Content of the configuration's record.
-        source : str
-            Where it was read, for the log line: the store or a peer.
-        """
-        try:
-            configuration = self.platform.decode_configuration(content)
-        except BadRecordError as error:
-            logger.warning(
-                'configuration_unreadable',
-                extra={'source': source, 'error': str(error)},
-            )
-            return
-        with self.configuration_lock:
-            if configuration.version > self.gateway.version:
-                self.configuration_content = content
-                self.set_configuration(configuration, source)
-
-    def set_configuration(
-        self, configuration: Configuration, source: str
-    ) -> None:
+    def put_in_force(self, configuration: Configuration) -> None:
         """Put a configuration in force and announce it to peers."""
         self.gateway.configuration = configuration
         self.mesh.set_configuration(configuration)
         self.directory.on_configuration(configuration)
-        logger.info(
-            'version_in_force',
-            extra={
-                'version': configuration.version,
-                'source': source,
-                'read': self.settings_task.last_read._asdict()
-                if source == STORE
-                else None,
-                'routes': len(configuration.routes.routes),
-                'limits': {
-                    workspace.name: (workspace.rate, workspace.burst)
-                    for workspace in configuration.workspaces.values()
-                },
-            },
-        )
         self.publish_own_info()
         self.mesh.announce_version()
 
