--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -113,8 +113,9 @@
             store=cluster.store.address,
         )
         self.host = GatewayHost(self.options, UsersPlatform(self.options))
+        self.application = GatewayApp(self.host)
         self.server = HttpServer(
-            GatewayApp(self.host),
+            self.application,
             (self.options.listen, self.options.ready, self.options.control),
         )
         self.host.start()
--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -43,6 +43,10 @@
     protocol_version = 'HTTP/1.1'
     server: StoreServer
 
+    def setup(self) -> None:
+        super().setup()
+        self.opened_at = time.monotonic()
+
     def do_GET(self) -> None:
         self.server.store.get(self)
 
@@ -58,7 +62,11 @@
 
     ``fault`` is a status to respond with, ``silent`` (no response), ``reset``
     (connection closed before the response) or ``lost`` (a write takes effect,
-    but gets no response); 0 is no fault.
+    but gets no response); 0 is no fault. ``silent_before`` is a time: connections
+    opened before get no further response. ``spoiled_reads`` is the number of
+    reads that are still to return records cut in half. ``delay_s`` is how long
+    each response takes. ``wakes_at_restore`` is whether a read that waits is
+    answered when the store is restored.
     """
 
     def __init__(self, address: str = '127.0.0.1') -> None:
@@ -67,6 +75,10 @@
         self.fault: int | str = 0
         self.calls = 0
         self.era = 0
+        self.silent_before = 0.0
+        self.spoiled_reads = 0
+        self.delay_s = 0.0
+        self.wakes_at_restore = True
         self.server = StoreServer((address, 0), Handler)
         self.server.store = self
         self.server.daemon_threads = True
@@ -104,8 +116,21 @@
                 topic.first = min(topic.first, topic.end)
             self.changed.notify_all()
 
+    def silence_connections(self) -> float:
+        """Answer nothing more on the open connections; return when."""
+        self.silent_before = time.monotonic()
+        return self.silent_before
+
+    def served_content(self, content: bytes) -> bytes:
+        """Return a record's content as a read shows it."""
+        if not content or self.spoiled_reads <= 0:
+            return content
+        self.spoiled_reads -= 1
+        return content[: len(content) // 2]
+
     def get(self, handler: BaseHTTPRequestHandler) -> None:
         self.calls += 1
+        time.sleep(self.delay_s)
         parts = urlsplit(handler.path)
         query = {
             name: values[0] for name, values in parse_qs(parts.query).items()
@@ -157,7 +182,9 @@
             items = [
                 {
                     'key': key,
-                    'value': base64.b64encode(content).decode(),
+                    'value': base64.b64encode(
+                        self.served_content(content)
+                    ).decode(),
                     'offset': offset,
                 }
                 for key, (offset, content) in rest[:PAGE_RECORDS]
@@ -180,7 +207,11 @@
             topic = self.topic(query['topic'])
             era = self.era
             self.changed.wait_for(
-                lambda: topic.end > start or self.era > era, wait_s
+                lambda: (
+                    topic.end > start
+                    or (self.wakes_at_restore and self.era > era)
+                ),
+                wait_s,
             )
             if start < topic.first or start > topic.end:
                 body = json.dumps({'first': topic.first}).encode()
@@ -189,13 +220,17 @@
                 status = 200
                 body = struct.pack('>QQ', topic.end, topic.first)
                 for key, content in topic.records[start:]:
-                    record = bytes([len(key)]) + key.encode() + content
+                    shown = self.served_content(content)
+                    record = bytes([len(key)]) + key.encode() + shown
                     body += struct.pack('>I', len(record)) + record
         self.send(handler, status, body)
 
     def send(
         self, handler: BaseHTTPRequestHandler, status: int, body: bytes
     ) -> None:
+        opened_at = getattr(handler, 'opened_at', time.monotonic())
+        if opened_at < self.silent_before:
+            return
         handler.send_response(status)
         handler.send_header('Content-Length', str(len(body)))
         handler.send_header('Store-Era', str(self.era))
