Bring a version into force in time whatever a wait, a peer or a record does

What callers saw: requests handled by an older version than one acknowledged longer ago than the bound (CONFIG). Beside it, one peer was asked whatever its last answer was, and a record that failed to be decoded or applied was taken for done. Change: three hosts wait 1 s, others rely on them or end their wait; a first failure is retried at once; keep-alive on connections to the store and peers; peers are chosen by their last answers; unusable records are read again; a version is in force once all parts of a host have it; null and fractional fields are taken.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -50,6 +50,7 @@
     'responsechunks',
     'replacement',
     'serving',
+    'settingssync',
     'slotacquisition',
     'slotclient',
     'slotevents',
--- a/trefoilspool/boundedconnection.py
+++ b/trefoilspool/boundedconnection.py
@@ -19,6 +19,7 @@
     check_head,
     is_interim,
 )
+from trefoilspool.tcptimeouts import bound_silence
 
 __all__ = [
     'BoundedConnection',
@@ -109,6 +110,11 @@
         self.limits = ReceiveLimits()
         self.response_class = self.new_response  # type: ignore[assignment]
 
+    def connect(self) -> None:
+        """Open the connection and set its TCP timeouts."""
+        super().connect()
+        bound_silence(self.sock)
+
     def new_response(
         self, sock: socket.socket, method: str | None = None
     ) -> BoundedResponse:
--- a/trefoilspool/connections.py
+++ b/trefoilspool/connections.py
@@ -6,7 +6,7 @@
 import struct
 import threading
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 from trefoilspool import clock
 from trefoilspool.boundedconnection import BoundedConnection
@@ -16,15 +16,6 @@
 
 MS_PER_S = 1000
 CONNECT_TIMEOUT_S = 0.3
-# A sound endpoint may stop for more than a second and go on.
-UNACKED_TIMEOUT_MS = 3000
-# With no data in flight a dead peer is detected within three seconds as well:
-# after one idle second, two probes at intervals of a second get no reply.
-KEEPALIVE_OPTIONS: Mapping[int, int] = {
-    socket.TCP_KEEPIDLE: 1,
-    socket.TCP_KEEPINTVL: 1,
-    socket.TCP_KEEPCNT: 2,
-}
 # A connection is closed with a reset: an endpoint whose bytes have filled the
 # receive window would otherwise not hear of it.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -60,19 +51,11 @@
         self.tcp_socket: socket.socket | None = None
 
     def connect(self) -> None:
-        """Open the connection and set its TCP timeouts."""
+        """Open the connection."""
         super().connect()
         # http.client clears ``sock`` while it still reads a response after
         # which the connection is closed; ``abort`` needs the socket then.
         self.tcp_socket = self.sock
-        self.sock.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            UNACKED_TIMEOUT_MS,
-        )
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        for option, value in KEEPALIVE_OPTIONS.items():
-            self.sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
     def is_reusable(self) -> bool:
         """Return whether the idle connection is open with no bytes unread."""
--- a/trefoilspool/endpointsync.py
+++ b/trefoilspool/endpointsync.py
@@ -74,7 +74,7 @@
             POLLING,
             stopping,
             self.should_read,
-            self.on_read,
+            on_read=self.on_read,
         )
         self.peer_task = PeerFetchTask(
             'endpoints',
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -25,7 +25,7 @@
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.routing import Configuration
 from trefoilspool.serving import RequestServer
-from trefoilspool.settingssync import SettingsSync
+from trefoilspool.settingssync import ConfigurationHandlers, SettingsSync
 from trefoilspool.telemetry import Metrics
 from trefoilspool.watch import WatchTask
 
@@ -79,15 +79,6 @@
             own_info, options.mesh_port, options.seed_addresses
         )
         topics = platform.topics()
-        self.settings_sync = SettingsSync(
-            topics.settings,
-            lambda content: platform.decode_configuration(content),
-            self.put_in_force,
-            self.on_settings_restored,
-            self.mesh.peers,
-            options.control_port,
-            self.stopping,
-        )
         self.endpoint_sync = EndpointSync(
             topics.endpoints,
             platform.decode_endpoint,
@@ -95,6 +86,17 @@
             options.control_port,
             self.stopping,
         )
+        self.settings_sync = SettingsSync(
+            topics.settings,
+            lambda content: platform.decode_configuration(content),
+            ConfigurationHandlers(
+                self.put_in_force, self.on_version, self.on_settings_restored
+            ),
+            self.endpoint_sync.should_read,
+            self.mesh.peers,
+            options.control_port,
+            self.stopping,
+        )
         self.directory = self.endpoint_sync.view.directory
         self.discovery_task = DiscoveryTask(
             topics.hosts,
@@ -177,10 +179,17 @@
         self.quarantine_task.on_store_restored()
 
     def put_in_force(self, configuration: Configuration) -> None:
-        """Put a configuration in force and announce it to peers."""
-        self.gateway.configuration = configuration
+        """Put a configuration in force in all parts of this host.
+
+        New requests use it last: if a part fails, the version counts as not
+        in force and is applied again.
+        """
         self.mesh.set_configuration(configuration)
         self.directory.on_configuration(configuration)
+        self.gateway.configuration = configuration
+
+    def on_version(self) -> None:
+        """Announce the version in force to peers."""
         self.publish_own_info()
         self.mesh.announce_version()
 
--- a/trefoilspool/replica.py
+++ b/trefoilspool/replica.py
@@ -124,6 +124,13 @@
         self.records[record.key] = record
         self.comparison_values[record.key] = value
 
+    def forget(self, key: str) -> None:
+        """Forget a key's record, so that the next one counts as newer."""
+        with self.lock:
+            self.records.pop(key, None)
+            self.comparison_values.pop(key, None)
+            self.change_offsets.pop(key, None)
+
     def latest_offset(self, key: str) -> int:
         """Return the offset of a key's latest record, -1 if there is none."""
         record = self.records.get(key)
--- a/trefoilspool/replication.py
+++ b/trefoilspool/replication.py
@@ -1,5 +1,6 @@
 """Tasks that keep replicas up to date."""
 
+import math
 import random
 import threading
 from collections.abc import Callable
@@ -61,6 +62,11 @@
     return True
 
 
+def no_limit() -> float:
+    """Return infinity."""
+    return math.inf
+
+
 def no_op() -> None:
     """Do nothing."""
 
@@ -92,6 +98,12 @@
     ----------
     last_read : StoreRead
         The last read that the store has answered.
+    read_began_at : float
+        When the last read began, in seconds.
+    reread_at : float
+        When all records are read again, in seconds.
+    max_wait_s : callable
+        Returns how long the next read may wait for a record, in seconds.
     """
 
     def __init__(
@@ -118,6 +130,14 @@
         self.needs_full_read = True
         self.last_read = StoreRead(is_whole=True, duration_s=0)
         self.read_began_at = 0.0
+        self.reread_at = math.inf
+        self.max_wait_s: Callable[[], float] = no_limit
+        self.is_interrupted = False
+
+    def interrupt(self) -> None:
+        """End a read that waits and read again; usable from any thread."""
+        self.is_interrupted = True
+        self.source.interrupt()
 
     def run(self) -> None:
         """Read until stopped."""
@@ -151,19 +171,29 @@
             self.needs_full_read = True
             # An earlier era is a late response; the next one may be too.
             return 0 if error.era > self.replica.era else RETRY_S
+        if self.is_interrupted:
+            logger.info('read_interrupted', extra={'topic': self.topic})
+            return 0
+        # Only the connection may have failed, so the next one is tried at once.
+        is_first = self.outage_began_at is None
         self.on_outage(error)
-        return RETRY_S * (1 + random.random())
+        return 0 if is_first else RETRY_S * (1 + random.random())
 
     def read(self) -> None:
         """Read once; the whole topic at first and after a trimmed read."""
+        self.is_interrupted = False
         self.read_began_at = clock.now()
-        is_whole = self.needs_full_read or self.replica.end < 0
+        reread_in_s = self.reread_at - self.read_began_at
+        is_whole = (
+            self.needs_full_read or self.replica.end < 0 or reread_in_s <= 0
+        )
         if is_whole:
             page = self.source.read_latest()
+            self.reread_at = math.inf
         else:
             page = self.source.read_from(
                 self.replica.end,
-                self.poll_interval.wait_s,
+                min(self.poll_interval.wait_s, self.max_wait_s(), reread_in_s),
                 self.replica.era,
             )
         self.last_read = StoreRead(is_whole, clock.now() - self.read_began_at)
--- a/trefoilspool/routing.py
+++ b/trefoilspool/routing.py
@@ -40,7 +40,7 @@
     """A service of a route and its weight among the route's services."""
 
     service: str
-    weight: int
+    weight: float
 
 
 class Route(NamedTuple):
--- a/trefoilspool/settingssync.py
+++ b/trefoilspool/settingssync.py
@@ -1,11 +1,15 @@
 """Keeps a host's configuration current, from the store or from peers."""
 
+import math
 import threading
 from collections.abc import Callable
+from typing import NamedTuple
 
 import logbook
 
-from trefoilspool.errors import BadRecordError
+from trefoilspool import clock
+from trefoilspool.errors import BadRecordError, LogOutageError
+from trefoilspool.peerchoice import PeerChoice
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.peertopics import CONFIGURATION_PATH, peer_page
 from trefoilspool.replica import Replica
@@ -17,12 +21,18 @@
 from trefoilspool.routing import Configuration
 from trefoilspool.store import KeyedRecord, KeyedSource
 
-__all__ = ['SettingsSync']
+__all__ = ['ConfigurationHandlers', 'SettingsSync']
 
-# A read of the settings waits this long for the next record. If its connection
-# stalls, the host reads the records from a peer meanwhile.
+# A read waits this long for the next record on hosts that would hear of it from
+# a peer, and on the others, which notice so that it is not answered.
 LONG_POLL_S = 8.0
+SHORT_POLL_S = 1.0
+# A read that has waited for longer on a host that should wait less is ended.
+OVERDUE_S = 2.0
 PAUSE_S = 0.02
+# A record that could not be used is read again, at growing intervals.
+FIRST_REREAD_S = 0.3
+MAX_REREAD_S = 8.0
 POLLING = PollInterval(LONG_POLL_S, PAUSE_S)
 CONFIGURATION_KEY = 'config'
 STORE = 'store'  # as the source of a configuration
@@ -30,6 +40,24 @@
 logger = logbook.Logger('gateway')
 
 
+class ConfigurationHandlers(NamedTuple):
+    """What a host does with configurations.
+
+    Attributes
+    ----------
+    put_in_force : callable
+        Called with each configuration that is newer than the one in force.
+    on_version : callable
+        Called once a version is in force.
+    on_restored : callable
+        Called when the store was restored from a backup.
+    """
+
+    put_in_force: Callable[[Configuration], None]
+    on_version: Callable[[], None]
+    on_restored: Callable[[], None]
+
+
 class SettingsSync:
     """The tasks that read the configuration, and the version in force.
 
@@ -40,10 +68,10 @@
     decode : callable
         Decodes the content of the configuration's record; raises
         ``BadRecordError`` if it is invalid.
-    put_in_force : callable
-        Called with each configuration that is newer than the one in force.
-    on_restored : callable
-        Called when the store was restored from a backup.
+    handlers : ConfigurationHandlers
+        Called with configurations.
+    reads_for_others : callable
+        Returns whether no other host may be relied on to read the store.
     peers : PeerRegistry
         The known hosts, with the version that each has in force.
     control_port : int
@@ -67,19 +95,24 @@
         self,
         topic: KeyedSource,
         decode: Callable[[bytes], Configuration],
-        put_in_force: Callable[[Configuration], None],
-        on_restored: Callable[[], None],
+        handlers: ConfigurationHandlers,
+        reads_for_others: Callable[[], bool],
         peers: PeerRegistry,
         control_port: int,
         stopping: threading.Event,
     ) -> None:
         self.decode = decode
-        self.put_in_force = put_in_force
+        self.handlers = handlers
+        self.reads_for_others = reads_for_others
         self.peers = peers
         self.control_port = control_port
         self.lock = threading.Lock()
         self.version = 0
         self.content = b''
+        self.unusable_content = b''
+        self.has_unused_record = False
+        self.reread_s = FIRST_REREAD_S
+        self.peer_choice = PeerChoice()
         self.replica = Replica(self.on_records)
         self.store_task = StoreReplicationTask(
             'settings',
@@ -87,21 +120,37 @@
             self.replica,
             POLLING,
             stopping,
-            on_restored=on_restored,
+            on_read=self.on_read,
+            on_restored=handlers.on_restored,
         )
+        self.store_task.max_wait_s = self.max_wait_s
         self.peer_task = PeerFetchTask('settings', self.find_newer, stopping)
 
+    def max_wait_s(self) -> float:
+        """Return how long a read of the store may wait, in seconds."""
+        return SHORT_POLL_S if self.reads_for_others() else LONG_POLL_S
+
+    def end_overdue_wait(self, now: float) -> None:
+        """End a long wait if this host should have begun a short one.
+
+        The store may have been restored to before the awaited offset, or the
+        connection may be silent, while no other host reads for this one.
+        """
+        waited_s = now - self.store_task.read_began_at
+        if waited_s > OVERDUE_S and self.reads_for_others():
+            self.store_task.interrupt()
+
     def find_newer(self) -> Callable[[], None] | None:
         """Return a function that reads a peer's configuration if newer."""
+        now = clock.now()
+        self.end_overdue_wait(now)
         ahead = [
             host
             for host in self.peers.responsive()
             if host.settings_version > self.version
         ]
-        if not ahead:
-            return None
-        peer = max(ahead, key=lambda host: host.settings_version)
-        return lambda: self.fetch_from(peer)
+        peer = self.peer_choice.choose(ahead, self.peers.last_heartbeat_at, now)
+        return None if peer is None else lambda: self.fetch_from(peer)
 
     def fetch_from(self, peer: HostInfo) -> None:
         """Read a peer's configuration.
@@ -109,21 +158,36 @@
         Raises
         ------
         LogOutageError
-            The peer did not respond.
+            The peer did not respond, or not with a configuration.
         """
-        self.on_configuration(
-            peer_page(peer.address, self.control_port, CONFIGURATION_PATH),
-            peer.name,
-        )
+        # The next read is of another peer, if there is one, until this one has
+        # given what it announced.
+        self.peer_choice.on_failure(peer.name, clock.now())
+        content = peer_page(peer.address, self.control_port, CONFIGURATION_PATH)
+        if not self.try_configuration(content, peer.name):
+            raise LogOutageError(f'{peer.name} has no usable configuration')
+        if self.version >= peer.settings_version:
+            self.peer_choice.on_success(peer.name)
 
     def on_records(self, records: tuple[KeyedRecord, ...]) -> None:
         """Apply the configuration among new records."""
         for record in records:
             if record.key == CONFIGURATION_KEY and record.content:
-                self.on_configuration(record.content, STORE)
+                is_used = self.try_configuration(record.content, STORE)
+                self.has_unused_record = not is_used
+
+    def on_read(self) -> None:
+        """Have the record read again if it could not be used."""
+        if not self.has_unused_record:
+            self.reread_s = FIRST_REREAD_S
+            return
+        if self.store_task.reread_at == math.inf:
+            self.replica.forget(CONFIGURATION_KEY)
+            self.store_task.reread_at = clock.now() + self.reread_s
+            self.reread_s = min(2 * self.reread_s, MAX_REREAD_S)
 
-    def on_configuration(self, content: bytes, source: str) -> None:
-        """Apply a configuration if it is valid and newer.
+    def try_configuration(self, content: bytes, source: str) -> bool:
+        """Apply a configuration if it is newer; return whether it is usable.
 
         A restored store may show an earlier version for a while, which stays
         without effect.
@@ -136,19 +200,33 @@
             Where it was read, for the log line: the store or a peer.
         """
         try:
-            configuration = self.decode(content)
+            self.on_configuration(self.decode(content), content, source)
         except BadRecordError as error:
-            logger.warning(
-                'configuration_unreadable',
-                extra={'source': source, 'error': str(error)},
-            )
-            return
+            # The same record is read again and again.
+            if content != self.unusable_content:
+                logger.warning(
+                    'configuration_unreadable',
+                    extra={'source': source, 'error': str(error)},
+                )
+        except Exception:
+            logger.exception('configuration_not_used', extra={'source': source})
+        else:
+            return True
+        self.unusable_content = content
+        return False
+
+    def on_configuration(
+        self, configuration: Configuration, content: bytes, source: str
+    ) -> None:
+        """Put a configuration in force if it is newer."""
         with self.lock:
-            if configuration.version > self.version:
-                self.version = configuration.version
-                self.content = content
-                self.log_version(configuration, source)
-                self.put_in_force(configuration)
+            if configuration.version <= self.version:
+                return
+            self.handlers.put_in_force(configuration)
+            self.version = configuration.version
+            self.content = content
+        self.log_version(configuration, source)
+        self.handlers.on_version()
 
     def log_version(self, configuration: Configuration, source: str) -> None:
         """Log a version that comes into force."""
--- a/trefoilspool/store.py
+++ b/trefoilspool/store.py
@@ -73,6 +73,9 @@
             Some of these records have been trimmed; call `read_latest` instead.
         """
 
+    def interrupt(self) -> None:
+        """End a read that waits, which then fails; usable from any thread."""
+
 
 class KeyedTopic(KeyedSource):
     """A topic to which this system may write."""
--- /dev/null
+++ b/trefoilspool/tcptimeouts.py
@@ -0,0 +1,34 @@
+"""Options by which TCP detects a peer that has gone silent."""
+
+import contextlib
+import socket
+from collections.abc import Mapping
+
+__all__ = ['bound_silence', 'shut_down']
+
+# A sound endpoint may stop for more than a second and go on.
+UNACKED_TIMEOUT_MS = 3000
+# With no data in flight a dead peer is detected within three seconds as well:
+# after one idle second, two probes at intervals of a second get no reply.
+KEEPALIVE_OPTIONS: Mapping[int, int] = {
+    socket.TCP_KEEPIDLE: 1,
+    socket.TCP_KEEPINTVL: 1,
+    socket.TCP_KEEPCNT: 2,
+}
+
+
+def bound_silence(connected: socket.socket) -> None:
+    """Make TCP end a connection whose peer acknowledges nothing."""
+    connected.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS
+    )
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in KEEPALIVE_OPTIONS.items():
+        connected.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def shut_down(connected: socket.socket) -> None:
+    """End a blocked read from another thread."""
+    # The connection may be closed already.
+    with contextlib.suppress(OSError):
+        connected.shutdown(socket.SHUT_RDWR)
