Log endpoints' software versions and the streams that callers take up

Change: the record's version and the header Resumes are decoded; endpoint_here and settle have them. No decision uses them yet. test_gatewaylogs, test_platform_folder and test_directory pass.

--- a/trefoilspool/departures.py
+++ b/trefoilspool/departures.py
@@ -39,6 +39,8 @@
         Whether it is shutting down and takes no new requests.
     started_ms : int
         Unix time of its start in milliseconds; 0 if the record has none.
+    software : str
+        Version of its software; empty if the record has none.
     """
 
     name: str
@@ -49,6 +51,7 @@
     slots: int
     leaving: bool
     started_ms: int
+    software: str = ''
 
     @property
     def run(self) -> EndpointRun:
--- a/trefoilspool/dialect.py
+++ b/trefoilspool/dialect.py
@@ -30,6 +30,9 @@
         The caller's estimate of the output's length; 0 if not given.
     resume_after : int
         Number of the last event that the caller has; -1 if none.
+    resumes : str
+        The id of the attempt that brought the caller the first event of the
+        stream that it takes up; empty if it does not name one.
     """
 
     request_id: str
@@ -46,6 +49,12 @@
     prompt_prefixes: tuple[str, ...]
     expected_tokens: int
     resume_after: int
+    resumes: str = ''
+
+    @property
+    def is_resumption(self) -> bool:
+        """Return whether the caller has events of the stream already."""
+        return self.resume_after >= 0 or bool(self.resumes)
 
 
 class OutboundRequest(NamedTuple):
--- a/trefoilspool/directory.py
+++ b/trefoilspool/directory.py
@@ -156,6 +156,7 @@
                     'endpoint': endpoint.name,
                     'service': endpoint.service,
                     'address': f'{endpoint.address}:{endpoint.port}',
+                    'software': endpoint.software,
                     'offset': offset,
                 },
             )
--- a/trefoilspool/requestoutcomes.py
+++ b/trefoilspool/requestoutcomes.py
@@ -58,6 +58,8 @@
         output_tokens=request.caller_request.output_tokens,
         expected_tokens=request.caller_request.expected_tokens,
         events=progress.times.event_count,
+        resumes=request.caller_request.resumes,
+        resume_after=request.caller_request.resume_after,
     )
     labels = f'service="{request.service}",rank="{request.rank}"'
     metrics.count(
