--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -22,6 +22,7 @@
 
 WAIT_S = 20
 POLL_S = 0.01
+LONG_S = 300
 NETWORK_NUMBERS = itertools.count()
 KEY = 'key-of-acme'
 AUTHORITY = 'shop.example'
@@ -147,6 +148,14 @@
 
         mesh.sender.send, mesh.on_datagram = send_own, on_own
 
+    def run_for_long(self) -> None:
+        """Make the host as if it had run for some minutes."""
+        gossip = self.host.mesh.origin_gossip
+        gossip.history.started_at -= LONG_S
+        routes = gossip.routes.by_route
+        for name, known in routes.items():
+            routes[name] = known._replace(since=known.since - LONG_S)
+
     def is_stopped(self) -> bool:
         """Return whether the host's addresses can be bound again."""
         if self.host.mesh.socket.fileno() >= 0:
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -262,6 +262,8 @@
             served.reset()
 
         running, _ = host_with_endpoint(cluster, repeat_and_reset)
+        # The version that began the stream is then known: there is no other.
+        running.run_for_long()
         response = cluster.call(running, '/talk/1', Last_Event_Id='3')
         assert response.status == 502
         assert b'may_have_run' in response.body
--- a/trefoilspool/callerrors.py
+++ b/trefoilspool/callerrors.py
@@ -9,6 +9,7 @@
     'MalformedCallError',
     'OverLimitError',
     'QuarantinedError',
+    'UnknownOriginError',
     'UnknownRouteError',
 ]
 
@@ -58,3 +59,24 @@
 
     slug = 'deadline_after_send'
     outcome = Outcome.may_have_run
+
+
+class UnknownOriginError(OverloadedError):
+    """It is not known which software began the stream to be taken up.
+
+    Parameters
+    ----------
+    resumes : str
+        Id of the attempt that brought the first event; empty if not given.
+    retry_after : float
+        Seconds after which the caller should retry.
+    """
+
+    slug = 'unknown_origin'
+
+    def __init__(self, resumes: str, retry_after: float) -> None:
+        super().__init__(
+            f'not run: the software version that began {resumes!r} is not '
+            'known, and it may not go on at another',
+            retry_after,
+        )
--- a/trefoilspool/departures.py
+++ b/trefoilspool/departures.py
@@ -58,6 +58,17 @@
         """Return the run that registered."""
         return EndpointRun(self.name, self.started_ms)
 
+    @property
+    def stream_version(self) -> str:
+        """Return what must be equal where a stream goes on.
+
+        Without a version only the same run is known to have the same software,
+        and without a start not even that: the result is then empty.
+        """
+        if self.software:
+            return self.software
+        return f'{self.name}@{self.started_ms}' if self.started_ms else ''
+
 
 class DepartedEndpoint(NamedTuple):
     """An endpoint that was removed, and when, in monotonic seconds."""
--- a/trefoilspool/directory.py
+++ b/trefoilspool/directory.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from trefoilspool import clock
 from trefoilspool.departures import (
     Departures,
     EndpointRecord,
@@ -14,6 +15,7 @@
 from trefoilspool.routing import Configuration
 from trefoilspool.slotmessages import EndpointSpec
 from trefoilspool.store import KeyedRecord
+from trefoilspool.versionhistory import ServiceVersion, VersionHistory
 
 __all__ = ['Directory']
 
@@ -24,6 +26,11 @@
 logger = logbook.Logger('directory')
 
 
+def any_version(software: str) -> bool:
+    """Return true."""
+    return True
+
+
 class Directory:
     """Registered endpoints by name; safe to use from any thread.
 
@@ -48,6 +55,8 @@
         which they are removed, in monotonic seconds, by name.
     departures : Departures
         Endpoints that have left or are leaving.
+    versions : VersionHistory
+        Versions of the endpoints' software.
     published : list of EndpointSpec
         The endpoints last reported to ``on_change``.
     """
@@ -66,6 +75,7 @@
         self.displaced: set[str] = set()
         self.expiring: dict[str, float] = {}
         self.departures = Departures()
+        self.versions = VersionHistory(clock.now())
         self.configuration: Configuration | None = None
         self.published: list[EndpointSpec] = []
 
@@ -274,16 +284,33 @@
             return None
         return endpoint
 
-    def names(self, service: str) -> list[str]:
-        """Return the names of a service's available endpoints."""
+    def names(
+        self, service: str, allows: Callable[[str], bool] = any_version
+    ) -> list[str]:
+        """Return the names of a service's available endpoints.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        allows : callable
+            Returns whether a version of the endpoints' software is wanted.
+        """
         return [
             endpoint.name
             for endpoint in self.published
-            if endpoint.service == service
+            if endpoint.service == service and allows(endpoint.software)
         ]
 
     def publish(self) -> None:
         """Report the available endpoints, if they have changed."""
+        self.versions.update(
+            (
+                ServiceVersion(endpoint.service, endpoint.stream_version)
+                for endpoint in self.endpoints.values()
+            ),
+            clock.now(),
+        )
         available = self.available_endpoints()
         if available != self.published:
             self.published = available
@@ -308,6 +335,7 @@
                     endpoint.slots,
                     endpoint.started_ms,
                     engine.event_tokens if engine else 0,
+                    endpoint.stream_version,
                 )
             )
         return sorted(specs)
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -29,6 +29,7 @@
 from trefoilspool.routedrequests import AttemptFailure, Slot, StartedResponse
 from trefoilspool.routing import RepeatPolicy
 from trefoilspool.slotmessages import AttemptEnding
+from trefoilspool.streamorigins import UNKNOWN
 from trefoilspool.watch import Unwatch, Watch, WatchTask
 
 __all__ = [
@@ -127,7 +128,9 @@
                 False,
                 f'endpoint {slot.endpoint} is unknown, leaving or displaced',
             )
-        obstacle = self.obstacle(slot, clock.now())
+        obstacle = self.version_obstacle(endpoint) or self.obstacle(
+            slot, clock.now()
+        )
         if obstacle:
             return AttemptFailure(AttemptEnding.unused, False, obstacle)
         try:
@@ -154,6 +157,21 @@
             return f'{slot.endpoint} wants no requests for {quiet_s:.3f} s'
         return self.quarantine_obstacle(slot)
 
+    def version_obstacle(self, endpoint: EndpointRecord) -> str:
+        """Return why a stream cannot go on at an endpoint, if it cannot.
+
+        The home host may know an earlier run of the endpoint.
+        """
+        required = self.progress.software
+        if required is None:
+            return ''
+        if required != UNKNOWN and required == endpoint.stream_version:
+            return ''
+        return (
+            f'the stream began at version {required!r}, {endpoint.name} has '
+            f'{endpoint.stream_version!r}'
+        )
+
     def quarantine_obstacle(self, slot: Slot) -> str:
         """Return what of the request is quarantined, if anything is."""
         part = self.quarantine.covered(self.request.parts)
--- a/trefoilspool/endpointload.py
+++ b/trefoilspool/endpointload.py
@@ -1,5 +1,6 @@
 """State of an endpoint in the slot scheduler: slots, speed, reliability."""
 
+import math
 from typing import NamedTuple
 
 from trefoilspool.departures import EndpointRun
@@ -30,6 +31,9 @@
 MAX_SLOWNESS = 50.0
 MIN_EVENTS = 4  # of a stream; fewer give too few gaps to measure the speed
 PREFIX_RETENTION_S = 9.0  # assumed time in the cache after the last use
+# An endpoint registers and renews its record every 1.2 s, and hosts read the
+# records every 1.1 s.
+REREAD_S = 3.0
 PREFIX_CLEANUP_COUNT = 4096  # above this, expired prefixes are dropped
 
 
@@ -77,6 +81,8 @@
     cached_prefixes : dict
         When each prompt prefix that is assumed to be in the endpoint's cache
         expires, in seconds.
+    down_at : float
+        When a connection to it last failed, in seconds.
     """
 
     def __init__(self, spec: EndpointSpec) -> None:
@@ -87,6 +93,20 @@
         self.speed_samples = 0
         self.prefill_free_at = 0.0
         self.cached_prefixes: dict[str, float] = {}
+        self.down_at = -math.inf
+
+    def accepts(self, ask: SlotRequest, now: float) -> bool:
+        """Return whether a request may go on at the endpoint's version."""
+        if ask.software is None:
+            return True
+        return ask.allows(self.spec.software) and self.is_verified(now)
+
+    def is_verified(self, now: float) -> bool:
+        """Return whether the endpoint's record is of the run that serves.
+
+        One that was down may have come back, and its record be read later.
+        """
+        return now - self.down_at >= REREAD_S
 
     @property
     def free_slots(self) -> int:
@@ -194,6 +214,8 @@
         granted_at, now : float
             When the slot was granted and the present time, in seconds.
         """
+        if release.is_down or release.ending is AttemptEnding.unreachable:
+            self.down_at = now
         failed = release.ending in FAILURE_ENDINGS
         if failed or release.ending is AttemptEnding.completed:
             self.reliability.observe(
--- a/trefoilspool/endpointpool.py
+++ b/trefoilspool/endpointpool.py
@@ -44,7 +44,7 @@
         self.by_service = {}
         for spec in endpoints:
             endpoint = previous.get(spec.name)
-            if endpoint is None or endpoint.spec.started_ms != spec.started_ms:
+            if endpoint is None or not is_same_run(endpoint.spec, spec):
                 endpoint = EndpointLoad(spec)
             endpoint.spec = spec
             self.by_name[spec.name] = endpoint
@@ -54,6 +54,32 @@
         """Return the endpoints of a service."""
         return self.by_service.get(service, ())
 
+    def accepting(self, ask: SlotRequest, now: float) -> list[EndpointLoad]:
+        """Return the endpoints of the version at which a request may go on."""
+        return [
+            endpoint
+            for endpoint in self.of_service(ask.service)
+            if endpoint.accepts(ask, now)
+        ]
+
+    def slot_share(self, ask: SlotRequest, now: float) -> float:
+        """Return the share of its service's slots that a request may get."""
+        total = sum(
+            endpoint.spec.slots for endpoint in self.of_service(ask.service)
+        )
+        usable = sum(
+            endpoint.spec.slots for endpoint in self.accepting(ask, now)
+        )
+        return usable / total if total else 1.0
+
+    def has_free_slot_for(self, ask: SlotRequest, now: float) -> bool:
+        """Return whether any endpoint may get a request now."""
+        return any(
+            endpoint.free_slots > 0
+            and self.pacer.admits(endpoint.spec.run, now)
+            for endpoint in self.accepting(ask, now)
+        )
+
     def has_free_slot(self, service: str, now: float) -> bool:
         """Return whether any endpoint of a service may get a request now."""
         return any(
@@ -78,7 +104,7 @@
             return 0
         runs = [
             endpoint.spec.run
-            for endpoint in self.of_service(ask.service)
+            for endpoint in self.accepting(ask, now)
             if endpoint.spec.name not in ask.avoid
         ]
         return self.pacer.wait_s(runs, ahead, now)
@@ -113,7 +139,7 @@
         If fewer than ``MIN_WORKING_SHARE`` of a service's endpoints accept
         requests, ejections are ignored, as they would overload the rest.
         """
-        endpoints = self.of_service(ask.service)
+        endpoints = self.accepting(ask, now)
         working = [
             endpoint
             for endpoint in endpoints
@@ -129,3 +155,8 @@
             if endpoint.spec.name not in ask.avoid
             and self.pacer.admits(endpoint.spec.run, now)
         ]
+
+
+def is_same_run(before: EndpointSpec, now: EndpointSpec) -> bool:
+    """Return whether two records are of one run of an endpoint."""
+    return before.run == now.run and before.software == now.software
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -24,7 +24,7 @@
 from trefoilspool.quarantinestore import QuarantineStoreTask
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.routing import Configuration
-from trefoilspool.serving import RequestServer
+from trefoilspool.serving import EndpointKnowledge, RequestServer
 from trefoilspool.settingssync import ConfigurationHandlers, SettingsSync
 from trefoilspool.telemetry import Metrics
 from trefoilspool.watch import WatchTask
@@ -110,6 +110,8 @@
             self.mesh.home_contact,
             self.stopping,
         )
+        self.mesh.origin_gossip.history = self.directory.versions
+        self.mesh.origin_gossip.is_stale = self.endpoint_sync.view.is_stale
         self.mesh.on_quarantine_due = self.quarantine_task.on_due
         self.mesh.quarantine_gossip.on_entry = self.count_quarantine
         self.watch = WatchTask()
@@ -130,8 +132,9 @@
         self.gateway = Gateway(
             RequestServer(
                 self.mesh.client,
-                self.directory,
-                self.quiet_periods,
+                EndpointKnowledge(
+                    self.directory, self.quiet_periods, self.mesh.origin_gossip
+                ),
                 self.endpoint_client,
                 self.watch,
                 self.metrics,
--- a/trefoilspool/localchoice.py
+++ b/trefoilspool/localchoice.py
@@ -131,6 +131,7 @@
             if endpoint.service == ask.service
             and endpoint.name not in ask.avoid
             and endpoint.name not in self.ejected
+            and ask.allows(endpoint.software)
         ]
         if not candidates:
             return Refused(ask.key, RefusalReason.no_endpoint, RETRY_AFTER_S)
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -7,6 +7,7 @@
 """
 
 import threading
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -24,6 +25,7 @@
 from trefoilspool.hostlists import HostListSchedule
 from trefoilspool.limitgossip import LimitGossip
 from trefoilspool.meshsender import MeshSender
+from trefoilspool.origingossip import OriginGossip
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.quarantinegossip import QuarantineGossip
@@ -71,6 +73,8 @@
         Called when the quarantine has changed.
     limits : EndpointLimits
         Limits that endpoints have named.
+    origin_gossip : OriginGossip
+        At which software versions streams began.
     """
 
     def __init__(self, own: HostInfo, port: int, seeds: Iterable[str]) -> None:
@@ -87,6 +91,7 @@
             own.name, self.peers, self.send_message, quarantine, self.limits
         )
         self.scheduler = SlotScheduler(quarantine, self.limits)
+        self.origin_gossip = OriginGossip(self.peers, self.sender)
         self.home_service = HomeService(
             self.scheduler,
             self.peers,
@@ -95,8 +100,7 @@
             self.sender,
         )
         self.stopping = threading.Event()
-        self.callbacks: list[Callable[[float], None]] = []
-        self.callbacks_lock = threading.Lock()
+        self.callbacks: deque[Callable[[float], None]] = deque()
         self.heartbeat_at = 0.0
         self.hello_schedule = HelloSchedule()
         self.ticked_at = 0.0
@@ -137,6 +141,9 @@
             'levels': service.on_levels,
             'endpoints_read': self.on_endpoints_read,
             'leaving': self.broadcasts.on_leaving,
+            'begun': self.origin_gossip.on_begun,
+            'queries': self.origin_gossip.on_queries,
+            'origins': self.origin_gossip.on_origins,
         }
 
     def send_message(self, address: str, message: object) -> None:
@@ -152,8 +159,7 @@
 
     def call_soon(self, callback: Callable[[float], None]) -> None:
         """Run a callback on the task's thread; usable from any thread."""
-        with self.callbacks_lock:
-            self.callbacks.append(callback)
+        self.callbacks.append(callback)
         # If this fails, they run after the next datagram or timeout.
         self.socket.wake()
 
@@ -163,10 +169,14 @@
         self.call_soon(
             lambda now: self.scheduler.on_available_endpoints(endpoints, now)
         )
+        self.call_soon(self.origin_gossip.on_endpoints)
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Replace the rate limits by those of a configuration."""
         limits = configuration.workspaces
+        self.origin_gossip.routes.update(
+            configuration.routes.routes.values(), clock.now()
+        )
         self.client.choice.workspaces = limits
         self.call_soon(
             lambda now: self.scheduler.rate_limits.on_workspaces(limits, now),
@@ -206,10 +216,8 @@
 
     def run_callbacks(self, now: float) -> None:
         """Run the callbacks that other threads have added."""
-        with self.callbacks_lock:
-            callbacks = self.callbacks
-            self.callbacks = []
-        for callback in callbacks:
+        due = [self.callbacks.popleft() for _ in tuple(self.callbacks)]
+        for callback in due:
             callback(now)
 
     def on_datagram(self, body: bytes, address: str, now: float) -> None:
--- /dev/null
+++ b/trefoilspool/origingossip.py
@@ -0,0 +1,281 @@
+"""What hosts tell each other of the versions at which streams began.
+
+The host that relays a stream's first event tells a few others, chosen by a hash
+of the stream, so that its caller may take it up at any host, and although the
+first one has ended. While a service has only one version, nothing is told: the
+version then follows from the endpoints' records.
+"""
+
+import queue
+import threading
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, NamedTuple
+
+from trefoilspool import clock
+from trefoilspool.hashring import HashRing
+from trefoilspool.meshsender import MeshSender
+from trefoilspool.peers import HostInfo, PeerRegistry
+from trefoilspool.routehistory import RouteHistory
+from trefoilspool.streamorigins import (
+    UNKNOWN,
+    OriginQuery,
+    OriginSource,
+    StreamOrigin,
+    StreamOrigins,
+    agreed_version,
+)
+from trefoilspool.versionhistory import ServiceVersion, VersionHistory
+from trefoilspool.wire import mesh as wire
+from trefoilspool.wire.gen.mesh import ttypes
+from trefoilspool.wire.origins import (
+    origins_from_wire,
+    origins_to_wire,
+    queries_from_wire,
+    queries_to_wire,
+)
+
+__all__ = ['OriginGossip']
+
+TOLD_HOSTS = 3
+# More than are told: the hosts that ask may know of others.
+ASKED_HOSTS = 5
+# Hosts answer in about a millisecond; datagrams may be lost.
+ANSWER_TIMEOUTS_S = (0.02, 0.04, 0.08)
+ROUTE_SETTLED_S = 10.0  # longer than a configuration takes to all hosts
+MAX_ORIGINS = 400  # in one datagram
+
+
+def never() -> bool:
+    """Return false."""
+    return False
+
+
+class BegunStream(NamedTuple):
+    """A stream that began here and has not ended well.
+
+    Attributes
+    ----------
+    is_told : bool
+        Whether other hosts have been told.
+    """
+
+    origin: StreamOrigin
+    is_told: bool
+
+
+class Answer(NamedTuple):
+    """What another host knows of a stream."""
+
+    host: str
+    origin: StreamOrigin
+
+
+Inbox = queue.SimpleQueue[Answer]
+
+
+class OriginGossip:
+    """Tells others of streams that began here, and asks them for other streams.
+
+    Parameters
+    ----------
+    peers : PeerRegistry
+        The known hosts.
+    sender : MeshSender
+        Sends datagrams.
+
+    Attributes
+    ----------
+    history : VersionHistory
+        Versions of the services' endpoints.
+    routes : RouteHistory
+        Services of the routes.
+    is_stale : callable
+        Returns whether this host may lack a version that others know.
+    origins : StreamOrigins
+        Streams of which other hosts or this one have told.
+    begun : dict
+        Streams that began here.
+    """
+
+    def __init__(self, peers: PeerRegistry, sender: MeshSender) -> None:
+        self.peers = peers
+        self.sender = sender
+        self.history = VersionHistory(clock.now())
+        self.routes = RouteHistory()
+        self.is_stale: Callable[[], bool] = never
+        self.lock = threading.Lock()
+        self.origins = StreamOrigins()
+        self.begun: dict[int, BegunStream] = {}
+        self.ring = HashRing(())
+        self.lookups: dict[int, list[Inbox]] = {}
+
+    def on_first_event(self, origin: StreamOrigin, route: str) -> None:
+        """Record a stream whose first event is about to be relayed.
+
+        Parameters
+        ----------
+        origin : StreamOrigin
+            The stream.
+        route : str
+            Name of its route.
+        """
+        now = clock.now()
+        # Other hosts may not have the route's present service yet.
+        is_told = self.history.has_several(
+            origin.service, now
+        ) or not self.routes.only_service(route, ROUTE_SETTLED_S, now)
+        with self.lock:
+            self.origins.record(origin, now)
+            self.begun[origin.stream] = BegunStream(origin, is_told)
+        if is_told:
+            self.tell([origin])
+
+    def on_completed(self, stream: int) -> None:
+        """Forget a stream that its caller has whole."""
+        with self.lock:
+            self.begun.pop(stream, None)
+
+    def on_endpoints(self, now: float) -> None:
+        """Tell of streams that began before a service's second version came."""
+        with self.lock:
+            self.drop_old(now)
+            untold = [
+                begun.origin
+                for begun in self.begun.values()
+                if not begun.is_told
+                and self.history.has_several(begun.origin.service, now)
+            ]
+            for origin in untold:
+                self.begun[origin.stream] = BegunStream(origin, is_told=True)
+        self.tell(untold)
+
+    def drop_old(self, now: float) -> None:
+        """Drop old records; the caller holds the lock."""
+        self.origins.drop_old(now)
+        kept = self.origins.by_stream
+        self.begun = {
+            stream: begun
+            for stream, begun in self.begun.items()
+            if stream in kept
+        }
+
+    def tell(self, origins: Iterable[StreamOrigin]) -> None:
+        """Tell the hosts that are to know of streams."""
+        by_host: dict[str, list[StreamOrigin]] = {}
+        for origin in origins:
+            for host in self.owners(origin.stream, TOLD_HOSTS):
+                by_host.setdefault(host, []).append(origin)
+        for host, told in by_host.items():
+            for start in range(0, len(told), MAX_ORIGINS):
+                self.send(
+                    host,
+                    begun=origins_to_wire(told[start : start + MAX_ORIGINS]),
+                )
+
+    def owners(self, stream: int, count: int) -> list[str]:
+        """Return the other hosts that are to know of a stream."""
+        names = frozenset(self.peers.hosts)
+        if names != self.ring.names:
+            self.ring = HashRing(names)
+        own = self.peers.own.name
+        owners = self.ring.owners(stream, count + 1)
+        return [name for name in owners if name != own][:count]
+
+    def send(self, name: str, **fields: Any) -> None:
+        """Send a datagram to a host, if it is still known."""
+        host = self.peers.hosts.get(name)
+        if host is not None:
+            own = wire.host_info_to_wire(self.peers.own)
+            self.sender.send(host.address, ttypes.Datagram(own, **fields))
+
+    def on_begun(
+        self, sender: HostInfo, structs: Iterable[Any], now: float
+    ) -> None:
+        """Record the streams that a peer tells of."""
+        with self.lock:
+            for origin in origins_from_wire(structs):
+                self.origins.record(origin, now)
+
+    def on_queries(
+        self, sender: HostInfo, structs: Iterable[Any], now: float
+    ) -> None:
+        """Answer a peer's queries."""
+        known = [
+            self.own_knowledge(query, now)
+            for query in queries_from_wire(structs)
+        ]
+        self.send(sender.name, origins=origins_to_wire(known))
+
+    def own_knowledge(self, query: OriginQuery, now: float) -> StreamOrigin:
+        """Return what this host knows of a stream."""
+        with self.lock:
+            recorded = self.origins.find(query.stream, now)
+        if recorded is not None:
+            return recorded
+        service = self.routes.only_service(query.route, query.window_s, now)
+        versions = self.history.versions(service, query.window_s, now)
+        source = OriginSource.several
+        software = UNKNOWN
+        if not versions or self.is_stale():
+            source = OriginSource.unwatched
+        elif len(versions) == 1:
+            source = OriginSource.only
+            software = next(iter(versions))
+            if not self.history.has_watched(query.window_s, now):
+                source = OriginSource.unwatched
+        return StreamOrigin(query.stream, service, software, source)
+
+    def on_origins(
+        self, sender: HostInfo, structs: Iterable[Any], now: float
+    ) -> None:
+        """Pass a peer's answers to the requests that wait for them."""
+        for origin in origins_from_wire(structs):
+            for inbox in self.lookups.get(origin.stream, ()):
+                inbox.put(Answer(sender.name, origin))
+
+    def find(self, query: OriginQuery) -> ServiceVersion:
+        """Return the version at which a stream began, or `UNKNOWN_VERSION`.
+
+        Waits for other hosts unless this one has a record.
+        """
+        own = self.own_knowledge(query, clock.now())
+        if own.source is OriginSource.recorded:
+            return own.version
+        inbox: Inbox = queue.SimpleQueue()
+        with self.lock:
+            self.lookups.setdefault(query.stream, []).append(inbox)
+        try:
+            answers = self.ask(query, inbox)
+        finally:
+            with self.lock:
+                self.lookups[query.stream].remove(inbox)
+                if not self.lookups[query.stream]:
+                    del self.lookups[query.stream]
+        return agreed_version((own, *answers.values()))
+
+    def ask(self, query: OriginQuery, inbox: Inbox) -> dict[str, StreamOrigin]:
+        """Ask other hosts for a stream; return their answers by host.
+
+        The first record ends the wait.
+        """
+        answers: dict[str, StreamOrigin] = {}
+        owners = self.owners(query.stream, ASKED_HOSTS)
+        for timeout_s in ANSWER_TIMEOUTS_S:
+            waiting = [name for name in owners if name not in answers]
+            for name in waiting:
+                self.send(name, queries=queries_to_wire([query]))
+            until = clock.now() + timeout_s
+            for answer in answers_until(inbox, until, len(waiting)):
+                answers[answer.host] = answer.origin
+                if answer.origin.source is OriginSource.recorded:
+                    return answers
+        return answers
+
+
+def answers_until(inbox: Inbox, until: float, count: int) -> Iterator[Answer]:
+    """Yield answers as they come, at most ``count``, until a time."""
+    for _ in range(count):
+        try:
+            yield inbox.get(timeout=max(0, until - clock.now()))
+        except queue.Empty:
+            return
--- a/trefoilspool/requestprogress.py
+++ b/trefoilspool/requestprogress.py
@@ -66,6 +66,9 @@
         Times of the attempt whose response is read.
     last_failure : AttemptFailure or None
         The last failed attempt.
+    software : str or None
+        Version of the software that began the stream; None before an event of
+        it is relayed, empty if it is not known.
     """
 
     def __init__(self, request: RoutedRequest) -> None:
@@ -78,6 +81,7 @@
         self.slot_number = 0
         self.times = AttemptTimes()
         self.last_failure: AttemptFailure | None = None
+        self.software: str | None = None
 
     def is_new(self, number: int | None) -> bool:
         """Count an event; return whether the caller does not have it yet."""
--- a/trefoilspool/routedrequests.py
+++ b/trefoilspool/routedrequests.py
@@ -6,12 +6,13 @@
 from trefoilspool.departures import EndpointRun
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.exchange import EndpointResponse
-from trefoilspool.routing import Route
+from trefoilspool.routing import RepeatPolicy, Route
 from trefoilspool.slotmessages import (
     AttemptEnding,
     SlotKey,
     blamable_parts,
 )
+from trefoilspool.streamorigins import stream_key
 
 __all__ = ['AttemptFailure', 'RoutedRequest', 'Slot', 'StartedResponse']
 
@@ -50,6 +51,18 @@
     fingerprint: str
     queued_s: float = 0
 
+    @property
+    def stream(self) -> int:
+        """Return the key of the stream, by the attempt that began it."""
+        request = self.caller_request
+        return stream_key(self.workspace, request.resumes or request.request_id)
+
+    @property
+    def may_be_taken_up(self) -> bool:
+        """Return whether its caller may take up the stream at another host."""
+        route = self.route
+        return route.streams and route.repeats is RepeatPolicy.resumed
+
     @property
     def parts(self) -> tuple[str, ...]:
         """Return what endpoints may end under; see `blamable_parts`."""
@@ -69,6 +82,8 @@
         Unix milliseconds of the start of the endpoint's run; 0 if unknown.
     is_probe : bool
         Whether the attempt tests a quarantined prompt part.
+    software : str
+        Version of the endpoint's software; empty if unknown.
     """
 
     key: SlotKey
@@ -76,6 +91,7 @@
     granted_at: float
     started_ms: int = 0
     is_probe: bool = False
+    software: str = ''
 
     @property
     def run(self) -> EndpointRun:
--- a/trefoilspool/routing.py
+++ b/trefoilspool/routing.py
@@ -80,6 +80,12 @@
     max_attempts: int
     anonymous: bool
 
+    def leads_to(self, service: str) -> bool:
+        """Return whether a service is one of the route's."""
+        return any(
+            weighted.service == service for weighted in self.weighted_services
+        )
+
     def choose_service(self, draw: float) -> str:
         """Choose a service by weight, for a random number.
 
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -2,11 +2,13 @@
 
 import time
 from collections.abc import Generator, Iterator
+from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
 from trefoilspool import clock
 from trefoilspool.attempttimes import AttemptTimes
+from trefoilspool.callerrors import UnknownOriginError
 from trefoilspool.dialect import Dialect
 from trefoilspool.directory import Directory
 from trefoilspool.endpointattempts import (
@@ -22,6 +24,7 @@
 )
 from trefoilspool.exchange import EndpointClient
 from trefoilspool.filter import Response
+from trefoilspool.origingossip import OriginGossip
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.replacement import Replacer
 from trefoilspool.requestoutcomes import record_outcome
@@ -36,18 +39,41 @@
 from trefoilspool.slotacquisition import SlotAcquirer
 from trefoilspool.slotclient import SlotClient
 from trefoilspool.slotmessages import AttemptEnding
+from trefoilspool.streamorigins import OriginQuery, StreamOrigin
 from trefoilspool.telemetry import Metrics, log_decision
 from trefoilspool.watch import WatchTask
 
-__all__ = ['RequestExecution', 'RequestServer']
+__all__ = ['EndpointKnowledge', 'RequestExecution', 'RequestServer']
 
 # Callers give up a stream two seconds after an event.
 RESUMPTION_S = 1.5
 RESUMPTION_INTERVAL_S = 0.2
 # A stream whose attempt ended so may be resumed.
+KNOWN_LABELS = {True: 'known', False: 'unknown'}
+# A caller takes a stream up within a second timeout at most.
+LIFETIME_TIMEOUTS = 2
+UNKNOWN_RETRY_AFTER_S = 0.5
 FAILED_STREAM_ENDINGS = frozenset((AttemptEnding.broken, AttemptEnding.silent))
 
 
+class EndpointKnowledge(NamedTuple):
+    """What this host knows of endpoints.
+
+    Attributes
+    ----------
+    directory : Directory
+        Endpoints by name.
+    quiet_periods : QuietPeriods
+        Endpoints that get no requests of this host for a while.
+    origins : OriginGossip
+        At which software versions streams began.
+    """
+
+    directory: Directory
+    quiet_periods: QuietPeriods
+    origins: OriginGossip
+
+
 class RequestServer:
     """Serves routed requests; shared by all of them.
 
@@ -55,10 +81,8 @@
     ----------
     slot_client : SlotClient
         Acquires and releases slots.
-    directory : Directory
-        Endpoints by name.
-    quiet_periods : QuietPeriods
-        Endpoints that get no requests of this host for a while.
+    knowledge : EndpointKnowledge
+        What this host knows of endpoints.
     endpoint_client : EndpointClient
         Sends requests to endpoints.
     watch : WatchTask
@@ -72,16 +96,16 @@
     def __init__(
         self,
         slot_client: SlotClient,
-        directory: Directory,
-        quiet_periods: QuietPeriods,
+        knowledge: EndpointKnowledge,
         endpoint_client: EndpointClient,
         watch: WatchTask,
         metrics: Metrics,
         data_centre: str,
     ) -> None:
         self.slot_client = slot_client
-        self.directory = directory
-        self.quiet_periods = quiet_periods
+        self.directory = knowledge.directory
+        self.quiet_periods = knowledge.quiet_periods
+        self.origins = knowledge.origins
         self.endpoint_client = endpoint_client
         self.watch = watch
         self.metrics = metrics
@@ -145,6 +169,7 @@
     def run(self) -> Result[Response, Problem]:
         """Return the response, or the final problem."""
         try:
+            self.take_up()
             started = self.open_response()
         except Problem as problem:
             self.record_outcome(problem.status, problem.slug, problem.detail)
@@ -154,6 +179,50 @@
             raise
         return Success(self.caller_response(started))
 
+    def take_up(self) -> None:
+        """Find out at which version a stream began that the caller takes up.
+
+        Raises
+        ------
+        UnknownOriginError
+            When that is not known.
+        """
+        request = self.request
+        caller_request = request.caller_request
+        if not (request.route.streams and caller_request.is_resumption):
+            return
+        version = self.server.origins.find(
+            OriginQuery(
+                request.stream,
+                request.route.name,
+                request.route.timeout_s * LIFETIME_TIMEOUTS,
+            )
+        )
+        log_decision(
+            'stream_taken_up',
+            caller_request.request_id,
+            resumes=caller_request.resumes,
+            service=version.service,
+            software=version.software,
+            resume_after=caller_request.resume_after,
+        )
+        self.count_resumption('caller', is_known=bool(version.software))
+        if not version.software or not request.route.leads_to(version.service):
+            raise UnknownOriginError(
+                caller_request.resumes, UNKNOWN_RETRY_AFTER_S
+            )
+        self.request = request._replace(service=version.service)
+        self.progress.request = self.request
+        self.slots.request = self.request
+        self.progress.software = version.software
+
+    def count_resumption(self, by: str, *, is_known: bool) -> None:
+        """Count a stream that is to go on."""
+        known = KNOWN_LABELS[is_known]
+        self.server.metrics.count(
+            f'trefoilspool_resumptions_total{{by="{by}",version="{known}"}}'
+        )
+
     def record_outcome(
         self, status: int, outcome: str, detail: str = '', endpoint: str = ''
     ) -> None:
@@ -306,6 +375,7 @@
         """Yield one endpoint's events; return the failure that cut them."""
         ending = AttemptEnding.cancelled
         self.slots.on_first_event(started.slot)
+        self.record_origin(started.slot)
         try:
             yield from self.relayed_events(started)
             ending = AttemptEnding.completed
@@ -317,12 +387,28 @@
                 self.close_stream(started, ending)
         return None
 
+    def record_origin(self, slot: Slot) -> None:
+        """Record the version before an event of the stream is relayed."""
+        if self.progress.software is None:
+            self.progress.software = slot.software
+        if self.request.may_be_taken_up:
+            self.server.origins.on_first_event(
+                StreamOrigin(
+                    self.request.stream,
+                    self.request.service,
+                    self.progress.software,
+                ),
+                self.request.route.name,
+            )
+
     def close_stream(
         self, started: StartedResponse, ending: AttemptEnding
     ) -> None:
         """Release the slot of a stream that has ended and log its outcome."""
         self.attempts.unwatch(started.slot)
-        if ending is not AttemptEnding.completed:
+        if ending is AttemptEnding.completed:
+            self.server.origins.on_completed(self.request.stream)
+        else:
             started.response.close()
         self.slots.release(started.slot, ending, self.progress.times)
         self.record_outcome(
@@ -356,10 +442,7 @@
         """
         self.attempts.unwatch(started.slot)
         self.record_failure(started.slot, failure, self.progress.times)
-        if (
-            self.request.route.repeats is RepeatPolicy.resumed
-            and self.may_retry(failure)
-        ):
+        if self.may_resume(failure):
             try:
                 return self.resumed_stream()
             except Problem as problem:
@@ -377,6 +460,16 @@
             f'{failure.detail}',
         )
 
+    def may_resume(self, failure: AttemptFailure) -> bool:
+        """Return whether a cut stream may go on at another endpoint."""
+        if self.request.route.repeats is not RepeatPolicy.resumed:
+            return False
+        if not self.may_retry(failure):
+            return False
+        is_known = bool(self.progress.software)
+        self.count_resumption('host', is_known=is_known)
+        return is_known
+
     def resumed_stream(self) -> StartedResponse:
         """Attempt the request again and return the stream that goes on.
 
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -23,6 +23,7 @@
     SlotRelease,
     SlotRequest,
 )
+from trefoilspool.streamorigins import UNKNOWN
 from trefoilspool.telemetry import log_decision
 
 __all__ = ['SlotAcquirer']
@@ -110,6 +111,7 @@
             place=slot_request.key.number,
             waited_s=round(now - started, 4),
             attempt=slot_request.attempt,
+            software=slot_request.software,
         )
         slot = Slot(
             slot_request.key,
@@ -117,6 +119,9 @@
             now,
             self.slot_client.started_ms(decision.endpoint),
             decision.is_probe,
+            self.slot_client.software(decision.endpoint)
+            if decision.is_verified
+            else UNKNOWN,
         )
         self.held[slot.key] = slot
         return slot
@@ -142,6 +147,7 @@
             data_centre=self.data_centre,
             repeatable=request.route.repeats is not RepeatPolicy.never,
             fingerprint=request.fingerprint,
+            software=self.progress.software,
         )
 
     def decide(
@@ -155,7 +161,7 @@
         If no endpoint of the service may get the request, it is refused here,
         until the first quiet period ends.
         """
-        names = self.directory.names(slot_request.service)
+        names = self.directory.names(slot_request.service, slot_request.allows)
         if not names or set(names) - set(slot_request.avoid):
             return self.slot_client.acquire(
                 slot_request,
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -162,6 +162,11 @@
         spec = self.choice.available_endpoints.get(endpoint)
         return spec.started_ms if spec else 0
 
+    def software(self, endpoint: str) -> str:
+        """Return the version of an endpoint's software, empty if unknown."""
+        spec = self.choice.available_endpoints.get(endpoint)
+        return spec.software if spec else ''
+
     def acquire(
         self, ask: SlotRequest, client_disconnected: Callable[[], bool]
     ) -> SlotDecision:
--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -104,6 +104,9 @@
         Whether the request may be sent again after a failure.
     fingerprint : str
         Id of requests with the same path, caller and body; empty if unknown.
+    software : str or None
+        Version at which its stream began, the only one at which it may go on;
+        None before a first event.
     """
 
     key: SlotKey
@@ -123,6 +126,13 @@
     data_centre: str
     repeatable: bool
     fingerprint: str = ''
+    software: str | None = None
+
+    def allows(self, software: str) -> bool:
+        """Return whether an endpoint of a version may get the request."""
+        if self.software is None:
+            return True
+        return bool(software) and software == self.software
 
     @property
     def parts(self) -> tuple[str, ...]:
@@ -194,6 +204,8 @@
         Unix milliseconds of its start; differs after a restart.
     event_tokens : int
         Tokens in one event of its streams; 0 for a plain service.
+    software : str
+        Version of its software; see `EndpointRecord.stream_version`.
     """
 
     name: str
@@ -202,6 +214,7 @@
     slots: int
     started_ms: int
     event_tokens: int
+    software: str = ''
 
     @property
     def run(self) -> EndpointRun:
@@ -216,11 +229,15 @@
     ----------
     is_probe : bool
         Whether it tests a quarantined prompt part.
+    is_verified : bool
+        Whether the endpoint is known to run the software that its record names:
+        one that has just been down may have come back with another.
     """
 
     key: SlotKey
     endpoint: str
     is_probe: bool = False
+    is_verified: bool = True
 
 
 class Queued(NamedTuple):
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -139,8 +139,14 @@
         """Grant a slot, queue the request, or refuse it."""
         reservation = self.reservations.get(ask.key)
         if reservation is not None:
+            granted = self.pool.by_name.get(reservation.endpoint)
             self.decisions.append(
-                Granted(ask.key, reservation.endpoint, reservation.is_probe)
+                Granted(
+                    ask.key,
+                    reservation.endpoint,
+                    reservation.is_probe,
+                    granted is not None and granted.is_verified(now),
+                )
             )
             return
         if ask.key in self.waiting:
@@ -177,7 +183,8 @@
         # A new home host may not have the endpoints yet; requests then wait.
         endpoints = self.pool.of_service(ask.service)
         if endpoints and all(
-            endpoint.spec.name in ask.avoid for endpoint in endpoints
+            endpoint.spec.name in ask.avoid or not endpoint.accepts(ask, now)
+            for endpoint in endpoints
         ):
             return RefusalReason.no_endpoint
         wait = self.waits.predict_wait_s(ask, now)
@@ -193,7 +200,7 @@
             if queue
             else frozenset()
         )
-        held_back = self.guard.is_held_back if self.guard.suspects else None
+        held_back = self.is_held_back if self.may_hold_back(service) else None
         for ask in queue.candidates(now, preferred, held_back):
             decision = self.guard.decide(ask, now)
             if decision in HELD_BACK:
@@ -206,6 +213,24 @@
             elif not self.pool.has_free_slot(service, now):
                 return
 
+    def may_hold_back(self, service: str) -> bool:
+        """Return whether some waiting requests may have to be passed over."""
+        return bool(
+            self.guard.suspects or service in self.waiting.bound_services()
+        )
+
+    def is_held_back(self, ask: SlotRequest, now: float) -> bool:
+        """Return whether a waiting request is passed over.
+
+        One whose stream goes on at a version without a free slot must not keep
+        the others from the free slots of other versions.
+        """
+        if ask.software is not None and not self.pool.has_free_slot_for(
+            ask, now
+        ):
+            return True
+        return bool(self.guard.suspects) and self.guard.is_held_back(ask, now)
+
     def grant(
         self,
         ask: SlotRequest,
@@ -221,7 +246,14 @@
         self.rate_limits.record_attempt(ask, now)
         self.grant_rates.record(ask.service, now)
         self.minimum_shares[ask.service].on_grant(ask.rank, now)
-        self.decisions.append(Granted(ask.key, endpoint.spec.name, is_probe))
+        self.decisions.append(
+            Granted(
+                ask.key,
+                endpoint.spec.name,
+                is_probe,
+                endpoint.is_verified(now),
+            )
+        )
 
     def refuse(
         self, ask: SlotRequest, reason: RefusalReason, now: float
--- /dev/null
+++ b/trefoilspool/versionhistory.py
@@ -0,0 +1,72 @@
+"""Which software versions the endpoints of each service have had of late."""
+
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+__all__ = ['MEMORY_S', 'ServiceVersion', 'VersionHistory']
+
+# Longer than a stream and the time in which its caller takes it up again.
+MEMORY_S = 60.0
+
+
+class ServiceVersion(NamedTuple):
+    """A software version of a service's endpoints.
+
+    Attributes
+    ----------
+    software : str
+        The version; empty if it cannot be told from others.
+    """
+
+    service: str
+    software: str
+
+
+class VersionHistory:
+    """The versions that are present, and those that were of late.
+
+    Pure: each call passes the time in seconds.
+
+    Parameters
+    ----------
+    started_at : float
+        When this host began to watch, in seconds.
+
+    Attributes
+    ----------
+    seen_until : dict
+        Until when each version was present, in seconds; infinite for those
+        that are.
+    """
+
+    def __init__(self, started_at: float) -> None:
+        self.started_at = started_at
+        self.seen_until: dict[ServiceVersion, float] = {}
+
+    def update(self, present: Iterable[ServiceVersion], now: float) -> None:
+        """Replace the versions that are present."""
+        self.seen_until = {
+            version: min(until, now)
+            for version, until in self.seen_until.items()
+            if until >= now - MEMORY_S
+        }
+        self.seen_until.update(dict.fromkeys(present, math.inf))
+
+    def versions(
+        self, service: str, window_s: float, now: float
+    ) -> frozenset[str]:
+        """Return a service's versions within a time."""
+        return frozenset(
+            version.software
+            for version, until in self.seen_until.items()
+            if version.service == service and until >= now - window_s
+        )
+
+    def has_watched(self, window_s: float, now: float) -> bool:
+        """Return whether all versions within a time are known."""
+        return now - self.started_at >= window_s
+
+    def has_several(self, service: str, now: float) -> bool:
+        """Return whether a service has had more than one version of late."""
+        return len(self.versions(service, MEMORY_S, now)) > 1
--- a/trefoilspool/waitingrequests.py
+++ b/trefoilspool/waitingrequests.py
@@ -1,10 +1,11 @@
 """The requests of all services that wait for a slot."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import NamedTuple
 
 from trefoilspool.servicequeue import ServiceQueue
 from trefoilspool.slotmessages import SlotKey, SlotRequest
+from trefoilspool.versionhistory import ServiceVersion
 
 __all__ = ['QueuedRequest', 'WaitingRequests']
 
@@ -25,11 +26,15 @@
         The requests with their timeouts.
     queues : defaultdict
         Their order in each service.
+    bound : Counter
+        Number of those that may go on only at a version, by service and
+        version.
     """
 
     def __init__(self) -> None:
         self.by_key: dict[SlotKey, QueuedRequest] = {}
         self.queues: defaultdict[str, ServiceQueue] = defaultdict(ServiceQueue)
+        self.bound: Counter[ServiceVersion] = Counter()
 
     def __len__(self) -> int:
         return len(self.by_key)
@@ -57,9 +62,25 @@
         """
         self.by_key[ask.key] = QueuedRequest(ask, timeout_at)
         self.queues[ask.service].add(ask)
+        if ask.software is not None:
+            self.bound[ServiceVersion(ask.service, ask.software)] += 1
 
     def remove(self, key: SlotKey) -> None:
         """Remove a request if it waits."""
         waiting = self.by_key.pop(key, None)
-        if waiting is not None:
-            self.queues[waiting.ask.service].remove(waiting.ask)
+        if waiting is None:
+            return
+        ask = waiting.ask
+        self.queues[ask.service].remove(ask)
+        if ask.software is not None:
+            self.count_down(ServiceVersion(ask.service, ask.software))
+
+    def count_down(self, version: ServiceVersion) -> None:
+        """Count one request less that may go on only at a version."""
+        self.bound[version] -= 1
+        if not self.bound[version]:
+            del self.bound[version]
+
+    def bound_services(self) -> frozenset[str]:
+        """Return the services for which requests bound to a version wait."""
+        return frozenset(version.service for version in self.bound)
--- a/trefoilspool/waitprediction.py
+++ b/trefoilspool/waitprediction.py
@@ -7,6 +7,7 @@
 from trefoilspool.minimumshares import MinimumShares
 from trefoilspool.ratelimits import RateLimits
 from trefoilspool.slotmessages import RefusalReason, SlotRequest
+from trefoilspool.versionhistory import ServiceVersion
 from trefoilspool.waitingrequests import WaitingRequests
 
 __all__ = ['QUEUE_TIMEOUT_S', 'RETRY_AFTER_DIVISOR', 'WaitPredictor']
@@ -53,10 +54,25 @@
         """Predict the seconds until a new request gets a slot."""
         ahead = self.ahead(ask, now)
         limit_wait_s = self.pool.limit_wait_s(ask, ahead, now)
+        version_wait_s = self.version_wait_s(ask, now)
         if not ahead:
-            return limit_wait_s
+            return max(limit_wait_s, version_wait_s)
         per_s = self.grant_rates.grants_per_s(ask.service, now)
-        return max(limit_wait_s, ahead / per_s)
+        return max(limit_wait_s, version_wait_s, ahead / per_s)
+
+    def version_wait_s(self, ask: SlotRequest, now: float) -> float:
+        """Predict the wait behind others that go on at the same version.
+
+        They get only the version's share of the slots that become free.
+        """
+        if ask.software is None:
+            return 0
+        version = ServiceVersion(ask.service, ask.software)
+        waiting = self.waiting.bound.get(version, 0)
+        share = self.pool.slot_share(ask, now)
+        if not waiting or not share:
+            return 0
+        return waiting / share / self.grant_rates.grants_per_s(ask.service, now)
 
     def ahead(self, ask: SlotRequest, now: float) -> int:
         """Count the requests that get a slot before a new one."""
@@ -95,4 +111,5 @@
         waiting = len(self.waiting.queues[ask.service])
         per_s = self.grant_rates.grants_per_s(ask.service, now)
         limit_wait_s = self.pool.limit_wait_s(ask, waiting, now)
-        return max(limit_wait_s, waiting / per_s)
+        version_wait_s = self.version_wait_s(ask, now)
+        return max(limit_wait_s, version_wait_s, waiting / per_s)
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -284,11 +284,12 @@
      - waited_ms
      - repeatable
      - fingerprint
+     - software
 
     """
 
 
-    def __init__(self, request=None, service_name=None, workspace=None, rank=None, prompt_tokens=None, output_tokens=None, aim_ms=None, left_ms=None, avoid=None, attempt=None, parts=None, streams=None, charge=None, data_centre=None, waited_ms=None, repeatable=None, fingerprint=None,):
+    def __init__(self, request=None, service_name=None, workspace=None, rank=None, prompt_tokens=None, output_tokens=None, aim_ms=None, left_ms=None, avoid=None, attempt=None, parts=None, streams=None, charge=None, data_centre=None, waited_ms=None, repeatable=None, fingerprint=None, software=None,):
         self.request = request
         self.service_name = service_name
         self.workspace = workspace
@@ -306,6 +307,7 @@
         self.waited_ms = waited_ms
         self.repeatable = repeatable
         self.fingerprint = fingerprint
+        self.software = software
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -411,6 +413,11 @@
                     self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRING:
+                    self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -495,6 +502,10 @@
             oprot.writeFieldBegin('fingerprint', TType.STRING, 17)
             oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
             oprot.writeFieldEnd()
+        if self.software is not None:
+            oprot.writeFieldBegin('software', TType.STRING, 18)
+            oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -523,11 +534,12 @@
      - retry_after_ms
      - probe
      - quarantined
+     - unverified
 
     """
 
 
-    def __init__(self, request=None, kind=None, endpoint=None, reason=None, retry_after_ms=None, probe=None, quarantined=None,):
+    def __init__(self, request=None, kind=None, endpoint=None, reason=None, retry_after_ms=None, probe=None, quarantined=None, unverified=None,):
         self.request = request
         self.kind = kind
         self.endpoint = endpoint
@@ -535,6 +547,7 @@
         self.retry_after_ms = retry_after_ms
         self.probe = probe
         self.quarantined = quarantined
+        self.unverified = unverified
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -580,6 +593,11 @@
                     self.quarantined = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.unverified = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -618,6 +636,10 @@
             oprot.writeFieldBegin('quarantined', TType.BOOL, 7)
             oprot.writeBool(self.quarantined)
             oprot.writeFieldEnd()
+        if self.unverified is not None:
+            oprot.writeFieldBegin('unverified', TType.BOOL, 8)
+            oprot.writeBool(self.unverified)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1257,6 +1279,175 @@
         return not (self == other)
 
 
+class StreamOrigin(object):
+    """
+    Attributes:
+     - stream
+     - software
+     - source
+     - service_name
+
+    """
+
+
+    def __init__(self, stream=None, software=None, source=None, service_name=None,):
+        self.stream = stream
+        self.software = software
+        self.source = source
+        self.service_name = service_name
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.stream = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BYTE:
+                    self.source = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOrigin')
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.I64, 1)
+            oprot.writeI64(self.stream)
+            oprot.writeFieldEnd()
+        if self.software is not None:
+            oprot.writeFieldBegin('software', TType.STRING, 2)
+            oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
+            oprot.writeFieldEnd()
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.BYTE, 3)
+            oprot.writeByte(self.source)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 4)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OriginQuery(object):
+    """
+    Attributes:
+     - stream
+     - route
+     - window_ms
+
+    """
+
+
+    def __init__(self, stream=None, route=None, window_ms=None,):
+        self.stream = stream
+        self.route = route
+        self.window_ms = window_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.stream = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.window_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OriginQuery')
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.I64, 1)
+            oprot.writeI64(self.stream)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 2)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.window_ms is not None:
+            oprot.writeFieldBegin('window_ms', TType.I32, 3)
+            oprot.writeI32(self.window_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Load(object):
     """
     Attributes:
@@ -1508,11 +1699,14 @@
      - quarantine
      - limits
      - served
+     - begun
+     - queries
+     - origins
 
     """
 
 
-    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None, leaving=None, crashes=None, quarantine=None, limits=None, served=None,):
+    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None, leaving=None, crashes=None, quarantine=None, limits=None, served=None, begun=None, queries=None, origins=None,):
         self.sender = sender
         self.asks = asks
         self.verdicts = verdicts
@@ -1528,6 +1722,9 @@
         self.quarantine = quarantine
         self.limits = limits
         self.served = served
+        self.begun = begun
+        self.queries = queries
+        self.origins = origins
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1677,6 +1874,39 @@
                     self.served.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.begun = []
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = StreamOrigin()
+                        _elem114.read(iprot)
+                        self.begun.append(_elem114)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.queries = []
+                    (_etype118, _size115) = iprot.readListBegin()
+                    for _i119 in range(_size115):
+                        _elem120 = OriginQuery()
+                        _elem120.read(iprot)
+                        self.queries.append(_elem120)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.origins = []
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = StreamOrigin()
+                        _elem126.read(iprot)
+                        self.origins.append(_elem126)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1694,29 +1924,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter109 in self.asks:
-                iter109.write(oprot)
+            for iter127 in self.asks:
+                iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter110 in self.verdicts:
-                iter110.write(oprot)
+            for iter128 in self.verdicts:
+                iter128.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter111 in self.ends:
-                iter111.write(oprot)
+            for iter129 in self.ends:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.roll is not None:
             oprot.writeFieldBegin('roll', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.roll))
-            for iter112 in self.roll:
-                iter112.write(oprot)
+            for iter130 in self.roll:
+                iter130.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1726,8 +1956,8 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter113 in self.hosts:
-                iter113.write(oprot)
+            for iter131 in self.hosts:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hello is not None:
@@ -1737,8 +1967,8 @@
         if self.levels is not None:
             oprot.writeFieldBegin('levels', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.levels))
-            for iter114 in self.levels:
-                iter114.write(oprot)
+            for iter132 in self.levels:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_read is not None:
@@ -1748,35 +1978,56 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter115 in self.leaving:
-                iter115.write(oprot)
+            for iter133 in self.leaving:
+                iter133.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter116 in self.crashes:
-                iter116.write(oprot)
+            for iter134 in self.crashes:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantine is not None:
             oprot.writeFieldBegin('quarantine', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantine))
-            for iter117 in self.quarantine:
-                iter117.write(oprot)
+            for iter135 in self.quarantine:
+                iter135.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter118 in self.limits:
-                iter118.write(oprot)
+            for iter136 in self.limits:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
             oprot.writeFieldBegin('served', TType.STRUCT, 16)
             self.served.write(oprot)
             oprot.writeFieldEnd()
+        if self.begun is not None:
+            oprot.writeFieldBegin('begun', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.begun))
+            for iter137 in self.begun:
+                iter137.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.queries is not None:
+            oprot.writeFieldBegin('queries', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.queries))
+            for iter138 in self.queries:
+                iter138.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.origins is not None:
+            oprot.writeFieldBegin('origins', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.origins))
+            for iter139 in self.origins:
+                iter139.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1837,6 +2088,7 @@
     (15, TType.I32, 'waited_ms', None, None, ),  # 15
     (16, TType.BOOL, 'repeatable', None, None, ),  # 16
     (17, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 17
+    (18, TType.STRING, 'software', 'UTF8', None, ),  # 18
 )
 all_structs.append(Verdict)
 Verdict.thrift_spec = (
@@ -1848,6 +2100,7 @@
     (5, TType.I32, 'retry_after_ms', None, None, ),  # 5
     (6, TType.BOOL, 'probe', None, None, ),  # 6
     (7, TType.BOOL, 'quarantined', None, None, ),  # 7
+    (8, TType.BOOL, 'unverified', None, None, ),  # 8
 )
 all_structs.append(End)
 End.thrift_spec = (
@@ -1902,6 +2155,21 @@
     (2, TType.LIST, 'ages_ms', (TType.I32, None, False), None, ),  # 2
     (3, TType.I32, 'covered_ms', None, None, ),  # 3
 )
+all_structs.append(StreamOrigin)
+StreamOrigin.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'stream', None, None, ),  # 1
+    (2, TType.STRING, 'software', 'UTF8', None, ),  # 2
+    (3, TType.BYTE, 'source', None, None, ),  # 3
+    (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
+)
+all_structs.append(OriginQuery)
+OriginQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'stream', None, None, ),  # 1
+    (2, TType.STRING, 'route', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'window_ms', None, None, ),  # 3
+)
 all_structs.append(Load)
 Load.thrift_spec = (
     None,  # 0
@@ -1940,6 +2208,9 @@
     (14, TType.LIST, 'quarantine', (TType.STRUCT, [QuarantineEntry, None], False), None, ),  # 14
     (15, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 15
     (16, TType.STRUCT, 'served', [Served, None], None, ),  # 16
+    (17, TType.LIST, 'begun', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 17
+    (18, TType.LIST, 'queries', (TType.STRUCT, [OriginQuery, None], False), None, ),  # 18
+    (19, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 19
 )
 fix_spec(all_structs)
 del all_structs
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -158,6 +158,7 @@
         waited_ms=ms(now - ask.arrived_at),
         repeatable=ask.repeatable,
         fingerprint=ask.fingerprint or None,
+        software=ask.software,
     )
 
 
@@ -185,6 +186,7 @@
         data_centre=wire.data_centre,
         repeatable=bool(wire.repeatable),
         fingerprint=wire.fingerprint or '',
+        software=wire.software,
     )
 
 
@@ -197,6 +199,7 @@
             GRANTED,
             decision.endpoint,
             probe=decision.is_probe or None,
+            unverified=not decision.is_verified or None,
         )
     if isinstance(decision, slotmessages.Refused):
         return ttypes.Verdict(
@@ -216,7 +219,9 @@
     """Build a decision for an entry host from its Thrift struct."""
     key = slotmessages.SlotKey(entry, wire.request)
     if wire.kind == GRANTED:
-        return slotmessages.Granted(key, wire.endpoint, bool(wire.probe))
+        return slotmessages.Granted(
+            key, wire.endpoint, bool(wire.probe), not wire.unverified
+        )
     if wire.kind == REFUSED:
         return slotmessages.Refused(
             key,
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -37,6 +37,7 @@
   15: i32 waited_ms         // since the request arrived at its entry
   16: bool repeatable
   17: optional string fingerprint // of the path, the caller and the body
+  18: optional string software    // version at which the stream began
 }
 struct Verdict {
   1: i64 request
@@ -46,6 +47,7 @@
   5: i32 retry_after_ms
   6: optional bool probe    // the grant tests a quarantined part
   7: optional bool quarantined // the reason; builds before read field 4
+  8: optional bool unverified  // the endpoint may have another version by now
 }
 struct End {
   1: i64 request
@@ -94,6 +96,20 @@
   2: list<i32> ages_ms      // since a request with each was last sent
   3: i32 covered_ms         // for so long no others were served there
 }
+// The software version at which a stream began.
+struct StreamOrigin {
+  1: i64 stream             // hash of the workspace and the first request's id
+  2: string software        // empty: it is not known
+  3: byte source            // 0 recorded, 1 the only version of late, 2 one of
+                            // several, 3 the sender has not watched for so long
+  4: string service_name
+}
+// A stream of whose origin the sender asks.
+struct OriginQuery {
+  1: i64 stream
+  2: string route           // name of the route in the configuration
+  3: i32 window_ms          // the stream began at most so long ago
+}
 struct Load {
   1: string endpoint
   2: i32 held
@@ -127,4 +143,7 @@
   14: optional list<QuarantineEntry> quarantine
   15: optional list<EndpointLimit> limits
   16: optional Served served // for a new home
+  17: optional list<StreamOrigin> begun   // streams that began at the sender
+  18: optional list<OriginQuery> queries
+  19: optional list<StreamOrigin> origins // the answer to queries
 }
--- /dev/null
+++ b/trefoilspool/wire/origins.py
@@ -0,0 +1,72 @@
+"""Conversion between origins of streams and datagrams."""
+
+from collections.abc import Iterable
+
+from trefoilspool.streamorigins import (
+    UNKNOWN,
+    OriginQuery,
+    OriginSource,
+    StreamOrigin,
+)
+from trefoilspool.wire.gen.mesh import ttypes
+
+__all__ = [
+    'origins_from_wire',
+    'origins_to_wire',
+    'queries_from_wire',
+    'queries_to_wire',
+]
+
+MS_PER_S = 1000
+SOURCES = frozenset(OriginSource)
+
+
+def origins_to_wire(
+    origins: Iterable[StreamOrigin],
+) -> list[ttypes.StreamOrigin]:
+    """Build the Thrift structs of origins."""
+    return [
+        ttypes.StreamOrigin(
+            origin.stream, origin.software, int(origin.source), origin.service
+        )
+        for origin in origins
+    ]
+
+
+def origins_from_wire(
+    structs: Iterable[ttypes.StreamOrigin],
+) -> list[StreamOrigin]:
+    """Build origins from their Thrift structs; incomplete ones are left out."""
+    return [
+        StreamOrigin(
+            struct.stream,
+            struct.service_name or '',
+            struct.software or UNKNOWN,
+            OriginSource(struct.source),
+        )
+        for struct in structs
+        if struct.stream is not None and struct.source in SOURCES
+    ]
+
+
+def queries_to_wire(
+    queries: Iterable[OriginQuery],
+) -> list[ttypes.OriginQuery]:
+    """Build the Thrift structs of queries."""
+    return [
+        ttypes.OriginQuery(
+            query.stream, query.route, int(query.window_s * MS_PER_S)
+        )
+        for query in queries
+    ]
+
+
+def queries_from_wire(
+    structs: Iterable[ttypes.OriginQuery],
+) -> list[OriginQuery]:
+    """Build queries from their Thrift structs; incomplete ones are left out."""
+    return [
+        OriginQuery(struct.stream, struct.route, struct.window_ms / MS_PER_S)
+        for struct in structs
+        if None not in (struct.stream, struct.route, struct.window_ms)
+    ]
