--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,16 +18,18 @@
 from typing import NamedTuple
 
 import fire
-from soakcallers import Caller, KeptCaller
+from soakcallers import Caller, KeptCaller, ResumingCaller
 from soakchecks import all_violations
 from soakfaults import (
     FIRST_SEED_WITH_LIMITS,
     FIRST_SEED_WITH_SERIES,
+    FIRST_SEED_WITH_VERSIONS,
     crash_by_part,
     crash_by_request,
     fault_table,
     inject_fault,
 )
+from soakstreams import StreamShares, check_streams, stream_shares
 from soakworld import SoakHost, World, WorldShape
 
 START_TIMEOUT_S = 20.0
@@ -42,6 +44,7 @@
 # The draws of seeds from FIRST_SEED_WITH_SERIES on.
 HOST_COUNTS = (5, 5, 5, 5, 5, 5, 5, 8, 8, 12, 12, 40)
 HOSTS_PER_ENDPOINT = 3
+VERSION_COUNTS = (2, 2, 3)
 MIN_ENDPOINTS = 6
 CRASH_SHARE = 0.5  # share of these seeds with a part that crashes endpoints
 CRASH_START_S = 3.0
@@ -55,6 +58,7 @@
     violations: list[str]
     statuses: Counter[int]
     faults: list[str]
+    shares: StreamShares
 
 
 class Plan(NamedTuple):
@@ -75,8 +79,12 @@
     hosts = hosts or drawn
     endpoints = max(MIN_ENDPOINTS, hosts // HOSTS_PER_ENDPOINT)
     crashes = rng.random() < CRASH_SHARE
+    versions = 1
+    if seed >= FIRST_SEED_WITH_VERSIONS:
+        versions = rng.choice(VERSION_COUNTS)
+        crashes = crashes and rng.random() < CRASH_SHARE
     return Plan(
-        WorldShape(hosts, endpoints, varied=True),
+        WorldShape(hosts, endpoints, varied=True, versions=versions),
         CALLER_COUNT * 2 + hosts // 4,
         crashes,
         seconds or SECONDS_BY_CRASHES[crashes],
@@ -100,9 +108,11 @@
 def run(world: World, seed: int, rng: random.Random, plan: Plan) -> Result:
     """Send requests and inject faults, then check the recovery."""
     until = time.monotonic() + plan.seconds
-    kind = KeptCaller if plan.shape.varied else Caller
+    kinds = caller_kinds(plan.shape)
     callers = [
-        kind(world, f's{seed}c{number}', rng.getrandbits(32))
+        kinds[number % len(kinds)](
+            world, f's{seed}c{number}', rng.getrandbits(32)
+        )
         for number in range(plan.callers)
     ]
     faults = []
@@ -129,7 +139,22 @@
     world.wait_for_work()
     recover(world, callers[0])
     statuses = Counter(sent.status for sent in world.ledger.sent.values())
-    return Result(seed, all_violations(world.ledger), statuses, faults)
+    violations = all_violations(world.ledger)
+    violations.extend(check_streams(world.ledger, world.all_endpoints))
+    return Result(
+        seed,
+        violations,
+        statuses,
+        faults,
+        stream_shares(world.ledger, world.all_endpoints),
+    )
+
+
+def caller_kinds(shape: WorldShape) -> list[type[Caller]]:
+    """Return the kinds of callers, which take turns."""
+    if shape.versions > 1:
+        return [KeptCaller, ResumingCaller]
+    return [KeptCaller if shape.varied else Caller]
 
 
 def crash_of(seed: int) -> Callable[[World, random.Random, float], None]:
@@ -223,7 +248,8 @@
             result = soak(seed, seconds, folder, hosts)
         failed += bool(result.violations)
         print_line(
-            f'{seed} {dict(result.statuses)} {dict(Counter(result.faults))}'
+            f'{seed} {dict(result.statuses)} {dict(Counter(result.faults))} '
+            f'{tuple(result.shares)}'
         )
         for violation in result.violations:
             print_line(f'  violation: {violation}')
--- a/tests/soakcallers.py
+++ b/tests/soakcallers.py
@@ -5,9 +5,16 @@
 import select
 import time
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from gatewaycluster import AUTHORITY, KEY
-from soakledger import DEADLINE_S, MAX_RUNS, BadPart, SentRequest
+from soakledger import (
+    DEADLINE_S,
+    MAX_RUNS,
+    STREAM_EVENTS,
+    BadPart,
+    SentRequest,
+)
 from soakworld import SoakHost, World
 
 MEAN_PAUSE_S = 0.03
@@ -20,11 +27,27 @@
 RECONNECT_S = 0.1  # after a connection that a host refused or closed
 BODY = b'prompt'
 BAD_SHARE = 0.15  # of requests while a part crashes endpoints
+OK = 200
+EVENT_END = b'\n\n'
+READ_BYTES = 4096
+LEAVING_SHARE = 0.4  # of requests whose caller ends the connection
+MAX_TAKE_UPS = 2
+TAKE_UP_PAUSE_S = 0.3
 REPEAT_SHARE = 0.1  # of requests that come again, while one crashes endpoints
 FIRST_PART = '5c1e07a2:800'
 MIDDLE_PARTS = ('91bd3f06:410', 'a07715cc:120', '44e1d9b0:260')
 
 
+class CutStream(NamedTuple):
+    """A stream to be taken up: the attempt that began it, the next event."""
+
+    stream: str
+    next_event: int
+
+
+NO_STREAM = CutStream('', 0)
+
+
 class Caller:
     """Sends requests on one connection; reconnects to a random host."""
 
@@ -36,6 +59,7 @@
         self.host = world.hosts[0]
         self.connection: http.client.HTTPConnection | None = None
         self.whole_at = 0.0
+        self.wanted_events = STREAM_EVENTS
         # Highest configuration version served, by process id of the host.
         self.seen_version: dict[int, int] = {}
 
@@ -57,6 +81,7 @@
         route: str,
         parts: tuple[str, ...] = (),
         path: str = '',
+        cut: CutStream = NO_STREAM,
     ) -> SentRequest:
         """Send a request to a route and record the response."""
         self.count += 1
@@ -69,6 +94,9 @@
             'Deadline-Ms': str(int(DEADLINE_S * MS_PER_S)),
             'Tenant': 'other',
         }
+        if cut.stream:
+            headers['Resumes'] = cut.stream
+            headers['Last-Event-Id'] = str(cut.next_event - 1)
         if parts:
             headers['Prefix-Hash'] = ','.join((*parts, f'{request_id}:40'))
         self.whole_at = 0
@@ -86,6 +114,9 @@
             body,
             self.whole_at,
             parts,
+            cut.stream,
+            cut.next_event,
+            self.wanted_events < STREAM_EVENTS,
         )
         self.world.ledger.on_sent(sent)
         return sent
@@ -228,4 +259,54 @@
         return seen
 
 
-__all__ = ['Caller', 'KeptCaller']
+class ResumingCaller(KeptCaller):
+    """Takes up streams that were cut, at another host as a rule.
+
+    At times it ends a stream's connection itself.
+    """
+
+    def send_next(self) -> None:
+        """Send a request; take it up while its stream is cut."""
+        if self.random.random() < LEAVING_SHARE:
+            self.wanted_events = self.random.randrange(1, STREAM_EVENTS)
+        sent = self.send('chat', 'chat')
+        self.wanted_events = STREAM_EVENTS
+        for _ in range(MAX_TAKE_UPS):
+            next_event = sent.first_event + sent.body.count(EVENT_END)
+            is_cut = not sent.complete or sent.status != OK
+            if not is_cut or not next_event:
+                return
+            time.sleep(self.random.uniform(0, TAKE_UP_PAUSE_S))
+            self.connection = None
+            cut = CutStream(sent.stream, next_event)
+            again = self.send('chat', 'chat', cut=cut)
+            if again.status != OK:
+                # What a refusal has as its body is no event.
+                again = again._replace(body=b'', complete=False)
+            sent = again
+
+    def exchange(
+        self, path: str, headers: Mapping[str, str]
+    ) -> tuple[int, bool, bytes]:
+        """Exchange a request, up to the events that are wanted."""
+        if self.wanted_events == STREAM_EVENTS:
+            return super().exchange(path, headers)
+        connection = self.current_connection()
+        body = b''
+        try:
+            self.send_whole(connection, path, headers)
+            response = connection.getresponse()
+            while body.count(EVENT_END) < self.wanted_events:
+                piece = response.read1(READ_BYTES)
+                if not piece:
+                    break
+                body += piece
+        except (OSError, http.client.HTTPException):
+            return 0, False, b''
+        finally:
+            connection.close()
+            self.connection = None
+        return response.status, False, body
+
+
+__all__ = ['Caller', 'KeptCaller', 'ResumingCaller']
--- a/tests/soakendpoint.py
+++ b/tests/soakendpoint.py
@@ -41,6 +41,7 @@
         *,
         varied: bool,
         born: int = 1,
+        version: str = 'v1',
     ) -> None:
         self.key = key
         self.born = born
@@ -48,6 +49,10 @@
         self.ledger = ledger
         self.on_crash = on_crash
         self.varied = varied
+        self.version = version
+        self.pause_s = EVENT_PAUSE_S
+        self.started_at = time.monotonic()
+        self.ended_at = float('inf')
         self.fault = ''
         self.says_leaving = False
         self.limit_per_s = 0.0  # named in all responses; 0 if none is
@@ -67,6 +72,7 @@
         changes = {
             'address': self.proxy.address,
             'born': self.born,
+            'version': self.version,
             **changes,
         }
         return self.server.record('engines', **changes)
@@ -153,6 +159,7 @@
                 return
             self.crashed = True
         crashed_at = time.monotonic()
+        self.ended_at = min(self.ended_at, crashed_at)
         self.proxy.close()
         self.server.close()
         self.on_crash(self, crashed_at)
@@ -179,16 +186,16 @@
 
     def stream_unsized(self, served: ServedRequest, *, is_cut: bool) -> None:
         """Send the events of a response without a length."""
-        request_id = served.request.request_id
+        stream = stream_of(served)
         first_event = int(served.request.headers.get('last-event-id', -1)) + 1
         for number in range(first_event, STREAM_EVENTS):
             self.awake.wait()
-            event = stream_event(request_id, number)
+            event = stream_event(stream, self.version, number)
             if is_cut and number >= STREAM_EVENTS // 2:
                 served.sock.sendall(event[: self.random.randrange(1, 9)])
                 break
             served.sock.sendall(event)
-            time.sleep(EVENT_PAUSE_S)
+            time.sleep(self.pause_s)
         served.close()
 
     def respond(self, served: ServedRequest, *, cut: bool) -> None:
@@ -215,8 +222,8 @@
                 served.reset()
                 return
             self.awake.wait()
-            served.chunk(stream_event(request.request_id, number))
-            time.sleep(EVENT_PAUSE_S)
+            served.chunk(stream_event(stream_of(served), self.version, number))
+            time.sleep(self.pause_s)
         served.end_stream()
 
     def close(self) -> None:
@@ -224,4 +231,10 @@
         self.server.close()
 
 
+def stream_of(served: ServedRequest) -> str:
+    """Return the id of the attempt that began a request's stream."""
+    request = served.request
+    return request.headers.get('resumes') or request.request_id
+
+
 __all__ = ['SoakEndpoint']
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -341,6 +341,7 @@
 }
 
 
+FIRST_SEED_WITH_VERSIONS = 700
 FIRST_SEED_WITH_LIMITS = 300
 LIMIT_FAULTS: Mapping[str, Fault] = {'name_limit': name_limit}
 
--- a/tests/soakledger.py
+++ b/tests/soakledger.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 
 STREAM_EVENTS = 6
+# Versions of the endpoints' software; one only before FIRST_SEED_WITH_VERSIONS.
+VERSIONS = ('v1', 'v2', 'v3')
 # Statuses which promise that no endpoint ran the request.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Largest number of runs of a request, by kind.
@@ -42,10 +44,22 @@
     # When the last byte had been sent on an open connection; 0 for never.
     whole_at: float = 0
     parts: tuple[str, ...] = ()
+    # The attempt whose stream it takes up, and the first event that it lacks.
+    resumes: str = ''
+    first_event: int = 0
+    # Whether its caller ended the connection.
+    left: bool = False
+
+    @property
+    def stream(self) -> str:
+        """The id of the attempt that began the stream."""
+        return self.resumes or self.request_id
 
     @property
     def is_answered(self) -> bool:
-        """Whether it ended in a whole answer or a refusal."""
+        """Whether it ended in a whole answer or a refusal, or by its caller."""
+        if self.left:
+            return True
         failed = self.status in FAILED_STATUSES
         return bool(self.status) and self.complete and not failed
 
@@ -320,17 +334,30 @@
     if sent.kind not in STREAM_KINDS:
         if sent.body != sent.request_id.encode():
             yield f'MIXED: {sent} does not have its request id as body'
-    elif sent.body != stream_body(sent.request_id):
+    elif sent.body not in whole_bodies(sent):
         yield f'ORDER: {sent} does not have the complete stream as body'
 
 
-def stream_event(request_id: str, number: int) -> bytes:
-    """Return a server-sent event of a request's stream."""
-    return b'id: %d\ndata: %s\n\n' % (number, request_id.encode())
+def whole_bodies(sent: SentRequest) -> list[bytes]:
+    """Return the complete bodies that a stream may have, one by version."""
+    return [
+        stream_body(sent.stream, version, sent.first_event)
+        for version in VERSIONS
+    ]
+
+
+def stream_event(stream: str, version: str, number: int) -> bytes:
+    """Return a server-sent event of a stream at a version."""
+    return b'id: %d\ndata: %s@%s\n\n' % (
+        number,
+        stream.encode(),
+        version.encode(),
+    )
 
 
-def stream_body(request_id: str) -> bytes:
-    """Return the complete event stream of a request."""
+def stream_body(stream: str, version: str, first: int = 0) -> bytes:
+    """Return the events of a stream from one on."""
     return b''.join(
-        stream_event(request_id, number) for number in range(STREAM_EVENTS)
+        stream_event(stream, version, number)
+        for number in range(first, STREAM_EVENTS)
     )
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -14,7 +14,7 @@
 from gatewaycluster import configuration, route
 from platformstore import PlatformStore
 from soakendpoint import SoakEndpoint
-from soakledger import FaultSpan, Ledger
+from soakledger import VERSIONS, FaultSpan, Ledger
 from soakproxy import Proxy
 
 GRACE_S = 8.0
@@ -24,18 +24,21 @@
 ENDPOINT_COUNT = 4
 KEPT_VERSIONS = 3
 SEED_COUNT = 3
+LONG_EVENT_PAUSE_S = 0.12  # for streams that hosts are killed under
 CRASH_PAUSE_S = (1.0, 2.0)
 
 
 class WorldShape(NamedTuple):
     """What a seed chooses of the world.
 
-    ``varied`` endpoints also answer without a length and may crash.
+    ``varied`` endpoints also answer without a length and may crash. With
+    several ``versions`` callers also take up streams that were cut.
     """
 
     hosts: int = HOST_COUNT
     endpoints: int = ENDPOINT_COUNT
     varied: bool = False
+    versions: int = 1
 
 
 DEFAULT_SHAPE = WorldShape()
@@ -119,6 +122,8 @@
         )
         self.store = PlatformStore()
         self.endpoint_numbers = itertools.count(1)
+        self.endpoint_turns = itertools.count()
+        self.all_endpoints: list[SoakEndpoint] = []
         self.versions = itertools.count(1)
         self.version = 0
         self.configure()
@@ -160,13 +165,19 @@
         return self.start_endpoint(f'i-{next(self.endpoint_numbers)}')
 
     def start_endpoint(self, key: str, born: int = 1) -> SoakEndpoint:
+        """Start an endpoint; each start has the next version in turn."""
+        turn = next(self.endpoint_turns) % self.shape.versions
         endpoint = SoakEndpoint(
             key,
             self.ledger,
             self.on_crash,
             varied=self.shape.varied,
             born=born,
+            version=VERSIONS[turn],
         )
+        if self.shape.versions > 1:
+            endpoint.pause_s = LONG_EVENT_PAUSE_S
+        self.all_endpoints.append(endpoint)
         self.register(endpoint)
         return endpoint
 
@@ -179,6 +190,7 @@
         """Add an endpoint in the place of another, which is returned."""
         with self.endpoints_lock:
             leaving = self.endpoints[number]
+            leaving.ended_at = time.monotonic()
             self.endpoints[number] = self.add_endpoint()
         return leaving
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -80,7 +80,7 @@
         assert self.violation_code(ledger) == 'UNASKED'
 
     def test_incomplete_stream(self, ledger: Ledger) -> None:
-        body = stream_body('q1')
+        body = stream_body('q1', 'v1')
         ledger.on_sent(
             sent_request(kind='talk', path='/book/q1', body=body[:-20])
         )
@@ -188,7 +188,7 @@
         status: int,
         parts: tuple[str, ...] = ('1:1',),
     ) -> None:
-        body = stream_body(name)
+        body = stream_body(name, 'v1')
         path = f'/chat/{name}'
         ledger.on_sent(
             SentRequest(
