Tell of begun streams while hosts are young; take only refusals for an end

Cause, by reading: while hosts that started together are young, none of them can infer a version, and nothing was told then after ten seconds; an endpoint that one host cannot reach was taken for ended by all, so streams would have been refused while a host is cut off. Change: streams are told of for the first 30 s of a host, too; only a refused connection shows that an endpoint has ended; views that other threads read are replaced whole; the list of begun streams is bounded. test_streamversions, test_streamorigins and test_soak pass; TestShare takes up 24 streams with all hosts alive and with the first, the home or both stopped.

--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -76,6 +76,16 @@
     served.end_stream()
 
 
+def stream_briefly(served: ServedRequest) -> None:
+    """Stream for about a third of a second."""
+    first = int(served.request.headers.get('last-event-id', -1)) + 1
+    served.start_stream()
+    for number in range(first, 5):
+        served.event(number)
+        time.sleep(0.05)
+    served.end_stream()
+
+
 def add_endpoints(cluster: GatewayCluster, *versions: object) -> None:
     for version in versions:
         cluster.add_endpoint(version=version)
@@ -206,6 +216,41 @@
         assert first.runs == ['a']
 
 
+class TestShare:
+    """Of the streams that callers take up, half as many go on as new begin."""
+
+    streams = 24
+
+    @pytest.mark.parametrize('killed', ['none', 'first', 'home', 'both'])
+    def test_streams_go_on(self, cluster: GatewayCluster, killed: str) -> None:
+        add_endpoints(cluster, *(VERSIONS * 2))
+        for endpoint in cluster.endpoints:
+            endpoint.behaviour = stream_briefly
+        hosts = add_hosts(cluster, 5)
+        home = next(made for made in hosts if made.host.mesh.peers.is_home())
+        others = [running for running in hosts if running is not home]
+        for number in range(self.streams):
+            with cluster.open_call(
+                others[0], '/chat/1', Request_Id=f'a{number}'
+            ) as response:
+                response.read1(100)
+        stopped = {'none': [], 'first': others[:1], 'home': [home]}
+        for running in stopped.get(killed, [home, others[0]]):
+            running.stop()
+        statuses = []
+        for number in range(self.streams):
+            again = f'b{number}'
+            statuses.append(
+                take_up(
+                    cluster, others[1], f'a{number}', request_id=again
+                ).status
+            )
+            if statuses[-1] == 200:
+                ran = began_at(cluster, f'a{number}'), began_at(cluster, again)
+                assert len({version_of(cluster, made) for made in ran}) == 1
+        assert statuses.count(200) * 2 >= self.streams
+
+
 class TestCallerResumption:
     """A caller takes a stream up after its connection was cut."""
 
--- a/trefoilspool/endpointload.py
+++ b/trefoilspool/endpointload.py
@@ -82,7 +82,7 @@
         When each prompt prefix that is assumed to be in the endpoint's cache
         expires, in seconds.
     down_at : float
-        When a connection to it last failed, in seconds.
+        When it last refused a connection, in seconds.
     """
 
     def __init__(self, spec: EndpointSpec) -> None:
@@ -214,7 +214,7 @@
         granted_at, now : float
             When the slot was granted and the present time, in seconds.
         """
-        if release.is_down or release.ending is AttemptEnding.unreachable:
+        if release.is_down:
             self.down_at = now
         failed = release.ending in FAILURE_ENDINGS
         if failed or release.ending is AttemptEnding.completed:
--- a/trefoilspool/endpointpool.py
+++ b/trefoilspool/endpointpool.py
@@ -54,8 +54,10 @@
         """Return the endpoints of a service."""
         return self.by_service.get(service, ())
 
-    def accepting(self, ask: SlotRequest, now: float) -> list[EndpointLoad]:
+    def accepting(self, ask: SlotRequest, now: float) -> Sequence[EndpointLoad]:
         """Return the endpoints of the version at which a request may go on."""
+        if ask.software is None:
+            return self.of_service(ask.service)
         return [
             endpoint
             for endpoint in self.of_service(ask.service)
--- a/trefoilspool/origingossip.py
+++ b/trefoilspool/origingossip.py
@@ -17,6 +17,7 @@
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.routehistory import RouteHistory
 from trefoilspool.streamorigins import (
+    MAX_STREAMS,
     UNKNOWN,
     OriginQuery,
     OriginSource,
@@ -41,6 +42,8 @@
 ASKED_HOSTS = 5
 # Hosts answer in about a millisecond; datagrams may be lost.
 ANSWER_TIMEOUTS_S = (0.02, 0.04, 0.08)
+# Hosts often start together; until then they know of no version that has left.
+YOUNG_S = 30.0
 ROUTE_SETTLED_S = 10.0  # longer than a configuration takes to all hosts
 MAX_ORIGINS = 400  # in one datagram
 
@@ -120,16 +123,27 @@
             Name of its route.
         """
         now = clock.now()
-        # Other hosts may not have the route's present service yet.
-        is_told = self.history.has_several(
-            origin.service, now
-        ) or not self.routes.only_service(route, ROUTE_SETTLED_S, now)
+        is_told = self.must_tell(origin.service, route, now)
         with self.lock:
             self.origins.record(origin, now)
             self.begun[origin.stream] = BegunStream(origin, is_told)
+            if len(self.begun) > MAX_STREAMS:
+                self.drop_old(now)
         if is_told:
             self.tell([origin])
 
+    def must_tell(self, service: str, route: str, now: float) -> bool:
+        """Return whether a stream's version may not follow from the records.
+
+        Other hosts may have started lately, or may not have the route's present
+        service yet.
+        """
+        return (
+            self.history.has_several(service, now)
+            or not self.history.has_watched(YOUNG_S, now)
+            or not self.routes.only_service(route, ROUTE_SETTLED_S, now)
+        )
+
     def on_completed(self, stream: int) -> None:
         """Forget a stream that its caller has whole."""
         with self.lock:
@@ -174,7 +188,7 @@
 
     def owners(self, stream: int, count: int) -> list[str]:
         """Return the other hosts that are to know of a stream."""
-        names = frozenset(self.peers.hosts)
+        names = self.peers.names()
         if names != self.ring.names:
             self.ring = HashRing(names)
         own = self.peers.own.name
--- a/trefoilspool/peers.py
+++ b/trefoilspool/peers.py
@@ -270,6 +270,11 @@
                     self.last_heartbeat_at.pop(name, None)
                     logger.info('host_forgotten', extra={'peer': name})
 
+    def names(self) -> frozenset[str]:
+        """Return the names of the known hosts."""
+        with self.lock:
+            return frozenset(self.hosts)
+
     def count(self) -> int:
         """Return the number of known hosts."""
         return len(self.hosts)
--- a/trefoilspool/streamorigins.py
+++ b/trefoilspool/streamorigins.py
@@ -25,7 +25,7 @@
 
 UNKNOWN = ''  # software that equals none, not even itself
 UNKNOWN_VERSION = ServiceVersion('', UNKNOWN)
-MAX_STREAMS = 20_000
+MAX_STREAMS = 30_000
 
 
 class OriginSource(IntEnum):
--- a/trefoilspool/versionhistory.py
+++ b/trefoilspool/versionhistory.py
@@ -46,12 +46,13 @@
 
     def update(self, present: Iterable[ServiceVersion], now: float) -> None:
         """Replace the versions that are present."""
-        self.seen_until = {
+        earlier = {
             version: min(until, now)
             for version, until in self.seen_until.items()
             if until >= now - MEMORY_S
         }
-        self.seen_until.update(dict.fromkeys(present, math.inf))
+        # Other threads read it meanwhile.
+        self.seen_until = earlier | dict.fromkeys(present, math.inf)
 
     def versions(
         self, service: str, window_s: float, now: float
