--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -51,6 +51,8 @@
     'replacement',
     'serving',
     'settingssync',
+    'streamrelay',
+    'streamtakeup',
     'slotacquisition',
     'slotclient',
     'slotevents',
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -24,7 +24,8 @@
 from trefoilspool.quarantinestore import QuarantineStoreTask
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.routing import Configuration
-from trefoilspool.serving import EndpointKnowledge, RequestServer
+from trefoilspool.serving import RequestServer
+from trefoilspool.servingparts import EndpointKnowledge
 from trefoilspool.settingssync import ConfigurationHandlers, SettingsSync
 from trefoilspool.telemetry import Metrics
 from trefoilspool.watch import WatchTask
