--- a/tests/test_crashingpart.py
+++ b/tests/test_crashingpart.py
@@ -41,6 +41,7 @@
     SlotKey,
 )
 from trefoilspool.store import KeyedRecord, KeyedTopic, Page
+from trefoilspool.wire import endpointreports
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
@@ -222,7 +223,7 @@
         return {
             entry.part
             for _, content in records
-            for entry in wire.decode_quarantine(content) or ()
+            for entry in endpointreports.decode_quarantine(content) or ()
             if entry.active
         }
 
@@ -713,20 +714,24 @@
                     wire.host_info_to_wire(own),
                     verdicts=[wire.decision_to_wire(granted)],
                     roll=[wire.held_to_wire(held)],
-                    crashes=[wire.crash_report_to_wire(report)],
-                    quarantine=wire.quarantine_to_wire(entries),
+                    crashes=[endpointreports.crash_report_to_wire(report)],
+                    quarantine=endpointreports.quarantine_to_wire(entries),
                 )
             )
         )
         assert decoded is not None
         assert wire.decision_from_wire(decoded.verdicts[0], 'h1') == granted
         assert wire.held_from_wire(decoded.roll, 'h1') == [held]
-        assert wire.crash_report_from_wire(decoded.crashes[0]) == report
-        assert wire.quarantine_from_wire(decoded.quarantine) == entries
+        assert (
+            endpointreports.crash_report_from_wire(decoded.crashes[0]) == report
+        )
+        assert (
+            endpointreports.quarantine_from_wire(decoded.quarantine) == entries
+        )
 
     def test_long_parts_do_not_fill_a_datagram(self) -> None:
         entries = [QuarantineEntry('a' * 3000, 1, True)] * 4
-        assert len(wire.quarantine_to_wire(entries) or ()) == 1
+        assert len(endpointreports.quarantine_to_wire(entries) or ()) == 1
 
 
 class TestGossip:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -18,13 +18,17 @@
     Load,
     Token,
 )
-from trefoilspool.errors import ConnectFailedError, Problem, SendFailedError
+from trefoilspool.errors import (
+    ConnectFailedError,
+    SendFailedError,
+)
 from trefoilspool.filter import ClaimedJob, PermittedJob
 from trefoilspool.filters.claim import time_since_boot
 from trefoilspool.filters.dispatch import Dispatch
 from trefoilspool.filters.settle import final_outcome
 from trefoilspool.outcome import Outcome
 from trefoilspool.permit import Permit
+from trefoilspool.problems import Problem
 from trefoilspool.responses import correct_outcome
 from trefoilspool.watch import WatchTask
 
--- a/tests/test_endpointpacer.py
+++ b/tests/test_endpointpacer.py
@@ -30,7 +30,6 @@
     SlotKey,
 )
 from trefoilspool.slotscheduler import SlotScheduler
-from trefoilspool.wire import mesh as wire
 
 RUN = EndpointRun('a', 1)
 HEAD = ResponseHead(
@@ -154,9 +153,9 @@
 
     def test_reports_survive_encoding(self) -> None:
         reports = [LimitReport(RUN, 2.5, 1.0), LimitReport(RUN, None, 0.5)]
-        structs = wire.limits_to_wire(reports)
+        structs = reports.limits_to_wire(reports)
         assert structs is not None
-        assert wire.limits_from_wire(structs) == reports
+        assert reports.limits_from_wire(structs) == reports
 
 
 class TestPacing:
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -11,7 +11,10 @@
 from platformendpoint import SERVER_STAMP, PlatformEndpoint, ServedRequest
 from storecalls import READ_HEADER, StoreTopic, decode_records
 
-from trefoilspool.errors import LogOutageError, StreamCutError
+from trefoilspool.errors import (
+    LogOutageError,
+    StreamCutError,
+)
 from trefoilspool.eventstream import split_events
 from trefoilspool.peertopics import peer_page
 from trefoilspool.responsebounds import ByteBudget, collect_body
--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -28,7 +28,7 @@
     'discovery',
     'endchecks',
     'endpointlimits',
-    'exchange',
+    'endpointresponse',
     'gateway',
     'gatewaydaemon',
     'gatewayhost',
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -9,7 +9,10 @@
 from returns.result import Success
 
 from trefoilspool.claims import ClaimKey, ClaimTask, ReleaseKey
-from trefoilspool.errors import LogLostAnswerError, LogOutageError
+from trefoilspool.errors import (
+    LogLostAnswerError,
+    LogOutageError,
+)
 from trefoilspool.ledger import Claim, ClaimBatch, Ledger
 from trefoilspool.platform import LogPage, LogRecord, LogService
 from trefoilspool.platforms.memory import MemoryLog
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -9,15 +9,15 @@
 from returns.result import Result, Success
 
 from trefoilspool.endpoint import Token
-from trefoilspool.errors import (
+from trefoilspool.filter import Response
+from trefoilspool.outcome import Outcome
+from trefoilspool.pipeline import Filters, Pipeline
+from trefoilspool.problems import (
     EndpointFailedError,
     EndpointRefusedError,
     MayHaveRunError,
     Problem,
 )
-from trefoilspool.filter import Response
-from trefoilspool.outcome import Outcome
-from trefoilspool.pipeline import Filters, Pipeline
 from trefoilspool.responses import correct_outcome, stream_events
 
 
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -13,7 +13,10 @@
 
 from trefoilspool.callerrors import MalformedCallError
 from trefoilspool.dialect import OutboundRequest
-from trefoilspool.errors import BadRecordError, OptionError
+from trefoilspool.errors import (
+    BadRecordError,
+    OptionError,
+)
 from trefoilspool.options import GatewayOptions, load_options
 from trefoilspool.routing import RepeatPolicy
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -11,7 +11,10 @@
 from storecalls import MAX_IDLE_S, RESPONSE_TIMEOUT_S, StoreTopic
 
 from trefoilspool.discovery import DiscoveryTask
-from trefoilspool.errors import LogOutageError, TrimmedError
+from trefoilspool.errors import (
+    LogOutageError,
+    TrimmedError,
+)
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.peertopics import decode_changes, encode_changes
 from trefoilspool.replica import Replica
--- a/tests/test_servedreports.py
+++ b/tests/test_servedreports.py
@@ -16,7 +16,7 @@
 )
 from trefoilspool.slotclient import GrantedSlot, SlotClient
 from trefoilspool.slotmessages import AttemptEnding
-from trefoilspool.wire import mesh as wire
+from trefoilspool.wire import endpointreports
 
 NOTHING_SERVED = ServedReport((), 60)
 
@@ -40,7 +40,12 @@
 
     def test_report_survives_encoding(self) -> None:
         report = ServedReport((ServedPart('a', 1.5),), 20)
-        assert wire.served_from_wire(wire.served_to_wire(report)) == report
+        assert (
+            endpointreports.served_from_wire(
+                endpointreports.served_to_wire(report)
+            )
+            == report
+        )
 
     @pytest.mark.parametrize(
         ('ending', 'served'),
--- a/tests/test_truth.py
+++ b/tests/test_truth.py
@@ -12,7 +12,7 @@
 
 from trefoilspool import clock
 from trefoilspool.connections import ConnectionPool
-from trefoilspool.exchange import EndpointResponse
+from trefoilspool.endpointresponse import EndpointResponse
 from trefoilspool.slotacquisition import SlotAcquirer
 from trefoilspool.slotmessages import Granted, RefusalReason, Refused
 
--- a/trefoilspool/__init__.py
+++ b/trefoilspool/__init__.py
@@ -7,7 +7,7 @@
 
 from trefoilspool.cell import Cell
 from trefoilspool.claims import ClaimKey, ClaimTask, ReleaseKey
-from trefoilspool.errors import Problem, TrefoilspoolError
+from trefoilspool.errors import TrefoilspoolError
 from trefoilspool.events import (
     Ask,
     Ending,
@@ -27,6 +27,7 @@
 from trefoilspool.platform import LogPage, LogRecord, LogService
 from trefoilspool.platforms.memory import MemoryLog
 from trefoilspool.policy import Candidate, Policy
+from trefoilspool.problems import Problem
 from trefoilspool.task import Task, TaskGroup
 from trefoilspool.tree import KindPlace, Tree
 
--- a/trefoilspool/attempts.py
+++ b/trefoilspool/attempts.py
@@ -4,16 +4,16 @@
 
 from returns.result import Result, Success
 
-from trefoilspool.errors import (
+from trefoilspool.events import NUMBERS_PER_REQUEST
+from trefoilspool.filter import ClaimedJob, Filter, FinalResponse, OpenResponse
+from trefoilspool.filters.dispatch import Dispatch, RevokedError
+from trefoilspool.filters.schedule import Schedule
+from trefoilspool.problems import (
     EndpointFailedError,
     EndpointRefusedError,
     InterruptedRequestError,
     MayHaveRunError,
 )
-from trefoilspool.events import NUMBERS_PER_REQUEST
-from trefoilspool.filter import ClaimedJob, Filter, FinalResponse, OpenResponse
-from trefoilspool.filters.dispatch import Dispatch, RevokedError
-from trefoilspool.filters.schedule import Schedule
 from trefoilspool.retries import RetryBudget
 from trefoilspool.telemetry import log_decision
 
--- a/trefoilspool/benchcommand.py
+++ b/trefoilspool/benchcommand.py
@@ -6,7 +6,10 @@
 
 from trefoilspool.bench import Bench, Measurement, Slope, fit_line
 from trefoilspool.benches import BENCHES
-from trefoilspool.errors import BoundError, OptionError
+from trefoilspool.errors import (
+    BoundError,
+    OptionError,
+)
 
 __all__ = ['check_bounds', 'run_capacity']
 
--- a/trefoilspool/broker.py
+++ b/trefoilspool/broker.py
@@ -9,10 +9,13 @@
 from returns.result import Failure, Success
 
 from trefoilspool import events
-from trefoilspool.errors import DeadlineError, OverloadedError
 from trefoilspool.membership import View, home_of
 from trefoilspool.peertask import PeerTask, Send
 from trefoilspool.permit import Permit, PermitResult
+from trefoilspool.problems import (
+    DeadlineError,
+    OverloadedError,
+)
 from trefoilspool.wire import convert
 from trefoilspool.wire.gen.peer import ttypes
 
--- a/trefoilspool/callerrors.py
+++ b/trefoilspool/callerrors.py
@@ -1,8 +1,12 @@
 """Problems that occur only for routed requests."""
 
-from trefoilspool.errors import DeadlineError, OverloadedError, Problem
 from trefoilspool.fingerprint import described
 from trefoilspool.outcome import Outcome
+from trefoilspool.problems import (
+    DeadlineError,
+    OverloadedError,
+    Problem,
+)
 
 __all__ = [
     'DeadlineAfterSendError',
--- a/trefoilspool/claims.py
+++ b/trefoilspool/claims.py
@@ -10,13 +10,13 @@
 from returns.result import Failure, Result, Success
 
 from trefoilspool.errors import (
-    ClaimsUnavailableError,
     LogError,
     LogLostAnswerError,
     TrimmedError,
 )
 from trefoilspool.ledger import Claim, ClaimBatch, Holder, Ledger
 from trefoilspool.platform import LogPage, LogRecord, LogService
+from trefoilspool.problems import ClaimsUnavailableError
 from trefoilspool.task import Task
 
 __all__ = ['ClaimKey', 'ClaimResult', 'ClaimTask', 'ReleaseKey', 'STREAM']
--- a/trefoilspool/discovery.py
+++ b/trefoilspool/discovery.py
@@ -6,7 +6,10 @@
 import logbook
 
 from trefoilspool import clock
-from trefoilspool.errors import LogOutageError, StoreRestoredError
+from trefoilspool.errors import (
+    LogOutageError,
+    StoreRestoredError,
+)
 from trefoilspool.peers import PeerRegistry
 from trefoilspool.store import KeyedTopic
 from trefoilspool.wire import mesh as wire
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -9,6 +9,7 @@
 from trefoilspool.departures import EndpointRecord
 from trefoilspool.dialect import OutboundRequest, ResponseHead
 from trefoilspool.directory import Directory
+from trefoilspool.endpointresponse import EndpointResponse
 from trefoilspool.errors import (
     ConnectFailedError,
     EndpointError,
@@ -17,7 +18,7 @@
     SendFailedError,
     StreamCutError,
 )
-from trefoilspool.exchange import EndpointClient, EndpointResponse
+from trefoilspool.exchange import EndpointClient
 from trefoilspool.fingerprint import described
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.quietperiods import QuietPeriods
--- a/trefoilspool/filter.py
+++ b/trefoilspool/filter.py
@@ -8,10 +8,10 @@
 
 from trefoilspool import events
 from trefoilspool.endpoint import EndpointStream
-from trefoilspool.errors import Problem
 from trefoilspool.ledger import Claim
 from trefoilspool.outcome import Outcome
 from trefoilspool.permit import Permit
+from trefoilspool.problems import Problem
 from trefoilspool.tree import KindPlace, Tree
 
 __all__ = [
--- a/trefoilspool/filters/authenticate.py
+++ b/trefoilspool/filters/authenticate.py
@@ -4,11 +4,11 @@
 
 from returns.result import Failure, Result, Success
 
-from trefoilspool.errors import (
+from trefoilspool.filter import Arrival, Caller, Filter, FinalResponse
+from trefoilspool.problems import (
     HeaderTooLargeError,
     UnauthorizedError,
 )
-from trefoilspool.filter import Arrival, Caller, Filter, FinalResponse
 from trefoilspool.tree import Tree
 
 __all__ = ['Authenticate']
--- a/trefoilspool/filters/claim.py
+++ b/trefoilspool/filters/claim.py
@@ -8,7 +8,11 @@
 from returns.result import Failure, Result, Success
 
 from trefoilspool.claims import ClaimKey, ClaimResult, ClaimTask
-from trefoilspool.errors import (
+from trefoilspool.filter import ClaimedJob, Filter, FinalResponse, Job, Response
+from trefoilspool.forward import Forwarder
+from trefoilspool.ledger import Claim, Holder, key_hash
+from trefoilspool.membership import View
+from trefoilspool.problems import (
     ClaimHeldError,
     ClaimsUnavailableError,
     DeadlineError,
@@ -17,10 +21,6 @@
     Problem,
     TicketError,
 )
-from trefoilspool.filter import ClaimedJob, Filter, FinalResponse, Job, Response
-from trefoilspool.forward import Forwarder
-from trefoilspool.ledger import Claim, Holder, key_hash
-from trefoilspool.membership import View
 from trefoilspool.queries import QueryHolder, QueryTask
 from trefoilspool.results import ResultState, ResultStore, StoredResult
 from trefoilspool.telemetry import log_decision
--- a/trefoilspool/filters/classify.py
+++ b/trefoilspool/filters/classify.py
@@ -8,15 +8,6 @@
 from returns.result import Failure, Result, Success
 
 from trefoilspool import events
-from trefoilspool.errors import (
-    BadBodyError,
-    BadTimeoutError,
-    BodyTooLargeError,
-    ForbiddenServiceError,
-    Problem,
-    UnknownKindError,
-    UnknownPathError,
-)
 from trefoilspool.filter import (
     Arrival,
     Caller,
@@ -26,6 +17,15 @@
     Progress,
 )
 from trefoilspool.prefixhash import count_tokens, prefix_hashes
+from trefoilspool.problems import (
+    BadBodyError,
+    BadTimeoutError,
+    BodyTooLargeError,
+    ForbiddenServiceError,
+    Problem,
+    UnknownKindError,
+    UnknownPathError,
+)
 from trefoilspool.tree import KindPlace
 
 __all__ = ['SERVICE_PREFIX', 'Classify', 'extract_prompt']
--- a/trefoilspool/filters/dispatch.py
+++ b/trefoilspool/filters/dispatch.py
@@ -11,13 +11,7 @@
 from trefoilspool.endpoint import Endpoint, EndpointRequest, EndpointStream
 from trefoilspool.errors import (
     ConnectFailedError,
-    DeadlineError,
     EndpointError,
-    EndpointFailedError,
-    EndpointRefusedError,
-    InterruptedRequestError,
-    MayHaveRunError,
-    Problem,
 )
 from trefoilspool.filter import (
     ClaimedJob,
@@ -29,6 +23,14 @@
 )
 from trefoilspool.filters.claim import time_since_boot
 from trefoilspool.permit import Permit
+from trefoilspool.problems import (
+    DeadlineError,
+    EndpointFailedError,
+    EndpointRefusedError,
+    InterruptedRequestError,
+    MayHaveRunError,
+    Problem,
+)
 from trefoilspool.telemetry import log_decision
 from trefoilspool.watch import Unwatch, Watch, WatchTask
 
--- a/trefoilspool/filters/relay.py
+++ b/trefoilspool/filters/relay.py
@@ -12,11 +12,7 @@
 from trefoilspool.broker import BrokerTask, TokenSample
 from trefoilspool.endpoint import Token
 from trefoilspool.errors import (
-    DeadlineError,
     EndpointError,
-    InterruptedRequestError,
-    MayHaveRunError,
-    Problem,
     StreamCutError,
 )
 from trefoilspool.filter import (
@@ -26,6 +22,12 @@
     Response,
 )
 from trefoilspool.outcome import Outcome
+from trefoilspool.problems import (
+    DeadlineError,
+    InterruptedRequestError,
+    MayHaveRunError,
+    Problem,
+)
 from trefoilspool.responses import chunk_text, completion_body, stream_events
 from trefoilspool.watch import Unwatch, WatchTask
 
--- a/trefoilspool/filters/schedule.py
+++ b/trefoilspool/filters/schedule.py
@@ -6,9 +6,13 @@
 from returns.result import Failure, Result, Success
 
 from trefoilspool.broker import AcquirePermit, BrokerTask, CancelAcquire
-from trefoilspool.errors import CallerGoneError, OverloadedError, Problem
 from trefoilspool.filter import ClaimedJob, Filter, FinalResponse, PermittedJob
 from trefoilspool.permit import PermitResult
+from trefoilspool.problems import (
+    CallerGoneError,
+    OverloadedError,
+    Problem,
+)
 
 __all__ = ['Schedule']
 
--- a/trefoilspool/filters/settle.py
+++ b/trefoilspool/filters/settle.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterator
 
 from trefoilspool.claims import ClaimTask, ReleaseKey
-from trefoilspool.errors import Problem
 from trefoilspool.events import VictimClass
 from trefoilspool.filter import (
     Arrival,
@@ -16,6 +15,7 @@
     Response,
 )
 from trefoilspool.outcome import Outcome
+from trefoilspool.problems import Problem
 from trefoilspool.responses import correct_outcome
 from trefoilspool.results import ResultStore
 from trefoilspool.telemetry import Metrics, log_decision
--- a/trefoilspool/forward.py
+++ b/trefoilspool/forward.py
@@ -3,9 +3,9 @@
 import http.client
 import time
 
-from trefoilspool.errors import MayHaveRunError
 from trefoilspool.filter import FinalResponse, Job, Response
 from trefoilspool.platform import HostEntry
+from trefoilspool.problems import MayHaveRunError
 
 __all__ = ['Forwarder']
 
--- a/trefoilspool/gateway.py
+++ b/trefoilspool/gateway.py
@@ -12,18 +12,18 @@
 from trefoilspool import clock
 from trefoilspool.callerrors import UnknownRouteError
 from trefoilspool.dialect import CallerRequest
-from trefoilspool.errors import (
+from trefoilspool.errors import CutResponseError
+from trefoilspool.filter import Response
+from trefoilspool.fingerprint import request_fingerprint
+from trefoilspool.problems import (
     BodyTooLargeError,
     CallerGoneError,
-    CutResponseError,
     MayHaveRunError,
     NotReadyError,
     OverloadedError,
     Problem,
     UnauthorizedError,
 )
-from trefoilspool.filter import Response
-from trefoilspool.fingerprint import request_fingerprint
 from trefoilspool.responsechunks import StartedChunks, TrackedChunks
 from trefoilspool.routedrequests import RoutedRequest
 from trefoilspool.routing import Configuration, Route, Workspace
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -8,7 +8,6 @@
 from waitress.task import hop_by_hop
 
 from trefoilspool.callerchannel import Application
-from trefoilspool.errors import OverloadedError, Problem
 from trefoilspool.filter import Response
 from trefoilspool.gateway import BUSY_RETRY_AFTER_S, Arrival
 from trefoilspool.gatewayhost import GatewayHost
@@ -17,6 +16,10 @@
     ENDPOINTS_PATH,
     encode_changes,
 )
+from trefoilspool.problems import (
+    OverloadedError,
+    Problem,
+)
 from trefoilspool.responsechunks import close_chunks
 from trefoilspool.web import status_line
 
--- a/trefoilspool/heartbeats.py
+++ b/trefoilspool/heartbeats.py
@@ -7,6 +7,7 @@
 from trefoilspool.peers import HostInfo
 from trefoilspool.quarantinegossip import QuarantineGossip
 from trefoilspool.slotclient import SlotClient
+from trefoilspool.wire import endpointreports
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
@@ -62,9 +63,11 @@
             now, home_is_new=home_is_new
         )
         if crashes:
-            datagram.crashes = list(map(wire.crash_report_to_wire, crashes))
+            datagram.crashes = list(
+                map(endpointreports.crash_report_to_wire, crashes)
+            )
         if home_is_new:
-            datagram.served = wire.served_to_wire(
+            datagram.served = endpointreports.served_to_wire(
                 self.client.served_report(now)
             )
             datagram.levels = meshdatagrams.levels_to_wire(
--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -12,6 +12,7 @@
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantinegossip import QuarantineGossip
 from trefoilspool.slotscheduler import SlotScheduler
+from trefoilspool.wire import endpointreports
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
@@ -102,12 +103,14 @@
     ) -> None:
         """Pass an entry host's crash reports to the slot scheduler."""
         self.scheduler.on_crash_reports(
-            sender.name, list(map(wire.crash_report_from_wire, reports)), now
+            sender.name,
+            list(map(endpointreports.crash_report_from_wire, reports)),
+            now,
         )
 
     def on_served(self, sender: HostInfo, struct: Any, now: float) -> None:
         """Pass what an entry host saw served to the slot scheduler."""
-        report = wire.served_from_wire(struct)
+        report = endpointreports.served_from_wire(struct)
         self.scheduler.guard.on_served_report(sender.name, report, now)
 
     def send_decisions(self) -> None:
--- a/trefoilspool/limitgossip.py
+++ b/trefoilspool/limitgossip.py
@@ -4,6 +4,7 @@
 
 from trefoilspool.endpointlimits import EndpointLimits
 from trefoilspool.peers import HostInfo, PeerRegistry
+from trefoilspool.wire import endpointreports
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
@@ -42,21 +43,21 @@
         now: float,
     ) -> bool:
         """Adopt what a peer has told; return whether all hosts are to know."""
-        reports = wire.limits_from_wire(structs)
+        reports = endpointreports.limits_from_wire(structs)
         is_new = self.limits.merge(reports, sender.name, now)
         return is_new and self.peers.is_home()
 
     def structs(self, now: float) -> list[ttypes.EndpointLimit] | None:
         """Return the structs of all limits, None if there are none."""
-        return wire.limits_to_wire(self.limits.reports(now))
+        return endpointreports.limits_to_wire(self.limits.reports(now))
 
     def own_structs(self, now: float) -> list[ttypes.EndpointLimit] | None:
         """Return those of all that endpoints have said to this host."""
-        return wire.limits_to_wire(self.limits.own_reports(now))
+        return endpointreports.limits_to_wire(self.limits.own_reports(now))
 
     def structs_for_ask(self, now: float) -> list[ttypes.EndpointLimit] | None:
         """Return those that a slot request repeats."""
-        return wire.limits_to_wire(
+        return endpointreports.limits_to_wire(
             self.limits.own_reports(now, REPEAT_WITH_ASKS_S)
         )
 
@@ -66,7 +67,9 @@
         """Return those that a heartbeat repeats."""
         if home_is_new:
             return self.own_structs(now)
-        return wire.limits_to_wire(self.limits.own_reports(now, REPEAT_S))
+        return endpointreports.limits_to_wire(
+            self.limits.own_reports(now, REPEAT_S)
+        )
 
     def datagram(self, now: float) -> ttypes.Datagram:
         """Return a datagram with all limits."""
--- a/trefoilspool/meshdatagrams.py
+++ b/trefoilspool/meshdatagrams.py
@@ -8,6 +8,7 @@
 from trefoilspool.replica import Position
 from trefoilspool.slotmessages import SlotRelease, SlotRequest
 from trefoilspool.slotscheduler import SlotScheduler
+from trefoilspool.wire import endpointreports
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
@@ -37,7 +38,7 @@
     elif isinstance(message, SlotRelease):
         datagram.ends = [wire.slot_release_to_wire(message)]
     elif isinstance(message, CrashReport):
-        datagram.crashes = [wire.crash_report_to_wire(message)]
+        datagram.crashes = [endpointreports.crash_report_to_wire(message)]
     return datagram
 
 
--- a/trefoilspool/openrequests.py
+++ b/trefoilspool/openrequests.py
@@ -2,9 +2,9 @@
 
 import threading
 
-from trefoilspool.errors import OverloadedError
 from trefoilspool.events import VictimClass
 from trefoilspool.filter import Job
+from trefoilspool.problems import OverloadedError
 
 __all__ = ['OpenRequests']
 
--- a/trefoilspool/pages.py
+++ b/trefoilspool/pages.py
@@ -6,10 +6,10 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from trefoilspool.errors import UnauthorizedError
 from trefoilspool.filter import Response
 from trefoilspool.filters.authenticate import BEARER_PREFIX
 from trefoilspool.membership import home_of
+from trefoilspool.problems import UnauthorizedError
 from trefoilspool.web import (
     Environ,
     PageHandler,
--- a/trefoilspool/permit.py
+++ b/trefoilspool/permit.py
@@ -7,7 +7,7 @@
 from returns.result import Result
 
 from trefoilspool import events
-from trefoilspool.errors import Problem
+from trefoilspool.problems import Problem
 
 __all__ = ['Permit', 'PermitResult']
 
--- a/trefoilspool/pipeline.py
+++ b/trefoilspool/pipeline.py
@@ -10,7 +10,6 @@
 from returns.result import Failure, Success
 
 from trefoilspool.attempts import Attempts
-from trefoilspool.errors import MayHaveRunError, NotReadyError
 from trefoilspool.events import NUMBERS_PER_REQUEST
 from trefoilspool.filter import (
     Arrival,
@@ -25,6 +24,10 @@
 from trefoilspool.filters.relay import Relay
 from trefoilspool.filters.settle import Settle
 from trefoilspool.openrequests import OpenRequests
+from trefoilspool.problems import (
+    MayHaveRunError,
+    NotReadyError,
+)
 
 __all__ = ['Filters', 'Pipeline']
 
--- a/trefoilspool/quarantinegossip.py
+++ b/trefoilspool/quarantinegossip.py
@@ -6,6 +6,7 @@
 
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantine import Quarantine, QuarantineEntry
+from trefoilspool.wire import endpointreports
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
@@ -79,7 +80,7 @@
         now: float,
     ) -> None:
         """Adopt the entries of a peer."""
-        entries = wire.quarantine_from_wire(structs)
+        entries = endpointreports.quarantine_from_wire(structs)
         self.learn(entries, sender.name, now)
         home = self.peers.home()
         if home is not None and home.name == sender.name:
@@ -88,7 +89,7 @@
 
     def structs(self) -> list[ttypes.QuarantineEntry] | None:
         """Return the Thrift structs of all entries, None if there are none."""
-        return wire.quarantine_to_wire(self.quarantine.entries())
+        return endpointreports.quarantine_to_wire(self.quarantine.entries())
 
     def structs_for_home(
         self, home: HostInfo
@@ -96,7 +97,7 @@
         """Return the structs of the entries that the home host has not told."""
         if self.home_run != (home.name, home.incarnation):
             return self.structs()
-        return wire.quarantine_to_wire(
+        return endpointreports.quarantine_to_wire(
             entry
             for entry in self.quarantine.entries()
             if entry not in self.home_entries
--- a/trefoilspool/quarantinestore.py
+++ b/trefoilspool/quarantinestore.py
@@ -6,13 +6,16 @@
 import logbook
 
 from trefoilspool import clock
-from trefoilspool.errors import LogOutageError, StoreRestoredError
+from trefoilspool.errors import (
+    LogOutageError,
+    StoreRestoredError,
+)
 from trefoilspool.homecontact import HomeContact
 from trefoilspool.peers import PeerRegistry
 from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.quarantinegossip import QuarantineGossip
 from trefoilspool.store import KeyedRecord, KeyedTopic
-from trefoilspool.wire import mesh as wire
+from trefoilspool.wire import endpointreports
 
 __all__ = ['QuarantineStoreTask']
 
@@ -127,7 +130,9 @@
 
     def own_entries(self) -> frozenset[QuarantineEntry]:
         """Return the entries of this host that one record holds."""
-        return frozenset(wire.fitting_entries(self.gossip.quarantine.entries()))
+        return frozenset(
+            endpointreports.fitting_entries(self.gossip.quarantine.entries())
+        )
 
     def try_read(self) -> None:
         """Read the record; a host with news writes even if that fails.
@@ -160,7 +165,8 @@
         """Write the record; it is read once more in case another host did."""
         entries = self.own_entries()
         self.topic.put(
-            RECORD_KEY, wire.encode_quarantine(self.peers.own, entries)
+            RECORD_KEY,
+            endpointreports.encode_quarantine(self.peers.own, entries),
         )
         self.stored = entries
         self.needs_read = True
@@ -169,7 +175,7 @@
 
 def decode(record: KeyedRecord) -> list[QuarantineEntry]:
     """Return the entries of a record; an unreadable one has none."""
-    entries = wire.decode_quarantine(record.content)
+    entries = endpointreports.decode_quarantine(record.content)
     if entries is None:
         logger.warning('quarantine_unreadable', extra={'key': record.key})
     return entries or []
--- a/trefoilspool/replacement.py
+++ b/trefoilspool/replacement.py
@@ -12,9 +12,9 @@
 )
 from trefoilspool.errors import (
     EndpointReplacedError,
-    Problem,
     SendFailedError,
 )
+from trefoilspool.problems import Problem
 from trefoilspool.readwait import ReadWait, give_up
 from trefoilspool.requestprogress import RequestProgress
 from trefoilspool.routedrequests import AttemptFailure, Slot
--- a/trefoilspool/requestprogress.py
+++ b/trefoilspool/requestprogress.py
@@ -5,7 +5,7 @@
 
 from trefoilspool.attempttimes import AttemptTimes
 from trefoilspool.callerrors import DeadlineAfterSendError
-from trefoilspool.errors import (
+from trefoilspool.problems import (
     EndpointFailedError,
     MayHaveRunError,
     OverloadedError,
--- a/trefoilspool/responses.py
+++ b/trefoilspool/responses.py
@@ -6,9 +6,9 @@
 from typing import NamedTuple
 
 from trefoilspool.endpoint import Token
-from trefoilspool.errors import Problem
 from trefoilspool.filter import ClaimedJob, Job
 from trefoilspool.outcome import Outcome
+from trefoilspool.problems import Problem
 
 __all__ = [
     'chunk_text',
--- a/trefoilspool/roster.py
+++ b/trefoilspool/roster.py
@@ -11,7 +11,10 @@
 from trefoilspool.cellscheduler import EndpointReports
 from trefoilspool.endpoint import CacheUpdate, Load
 from trefoilspool.endpoints.http import HttpEndpoint
-from trefoilspool.errors import EndpointError, LogError
+from trefoilspool.errors import (
+    EndpointError,
+    LogError,
+)
 from trefoilspool.membership import (
     Heartbeat,
     HostState,
--- a/trefoilspool/routedrequests.py
+++ b/trefoilspool/routedrequests.py
@@ -5,7 +5,7 @@
 
 from trefoilspool.departures import EndpointRun
 from trefoilspool.dialect import CallerRequest
-from trefoilspool.exchange import EndpointResponse
+from trefoilspool.endpointresponse import EndpointResponse
 from trefoilspool.routing import RepeatPolicy, Route
 from trefoilspool.slotmessages import (
     AttemptEnding,
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -8,8 +8,11 @@
     FIRST_SERVER_ERROR_STATUS,
     EndpointAttempts,
 )
-from trefoilspool.errors import CallerGoneError, Problem
 from trefoilspool.filter import Response
+from trefoilspool.problems import (
+    CallerGoneError,
+    Problem,
+)
 from trefoilspool.replacement import Replacer
 from trefoilspool.requestoutcomes import record_outcome
 from trefoilspool.requestprogress import RequestProgress
--- a/trefoilspool/settingssync.py
+++ b/trefoilspool/settingssync.py
@@ -8,7 +8,10 @@
 import logbook
 
 from trefoilspool import clock
-from trefoilspool.errors import BadRecordError, LogOutageError
+from trefoilspool.errors import (
+    BadRecordError,
+    LogOutageError,
+)
 from trefoilspool.peerchoice import PeerChoice
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.peertopics import CONFIGURATION_PATH, peer_page
--- a/trefoilspool/settingstask.py
+++ b/trefoilspool/settingstask.py
@@ -7,7 +7,10 @@
 
 import logbook
 
-from trefoilspool.errors import LogError, TrimmedError
+from trefoilspool.errors import (
+    LogError,
+    TrimmedError,
+)
 from trefoilspool.fold import Fold
 from trefoilspool.peertask import Send
 from trefoilspool.platform import LogPage, LogRecord, LogService
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -7,7 +7,11 @@
 from trefoilspool.callerrors import OverLimitError, QuarantinedError
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.directory import Directory
-from trefoilspool.errors import CallerGoneError, OverloadedError, Problem
+from trefoilspool.problems import (
+    CallerGoneError,
+    OverloadedError,
+    Problem,
+)
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.requestprogress import RETRY_AFTER_S, RequestProgress
 from trefoilspool.routedrequests import Slot
--- a/trefoilspool/streamrelay.py
+++ b/trefoilspool/streamrelay.py
@@ -7,7 +7,11 @@
 from trefoilspool import clock
 from trefoilspool.attempttimes import AttemptTimes
 from trefoilspool.endpointattempts import EndpointAttempts, ending_after
-from trefoilspool.errors import CutResponseError, Problem, StreamCutError
+from trefoilspool.errors import (
+    CutResponseError,
+    StreamCutError,
+)
+from trefoilspool.problems import Problem
 from trefoilspool.requestprogress import RequestProgress
 from trefoilspool.routedrequests import AttemptFailure, Slot, StartedResponse
 from trefoilspool.routing import RepeatPolicy
--- a/trefoilspool/tickets.py
+++ b/trefoilspool/tickets.py
@@ -8,7 +8,7 @@
 
 from itsdangerous import BadSignature, URLSafeSerializer
 
-from trefoilspool.errors import TicketError
+from trefoilspool.problems import TicketError
 
 __all__ = ['Ticket', 'TicketRegistry']
 
--- a/trefoilspool/web.py
+++ b/trefoilspool/web.py
@@ -4,10 +4,13 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from trefoilspool.errors import Problem, UnknownPathError
 from trefoilspool.filter import Response
 from trefoilspool.filters.classify import SERVICE_PREFIX
 from trefoilspool.filters.settle import problem_response
+from trefoilspool.problems import (
+    Problem,
+    UnknownPathError,
+)
 
 __all__ = ['PageHandler', 'WebApp', 'status_line']
 
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -13,43 +13,28 @@
 from thrift.TSerialization import deserialize, serialize
 
 from trefoilspool import slotmessages
-from trefoilspool.crashevidence import CrashReport
 from trefoilspool.departures import EndpointRun
-from trefoilspool.endpointlimits import LimitReport
 from trefoilspool.peers import HostInfo
-from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.replica import Position
-from trefoilspool.servedreports import ServedPart, ServedReport
 from trefoilspool.wire.gen.mesh import ttypes
 
 __all__ = [
     'ask_from_wire',
     'ask_to_wire',
-    'crash_report_from_wire',
-    'crash_report_to_wire',
     'decision_from_wire',
     'decision_to_wire',
     'decode',
     'decode_host_info',
-    'decode_quarantine',
     'encode',
     'encode_host_info',
-    'encode_quarantine',
     'endpoint_run_from_wire',
     'endpoint_run_to_wire',
-    'fitting_entries',
     'held_from_wire',
     'held_to_wire',
     'host_info_from_wire',
     'host_info_to_wire',
-    'limits_from_wire',
-    'limits_to_wire',
     'position_from_wire',
     'position_to_wire',
-    'quarantine_from_wire',
-    'quarantine_to_wire',
-    'served_from_wire',
-    'served_to_wire',
     'slot_release_from_wire',
     'slot_release_to_wire',
 ]
@@ -61,8 +46,6 @@
 NEWER_REASONS = {
     slotmessages.RefusalReason.quarantined: slotmessages.RefusalReason.crowded,
 }
-MAX_QUARANTINE_BYTES = 4096  # the parts in one datagram
-MAX_LIMITS = 128  # in one datagram
 DECODE_ERRORS = (TException, EOFError, ValueError, TypeError)
 
 
@@ -293,124 +276,3 @@
         )
         for wire in wire_slots
     ]
-
-
-def crash_report_to_wire(report: CrashReport) -> ttypes.CrashReport:
-    """Build the Thrift struct of a crash report."""
-    return ttypes.CrashReport(
-        endpoint_run_to_wire(report.run),
-        list(report.parts),
-        report.number,
-        ms(report.age_s),
-        report.is_down or None,
-    )
-
-
-def crash_report_from_wire(wire: ttypes.CrashReport) -> CrashReport:
-    """Build a crash report from its Thrift struct."""
-    return CrashReport(
-        endpoint_run_from_wire(wire.run),
-        tuple(wire.parts),
-        wire.request,
-        wire.age_ms / MS_PER_S,
-        bool(wire.down),
-    )
-
-
-def limits_to_wire(
-    reports: Iterable[LimitReport],
-) -> list[ttypes.EndpointLimit] | None:
-    """Build the Thrift structs of endpoints' limits; None without any."""
-    return [
-        ttypes.EndpointLimit(
-            endpoint_run_to_wire(report.run), report.per_s, ms(report.age_s)
-        )
-        for report in reports
-    ][:MAX_LIMITS] or None
-
-
-def limits_from_wire(
-    structs: Iterable[ttypes.EndpointLimit],
-) -> list[LimitReport]:
-    """Build endpoints' limits from their Thrift structs."""
-    return [
-        LimitReport(
-            endpoint_run_from_wire(struct.run),
-            struct.per_s,
-            struct.age_ms / MS_PER_S,
-        )
-        for struct in structs
-    ]
-
-
-def served_to_wire(report: ServedReport) -> ttypes.Served:
-    """Build the Thrift struct of what an entry host saw served."""
-    return ttypes.Served(
-        [served.part for served in report.parts],
-        [ms(served.age_s) for served in report.parts],
-        ms(report.covered_s),
-    )
-
-
-def served_from_wire(struct: ttypes.Served) -> ServedReport:
-    """Build what an entry host saw served from its Thrift struct."""
-    return ServedReport(
-        tuple(
-            ServedPart(part, age_ms / MS_PER_S)
-            for part, age_ms in zip(struct.parts, struct.ages_ms, strict=False)
-        ),
-        struct.covered_ms / MS_PER_S,
-    )
-
-
-def fitting_entries(
-    entries: Iterable[QuarantineEntry],
-) -> list[QuarantineEntry]:
-    """Return the first entries that fit; callers choose the parts' length."""
-    fitting = []
-    size = 0
-    for entry in entries:
-        size += len(entry.part.encode())
-        if size > MAX_QUARANTINE_BYTES:
-            break
-        fitting.append(entry)
-    return fitting
-
-
-def quarantine_to_wire(
-    entries: Iterable[QuarantineEntry],
-) -> list[ttypes.QuarantineEntry] | None:
-    """Build the Thrift structs of the entries that fit; None without any."""
-    return [
-        ttypes.QuarantineEntry(*entry) for entry in fitting_entries(entries)
-    ] or None
-
-
-def quarantine_from_wire(
-    structs: Iterable[ttypes.QuarantineEntry],
-) -> list[QuarantineEntry]:
-    """Build entries from their Thrift structs; incomplete ones are left out."""
-    return [
-        QuarantineEntry(struct.part, struct.revision, bool(struct.active))
-        for struct in structs
-        if struct.part and struct.revision is not None
-    ]
-
-
-def encode_quarantine(
-    own: HostInfo, entries: Iterable[QuarantineEntry]
-) -> bytes:
-    """Encode entries with the host that writes them."""
-    return encode(
-        ttypes.Datagram(
-            host_info_to_wire(own), quarantine=quarantine_to_wire(entries)
-        )
-    )
-
-
-def decode_quarantine(body: bytes) -> list[QuarantineEntry] | None:
-    """Decode entries; return None if they are malformed."""
-    datagram = decode(body)
-    if datagram is None:
-        return None
-    return quarantine_from_wire(datagram.quarantine or ())
