--- a/tests/test_endpointpacer.py
+++ b/tests/test_endpointpacer.py
@@ -30,6 +30,7 @@
     SlotKey,
 )
 from trefoilspool.slotscheduler import SlotScheduler
+from trefoilspool.wire import endpointreports
 
 RUN = EndpointRun('a', 1)
 HEAD = ResponseHead(
@@ -153,9 +154,9 @@
 
     def test_reports_survive_encoding(self) -> None:
         reports = [LimitReport(RUN, 2.5, 1.0), LimitReport(RUN, None, 0.5)]
-        structs = reports.limits_to_wire(reports)
+        structs = endpointreports.limits_to_wire(reports)
         assert structs is not None
-        assert reports.limits_from_wire(structs) == reports
+        assert endpointreports.limits_from_wire(structs) == reports
 
 
 class TestPacing:
