End only long waits for a version; have the soak hold versions to their bound

Cause, by reading: a read of the whole topic that takes over two seconds, on a slow link for example, would have been ended again and again on hosts that read for others. Change: only a read that was granted a long wait is ended, from the task that cleans up.

--- a/tests/soakcallers.py
+++ b/tests/soakcallers.py
@@ -28,6 +28,9 @@
 BODY = b'prompt'
 BAD_SHARE = 0.15  # of requests while a part crashes endpoints
 OK = 200
+CONFIG_BOUND_S = 2.0
+HOST_FAULTS = ('kill', 'term', 'pause', 'store')
+STORE_FAULTS = ('store', 'store silent', 'trim', 'restore')
 EVENT_END = b'\n\n'
 READ_BYTES = 4096
 LEAVING_SHARE = 0.4  # of requests whose caller ends the connection
@@ -174,6 +177,7 @@
     def check_version(self) -> None:
         """Check that a host never returns to an older configuration."""
         version = self.world.version
+        is_due = time.monotonic() - self.world.version_at > CONFIG_BOUND_S
         pid = self.host.process.pid
         sent = self.send('look', f'v{version}')
         if pid != self.host.process.pid:
@@ -184,9 +188,22 @@
                 f'CONFIG: {self.host.name} served version {seen}, then '
                 f'returned 404 for version {version}',
             )
+        if sent.status == 404 and is_due and self.is_held(sent):
+            self.world.ledger.on_violation(
+                f'CONFIG: {self.host.name} returned 404 for version {version}, '
+                f'which was published over {CONFIG_BOUND_S} s before {sent}',
+            )
         if sent.status == 200:
             self.seen_version[pid] = max(seen, version)
 
+    def is_held(self, sent: SentRequest) -> bool:
+        """Return whether a request's host is held to the bound of versions."""
+        own = {f'{fault} {sent.host}' for fault in HOST_FAULTS}
+        excuses = {*own, *STORE_FAULTS, 'kill_all'}
+        return self.world.shape.versions > 1 and self.world.ledger.is_clear(
+            excuses, sent.started, sent.ended
+        )
+
 
 class KeptCaller(Caller):
     """Uses a connection until the host ends it, at times after long pauses.
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -130,6 +130,12 @@
     return 'restore'
 
 
+def store_goes_silent(world: World, rng: random.Random) -> str:
+    """Let the store answer nothing more on the connections that are open."""
+    world.store.silence_connections()
+    return 'store silent'
+
+
 def say_leaving(world: World, rng: random.Random) -> str:
     """Replace an endpoint that says only in its responses that it leaves."""
     leaving = world.add_instead(rng.randrange(len(world.endpoints)))
@@ -344,12 +350,18 @@
 FIRST_SEED_WITH_VERSIONS = 700
 FIRST_SEED_WITH_LIMITS = 300
 LIMIT_FAULTS: Mapping[str, Fault] = {'name_limit': name_limit}
+VERSION_FAULTS: Mapping[str, Fault] = {
+    **LIMIT_FAULTS,
+    'store_goes_silent': store_goes_silent,
+}
 
 
 def fault_table(seed: int, *, planned_only: bool) -> Mapping[str, Fault]:
     """Return the faults from which a seed chooses."""
     if seed >= FIRST_SEED_WITH_LIMITS:
         own = NEWEST_PLANNED_FAULTS if planned_only else NEWEST_FAULTS
+        if seed >= FIRST_SEED_WITH_VERSIONS:
+            return {**own, **VERSION_FAULTS}
         return {**own, **LIMIT_FAULTS}
     if seed >= FIRST_SEED_WITH_SERIES:
         return NEWEST_PLANNED_FAULTS if planned_only else NEWEST_FAULTS
@@ -368,7 +380,7 @@
 
 def inject_fault(world: World, name: str, seed: int) -> None:
     """Run a fault to its end, and restart hosts that have ended."""
-    fault = {**NEWEST_FAULTS, **LIMIT_FAULTS}[name]
+    fault = {**NEWEST_FAULTS, **VERSION_FAULTS}[name]
     record(world, lambda: fault(world, random.Random(seed)))
     for host in world.hosts:
         host.restart_if_ended()
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -121,11 +121,14 @@
             for number in range(seed_count)
         )
         self.store = PlatformStore()
+        # A read that waits for an offset that the restore undid waits on.
+        self.store.wakes_at_restore = shape.versions == 1
         self.endpoint_numbers = itertools.count(1)
         self.endpoint_turns = itertools.count()
         self.all_endpoints: list[SoakEndpoint] = []
         self.versions = itertools.count(1)
         self.version = 0
+        self.version_at = 0.0
         self.configure()
         self.replaced_endpoints: list[SoakEndpoint] = []
         self.endpoints = [self.add_endpoint() for _ in range(shape.endpoints)]
@@ -158,6 +161,7 @@
             routes.append(route(f'v{kept}', 'idempotent'))
         self.document = document
         self.store.put('keyed.op', 'config', document)
+        self.version_at = time.monotonic()
         self.version = version
         return version
 
--- a/tests/test_versionways.py
+++ b/tests/test_versionways.py
@@ -16,6 +16,7 @@
 from platformstore import PlatformStore
 
 from trefoilspool.errors import BadRecordError
+from trefoilspool.settingssync import LONG_POLL_S
 
 CONFIG_BOUND_S = 2.0
 # A host is held to the bound again so long after a disturbance.
@@ -190,6 +191,21 @@
         assert_in_force([staying], silent_at + CONTACT_S)
 
 
+class TestOverdueWait:
+    def test_only_a_long_wait_is_ended(self, cluster: GatewayCluster) -> None:
+        """A long transfer would otherwise be ended again and again."""
+        sync = add_hosts(cluster, 1)[0].host.settings_sync
+        ended: list[float] = []
+        sync.store_task.interrupt = (  # type: ignore[method-assign]
+            lambda: ended.append(sync.store_task.wait_s)
+        )
+        sync.end_overdue_wait(time.monotonic() + 100)
+        assert not ended
+        sync.store_task.wait_s = LONG_POLL_S
+        sync.end_overdue_wait(time.monotonic() + 100)
+        assert len(ended) == 1
+
+
 class TestPeer:
     """The store turns hosts away, which read a version from a peer."""
 
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -163,10 +163,11 @@
         yield self.clean_up
 
     def clean_up(self) -> None:
-        """Close idle connections and drop expired endpoints periodically."""
+        """Close idle connections, and drop or end what is due, periodically."""
         while not self.stopping.wait(CLEANUP_INTERVAL_S):
             self.endpoint_client.pool.close_expired()
             self.directory.tick(clock.now())
+            self.settings_sync.end_overdue_wait(clock.now())
             self.quiet_periods.forget_ended(clock.now())
 
     def count_quarantine(self, entry: QuarantineEntry) -> None:
--- a/trefoilspool/replication.py
+++ b/trefoilspool/replication.py
@@ -100,6 +100,8 @@
         The last read that the store has answered.
     read_began_at : float
         When the last read began, in seconds.
+    wait_s : float
+        How long that read may wait for a record, in seconds.
     reread_at : float
         When all records are read again, in seconds.
     max_wait_s : callable
@@ -130,6 +132,7 @@
         self.needs_full_read = True
         self.last_read = StoreRead(is_whole=True, duration_s=0)
         self.read_began_at = 0.0
+        self.wait_s = 0.0
         self.reread_at = math.inf
         self.max_wait_s: Callable[[], float] = no_limit
         self.is_interrupted = False
@@ -188,13 +191,15 @@
             self.needs_full_read or self.replica.end < 0 or reread_in_s <= 0
         )
         if is_whole:
+            self.wait_s = 0
             page = self.source.read_latest()
             self.reread_at = math.inf
         else:
+            self.wait_s = min(
+                self.poll_interval.wait_s, self.max_wait_s(), reread_in_s
+            )
             page = self.source.read_from(
-                self.replica.end,
-                min(self.poll_interval.wait_s, self.max_wait_s(), reread_in_s),
-                self.replica.era,
+                self.replica.end, self.wait_s, self.replica.era
             )
         self.last_read = StoreRead(is_whole, clock.now() - self.read_began_at)
         self.on_store_available()
--- a/trefoilspool/settingssync.py
+++ b/trefoilspool/settingssync.py
@@ -30,8 +30,6 @@
 # a peer, and on the others, which notice so that it is not answered.
 LONG_POLL_S = 8.0
 SHORT_POLL_S = 1.0
-# A read that has waited for longer on a host that should wait less is ended.
-OVERDUE_S = 2.0
 PAUSE_S = 0.02
 # A record that could not be used is read again, at growing intervals.
 FIRST_REREAD_S = 0.3
@@ -134,19 +132,20 @@
         return SHORT_POLL_S if self.reads_for_others() else LONG_POLL_S
 
     def end_overdue_wait(self, now: float) -> None:
-        """End a long wait if this host should have begun a short one.
+        """End a long wait if this host would not begin one now.
 
         The store may have been restored to before the awaited offset, or the
         connection may be silent, while no other host reads for this one.
         """
-        waited_s = now - self.store_task.read_began_at
-        if waited_s > OVERDUE_S and self.reads_for_others():
-            self.store_task.interrupt()
+        task = self.store_task
+        if task.wait_s <= SHORT_POLL_S or not self.reads_for_others():
+            return
+        if now - task.read_began_at > SHORT_POLL_S:
+            task.interrupt()
 
     def find_newer(self) -> Callable[[], None] | None:
         """Return a function that reads a peer's configuration if newer."""
         now = clock.now()
-        self.end_overdue_wait(now)
         ahead = [
             host
             for host in self.peers.responsive()
