--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,7 @@
 CRASHING_SEED = 202  # five hosts, planned work and a part that crashes
 CRASHING_S = 18
 LIMITS_SEED = 305  # endpoints name limits beside planned work
+VERSIONS_SEED = 701
 CRASHING_REQUEST_SEED = 309  # one request crashes endpoints
 
 # Seeds that once violated a guarantee, with the cause.
@@ -316,6 +317,11 @@
         assert not result.violations
         assert 'crash_by_request' in result.faults
 
+    def test_streams_of_several_versions(self, tmp_path: pathlib.Path) -> None:
+        result = soak(VERSIONS_SEED, SOAK_S * 2, tmp_path)
+        assert not result.violations
+        assert result.shares.taken_up
+
     @pytest.mark.parametrize('seed', REGRESSIONS)
     def test_regression_seed(self, seed: int, tmp_path: pathlib.Path) -> None:
         assert not soak(seed, SOAK_S * 2, tmp_path).violations
