--- a/trefoilspool/settingssync.py
+++ b/trefoilspool/settingssync.py
@@ -26,8 +26,8 @@
 
 __all__ = ['ConfigurationHandlers', 'SettingsSync']
 
-# A read waits this long for the next record on hosts that would hear of it from
-# a peer, and on the others, which notice so that it is not answered.
+# A read waits this long for the next record. The others hear of a version from
+# those that wait shortly, which soon notice if their read is not answered.
 LONG_POLL_S = 8.0
 SHORT_POLL_S = 1.0
 PAUSE_S = 0.02
@@ -72,7 +72,8 @@
     handlers : ConfigurationHandlers
         Called with configurations.
     reads_for_others : callable
-        Returns whether no other host may be relied on to read the store.
+        Returns whether this host is one of those that read the store for the
+        others, or hears of none of them.
     peers : PeerRegistry
         The known hosts, with the version that each has in force.
     control_port : int
