Keep the versions that hosts have seen in the store, for hosts that start

Change: the home host writes the versions present, since when they are known, and a digest of the routes to the store when one of them changes; a host reads the record when it starts. What was there and has left counts until now, another routing or a malformed record counts for nothing.

--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -152,9 +152,12 @@
         """Make the host as if it had run for some minutes."""
         gossip = self.host.mesh.origin_gossip
         gossip.history.started_at -= LONG_S
-        routes = gossip.routes.by_route
-        for name, known in routes.items():
-            routes[name] = known._replace(since=known.since - LONG_S)
+        history = gossip.routes
+        history.first_at -= LONG_S
+        history.changed_at -= LONG_S
+        for name, known in history.by_route.items():
+            earlier = known._replace(since=known.since - LONG_S)
+            history.by_route[name] = earlier
 
     def is_stopped(self) -> bool:
         """Return whether the host's addresses can be bound again."""
--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -57,6 +57,7 @@
     'slotclient',
     'slotevents',
     'slotscheduler',
+    'versionstore',
     'workerpool',
 )
 CALL = re.compile(
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -1,5 +1,7 @@
 """Versions of endpoints' software: history, records, and the slots of each."""
 
+import math
+
 import pytest
 from test_slotscheduler import ask, endpoint_spec, slot_release
 
@@ -32,7 +34,9 @@
     MEMORY_S,
     ServiceVersion,
     VersionHistory,
+    WatchedVersions,
 )
+from trefoilspool.versionstore import decode_versions, encode_versions
 
 OLD = ServiceVersion('engines', 'v1')
 NEW = ServiceVersion('engines', 'v2')
@@ -187,6 +191,57 @@
     )
 
 
+class TestStoredVersions:
+    """What hosts that start adopt from the store."""
+
+    def watched(self, **changes: object) -> WatchedVersions:
+        made = WatchedVersions(-500, -400, 'd', {OLD: math.inf})
+        return made._replace(**changes)
+
+    def test_versions_survive_encoding(self) -> None:
+        watched = self.watched(until={OLD: math.inf, NEW: 5.0})
+        decoded = decode_versions(encode_versions(watched, 9), 9)
+        assert decoded.until[OLD] == math.inf
+        assert decoded.until[NEW] == pytest.approx(5, abs=0.01)
+        assert decoded.since == pytest.approx(-500, abs=0.01)
+        assert decoded.routing == 'd'
+
+    def test_host_that_starts_has_watched_as_long_as_the_others(self) -> None:
+        history = VersionHistory(0)
+        history.update([OLD], 1)
+        history.adopt(self.watched(), 2)
+        assert history.has_watched(24, 2)
+        assert history.versions('engines', 24, 2) == {'v1'}
+
+    def test_version_that_was_there_counts_until_now(self) -> None:
+        history = VersionHistory(0)
+        history.update([NEW], 1)
+        history.adopt(self.watched(), 2)
+        assert history.versions('engines', 24, 2) == {'v1', 'v2'}
+        assert history.present() == {NEW}
+
+    def test_shorter_watch_is_not_adopted(self) -> None:
+        history = VersionHistory(0)
+        history.adopt(self.watched(since=10), 20)
+        assert not history.seen_until
+        assert history.started_at == 0
+
+    @pytest.mark.parametrize(
+        'content', [b'', b'{', b'[]', b'{"since": 1}', b'{"since": "x"}']
+    )
+    def test_malformed_record(self, content: bytes) -> None:
+        with pytest.raises((KeyError, TypeError, ValueError)):
+            decode_versions(content, 0)
+
+    def test_routes_that_changed_while_no_host_ran(self) -> None:
+        routes = RouteHistory()
+        routes.update([route('engines')], 0)
+        routes.adopt(-400, 'other')
+        assert not routes.only_service('r', 24, 1)
+        routes.adopt(-400, routes.routing)
+        assert routes.only_service('r', 24, 1) == 'engines'
+
+
 class TestRecords:
     def test_streams_of_two_workspaces_differ(self) -> None:
         assert stream_key('w', 'a') != stream_key('x', 'a')
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -387,6 +387,39 @@
         hosts[2].run_for_long()
         self.assert_goes_on(cluster, hosts[1], first, resumes='')
 
+    @pytest.mark.parametrize(
+        ('changed', 'status'), [('', 200), ('version', 503), ('route', 503)]
+    )
+    def test_all_hosts_are_killed(
+        self, cluster: GatewayCluster, changed: str, status: int
+    ) -> None:
+        """The store has the versions that the hosts have seen."""
+        add_endpoints(cluster, 'v1', 'v1')
+        hosts = add_hosts(cluster, 2)
+        first = self.begin(cluster, hosts[0], 'a')
+        for running in hosts:
+            running.run_for_long()
+        # Written before, when the hosts were young.
+        cluster.store.topics.pop('keyed.versions', None)
+        for running in hosts:
+            running.host.version_task.on_store_restored()
+        wait_for(
+            lambda: cluster.store.topic('keyed.versions').records,
+            'the versions in the store',
+        )
+        for running in hosts:
+            running.stop()
+        change_beside(cluster, changed)
+        again = [cluster.restart_host(running) for running in hosts]
+        wait_for(
+            lambda: all(made.host.version_task.was_read for made in again),
+            'the versions to be read',
+        )
+        assert take_up(cluster, again[1], '').status == status
+        if status == 200:
+            second = began_at(cluster, 'again')
+            assert version_of(cluster, second) == version_of(cluster, first)
+
     @pytest.mark.parametrize('resumes', ['', 'unheard-of'])
     def test_unknown_beginning_is_refused(
         self, cluster: GatewayCluster, resumes: str
@@ -459,6 +492,27 @@
         assert first.runs == ['a']
 
 
+def change_beside(cluster: GatewayCluster, changed: str) -> None:
+    """Change something while no host runs."""
+    if changed == 'version':
+        for endpoint in cluster.endpoints:
+            cluster.register(endpoint, version='v2', born=2)
+    if changed == 'route':
+        services = [
+            {'name': name, 'healthPath': '/h'} for name in ('engines', 'new')
+        ]
+        cluster.configure(
+            2,
+            routeTable=[chat_route(backend='new'), route('x', 'idempotent')],
+            backends=services,
+        )
+        cluster.store.put(
+            'keyed.servers',
+            'i-9',
+            cluster.endpoints[0].record('new', version='v1'),
+        )
+
+
 def chat_route(**changes: object) -> dict[str, object]:
     return route(
         'chat', 'streaming', streamResume=True, anonymous=True, **changes
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -28,6 +28,7 @@
 from trefoilspool.servingparts import EndpointKnowledge
 from trefoilspool.settingssync import ConfigurationHandlers, SettingsSync
 from trefoilspool.telemetry import Metrics
+from trefoilspool.versionstore import VersionStoreTask
 from trefoilspool.watch import WatchTask
 
 __all__ = ['GatewayHost']
@@ -113,6 +114,12 @@
         )
         self.mesh.origin_gossip.history = self.directory.versions
         self.mesh.origin_gossip.is_stale = self.endpoint_sync.view.is_stale
+        self.version_task = VersionStoreTask(
+            topics.versions,
+            self.mesh.origin_gossip,
+            self.mesh.peers,
+            self.stopping,
+        )
         self.mesh.on_quarantine_due = self.quarantine_task.on_due
         self.mesh.quarantine_gossip.on_entry = self.count_quarantine
         self.watch = WatchTask()
@@ -158,6 +165,7 @@
         yield self.endpoint_sync.store_task.run
         yield self.discovery_task.run
         yield self.quarantine_task.run
+        yield self.version_task.run
         yield self.settings_sync.peer_task.run
         yield self.endpoint_sync.peer_task.run
         yield self.clean_up
@@ -182,6 +190,7 @@
         self.metrics.count('trefoilspool_store_restored_total')
         self.discovery_task.on_store_restored()
         self.quarantine_task.on_store_restored()
+        self.version_task.on_store_restored()
 
     def put_in_force(self, configuration: Configuration) -> None:
         """Put a configuration in force in all parts of this host.
--- a/trefoilspool/gatewayplatform.py
+++ b/trefoilspool/gatewayplatform.py
@@ -22,12 +22,15 @@
         Records of the hosts, for discovery.
     quarantine : KeyedTopic
         The quarantined prompt parts.
+    versions : KeyedTopic
+        The versions of the endpoints' software.
     """
 
     settings: KeyedSource
     endpoints: KeyedSource
     hosts: KeyedTopic
     quarantine: KeyedTopic
+    versions: KeyedTopic
 
 
 class Platform(ABC):
--- a/trefoilspool/routehistory.py
+++ b/trefoilspool/routehistory.py
@@ -1,8 +1,11 @@
 """Since when each route has sent its requests to the same service."""
 
-from collections.abc import Iterable
+import json
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+import xxhash
+
 from trefoilspool.routing import Route
 
 __all__ = ['RouteHistory']
@@ -24,17 +27,55 @@
     ----------
     by_route : dict
         The services by the route's name.
+    first_at : float
+        When the routes were first known, in seconds.
+    changed_at : float
+        When a route last changed its services, in seconds.
+    routing : str
+        Digest of the services of all routes.
     """
 
     def __init__(self) -> None:
         self.by_route: dict[str, RouteServices] = {}
+        self.first_at = 0.0
+        self.changed_at = 0.0
+        self.routing = ''
 
     def update(self, routes: Iterable[Route], now: float) -> None:
         """Replace the routes; what is unchanged keeps its time."""
+        earlier = self.by_route
         # Other threads read it meanwhile.
         self.by_route = {
             route.name: self.services_of(route, now) for route in routes
         }
+        self.routing = digest(self.by_route)
+        if not earlier:
+            self.first_at = now
+            self.changed_at = now
+        elif any(self.by_route.get(name) != earlier[name] for name in earlier):
+            self.changed_at = now
+
+    def adopt(self, changed_at: float, routing: str) -> None:
+        """Adopt when routes last changed before this host started.
+
+        Parameters
+        ----------
+        changed_at : float
+            When one last changed its services, in seconds.
+        routing : str
+            Digest of the routes then; others may have come meanwhile.
+        """
+        if routing != self.routing or changed_at > self.first_at:
+            return
+        if self.changed_at == self.first_at:
+            self.changed_at = changed_at
+        self.by_route = {
+            name: known._replace(since=changed_at)
+            if known.since == self.first_at
+            else known
+            for name, known in self.by_route.items()
+        }
+        self.first_at = changed_at
 
     def services_of(self, route: Route, now: float) -> RouteServices:
         """Return a route's services; unchanged ones keep their time."""
@@ -57,3 +98,11 @@
         return (
             next(iter(known.services)) if now - known.since >= window_s else ''
         )
+
+
+def digest(by_route: Mapping[str, RouteServices]) -> str:
+    """Return a digest of the services of all routes."""
+    text = json.dumps(
+        [[name, sorted(by_route[name].services)] for name in sorted(by_route)]
+    )
+    return xxhash.xxh64_hexdigest(text.encode())
--- a/trefoilspool/versionhistory.py
+++ b/trefoilspool/versionhistory.py
@@ -8,6 +8,7 @@
 
 # Longer than a stream and the time in which its caller takes it up again.
 MEMORY_S = 60.0
+CLOCK_SLACK_S = 6.0  # by which times of day of two hosts may differ
 
 
 class ServiceVersion(NamedTuple):
@@ -23,6 +24,27 @@
     software: str
 
 
+class WatchedVersions(NamedTuple):
+    """What hosts have seen of versions; times in seconds.
+
+    Attributes
+    ----------
+    since : float
+        Since when all versions are known.
+    routes_at : float
+        When a route last changed its services.
+    routing : str
+        Digest of the services of all routes.
+    until : dict
+        Until when each version was present; infinite for those that are.
+    """
+
+    since: float
+    routes_at: float
+    routing: str
+    until: dict[ServiceVersion, float]
+
+
 class VersionHistory:
     """The versions that are present, and those that were of late.
 
@@ -54,6 +76,32 @@
         # Other threads read it meanwhile.
         self.seen_until = earlier | dict.fromkeys(present, math.inf)
 
+    def present(self) -> frozenset[ServiceVersion]:
+        """Return the versions that are present."""
+        return frozenset(
+            version
+            for version, until in self.seen_until.items()
+            if until == math.inf
+        )
+
+    def adopt(self, watched: WatchedVersions, now: float) -> None:
+        """Adopt what other hosts have seen before.
+
+        What was present there counts until now, and the time of day may have
+        jumped meanwhile.
+        """
+        if watched.since > self.started_at:
+            return
+        earlier = {
+            version: min(until + CLOCK_SLACK_S, now)
+            for version, until in watched.until.items()
+            if until + CLOCK_SLACK_S >= now - MEMORY_S
+        }
+        for version, until in self.seen_until.items():
+            earlier[version] = max(until, earlier.get(version, until))
+        self.seen_until = earlier
+        self.started_at = watched.since + CLOCK_SLACK_S
+
     def versions(
         self, service: str, window_s: float, now: float
     ) -> frozenset[str]:
--- /dev/null
+++ b/trefoilspool/versionstore.py
@@ -0,0 +1,185 @@
+"""The versions of the endpoints' software in the store, for hosts that start.
+
+Hosts that have all started together would otherwise know of no version that has
+left meanwhile, and could not tell at which one a stream began.
+"""
+
+import json
+import random
+import threading
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import logbook
+
+from trefoilspool import clock
+from trefoilspool.errors import LogOutageError, StoreRestoredError
+from trefoilspool.origingossip import OriginGossip
+from trefoilspool.peers import PeerRegistry
+from trefoilspool.store import KeyedTopic
+from trefoilspool.versionhistory import ServiceVersion, WatchedVersions
+
+__all__ = ['VersionStoreTask', 'decode_versions', 'encode_versions']
+
+RECORD_KEY = 'versions'
+CHECK_S = 0.5
+RETRY_S = 2.0
+# Hosts that start together find out first which of them is the home host.
+FIRST_WRITE_S = 3.0
+MS_PER_S = 1000
+
+logger = logbook.Logger('directory')
+
+
+class VersionStoreTask:
+    """Reads the record at the start; writes it as home host when it changes.
+
+    Parameters
+    ----------
+    topic : KeyedTopic
+        The topic, with one record.
+    gossip : OriginGossip
+        Has the histories of versions and routes.
+    peers : PeerRegistry
+        Tells whether this is the home host.
+    stopping : threading.Event
+        Ends the task.
+    """
+
+    def __init__(
+        self,
+        topic: KeyedTopic,
+        gossip: OriginGossip,
+        peers: PeerRegistry,
+        stopping: threading.Event,
+    ) -> None:
+        self.topic = topic
+        self.gossip = gossip
+        self.peers = peers
+        self.stopping = stopping
+        self.started_at = clock.now()
+        self.was_read = False
+        self.stored: frozenset[ServiceVersion] = frozenset()
+        self.stored_routing = ''
+
+    def run(self) -> None:
+        """Read and write until stopped."""
+        pause_s = 0.0
+        while not self.stopping.wait(pause_s):
+            pause_s = self.try_step() * (1 + random.random())
+
+    def on_store_restored(self) -> None:
+        """Write the record again: the restored store may lack it."""
+        self.stored = frozenset()
+
+    def try_step(self) -> float:
+        """Read or write if due; return the seconds until the next check."""
+        try:
+            self.step(clock.now())
+        except (LogOutageError, StoreRestoredError) as error:
+            logger.info('versions_not_synced', extra={'error': str(error)})
+            return RETRY_S
+        except Exception:
+            logger.exception('versions_not_synced')
+            return RETRY_S
+        return CHECK_S
+
+    def step(self, now: float) -> None:
+        """Read the record once; write it when the present versions change."""
+        if not self.gossip.routes.by_route:
+            return
+        if not self.was_read:
+            self.read()
+            self.was_read = True
+        is_settled = now - self.started_at >= FIRST_WRITE_S
+        if is_settled and self.has_news() and self.peers.is_home():
+            # Another host may have been the home host meanwhile.
+            self.read()
+            self.write(now)
+
+    def has_news(self) -> bool:
+        """Return whether what is present differs from what was written."""
+        present = self.gossip.history.present()
+        is_new = self.gossip.routes.routing != self.stored_routing
+        return bool(present) and (is_new or present != self.stored)
+
+    def read(self) -> None:
+        """Read the record and adopt what it has."""
+        for record in self.topic.read_latest().records:
+            if record.key == RECORD_KEY and record.content:
+                self.adopt(record.content)
+
+    def adopt(self, content: bytes) -> None:
+        """Adopt a record; a malformed one has nothing."""
+        now = clock.now()
+        try:
+            watched = decode_versions(content, now)
+        except (KeyError, TypeError, ValueError) as error:
+            logger.warning('versions_unreadable', extra={'error': repr(error)})
+            return
+        self.gossip.history.adopt(watched, now)
+        self.gossip.routes.adopt(watched.routes_at, watched.routing)
+
+    def write(self, now: float) -> None:
+        """Write what this host knows."""
+        history, routes = self.gossip.history, self.gossip.routes
+        self.stored = history.present()
+        self.stored_routing = routes.routing
+        watched = WatchedVersions(
+            history.started_at,
+            routes.changed_at,
+            routes.routing,
+            history.seen_until,
+        )
+        self.topic.put(RECORD_KEY, encode_versions(watched, now))
+        logger.info('versions_written', extra={'versions': len(watched.until)})
+
+
+def encode_versions(watched: WatchedVersions, now: float) -> bytes:
+    """Encode versions, with times of day, as hosts share no other clock."""
+    offset_s = time.time() - now
+
+    def unix_ms(at: float) -> int | None:
+        if at == float('inf'):
+            return None
+        return int((at + offset_s) * MS_PER_S)
+
+    return json.dumps(
+        {
+            'since': unix_ms(watched.since),
+            'routes': unix_ms(watched.routes_at),
+            'routing': watched.routing,
+            'until': [
+                [version.service, version.software, unix_ms(until)]
+                for version, until in watched.until.items()
+            ],
+        }
+    ).encode()
+
+
+def decode_versions(content: bytes, now: float) -> WatchedVersions:
+    """Decode versions.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        The record is malformed.
+    """
+    offset_s = time.time() - now
+    record: Mapping[str, Any] = json.loads(content)
+
+    def at(unix_ms: int | None) -> float:
+        if unix_ms is None:
+            return float('inf')
+        return unix_ms / MS_PER_S - offset_s
+
+    return WatchedVersions(
+        at(record['since']),
+        at(record['routes']),
+        str(record['routing']),
+        {
+            ServiceVersion(str(service), str(software)): at(until)
+            for service, software, until in record['until']
+        },
+    )
