--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -100,6 +100,7 @@
     """A gateway host with its HTTP server."""
 
     def __init__(self, cluster: 'GatewayCluster', number: int) -> None:
+        cluster.started.append(self)
         self.address = f'{cluster.network}.{number}'
         self.port, ready, control = cluster.ports
         self.options = GatewayOptions(
@@ -133,6 +134,18 @@
             for connection in list(idle):
                 connection.close()
 
+    def close_store_connections(self) -> None:
+        """Close the connections of the tasks that read the store."""
+        host = self.host
+        for topic in (
+            host.settings_sync.store_task.source,
+            host.endpoint_sync.store_task.source,
+            host.discovery_task.topic,
+            host.quarantine_task.topic,
+            host.version_task.topic,
+        ):
+            topic.connection.close()
+
     def cut_datagrams(self) -> None:
         """Drop all datagrams to and from other hosts."""
         mesh = self.host.mesh
@@ -154,7 +167,6 @@
         gossip.history.started_at -= LONG_S
         history = gossip.routes
         history.first_at -= LONG_S
-        history.changed_at -= LONG_S
         for name, known in history.by_route.items():
             earlier = known._replace(since=known.since - LONG_S)
             history.by_route[name] = earlier
@@ -187,6 +199,7 @@
         self.seeds = f'{self.network}.1:1'
         self.endpoints: list[PlatformEndpoint] = []
         self.hosts: list[RunningHost] = []
+        self.started: list[RunningHost] = []
         self.ids = itertools.count(1)
         self.configure()
 
@@ -284,3 +297,5 @@
         for running in self.hosts:
             running.close_idle_connections()
         self.store.close()
+        for running in self.started:
+            running.close_store_connections()
--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -2,11 +2,12 @@
 
 import base64
 import json
+import socket
 import struct
 import threading
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -46,6 +47,11 @@
     def setup(self) -> None:
         super().setup()
         self.opened_at = time.monotonic()
+        self.server.store.connections.add(self.connection)
+
+    def finish(self) -> None:
+        self.server.store.connections.discard(self.connection)
+        super().finish()
 
     def do_GET(self) -> None:
         self.server.store.get(self)
@@ -75,6 +81,7 @@
         self.fault: int | str = 0
         self.calls = 0
         self.era = 0
+        self.connections: set[socket.socket] = set()
         self.silent_before = 0.0
         self.spoiled_reads = 0
         self.delay_s = 0.0
@@ -248,6 +255,10 @@
     def close(self) -> None:
         self.server.shutdown()
         self.server.server_close()
+        # The tasks of hosts that are stopped would wait on them for a while.
+        for connection in list(self.connections):
+            with suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
 
 
 def dump(content: object) -> bytes:
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -8,7 +8,7 @@
 from trefoilspool.hashring import HashRing
 from trefoilspool.origingossip import ROUTE_SETTLED_S, OriginGossip
 from trefoilspool.peers import HostInfo, PeerRegistry
-from trefoilspool.routehistory import RouteHistory
+from trefoilspool.routehistory import RouteHistory, RouteServices
 from trefoilspool.routing import RepeatPolicy, Route, WeightedService
 from trefoilspool.slotmessages import (
     AttemptEnding,
@@ -40,6 +40,7 @@
 
 OLD = ServiceVersion('engines', 'v1')
 NEW = ServiceVersion('engines', 'v2')
+ROUTES = {'r': RouteServices(frozenset(('engines',)), -400)}
 
 
 def spec(name: str, software: str, slots: int = 2) -> EndpointSpec:
@@ -195,7 +196,7 @@
     """What hosts that start adopt from the store."""
 
     def watched(self, **changes: object) -> WatchedVersions:
-        made = WatchedVersions(-500, -400, 'd', {OLD: math.inf})
+        made = WatchedVersions(-500, ROUTES, {OLD: math.inf})
         return made._replace(**changes)
 
     def test_versions_survive_encoding(self) -> None:
@@ -204,7 +205,7 @@
         assert decoded.until[OLD] == math.inf
         assert decoded.until[NEW] == pytest.approx(5, abs=0.01)
         assert decoded.since == pytest.approx(-500, abs=0.01)
-        assert decoded.routing == 'd'
+        assert decoded.routes['r'].services == {'engines'}
 
     def test_host_that_starts_has_watched_as_long_as_the_others(self) -> None:
         history = VersionHistory(0)
@@ -236,11 +237,18 @@
     def test_routes_that_changed_while_no_host_ran(self) -> None:
         routes = RouteHistory()
         routes.update([route('engines')], 0)
-        routes.adopt(-400, 'other')
+        routes.adopt({'r': RouteServices(frozenset(('others',)), -400)})
         assert not routes.only_service('r', 24, 1)
-        routes.adopt(-400, routes.routing)
+        routes.adopt(ROUTES)
         assert routes.only_service('r', 24, 1) == 'engines'
 
+    def test_route_that_changed_after_the_start(self) -> None:
+        routes = RouteHistory()
+        routes.update([route('others')], 0)
+        routes.update([route('engines')], 5)
+        routes.adopt(ROUTES)
+        assert not routes.only_service('r', 24, 6)
+
 
 class TestRecords:
     def test_streams_of_two_workspaces_differ(self) -> None:
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -11,6 +11,7 @@
     CallerResponse,
     GatewayCluster,
     RunningHost,
+    configuration,
     route,
     wait_for,
 )
@@ -388,7 +389,8 @@
         self.assert_goes_on(cluster, hosts[1], first, resumes='')
 
     @pytest.mark.parametrize(
-        ('changed', 'status'), [('', 200), ('version', 503), ('route', 503)]
+        ('changed', 'status'),
+        [('', 200), ('other', 200), ('version', 503), ('route', 503)],
     )
     def test_all_hosts_are_killed(
         self, cluster: GatewayCluster, changed: str, status: int
@@ -478,18 +480,20 @@
         first = self.begin(cluster, hosts[0], 'a')
         first.crash()
         numbered = itertools.count()
+
+        def call() -> None:
+            cluster.call(hosts[0], '/chat/1', Request_Id=f'x{next(numbered)}')
+
+        # More at once than the other endpoint has slots.
+        for _ in range(6):
+            threading.Thread(target=call, daemon=True).start()
         wait_for(
-            lambda: (
-                cluster.call(
-                    hosts[0], '/chat/1', Request_Id=f'x{next(numbered)}'
-                )
-                and was_down(hosts, first.name)
-            ),
+            lambda: was_down(hosts, first.name),
             'a connection that the endpoint refuses',
         )
         first.listen()
         assert take_up(cluster, hosts[1], 'a').status == 503
-        assert first.runs == ['a']
+        assert 'again' not in first.runs
 
 
 def change_beside(cluster: GatewayCluster, changed: str) -> None:
@@ -497,6 +501,11 @@
     if changed == 'version':
         for endpoint in cluster.endpoints:
             cluster.register(endpoint, version='v2', born=2)
+    if changed == 'other':
+        routes = configuration()['routeTable']
+        assert isinstance(routes, list)
+        added = {**chat_route(), 'name': 'r-more', 'pathPrefix': '/more/'}
+        cluster.configure(2, routeTable=[*routes, added])
     if changed == 'route':
         services = [
             {'name': name, 'healthPath': '/h'} for name in ('engines', 'new')
--- a/trefoilspool/routehistory.py
+++ b/trefoilspool/routehistory.py
@@ -1,14 +1,11 @@
 """Since when each route has sent its requests to the same service."""
 
-import json
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-import xxhash
+from trefoilspool.routing import RepeatPolicy, Route
 
-from trefoilspool.routing import Route
-
-__all__ = ['RouteHistory']
+__all__ = ['RouteHistory', 'RouteServices']
 
 
 class RouteServices(NamedTuple):
@@ -26,56 +23,54 @@
     Attributes
     ----------
     by_route : dict
-        The services by the route's name.
+        The services of the routes of streams that may be taken up, by the
+        route's name.
     first_at : float
         When the routes were first known, in seconds.
-    changed_at : float
-        When a route last changed its services, in seconds.
-    routing : str
-        Digest of the services of all routes.
     """
 
     def __init__(self) -> None:
         self.by_route: dict[str, RouteServices] = {}
         self.first_at = 0.0
-        self.changed_at = 0.0
-        self.routing = ''
 
     def update(self, routes: Iterable[Route], now: float) -> None:
         """Replace the routes; what is unchanged keeps its time."""
-        earlier = self.by_route
+        if not self.by_route:
+            self.first_at = now
         # Other threads read it meanwhile.
         self.by_route = {
-            route.name: self.services_of(route, now) for route in routes
+            route.name: self.services_of(route, now)
+            for route in routes
+            if route.streams and route.repeats is RepeatPolicy.resumed
         }
-        self.routing = digest(self.by_route)
-        if not earlier:
-            self.first_at = now
-            self.changed_at = now
-        elif any(self.by_route.get(name) != earlier[name] for name in earlier):
-            self.changed_at = now
 
-    def adopt(self, changed_at: float, routing: str) -> None:
-        """Adopt when routes last changed before this host started.
+    def adopt(self, earlier: Mapping[str, RouteServices]) -> None:
+        """Adopt since when routes had their services before this host started.
 
         Parameters
         ----------
-        changed_at : float
-            When one last changed its services, in seconds.
-        routing : str
-            Digest of the routes then; others may have come meanwhile.
+        earlier : mapping
+            The services of routes; others may have come meanwhile.
         """
-        if routing != self.routing or changed_at > self.first_at:
-            return
-        if self.changed_at == self.first_at:
-            self.changed_at = changed_at
         self.by_route = {
-            name: known._replace(since=changed_at)
-            if known.since == self.first_at
-            else known
+            name: self.earliest(known, earlier.get(name))
             for name, known in self.by_route.items()
         }
-        self.first_at = changed_at
+
+    def earliest(
+        self, known: RouteServices, earlier: RouteServices | None
+    ) -> RouteServices:
+        """Return a route's services with the earlier of two times."""
+        if earlier is None or earlier.services != known.services:
+            return known
+        # It has changed since this host knows it.
+        if known.since > self.first_at:
+            return known
+        return min(known, earlier, key=lambda services: services.since)
+
+    def services(self) -> dict[str, frozenset[str]]:
+        """Return the services of each route."""
+        return {name: known.services for name, known in self.by_route.items()}
 
     def services_of(self, route: Route, now: float) -> RouteServices:
         """Return a route's services; unchanged ones keep their time."""
@@ -98,11 +93,3 @@
         return (
             next(iter(known.services)) if now - known.since >= window_s else ''
         )
-
-
-def digest(by_route: Mapping[str, RouteServices]) -> str:
-    """Return a digest of the services of all routes."""
-    text = json.dumps(
-        [[name, sorted(by_route[name].services)] for name in sorted(by_route)]
-    )
-    return xxhash.xxh64_hexdigest(text.encode())
--- a/trefoilspool/versionhistory.py
+++ b/trefoilspool/versionhistory.py
@@ -1,9 +1,11 @@
 """Which software versions the endpoints of each service have had of late."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from trefoilspool.routehistory import RouteServices
+
 __all__ = ['MEMORY_S', 'ServiceVersion', 'VersionHistory']
 
 # Longer than a stream and the time in which its caller takes it up again.
@@ -31,17 +33,14 @@
     ----------
     since : float
         Since when all versions are known.
-    routes_at : float
-        When a route last changed its services.
-    routing : str
-        Digest of the services of all routes.
+    routes : mapping
+        The services of the routes, by the route's name.
     until : dict
         Until when each version was present; infinite for those that are.
     """
 
     since: float
-    routes_at: float
-    routing: str
+    routes: Mapping[str, RouteServices]
     until: dict[ServiceVersion, float]
 
 
--- a/trefoilspool/versionstore.py
+++ b/trefoilspool/versionstore.py
@@ -4,6 +4,7 @@
 left meanwhile, and could not tell at which one a stream began.
 """
 
+import itertools
 import json
 import random
 import threading
@@ -17,8 +18,13 @@
 from trefoilspool.errors import LogOutageError, StoreRestoredError
 from trefoilspool.origingossip import OriginGossip
 from trefoilspool.peers import PeerRegistry
+from trefoilspool.routehistory import RouteServices
 from trefoilspool.store import KeyedTopic
-from trefoilspool.versionhistory import ServiceVersion, WatchedVersions
+from trefoilspool.versionhistory import (
+    CLOCK_SLACK_S,
+    ServiceVersion,
+    WatchedVersions,
+)
 
 __all__ = ['VersionStoreTask', 'decode_versions', 'encode_versions']
 
@@ -27,6 +33,7 @@
 RETRY_S = 2.0
 # Hosts that start together find out first which of them is the home host.
 FIRST_WRITE_S = 3.0
+MAX_ROUTES = 500  # in the record; streams of others are not known after a start
 MS_PER_S = 1000
 
 logger = logbook.Logger('directory')
@@ -61,7 +68,7 @@
         self.started_at = clock.now()
         self.was_read = False
         self.stored: frozenset[ServiceVersion] = frozenset()
-        self.stored_routing = ''
+        self.stored_routes: dict[str, frozenset[str]] = {}
 
     def run(self) -> None:
         """Read and write until stopped."""
@@ -101,7 +108,7 @@
     def has_news(self) -> bool:
         """Return whether what is present differs from what was written."""
         present = self.gossip.history.present()
-        is_new = self.gossip.routes.routing != self.stored_routing
+        is_new = self.gossip.routes.services() != self.stored_routes
         return bool(present) and (is_new or present != self.stored)
 
     def read(self) -> None:
@@ -119,17 +126,16 @@
             logger.warning('versions_unreadable', extra={'error': repr(error)})
             return
         self.gossip.history.adopt(watched, now)
-        self.gossip.routes.adopt(watched.routes_at, watched.routing)
+        self.gossip.routes.adopt(watched.routes)
 
     def write(self, now: float) -> None:
         """Write what this host knows."""
         history, routes = self.gossip.history, self.gossip.routes
         self.stored = history.present()
-        self.stored_routing = routes.routing
+        self.stored_routes = routes.services()
         watched = WatchedVersions(
             history.started_at,
-            routes.changed_at,
-            routes.routing,
+            dict(itertools.islice(routes.by_route.items(), MAX_ROUTES)),
             history.seen_until,
         )
         self.topic.put(RECORD_KEY, encode_versions(watched, now))
@@ -148,8 +154,10 @@
     return json.dumps(
         {
             'since': unix_ms(watched.since),
-            'routes': unix_ms(watched.routes_at),
-            'routing': watched.routing,
+            'routes': [
+                [name, sorted(route.services), unix_ms(route.since)]
+                for name, route in watched.routes.items()
+            ],
             'until': [
                 [version.service, version.software, unix_ms(until)]
                 for version, until in watched.until.items()
@@ -176,8 +184,12 @@
 
     return WatchedVersions(
         at(record['since']),
-        at(record['routes']),
-        str(record['routing']),
+        {
+            str(name): RouteServices(
+                frozenset(map(str, services)), at(since) + CLOCK_SLACK_S
+            )
+            for name, services, since in record['routes']
+        },
         {
             ServiceVersion(str(service), str(software)): at(until)
             for service, software, until in record['until']
