--- a/trefoilspool/routehistory.py
+++ b/trefoilspool/routehistory.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from trefoilspool.routing import RepeatPolicy, Route
+from trefoilspool.routing import Route
 
 __all__ = ['RouteHistory', 'RouteServices']
 
@@ -23,8 +23,7 @@
     Attributes
     ----------
     by_route : dict
-        The services of the routes of streams that may be taken up, by the
-        route's name.
+        The services of the routes of streams, by the route's name.
     first_at : float
         When the routes were first known, in seconds.
     """
@@ -41,7 +40,7 @@
         self.by_route = {
             route.name: self.services_of(route, now)
             for route in routes
-            if route.streams and route.repeats is RepeatPolicy.resumed
+            if route.streams
         }
 
     def adopt(self, earlier: Mapping[str, RouteServices]) -> None:
