--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -1,5 +1,7 @@
 """Typed errors, one class for each failure."""
 
+import reprlib
+
 __all__ = [
     'BadRecordError',
     'CutResponseError',
@@ -146,8 +148,8 @@
         allowed: str,
     ) -> None:
         super().__init__(
-            f'{record}: {field or "record"} = {bad!r} cannot be used; '
-            f'it must be {allowed}',
+            f'{record}: {field or "record"} = {reprlib.repr(bad)} '
+            f'cannot be used; it must be {allowed}',
         )
         self.field = field
 
