Let a replica move on only when its user has taken a page

Callers saw no later endpoint after a page whose use failed: what stood before the odd record was stored and never reached the directory, and the next read began behind it; after a restored store the records of endpoints that had left counted as new ones. Change: a replica goes back to its state of before if its user fails, so the same records are new when they are read again; the endpoints' view notes the new era last.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -6,9 +6,10 @@
 from records import decode_endpoint
 
 from trefoilspool.directory import REREGISTRATION_S, Directory
+from trefoilspool.endpointview import EndpointView
 from trefoilspool.routing import CallerLimits, Configuration, Service
 from trefoilspool.slotmessages import EndpointSpec
-from trefoilspool.store import KeyedRecord
+from trefoilspool.store import KeyedRecord, Page
 
 
 class PublishedDirectory:
@@ -62,6 +63,28 @@
     return published
 
 
+class TestUntakenRecords:
+    def test_restored_records_count_as_such_until_they_are_taken(self) -> None:
+        """An endpoint that left would otherwise come back with the backup."""
+        view = EndpointView(decode_endpoint, lambda: -100.0, lambda _: None)
+        taken: list[bool] = []
+        failures = ['the directory failed']
+
+        def take(records: object, now: float, *, restored: bool) -> None:
+            if restored and failures:
+                raise RuntimeError(failures.pop())
+            taken.append(restored)
+
+        view.directory.on_records = take  # type: ignore[assignment]
+        record = KeyedRecord('a', b'{}', 0)
+        view.replica.apply(Page((record,), 1, complete=True))
+        restored = Page((record,), 1, complete=True, era=1)
+        with pytest.raises(RuntimeError):
+            view.replica.apply(restored)
+        view.replica.apply(restored)
+        assert taken == [False, True]
+
+
 class TestDirectory:
     def test_ready_endpoint_is_published(
         self, published: PublishedDirectory
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -84,6 +84,64 @@
         assert page == Page((record('b', 7, b''),), 8, complete=False)
 
 
+class FailingChanges(Changes):
+    """Fails as often as ``failures`` says."""
+
+    def __init__(self, failures: int = 1) -> None:
+        super().__init__()
+        self.failures = failures
+
+    def __call__(self, records: tuple[KeyedRecord, ...]) -> None:
+        if self.failures:
+            self.failures -= 1
+            raise RuntimeError('the records were not taken')
+        super().__call__(records)
+
+
+class TestUntakenPage:
+    """The replica's user fails, so the page is still to be taken."""
+
+    def test_page_is_taken_when_it_is_read_again(self) -> None:
+        changes = FailingChanges()
+        replica = Replica(changes)
+        page = Page((record('a', 0), record('b', 1)), 2, complete=False)
+        with pytest.raises(RuntimeError):
+            replica.apply(page)
+        assert replica.end == -1
+        assert not replica.records
+        replica.apply(page)
+        assert changes.keys == ['a', 'b']
+        assert replica.position() == (0, 2)
+
+    def test_page_of_a_new_era_is_taken_when_it_is_read_again(self) -> None:
+        changes = FailingChanges(failures=0)
+        replica = Replica(changes)
+        replica.apply(Page((record('a', 4), record('b', 6)), 7, complete=True))
+        changes.failures = 1
+        page = Page((record('a', 2, b'new'),), 3, complete=True, era=1)
+        with pytest.raises(RuntimeError):
+            replica.apply(page)
+        assert replica.position() == (0, 7)
+        assert replica.changes_from(7) == Page((), 7, complete=False)
+        replica.apply(page)
+        assert replica.position() == (1, 3)
+        assert changes.records[-2:] == [
+            record('a', 2, b'new'),
+            KeyedRecord('b', b'', 2),
+        ]
+
+    def test_comparison_that_fails_changes_nothing(self) -> None:
+        def fail(latest: KeyedRecord) -> object:
+            if latest.key == 'b':
+                raise RuntimeError('no value')
+            return latest.content
+
+        replica = Replica(Changes(), fail)
+        with pytest.raises(RuntimeError):
+            replica.apply(Page((record('a', 0), record('b', 1)), 2, True))
+        assert not replica.records
+
+
 class TestComparisonValue:
     """Endpoints renew their records every second; peers need only changes."""
 
--- a/trefoilspool/endpointview.py
+++ b/trefoilspool/endpointview.py
@@ -95,12 +95,13 @@
     def on_records(self, records: tuple[KeyedRecord, ...]) -> None:
         """Pass new records to the directory."""
         now = self.now()
-        restored = NO_ERA < self.era < self.replica.era
-        self.era = self.replica.era
+        era = self.replica.era
+        restored = NO_ERA < self.era < era
         if restored:
             self.restored_at = now
-            logger.warning('endpoints_restored', extra={'era': self.era})
+            logger.warning('endpoints_restored', extra={'era': era})
         self.directory.on_records(records, now, restored=restored)
+        self.era = era
 
     def comparison_value(self, record: KeyedRecord) -> object:
         """Return the comparison value of a record.
--- a/trefoilspool/replica.py
+++ b/trefoilspool/replica.py
@@ -31,6 +31,18 @@
     offset: int
 
 
+class ReplicaState(NamedTuple):
+    """What a page changes in a replica; the fields are attributes there."""
+
+    records: dict[str, KeyedRecord]
+    comparison_values: dict[str, object]
+    change_offsets: dict[str, int]
+    era: int
+    first_end: int
+    end: int
+    changed_end: int
+
+
 class Replica:
     """The latest record of each key; an older record never replaces a newer.
 
@@ -79,26 +91,55 @@
         self.changed_end = 0
 
     def apply(self, page: Page) -> None:
-        """Store the records of a page that are newer than the stored ones."""
+        """Store the records of a page that are newer than the stored ones.
+
+        If ``on_change`` fails, nothing is stored, so that the same records are
+        new when they are read again.
+        """
         with self.lock:
             if page.era < self.era:
                 return
-            if page.era > self.era:
-                if self.era != NO_ERA and not page.complete:
-                    return
-                self.start_era(page)
-            newer = [
-                record
-                for record in page.records
-                if record.offset > self.latest_offset(record.key)
-            ]
-            if page.complete and page.end >= self.end:
-                newer += self.deletions(page)
-            for record in newer:
-                self.store(record)
-            self.end = max(self.end, page.end)
-            if newer:
-                self.on_change(tuple(newer))
+            if page.era > self.era and self.era != NO_ERA and not page.complete:
+                return
+            before = self.state()
+            try:
+                self.store_page(page)
+            except Exception:
+                self.restore(before)
+                raise
+
+    def store_page(self, page: Page) -> None:
+        """Store what is newer in a page and call ``on_change`` with it."""
+        if page.era > self.era:
+            self.start_era(page)
+        newer = [
+            record
+            for record in page.records
+            if record.offset > self.latest_offset(record.key)
+        ]
+        if page.complete and page.end >= self.end:
+            newer += self.deletions(page)
+        if newer:
+            # The tables of before are kept until these are taken.
+            self.records = dict(self.records)
+            self.comparison_values = dict(self.comparison_values)
+            self.change_offsets = dict(self.change_offsets)
+        for record in newer:
+            self.store(record)
+        self.end = max(self.end, page.end)
+        if newer:
+            self.on_change(tuple(newer))
+
+    def state(self) -> ReplicaState:
+        """Return all that a page changes."""
+        return ReplicaState(
+            *(getattr(self, name) for name in ReplicaState._fields)
+        )
+
+    def restore(self, state: ReplicaState) -> None:
+        """Go back to an earlier state."""
+        for name, earlier in state._asdict().items():
+            setattr(self, name, earlier)
 
     def start_era(self, page: Page) -> None:
         """Void the offsets of the stored records; their content stays."""
