Apply endpoint records one by one, so that one that fails costs no other

A record whose use failed in a way that no decoder declares ended the use of its whole page. Change: the directory logs such a record and goes on; its comparison value is its content.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -5,6 +5,7 @@
 import pytest
 from records import decode_endpoint
 
+from trefoilspool.departures import EndpointRecord
 from trefoilspool.directory import REREGISTRATION_S, Directory
 from trefoilspool.endpointview import EndpointView
 from trefoilspool.routing import CallerLimits, Configuration, Service
@@ -12,6 +13,19 @@
 from trefoilspool.store import KeyedRecord, Page
 
 
+def endpoint_content(**changes: object) -> bytes:
+    source = {
+        'backend': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'capacity': 4,
+        'state': 'ready',
+        'born': 1,
+        **changes,
+    }
+    return json.dumps(source).encode()
+
+
 class PublishedDirectory:
     """A directory and the endpoints that it last reported as available."""
 
@@ -40,16 +54,7 @@
         return [endpoint.name for endpoint in self.available]
 
     def put(self, key: str, now: float = 0, **changes: object) -> None:
-        source = {
-            'backend': 's',
-            'address': '10.0.0.1:80',
-            'zone': 'z',
-            'capacity': 4,
-            'state': 'ready',
-            'born': 1,
-            **changes,
-        }
-        self.write(key, json.dumps(source).encode(), now)
+        self.write(key, endpoint_content(**changes), now)
 
     def write(self, key: str, content: bytes, now: float = 0) -> None:
         self.offset += 1
@@ -63,6 +68,25 @@
     return published
 
 
+class TestFailingRecord:
+    def test_other_records_of_the_page_are_used(self) -> None:
+        """A record fails in a way that no decoder declares."""
+        published = PublishedDirectory()
+        decode = published.directory.decode
+
+        def fail(key: str, content: bytes) -> EndpointRecord:
+            if key == 'odd':
+                raise ZeroDivisionError
+            return decode(key, content)
+
+        published.directory.decode = fail
+        content = endpoint_content()
+        published.directory.on_records(
+            [KeyedRecord(key, content, 1) for key in ('a', 'odd', 'b')], 0
+        )
+        assert published.names == ['a', 'b']
+
+
 class TestUntakenRecords:
     def test_restored_records_count_as_such_until_they_are_taken(self) -> None:
         """An endpoint that left would otherwise come back with the backup."""
--- a/trefoilspool/directory.py
+++ b/trefoilspool/directory.py
@@ -86,7 +86,7 @@
         *,
         restored: bool = False,
     ) -> None:
-        """Apply new endpoint records.
+        """Apply new endpoint records; one that fails costs no other.
 
         Parameters
         ----------
@@ -100,18 +100,30 @@
         """
         with self.lock:
             for record in records:
-                if not record.content:
-                    self.on_deletion(record.key, now)
-                    continue
-                endpoint = self.decoded(record)
-                if endpoint is None:
-                    continue
-                if restored:
-                    self.on_restored(endpoint, record.offset, now)
-                else:
-                    self.on_update(endpoint, record.offset)
+                try:
+                    self.on_record(record, now, restored=restored)
+                except Exception:
+                    logger.exception(
+                        'endpoint_record_not_used',
+                        extra={'key': record.key, 'offset': record.offset},
+                    )
             self.publish()
 
+    def on_record(
+        self, record: KeyedRecord, now: float, *, restored: bool
+    ) -> None:
+        """Apply an endpoint's record."""
+        if not record.content:
+            self.on_deletion(record.key, now)
+            return
+        endpoint = self.decoded(record)
+        if endpoint is None:
+            return
+        if restored:
+            self.on_restored(endpoint, record.offset, now)
+        else:
+            self.on_update(endpoint, record.offset)
+
     def decoded(self, record: KeyedRecord) -> EndpointRecord | None:
         """Return the endpoint of a record, None if it is malformed."""
         try:
--- a/trefoilspool/endpointview.py
+++ b/trefoilspool/endpointview.py
@@ -8,7 +8,6 @@
 from trefoilspool import clock
 from trefoilspool.departures import EndpointRecord
 from trefoilspool.directory import Directory
-from trefoilspool.errors import BadRecordError
 from trefoilspool.peers import HostInfo
 from trefoilspool.replica import NO_ERA, Position, Replica
 from trefoilspool.slotmessages import EndpointSpec
@@ -110,7 +109,7 @@
         """
         try:
             return self.decode(record.key, record.content)
-        except BadRecordError:
+        except Exception:
             # The directory logs the error.
             return record.content
 
