--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -41,6 +41,7 @@
 
 PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory()
 MS_PER_S = 1000
+MAX_I32 = 2_147_483_647
 WAITING, GRANTED, REFUSED = range(3)  # values of ttypes.Verdict.kind
 # Reasons that builds before do not know, and what is sent as theirs.
 NEWER_REASONS = {
@@ -116,9 +117,14 @@
     return host_info_from_wire(datagram.sender) if datagram else None
 
 
+def bounded(number: float) -> int:
+    """Return a whole number that a field of 32 bits can hold."""
+    return int(max(-MAX_I32, min(number, MAX_I32)))
+
+
 def ms(seconds: float) -> int:
-    """Convert seconds to whole milliseconds."""
-    return int(seconds * MS_PER_S)
+    """Convert seconds to whole milliseconds, within 32 bits."""
+    return bounded(seconds * MS_PER_S)
 
 
 def ask_to_wire(ask: slotmessages.SlotRequest, now: float) -> ttypes.Ask:
@@ -128,15 +134,15 @@
         service_name=ask.service,
         workspace=ask.workspace,
         rank=ask.rank,
-        prompt_tokens=ask.prompt_tokens,
-        output_tokens=ask.output_tokens,
+        prompt_tokens=bounded(ask.prompt_tokens),
+        output_tokens=bounded(ask.output_tokens),
         aim_ms=ms(ask.first_byte_due - now),
         left_ms=ms(ask.deadline - now),
         avoid=list(ask.avoid),
         attempt=ask.attempt,
         parts=list(ask.prompt_prefixes),
         streams=ask.streams,
-        charge=ask.charge,
+        charge=bounded(ask.charge),
         data_centre=ask.data_centre,
         waited_ms=ms(now - ask.arrived_at),
         repeatable=ask.repeatable,
@@ -225,7 +231,7 @@
         ms(release.first_s),
         release.events,
         ms(release.decode_s),
-        release.prompt_tokens,
+        bounded(release.prompt_tokens),
         release.is_down or None,
     )
 
@@ -252,8 +258,8 @@
         held.key.number,
         held.service,
         held.endpoint,
-        held.prompt_tokens,
-        held.output_tokens,
+        bounded(held.prompt_tokens),
+        bounded(held.output_tokens),
         ms(held.age_s),
         ms(held.streaming_s) or None,
     )
