Take a malformed answer of the store for one failed read

A listing or a read in another form, or an era of thousands of digits, raised errors that no reader of the store declares; a listing whose pages end at the same key was read for ever; a key that cannot be sent broke the page on which peers read all records; a record cut within its key counted as a deletion.

--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -15,6 +15,7 @@
     'LogLostAnswerError',
     'LogOutageError',
     'LogRejectedError',
+    'MalformedAnswerError',
     'OptionError',
     'SettingsError',
     'SettingsConflictError',
@@ -89,6 +90,10 @@
     """
 
 
+class MalformedAnswerError(LogOutageError):
+    """A platform service or a peer answered in another form than it should."""
+
+
 class LogLostAnswerError(LogError):
     """The append may have taken effect; only a read can show whether."""
 
--- a/trefoilspool/jsonfields.py
+++ b/trefoilspool/jsonfields.py
@@ -29,6 +29,13 @@
         self.record = record
         self.source: Mapping[str, Any] = source
 
+    def text(self, field: str) -> str:
+        """Return a required string, which may be empty or odd."""
+        value = self.source.get(field)
+        if not isinstance(value, str):
+            raise BadRecordError(self.record, field, value, 'a string')
+        return value
+
     def string(self, field: str) -> str:
         """Return a required, non-empty string."""
         value = self.source.get(field)
