Note that the versions are stored only once the store has taken them

A home host whose write failed took the versions for written, and wrote them only at the next change: hosts that all start together then could not tell at which version a stream had begun, and callers' streams ended. Change: what is stored is noted after the write. A lint of test_oddstore is mended too.

--- a/tests/test_oddstore.py
+++ b/tests/test_oddstore.py
@@ -121,18 +121,17 @@
 
     @given(st.lists(st.binary(max_size=20), max_size=4))
     def test_records(self, contents: list[bytes]) -> None:
-        parts = [struct.pack('>QQ', 9, 0)]
-        for content in contents:
-            parts += (struct.pack('>I', len(content)), content)
-        page = AnsweringTopic(b''.join(parts)).read_from(0, 0, ERA)
+        prefixed = (
+            struct.pack('>I', len(content)) + content for content in contents
+        )
+        body = b''.join((struct.pack('>QQ', 9, 0), *prefixed))
+        page = AnsweringTopic(body).read_from(0, 0, ERA)
         assert page.end == len(contents)
         assert_served(page)
 
     def test_record_shorter_than_its_key_is_no_deletion(self) -> None:
-        body = struct.pack('>QQI', 9, 0, 3) + b'\x09ab'
-        assert not [
-            record for record in decode_records(body, 0) if record.key == 'ab'
-        ]
+        body = struct.pack('>QQI3s', 9, 0, 3, b'\x09ab')
+        assert [record.key for record in decode_records(body, 0)] == ['']
 
 
 class TestEra:
--- a/trefoilspool/versionstore.py
+++ b/trefoilspool/versionstore.py
@@ -131,14 +131,15 @@
     def write(self, now: float) -> None:
         """Write what this host knows."""
         history, routes = self.gossip.history, self.gossip.routes
-        self.stored = history.present()
-        self.stored_routes = routes.services()
+        present, services = history.present(), routes.services()
         watched = WatchedVersions(
             history.started_at,
             dict(itertools.islice(routes.by_route.items(), MAX_ROUTES)),
             history.seen_until,
         )
         self.topic.put(RECORD_KEY, encode_versions(watched, now))
+        self.stored = present
+        self.stored_routes = services
         logger.info('versions_written', extra={'versions': len(watched.until)})
 
 
