Reject stored versions by their values as well as by their shape

A record nested deeply, or with a time of hundreds of digits, failed with errors that the reader does not declare, so it was read again and again and the host never wrote one; half a character in a name broke the datagrams that tell it. Change: the decoder checks each value and raises BadRecordError only, whose message is logged; the test of malformed records demands that error in place of any of three.

--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -5,6 +5,7 @@
 import pytest
 from test_slotscheduler import ask, endpoint_spec, slot_release
 
+from trefoilspool.errors import BadRecordError
 from trefoilspool.hashring import HashRing
 from trefoilspool.origingossip import ROUTE_SETTLED_S, OriginGossip
 from trefoilspool.peers import HostInfo, PeerRegistry
@@ -231,7 +232,7 @@
         'content', [b'', b'{', b'[]', b'{"since": 1}', b'{"since": "x"}']
     )
     def test_malformed_record(self, content: bytes) -> None:
-        with pytest.raises((KeyError, TypeError, ValueError)):
+        with pytest.raises(BadRecordError):
             decode_versions(content, 0)
 
     def test_routes_that_changed_while_no_host_ran(self) -> None:
--- a/trefoilspool/jsonfields.py
+++ b/trefoilspool/jsonfields.py
@@ -29,6 +29,12 @@
         self.record = record
         self.source: Mapping[str, Any] = source
 
+    def required(self, field: str) -> Any:
+        """Return the value of a field that must be there."""
+        if field not in self.source:
+            raise BadRecordError(self.record, field, None, 'there')
+        return self.source[field]
+
     def text(self, field: str) -> str:
         """Return a required string, which may be empty or odd."""
         value = self.source.get(field)
--- a/trefoilspool/versionstore.py
+++ b/trefoilspool/versionstore.py
@@ -6,16 +6,22 @@
 
 import itertools
 import json
+import math
 import random
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Iterator
 from typing import Any
 
 import logbook
 
 from trefoilspool import clock
-from trefoilspool.errors import LogOutageError, StoreRestoredError
+from trefoilspool.errors import (
+    BadRecordError,
+    LogOutageError,
+    StoreRestoredError,
+)
+from trefoilspool.jsonfields import Fields, is_label, parse_object
 from trefoilspool.origingossip import OriginGossip
 from trefoilspool.peers import PeerRegistry
 from trefoilspool.routehistory import RouteServices
@@ -35,6 +41,8 @@
 FIRST_WRITE_S = 3.0
 MAX_ROUTES = 500  # in the record; streams of others are not known after a start
 MS_PER_S = 1000
+MAX_UNIX_MS = 4_102_444_800_000  # the year 2100
+ROW_LENGTH = 3
 
 logger = logbook.Logger('directory')
 
@@ -122,8 +130,8 @@
         now = clock.now()
         try:
             watched = decode_versions(content, now)
-        except (KeyError, TypeError, ValueError) as error:
-            logger.warning('versions_unreadable', extra={'error': repr(error)})
+        except BadRecordError as error:
+            logger.warning('versions_unreadable', extra={'error': str(error)})
             return
         self.gossip.history.adopt(watched, now)
         self.gossip.routes.adopt(watched.routes)
@@ -147,20 +155,21 @@
     """Encode versions, with times of day, as hosts share no other clock."""
     offset_s = time.time() - now
 
-    def unix_ms(at: float) -> int | None:
-        if at == float('inf'):
+    def time_of_day(at: float) -> int | None:
+        if at == math.inf:
             return None
-        return int((at + offset_s) * MS_PER_S)
+        # The past before the first day of the year 1970 is all the same.
+        return max(0, int((at + offset_s) * MS_PER_S))
 
     return json.dumps(
         {
-            'since': unix_ms(watched.since),
+            'since': time_of_day(watched.since),
             'routes': [
-                [name, sorted(route.services), unix_ms(route.since)]
+                [name, sorted(route.services), time_of_day(route.since)]
                 for name, route in watched.routes.items()
             ],
             'until': [
-                [version.service, version.software, unix_ms(until)]
+                [version.service, version.software, time_of_day(until)]
                 for version, until in watched.until.items()
             ],
         }
@@ -172,27 +181,82 @@
 
     Raises
     ------
-    KeyError, TypeError, ValueError
+    BadRecordError
         The record is malformed.
     """
+    fields = parse_object(RECORD_KEY, content)
     offset_s = time.time() - now
-    record: Mapping[str, Any] = json.loads(content)
 
-    def at(unix_ms: int | None) -> float:
-        if unix_ms is None:
-            return float('inf')
-        return unix_ms / MS_PER_S - offset_s
+    def at(value: object) -> float:
+        if value is None:
+            return math.inf
+        return unix_ms(value) / MS_PER_S - offset_s
 
     return WatchedVersions(
-        at(record['since']),
+        at(fields.required('since')),
         {
-            str(name): RouteServices(
-                frozenset(map(str, services)), at(since) + CLOCK_SLACK_S
+            word(name): RouteServices(
+                frozenset(map(word, as_list(services))),
+                at(since) + CLOCK_SLACK_S,
             )
-            for name, services, since in record['routes']
+            for name, services, since in rows(fields, 'routes')
         },
         {
-            ServiceVersion(str(service), str(software)): at(until)
-            for service, software, until in record['until']
+            ServiceVersion(word(service), word(software)): at(until)
+            for service, software, until in rows(fields, 'until')
         },
     )
+
+
+def rows(fields: Fields, field: str) -> Iterator[list[Any]]:
+    """Yield the rows of a table, each with three values.
+
+    Raises
+    ------
+    BadRecordError
+        The field is no such table.
+    """
+    for row in as_list(fields.required(field)):
+        if not isinstance(row, list) or len(row) != ROW_LENGTH:
+            raise BadRecordError(RECORD_KEY, field, row, 'rows of three')
+        yield row
+
+
+def as_list(value: object) -> list[Any]:
+    """Return a list.
+
+    Raises
+    ------
+    BadRecordError
+        The value is none.
+    """
+    if not isinstance(value, list):
+        raise BadRecordError(RECORD_KEY, '', value, 'a list')
+    return value
+
+
+def word(value: object) -> str:
+    """Return a text that hosts can tell each other; it may be empty.
+
+    Raises
+    ------
+    BadRecordError
+        The value is none.
+    """
+    if not isinstance(value, str) or (value and not is_label(value)):
+        raise BadRecordError(RECORD_KEY, '', value, 'a name')
+    return value
+
+
+def unix_ms(value: object) -> int:
+    """Return a time of day in milliseconds.
+
+    Raises
+    ------
+    BadRecordError
+        The value is none.
+    """
+    is_time = isinstance(value, int) and not isinstance(value, bool)
+    if not is_time or not 0 <= value <= MAX_UNIX_MS:  # type: ignore[operator]
+        raise BadRecordError(RECORD_KEY, '', value, 'a time in milliseconds')
+    return value  # type: ignore[return-value]
