Take what other hosts tell struct by struct, and reject odd values

A datagram with a missing or odd field ended the use of all that it carried. Worse, its values stayed: a host without an address, or with a name in its place, made each later heartbeat of this host fail or look the name up; a quarantine entry that could not rise any more was never lifted and broke the datagrams that tell it; a limit from the future, or one that is no number, was never replaced; a slot request without a rank stopped the queue of its service. Bytes that overflow a number raised an undeclared error. Change: each struct is converted by itself and raises only BadStructError, which is logged; the checks are in wire/checks; a handler that fails costs its own field only. Fuzz tests are repeatable in all files by a profile.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,7 +5,11 @@
 from collections.abc import Iterator
 
 import pytest
+from hypothesis import settings
 
+# The same examples in every run; the time of one depends on the machine.
+settings.register_profile('repeatable', derandomize=True, deadline=None)
+settings.load_profile('repeatable')
 ROOT = pathlib.Path(__file__).parent.parent
 # The modules in platform/ import each other as top-level modules.
 sys.path.append(str(ROOT / 'platform'))
--- a/trefoilspool/broadcasts.py
+++ b/trefoilspool/broadcasts.py
@@ -10,6 +10,7 @@
 from trefoilspool.meshsender import MeshSender
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.replica import Position
+from trefoilspool.wire import checks
 from trefoilspool.wire import mesh as wire
 
 __all__ = ['Broadcasts']
@@ -57,7 +58,9 @@
 
     def on_leaving(self, sender: HostInfo, runs: list[Any], now: float) -> None:
         """Apply the runs that a peer reports; the home host tells all others."""
-        new = self.on_leaving_runs(list(map(wire.endpoint_run_from_wire, runs)))
+        new = self.on_leaving_runs(
+            list(checks.readable(wire.endpoint_run_from_wire, runs))
+        )
         if new and self.peers.is_home():
             self.sender.send_all(
                 meshdatagrams.leaving_datagram(self.peers.own, new), now
--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     'BadRecordError',
+    'BadStructError',
     'CutResponseError',
     'EndpointRefusedConnectionError',
     'EndpointReplacedError',
@@ -159,6 +160,10 @@
         self.field = field
 
 
+class BadStructError(TrefoilspoolError):
+    """A struct of another host has a field that cannot be used."""
+
+
 class CutResponseError(TrefoilspoolError, OSError):
     """A response is cut short: its connection closes without an end marker."""
 
--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -11,8 +11,9 @@
 from trefoilspool.meshsender import MeshSender
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantinegossip import QuarantineGossip
+from trefoilspool.slotmessages import HeldSlot, SlotRelease, SlotRequest
 from trefoilspool.slotscheduler import SlotScheduler
-from trefoilspool.wire import endpointreports
+from trefoilspool.wire import checks, endpointreports
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
@@ -55,28 +56,34 @@
 
     def on_asks(self, sender: HostInfo, asks: list[Any], now: float) -> None:
         """Pass slot requests to the slot scheduler."""
-        for ask in asks:
-            self.scheduler.on_ask(
-                wire.ask_from_wire(ask, sender.name, now), now
-            )
+
+        def convert(ask: Any) -> SlotRequest:
+            return wire.ask_from_wire(ask, sender.name, now)
+
+        for ask in checks.readable(convert, asks):
+            self.scheduler.on_ask(ask, now)
 
     def on_releases(
         self, sender: HostInfo, releases: list[Any], now: float
     ) -> None:
         """Pass releases to the slot scheduler."""
-        for release in releases:
-            self.scheduler.on_release(
-                wire.slot_release_from_wire(release, sender.name), now
-            )
+
+        def convert(release: Any) -> SlotRelease:
+            return wire.slot_release_from_wire(release, sender.name)
+
+        for release in checks.readable(convert, releases):
+            self.scheduler.on_release(release, now)
 
     def on_held_slots(
         self, sender: HostInfo, slots: list[Any], now: float
     ) -> None:
         """Record the slots of an entry host; reply with a digest if due."""
+
+        def convert(held: Any) -> HeldSlot:
+            return wire.held_from_wire(held, sender.name)
+
         self.scheduler.on_held_slots(
-            sender.name,
-            wire.held_from_wire(slots, sender.name),
-            now,
+            sender.name, list(checks.readable(convert, slots)), now
         )
         due = not self.heartbeat_counts[sender.name] % HEARTBEATS_PER_DIGEST
         self.heartbeat_counts[sender.name] += 1
@@ -93,10 +100,8 @@
         self, sender: HostInfo, levels: list[Any], now: float
     ) -> None:
         """Adopt the bucket levels that an earlier home host reported."""
-        for level in levels:
-            self.scheduler.rate_limits.on_level(
-                level.workspace, level.tokens, now
-            )
+        for workspace, tokens in checks.readable(wire.level_from_wire, levels):
+            self.scheduler.rate_limits.on_level(workspace, tokens, now)
 
     def on_crash_reports(
         self, sender: HostInfo, reports: list[Any], now: float
@@ -104,14 +109,18 @@
         """Pass an entry host's crash reports to the slot scheduler."""
         self.scheduler.on_crash_reports(
             sender.name,
-            list(map(endpointreports.crash_report_from_wire, reports)),
+            list(
+                checks.readable(endpointreports.crash_report_from_wire, reports)
+            ),
             now,
         )
 
     def on_served(self, sender: HostInfo, struct: Any, now: float) -> None:
         """Pass what an entry host saw served to the slot scheduler."""
-        report = endpointreports.served_from_wire(struct)
-        self.scheduler.guard.on_served_report(sender.name, report, now)
+        for report in checks.readable(
+            endpointreports.served_from_wire, [struct]
+        ):
+            self.scheduler.guard.on_served_report(sender.name, report, now)
 
     def send_decisions(self) -> None:
         """Log the scheduler's events; send its decisions to entry hosts."""
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -31,8 +31,9 @@
 from trefoilspool.quarantinegossip import QuarantineGossip
 from trefoilspool.routing import Configuration
 from trefoilspool.slotclient import SlotClient
-from trefoilspool.slotmessages import EndpointSpec, SlotRequest
+from trefoilspool.slotmessages import EndpointSpec, SlotDecision, SlotRequest
 from trefoilspool.slotscheduler import SlotScheduler
+from trefoilspool.wire import checks
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
@@ -223,41 +224,54 @@
     def on_datagram(self, body: bytes, address: str, now: float) -> None:
         """Decode a datagram and call the handler of each field present."""
         datagram = wire.decode(body)
-        if datagram is None:
+        senders = [datagram.sender] if datagram else []
+        sender = next(checks.readable(wire.host_info_from_wire, senders), None)
+        if sender is None:
             logger.warning('datagram_unreadable', extra={'from': address})
             return
-        sender = wire.host_info_from_wire(datagram.sender)
         if not self.peers.on_heartbeat(sender, now):
             return
         for field, handler in self.handlers.items():
             content = getattr(datagram, field)
-            if content is not None:
+            if content is None:
+                continue
+            try:
                 handler(sender, content, now)
+            except Exception:
+                # The other fields are still of use.
+                logger.exception(
+                    'datagram_not_used',
+                    extra={'from': sender.name, 'field': field},
+                )
 
     def on_decisions(
         self, sender: HostInfo, decisions: list[Any], now: float
     ) -> None:
         """Pass decisions to the requests that wait for them."""
-        for decision in decisions:
-            self.client.on_decision(
-                sender.address,
-                wire.decision_from_wire(decision, self.peers.own.name),
-            )
+
+        def convert(decision: Any) -> SlotDecision:
+            return wire.decision_from_wire(decision, self.peers.own.name)
+
+        for decision in checks.readable(convert, decisions):
+            self.client.on_decision(sender.address, decision)
 
     def on_digest(
         self, sender: HostInfo, digest: ttypes.Digest, now: float
     ) -> None:
         """Pass the counts and levels of the home host to the slot client."""
+        loads = list(checks.readable(wire.load_from_wire, digest.loads))
         self.client.choice.on_loads(
-            {load.endpoint: load.held for load in digest.loads},
-            frozenset(load.endpoint for load in digest.loads if load.ejected),
-            {level.workspace: level.tokens for level in digest.levels},
+            {endpoint: held for endpoint, held, _ in loads},
+            frozenset(endpoint for endpoint, _, ejected in loads if ejected),
+            dict(checks.readable(wire.level_from_wire, digest.levels)),
         )
         self.home_contact.on_digest(sender, now)
 
     def on_hosts(self, sender: HostInfo, hosts: list[Any], now: float) -> None:
         """Add the hosts of a peer's list."""
-        self.peers.on_host_list(map(wire.host_info_from_wire, hosts), now)
+        self.peers.on_host_list(
+            checks.readable(wire.host_info_from_wire, hosts), now
+        )
 
     def on_hello(self, sender: HostInfo, wants_hosts: bool, now: float) -> None:
         """Reply with the list of hosts if requested, else with a heartbeat."""
@@ -273,9 +287,8 @@
         self, sender: HostInfo, changed_to: Any, now: float
     ) -> None:
         """Record that a peer has just read the endpoint records."""
-        self.endpoints_read = EndpointsRead(
-            sender, wire.position_from_wire(changed_to), now
-        )
+        for position in checks.readable(wire.position_from_wire, [changed_to]):
+            self.endpoints_read = EndpointsRead(sender, position, now)
 
     def tick(self, now: float) -> None:
         """Run the scheduler's timers; send heartbeats and hellos if due."""
--- a/trefoilspool/wire/endpointreports.py
+++ b/trefoilspool/wire/endpointreports.py
@@ -7,7 +7,7 @@
 from trefoilspool.peers import HostInfo
 from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.servedreports import ServedPart, ServedReport
-from trefoilspool.wire import mesh
+from trefoilspool.wire import checks, mesh
 from trefoilspool.wire.gen.mesh import ttypes
 
 __all__ = [
@@ -27,6 +27,7 @@
 MS_PER_S = 1000
 MAX_QUARANTINE_BYTES = 4096  # the parts in one datagram
 MAX_LIMITS = 128  # in one datagram
+MAX_REVISION = 1_000_000_000  # rises by one at a time
 
 
 def crash_report_to_wire(report: CrashReport) -> ttypes.CrashReport:
@@ -41,12 +42,19 @@
 
 
 def crash_report_from_wire(wire: ttypes.CrashReport) -> CrashReport:
-    """Build a crash report from its Thrift struct."""
+    """Build a crash report from its Thrift struct.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    checks.known(wire.run, wire.parts, wire.request)
     return CrashReport(
         mesh.endpoint_run_from_wire(wire.run),
         tuple(wire.parts),
         wire.request,
-        wire.age_ms / MS_PER_S,
+        checks.count(wire.age_ms) / MS_PER_S,
         bool(wire.down),
     )
 
@@ -68,15 +76,24 @@
 def limits_from_wire(
     structs: Iterable[ttypes.EndpointLimit],
 ) -> list[LimitReport]:
-    """Build endpoints' limits from their Thrift structs."""
-    return [
-        LimitReport(
-            mesh.endpoint_run_from_wire(struct.run),
-            struct.per_s,
-            struct.age_ms / MS_PER_S,
-        )
-        for struct in structs
-    ]
+    """Build endpoints' limits from their Thrift structs, without odd ones."""
+    return list(checks.readable(limit_from_wire, structs))
+
+
+def limit_from_wire(struct: ttypes.EndpointLimit) -> LimitReport:
+    """Build an endpoint's limit from its Thrift struct.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    checks.known(struct.run)
+    return LimitReport(
+        mesh.endpoint_run_from_wire(struct.run),
+        checks.rate(struct.per_s),
+        checks.count(struct.age_ms) / MS_PER_S,
+    )
 
 
 def served_to_wire(report: ServedReport) -> ttypes.Served:
@@ -89,13 +106,20 @@
 
 
 def served_from_wire(struct: ttypes.Served) -> ServedReport:
-    """Build what an entry host saw served from its Thrift struct."""
+    """Build what an entry host saw served from its Thrift struct.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    checks.known(struct.parts, struct.ages_ms)
     return ServedReport(
         tuple(
-            ServedPart(part, age_ms / MS_PER_S)
+            ServedPart(part, checks.count(age_ms) / MS_PER_S)
             for part, age_ms in zip(struct.parts, struct.ages_ms, strict=False)
         ),
-        struct.covered_ms / MS_PER_S,
+        checks.count(struct.covered_ms) / MS_PER_S,
     )
 
 
@@ -125,12 +149,27 @@
 def quarantine_from_wire(
     structs: Iterable[ttypes.QuarantineEntry],
 ) -> list[QuarantineEntry]:
-    """Build entries from their Thrift structs; incomplete ones are left out."""
-    return [
-        QuarantineEntry(struct.part, struct.revision, bool(struct.active))
-        for struct in structs
-        if struct.part and struct.revision is not None
-    ]
+    """Build entries from their Thrift structs; odd ones are left out."""
+    return list(checks.readable(quarantine_entry_from_wire, structs))
+
+
+def quarantine_entry_from_wire(
+    struct: ttypes.QuarantineEntry,
+) -> QuarantineEntry:
+    """Build an entry from its Thrift struct.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    checks.known(struct.active)
+    checks.count(len(checks.text(struct.part)) - 1, MAX_QUARANTINE_BYTES)
+    return QuarantineEntry(
+        struct.part,
+        checks.count(struct.revision, MAX_REVISION),
+        struct.active,
+    )
 
 
 def encode_quarantine(
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -4,8 +4,6 @@
 share no clock.
 """
 
-from collections.abc import Iterable
-
 from thrift.protocol.TCompactProtocol import (
     TCompactProtocolAcceleratedFactory,
 )
@@ -16,6 +14,7 @@
 from trefoilspool.departures import EndpointRun
 from trefoilspool.peers import HostInfo
 from trefoilspool.replica import Position
+from trefoilspool.wire import checks
 from trefoilspool.wire.gen.mesh import ttypes
 
 __all__ = [
@@ -33,6 +32,8 @@
     'held_to_wire',
     'host_info_from_wire',
     'host_info_to_wire',
+    'level_from_wire',
+    'load_from_wire',
     'position_from_wire',
     'position_to_wire',
     'slot_release_from_wire',
@@ -47,7 +48,7 @@
 NEWER_REASONS = {
     slotmessages.RefusalReason.quarantined: slotmessages.RefusalReason.crowded,
 }
-DECODE_ERRORS = (TException, EOFError, ValueError, TypeError)
+DECODE_ERRORS = (TException, EOFError, ValueError, TypeError, OverflowError)
 
 
 def encode(datagram: ttypes.Datagram) -> bytes:
@@ -75,14 +76,20 @@
 
 
 def host_info_from_wire(wire: ttypes.HostCard) -> HostInfo:
-    """Build host info from its Thrift struct."""
+    """Build host info from its Thrift struct.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
     return HostInfo(
-        wire.name,
-        wire.address,
-        wire.incarnation,
+        checks.label(wire.name),
+        checks.address(wire.address),
+        checks.count(wire.incarnation),
         bool(wire.leaving),
-        wire.settings_version,
-        wire.capacity or 0,
+        checks.count(wire.settings_version),
+        checks.count(wire.capacity or 0),
     )
 
 
@@ -92,8 +99,14 @@
 
 
 def position_from_wire(wire: ttypes.Position) -> Position:
-    """Build a position from its Thrift struct."""
-    return Position(wire.era, wire.offset)
+    """Build a position from its Thrift struct.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    return Position(checks.count(wire.era), checks.count(wire.offset))
 
 
 def endpoint_run_to_wire(run: EndpointRun) -> ttypes.EndpointRun:
@@ -102,8 +115,14 @@
 
 
 def endpoint_run_from_wire(wire: ttypes.EndpointRun) -> EndpointRun:
-    """Build an endpoint's run from its Thrift struct."""
-    return EndpointRun(wire.name, wire.started_ms)
+    """Build an endpoint's run from its Thrift struct.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    return EndpointRun(checks.label(wire.name), checks.count(wire.started_ms))
 
 
 def encode_host_info(host: HostInfo) -> bytes:
@@ -114,7 +133,9 @@
 def decode_host_info(body: bytes) -> HostInfo | None:
     """Decode host info; return None if it is malformed."""
     datagram = decode(body)
-    return host_info_from_wire(datagram.sender) if datagram else None
+    if datagram is None:
+        return None
+    return next(checks.readable(host_info_from_wire, [datagram.sender]), None)
 
 
 def bounded(number: float) -> int:
@@ -127,6 +148,30 @@
     return bounded(seconds * MS_PER_S)
 
 
+def level_from_wire(wire: ttypes.Level) -> tuple[str, int]:
+    """Return the workspace and the tokens of a bucket level.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    checks.known(wire.workspace, wire.tokens)
+    return wire.workspace, wire.tokens
+
+
+def load_from_wire(wire: ttypes.Load) -> tuple[str, int, bool]:
+    """Return an endpoint, its held slots, and whether it is ejected.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    checks.known(wire.endpoint)
+    return wire.endpoint, checks.count(wire.held), bool(wire.ejected)
+
+
 def ask_to_wire(ask: slotmessages.SlotRequest, now: float) -> ttypes.Ask:
     """Build the Thrift struct of a slot request."""
     return ttypes.Ask(
@@ -156,7 +201,29 @@
     entry: str,
     now: float,
 ) -> slotmessages.SlotRequest:
-    """Build a slot request from the Thrift struct of an entry host."""
+    """Build a slot request from the Thrift struct of an entry host.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    checks.known(
+        wire.request,
+        wire.service_name,
+        wire.workspace,
+        wire.aim_ms,
+        wire.left_ms,
+        wire.data_centre,
+    )
+    checks.counts(
+        wire.rank,
+        wire.prompt_tokens,
+        wire.output_tokens,
+        wire.attempt,
+        wire.charge,
+        wire.waited_ms,
+    )
     return slotmessages.SlotRequest(
         key=slotmessages.SlotKey(entry, wire.request),
         service=wire.service_name,
@@ -205,19 +272,29 @@
     wire: ttypes.Verdict,
     entry: str,
 ) -> slotmessages.SlotDecision:
-    """Build a decision for an entry host from its Thrift struct."""
+    """Build a decision for an entry host from its Thrift struct.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    checks.known(wire.request)
     key = slotmessages.SlotKey(entry, wire.request)
     if wire.kind == GRANTED:
         return slotmessages.Granted(
-            key, wire.endpoint, bool(wire.probe), not wire.unverified
+            key,
+            checks.label(wire.endpoint),
+            bool(wire.probe),
+            not wire.unverified,
         )
     if wire.kind == REFUSED:
         return slotmessages.Refused(
             key,
             slotmessages.RefusalReason.quarantined
             if wire.quarantined
-            else slotmessages.RefusalReason(wire.reason),
-            wire.retry_after_ms / MS_PER_S,
+            else checks.member(slotmessages.RefusalReason, wire.reason),
+            checks.count(wire.retry_after_ms) / MS_PER_S,
         )
     return slotmessages.Queued(key)
 
@@ -239,10 +316,20 @@
 def slot_release_from_wire(
     wire: ttypes.End, entry: str
 ) -> slotmessages.SlotRelease:
-    """Build a release from the Thrift struct of an entry host."""
+    """Build a release from the Thrift struct of an entry host.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    checks.known(wire.request, wire.endpoint)
+    checks.counts(
+        wire.first_ms, wire.events, wire.decode_ms, wire.prompt_tokens
+    )
     return slotmessages.SlotRelease(
         slotmessages.SlotKey(entry, wire.request),
-        slotmessages.AttemptEnding(wire.ending),
+        checks.member(slotmessages.AttemptEnding, wire.ending),
         wire.endpoint,
         wire.first_ms / MS_PER_S,
         wire.events,
@@ -265,20 +352,22 @@
     )
 
 
-def held_from_wire(
-    wire_slots: Iterable[ttypes.Holding],
-    entry: str,
-) -> list[slotmessages.HeldSlot]:
-    """Build held slots from the Thrift structs of an entry host."""
-    return [
-        slotmessages.HeldSlot(
-            slotmessages.SlotKey(entry, wire.request),
-            wire.service_name,
-            wire.endpoint,
-            wire.prompt_tokens,
-            wire.output_tokens,
-            wire.age_ms / MS_PER_S,
-            (wire.streaming_ms or 0) / MS_PER_S,
-        )
-        for wire in wire_slots
-    ]
+def held_from_wire(wire: ttypes.Holding, entry: str) -> slotmessages.HeldSlot:
+    """Build a held slot from the Thrift struct of an entry host.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    checks.known(wire.request, wire.service_name, wire.endpoint)
+    checks.counts(wire.prompt_tokens, wire.output_tokens, wire.age_ms)
+    return slotmessages.HeldSlot(
+        slotmessages.SlotKey(entry, wire.request),
+        wire.service_name,
+        wire.endpoint,
+        wire.prompt_tokens,
+        wire.output_tokens,
+        wire.age_ms / MS_PER_S,
+        checks.count(wire.streaming_ms or 0) / MS_PER_S,
+    )
--- a/trefoilspool/wire/origins.py
+++ b/trefoilspool/wire/origins.py
@@ -8,6 +8,7 @@
     OriginSource,
     StreamOrigin,
 )
+from trefoilspool.wire import checks
 from trefoilspool.wire.gen.mesh import ttypes
 
 __all__ = [
@@ -18,7 +19,6 @@
 ]
 
 MS_PER_S = 1000
-SOURCES = frozenset(OriginSource)
 
 
 def origins_to_wire(
@@ -36,17 +36,25 @@
 def origins_from_wire(
     structs: Iterable[ttypes.StreamOrigin],
 ) -> list[StreamOrigin]:
-    """Build origins from their Thrift structs; incomplete ones are left out."""
-    return [
-        StreamOrigin(
-            struct.stream,
-            struct.service_name or '',
-            struct.software or UNKNOWN,
-            OriginSource(struct.source),
-        )
-        for struct in structs
-        if struct.stream is not None and struct.source in SOURCES
-    ]
+    """Build origins from their Thrift structs; odd ones are left out."""
+    return list(checks.readable(origin_from_wire, structs))
+
+
+def origin_from_wire(struct: ttypes.StreamOrigin) -> StreamOrigin:
+    """Build an origin from its Thrift struct.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    checks.known(struct.stream)
+    return StreamOrigin(
+        struct.stream,
+        struct.service_name or '',
+        struct.software or UNKNOWN,
+        checks.member(OriginSource, struct.source),
+    )
 
 
 def queries_to_wire(
@@ -64,9 +72,21 @@
 def queries_from_wire(
     structs: Iterable[ttypes.OriginQuery],
 ) -> list[OriginQuery]:
-    """Build queries from their Thrift structs; incomplete ones are left out."""
-    return [
-        OriginQuery(struct.stream, struct.route, struct.window_ms / MS_PER_S)
-        for struct in structs
-        if None not in (struct.stream, struct.route, struct.window_ms)
-    ]
+    """Build queries from their Thrift structs; odd ones are left out."""
+    return list(checks.readable(query_from_wire, structs))
+
+
+def query_from_wire(struct: ttypes.OriginQuery) -> OriginQuery:
+    """Build a query from its Thrift struct.
+
+    Raises
+    ------
+    BadStructError
+        A field cannot be used.
+    """
+    checks.known(struct.stream)
+    return OriginQuery(
+        struct.stream,
+        checks.text(struct.route),
+        checks.count(struct.window_ms) / MS_PER_S,
+    )
