Take a response only for the request whose id it has, once on a connection

Callers read 'not run, try again' of requests that ran: an id tells the responses of a connection apart only while no id comes twice on it, and an endpoint wrote the refusal of an earlier attempt once more before it ran the next. So did a refusal, or a success, without an id that an endpoint wrote as a new connection opened. Change: a connection remembers the ids that it has carried, 500 at most, and carries none twice; a response without the request's id, or with several, is not its own; a refusal of a request that has no id proves nothing; a quiet period is begun by the request's own response only.

--- a/trefoilspool/connections.py
+++ b/trefoilspool/connections.py
@@ -21,6 +21,7 @@
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 MAX_IDLE_S = 4.0
 MAX_IDLE_CONNECTIONS = 8
+MAX_REQUESTS = 500  # on a connection, which remembers their ids
 # Memory for what is received of long bodies and events, in all.
 MAX_HELD_BYTES = 16_777_216
 
@@ -36,8 +37,9 @@
         When the connection returned to the pool, in monotonic seconds.
     idle_limit_s : float
         Longest time that the endpoint is expected to keep it open.
-    is_reused : bool
-        Whether it has carried an earlier request.
+    carried : set of str
+        Ids of the requests that it has carried. A response tells by its id to
+        which of them it belongs, so none is sent on it twice.
     is_aborted : bool
         Whether this host has ended it, so that its end is no end of a body.
     """
@@ -46,7 +48,7 @@
         super().__init__(address, port, timeout=CONNECT_TIMEOUT_S)
         self.idle_since = 0.0
         self.idle_limit_s = MAX_IDLE_S
-        self.is_reused = False
+        self.carried: set[str] = set()
         self.is_aborted = False
         self.tcp_socket: socket.socket | None = None
 
@@ -126,7 +128,7 @@
         self.held_bytes = ByteBudget(MAX_HELD_BYTES)
 
     def acquire(
-        self, address: str, port: int, max_idle_s: float
+        self, address: str, port: int, max_idle_s: float, request_id: str = ''
     ) -> EndpointConnection:
         """Return an idle connection, or a new one that is not open yet.
 
@@ -136,12 +138,16 @@
             The endpoint.
         max_idle_s : float
             Longest time that a reused connection may have been idle.
+        request_id : str
+            Id of the request for which it is.
         """
         now = clock.now()
         with self.lock:
-            idle = self.idle.get((address, port), ())
-            while idle:
-                connection = idle.pop()
+            idle = self.idle.get((address, port), deque())
+            for connection in tuple(reversed(idle)):
+                if request_id in connection.carried:
+                    continue
+                idle.remove(connection)
                 limit_s = min(max_idle_s, connection.idle_limit_s)
                 if (
                     now - connection.idle_since <= limit_s
@@ -154,8 +160,10 @@
 
     def release(self, connection: EndpointConnection) -> None:
         """Put a connection whose response has been read back into the pool."""
+        if len(connection.carried) >= MAX_REQUESTS:
+            connection.close()
+            return
         connection.idle_since = clock.now()
-        connection.is_reused = True
         with self.lock:
             idle = self.idle.setdefault(
                 (connection.host, connection.port), deque()
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -198,6 +198,7 @@
             endpoint.address,
             endpoint.port,
             NEW_ONLY_MAX_IDLE_S if needs_new else REPEATABLE_MAX_IDLE_S,
+            self.request.caller_request.request_id,
         )
 
     def send(
@@ -374,6 +375,8 @@
 def refusal(head: ResponseHead, is_whole: bool) -> AttemptFailure:
     """Return the failure of an attempt that the endpoint did not run.
 
+    Without an id it proves nothing: it may be older than the request.
+
     Parameters
     ----------
     head : ResponseHead
@@ -384,4 +387,6 @@
     ending = AttemptEnding.refused if is_whole else AttemptEnding.broken
     if head.is_other_endpoint:
         ending = AttemptEnding.gone
-    return AttemptFailure(ending, False, f'status {head.status}, not run')
+    return AttemptFailure(
+        ending, not head.request_id, f'status {head.status}, not run'
+    )
--- a/trefoilspool/endpointsigns.py
+++ b/trefoilspool/endpointsigns.py
@@ -56,7 +56,7 @@
                 self.mesh.call_soon(
                     lambda now: self.mesh.broadcasts.send_leaving(run, now)
                 )
-        if head.quiet_s:
+        if head.quiet_s and not is_stray:
             self.metrics.count('trefoilspool_endpoint_quiet_total')
             self.quiet_periods.on_request(endpoint, head.quiet_s, now)
 
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -56,9 +56,9 @@
         self.pool = ConnectionPool()
 
     def connect(
-        self, address: str, port: int, max_idle_s: float
+        self, address: str, port: int, max_idle_s: float, request_id: str
     ) -> EndpointConnection:
-        """Return an open connection.
+        """Return an open connection that has not carried the request.
 
         Parameters
         ----------
@@ -66,13 +66,15 @@
             The endpoint.
         max_idle_s : float
             Longest time that a reused connection may have been idle.
+        request_id : str
+            Id of the request.
 
         Raises
         ------
         ConnectFailedError
             When no connection could be made; nothing was sent.
         """
-        connection = self.pool.acquire(address, port, max_idle_s)
+        connection = self.pool.acquire(address, port, max_idle_s, request_id)
         if connection.sock is None:
             try:
                 connection.connect()
@@ -97,6 +99,7 @@
             When the connection fails; the request may have reached the
             endpoint.
         """
+        connection.carried.add(outbound.caller_request.request_id)
         connection.sock.settimeout(max(MIN_TIMEOUT_S, outbound.remaining_s))
         try:
             self.write_request(connection, outbound)
@@ -154,7 +157,8 @@
                 response.status,
                 response.getheaders(),
             )
-            is_stray = not is_response_to(request_id, head, connection)
+            # Bytes that are older than the request bear no id or another.
+            is_stray = head.request_id != request_id
             self.on_head(outbound, head, is_stray)
             if not is_stray:
                 return EndpointResponse(
@@ -215,16 +219,3 @@
     """Close a connection, which cancels the request on it."""
     connection.abort()
     connection.close()
-
-
-def is_response_to(
-    request_id: str, head: ResponseHead, connection: EndpointConnection
-) -> bool:
-    """Return whether a head is that of the response to a request.
-
-    One without an id may be a late copy of an earlier response, unless the
-    request is the first on its connection.
-    """
-    if not head.request_id:
-        return not connection.is_reused
-    return head.request_id == request_id
