--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -72,7 +72,8 @@
     opened before get no further response. ``spoiled_reads`` is the number of
     reads that are still to return records cut in half. ``delay_s`` is how long
     each response takes. ``wakes_at_restore`` is whether a read that waits is
-    answered when the store is restored.
+    answered when the store is restored. ``copy_after_s`` is when each answer is
+    written once more; 0 for never.
     """
 
     def __init__(self, address: str = '127.0.0.1') -> None:
@@ -86,6 +87,7 @@
         self.spoiled_reads = 0
         self.delay_s = 0.0
         self.wakes_at_restore = True
+        self.copy_after_s = 0.0
         self.server = StoreServer((address, 0), Handler)
         self.server.store = self
         self.server.daemon_threads = True
@@ -243,6 +245,21 @@
         handler.send_header('Store-Era', str(self.era))
         handler.end_headers()
         handler.wfile.write(body)
+        if self.copy_after_s:
+            threading.Timer(
+                self.copy_after_s,
+                lambda: self.write_copy(handler, status, body),
+            ).start()
+
+    def write_copy(
+        self, handler: BaseHTTPRequestHandler, status: int, body: bytes
+    ) -> None:
+        """Write an answer once more, with no other meanwhile."""
+        with suppress(OSError):
+            handler.connection.sendall(
+                b'HTTP/1.1 %d Copy\r\nContent-Length: %d\r\n\r\n%b'
+                % (status, len(body), body)
+            )
 
     @contextmanager
     def failing(self, fault: int | str) -> Iterator[None]:
--- a/tests/test_olderbytes.py
+++ b/tests/test_olderbytes.py
@@ -2,18 +2,22 @@
 
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterator
 
 import pytest
 from gatewaycluster import GatewayCluster, RunningHost
 from headers import PlatformDialect
 from platformendpoint import PlatformEndpoint, ServedRequest
+from platformstore import PlatformStore
+from storecalls import StoreTopic
 
 from trefoilspool.connections import (
     MAX_REQUESTS,
     ConnectionPool,
     EndpointConnection,
 )
+from trefoilspool.errors import LogOutageError
 
 PATHS = ('/look/1', '/chat/1', '/book/1')
 NOT_RUN = {429, 503, 408, 421}
@@ -195,3 +199,19 @@
         kept.carried.update(map(str, range(MAX_REQUESTS)))
         pool.release(kept)
         assert kept.sock is None
+
+
+class TestStore:
+    """The store's answers bear no ids."""
+
+    def test_copy_of_an_answer_is_not_taken_for_the_next_one(self) -> None:
+        store = PlatformStore()
+        store.copy_after_s = 0.1
+        topic = StoreTopic(store.address, 'own')
+        topic.put('a', b'1')
+        time.sleep(0.3)
+        store.fault = 503
+        with pytest.raises(LogOutageError):
+            topic.put('a', b'2')
+        topic.connection.close()
+        store.close()
--- a/trefoilspool/tcptimeouts.py
+++ b/trefoilspool/tcptimeouts.py
@@ -1,10 +1,11 @@
-"""Options by which TCP detects a peer that has gone silent."""
+"""TCP connections whose peers have gone silent, or send what is not asked."""
 
 import contextlib
+import select
 import socket
 from collections.abc import Mapping
 
-__all__ = ['bound_silence', 'shut_down']
+__all__ = ['bound_silence', 'has_unread', 'shut_down']
 
 # A sound endpoint may stop for more than a second and go on.
 UNACKED_TIMEOUT_MS = 3000
@@ -32,3 +33,12 @@
     # The connection may be closed already.
     with contextlib.suppress(OSError):
         connected.shutdown(socket.SHUT_RDWR)
+
+
+def has_unread(connected: socket.socket | None) -> bool:
+    """Return whether bytes, or the end, of a connection are still unread."""
+    if connected is None:
+        return False
+    poller = select.poll()
+    poller.register(connected, select.POLLIN | select.POLLHUP)
+    return bool(poller.poll(0))
