Let only numbered events of a stream follow its events

After a stream had broken off, a 204 or an empty body that the next endpoint answered ended the caller's stream as if it were complete; JSON or an error's text with a blank line in it reached the caller in mid-stream, also with status 202 or 206; a body without length that ended before an event counted as the end. Change: what goes on with a begun stream has status 200, is no other type than events, and its first event has a number; without events it ends the stream only if its head says that it is a stream and where that ends. Anything else is a failed attempt.

--- a/trefoilspool/dialect.py
+++ b/trefoilspool/dialect.py
@@ -108,6 +108,8 @@
         That number, over all hosts; None without a readable one.
     headers : tuple of (str, str)
         Names and values that are relayed to the caller.
+    media_type : str
+        Media type of the body, without parameters; empty if not given.
     """
 
     status: int
@@ -123,6 +125,7 @@
     names_limit: bool
     limit_per_s: float | None
     headers: tuple[tuple[str, str], ...]
+    media_type: str = ''
 
 
 class Dialect(ABC):
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -1,6 +1,7 @@
 """One attempt of a request at the endpoint of its slot."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import NamedTuple
 
 from trefoilspool import clock
@@ -54,6 +55,9 @@
 FIRST_SERVER_ERROR_STATUS = 500
 LAST_SUCCESS_STATUS = 299
 MIN_REMAINING_S = 0.01
+EVENT_STREAM = 'text/event-stream'
+# Some endpoints do not give the type.
+STREAM_TYPES = frozenset((EVENT_STREAM, ''))
 
 
 class SentAttempt(NamedTuple):
@@ -315,6 +319,14 @@
                 f'status {head.status}: the response is encoded or lacks '
                 "the endpoint's stamp",
             )
+        if self.progress.has_begun and not goes_on(head):
+            self.unwatch(slot)
+            response.close()
+            return AttemptFailure(
+                AttemptEnding.failed,
+                True,
+                f'status {head.status} and no events to a resumption',
+            )
         is_success = head.status <= LAST_SUCCESS_STATUS
         has_events = self.request.caller_request.method != 'HEAD'
         if is_success and has_events and self.request.route.streams:
@@ -336,6 +348,24 @@
             AttemptEnding.failed, True, f'status {status}', started
         )
 
+    def first_event_obstacle(
+        self, first: bytes, response: EndpointResponse
+    ) -> str:
+        """Return why a stream's first event is none, an empty text if it is.
+
+        A stream without events may be whole, if its head says so: then the one
+        that it goes on with had broken off after its last event.
+        """
+        if response.is_unsized and not first:
+            return 'the connection ended before the first event'
+        if not self.progress.has_begun:
+            return ''
+        if not first:
+            is_stream = response.head.media_type == EVENT_STREAM
+            return '' if is_stream else 'a body without events'
+        number = self.endpoint_client.dialect.event_number(first)
+        return 'the first event has no number' if number is None else ''
+
     def open_stream(
         self, slot: Slot, response: EndpointResponse
     ) -> StartedResponse:
@@ -344,8 +374,7 @@
         Raises
         ------
         StreamCutError
-            When it is cut before. Without a length or chunks, any end before
-            the first event is taken for that.
+            When it is cut before, or does not go on with what has begun.
         """
         progress = self.progress
         head_at = clock.now()
@@ -357,14 +386,21 @@
         )
         rest = response.events()
         first = next(rest, b'')
-        if not first and response.is_unsized and progress.last_event_number < 0:
-            raise StreamCutError('the connection ended before the first event')
+        obstacle = self.first_event_obstacle(first, response)
+        if obstacle:
+            response.close()
+            raise StreamCutError(obstacle)
         now = clock.now()
         progress.times.on_first_event(now)
         response.wait.until = progress.next_event_due(now)
         return StartedResponse(slot, response, first, rest)
 
 
+def goes_on(head: ResponseHead) -> bool:
+    """Return whether a response may go on with a stream that has begun."""
+    return head.status == HTTPStatus.OK and head.media_type in STREAM_TYPES
+
+
 def ending_after(error: EndpointError) -> AttemptEnding:
     """Return the ending of an attempt whose response an error has ended."""
     if isinstance(error, EndpointReplacedError) and error.was_silent:
--- a/trefoilspool/requestprogress.py
+++ b/trefoilspool/requestprogress.py
@@ -66,6 +66,9 @@
         Times of the attempt whose response is read.
     last_failure : AttemptFailure or None
         The last failed attempt.
+    has_begun : bool
+        Whether the caller has the start of a stream, which only events of the
+        same stream may follow.
     software : str or None
         Version of the software that began the stream; None before an event of
         it is relayed, empty if it is not known.
@@ -81,6 +84,7 @@
         self.slot_number = 0
         self.times = AttemptTimes()
         self.last_failure: AttemptFailure | None = None
+        self.has_begun = False
         self.software: str | None = None
 
     def is_new(self, number: int | None) -> bool:
--- a/trefoilspool/streamrelay.py
+++ b/trefoilspool/streamrelay.py
@@ -54,10 +54,6 @@
     ) -> None:
         """Log a failed attempt and release its slot."""
 
-    @abstractmethod
-    def release_body(self, started: StartedResponse) -> None:
-        """Release the slot of a response that is not a stream."""
-
     @abstractmethod
     def record_outcome(
         self, status: int, outcome: str, detail: str = '', endpoint: str = ''
@@ -134,6 +130,7 @@
 
     def record_origin(self, slot: Slot) -> None:
         """Record the version before an event of the stream is relayed."""
+        self.progress.has_begun = True
         if self.progress.software is None:
             self.progress.software = slot.software
         if self.request.may_be_taken_up:
@@ -192,8 +189,6 @@
                 return self.resumed_stream()
             except Problem as problem:
                 failure = failure._replace(detail=problem.detail)
-            except StreamCutError as error:
-                failure = failure._replace(detail=str(error))
         self.opener.record_outcome(
             started.response.head.status,
             'cut',
@@ -218,26 +213,6 @@
     def resumed_stream(self) -> StartedResponse:
         """Attempt the request again and return the stream that goes on.
 
-        Raises
-        ------
-        Problem
-            When no endpoint responds.
-        StreamCutError
-            When the response is not a stream, so that its body must not follow
-            the events that the caller has.
-        """
-        started = self.open_begun_response()
-        if started.rest is None:
-            self.opener.release_body(started)
-            raise StreamCutError(
-                f'{started.slot.endpoint} returned status '
-                f'{started.response.head.status} to a resumption'
-            )
-        return started
-
-    def open_begun_response(self) -> StartedResponse:
-        """Attempt a request of which the caller has events already.
-
         Slots may be scarce just after an endpoint has ended, so one is asked
         for until the caller is about to give up.
 
