Note that the stored quarantine was read once its entries are learned

By reading: a failure in between left what was read counted as known. Change: the order. Result: no test of its own, as learning checked entries cannot fail any more; the store task's tests pass.

--- a/trefoilspool/quarantinestore.py
+++ b/trefoilspool/quarantinestore.py
@@ -156,10 +156,11 @@
             for record in self.topic.read_latest().records
             for entry in decode(record)
         ]
+        read_at = clock.now()
+        self.gossip.learn(entries, 'store', read_at)
         self.needs_read = False
-        self.read_at = clock.now()
+        self.read_at = read_at
         self.stored = frozenset(entries)
-        self.gossip.learn(entries, 'store', self.read_at)
 
     def write(self) -> None:
         """Write the record; it is read once more in case another host did."""
