Reject pages of peers with eras and offsets that cannot be

Another service at a peer's former address, or a spoiled page, could name an era or an offset so high that this host took all later pages of the store for older ones. Change: eras and offsets are bounded, and a record is not far ahead of its page's end; a page with others is one failed read.

--- a/trefoilspool/peertopics.py
+++ b/trefoilspool/peertopics.py
@@ -4,7 +4,7 @@
 import struct
 
 from trefoilspool.boundedconnection import BoundedConnection, receive
-from trefoilspool.errors import LogOutageError
+from trefoilspool.errors import LogOutageError, MalformedAnswerError
 from trefoilspool.replica import NO_ERA, Replica
 from trefoilspool.store import KeyedRecord, KeyedSource, Page
 
@@ -23,6 +23,11 @@
 HTTP_OK = 200
 # Offset, key length, content length.
 PEER_RECORD_HEADER = struct.Struct('>QHI')
+NO_OFFSET = -1  # before the first page
+MAX_ERA = 1_000_000_000
+MAX_OFFSET = 1_000_000_000_000_000
+# A listing of all records may hold some that are newer than its end.
+MAX_AHEAD = 1_000_000
 PEER_HEADER = struct.Struct('>qq?')  # era, end offset, whether complete
 
 
@@ -53,7 +58,7 @@
         try:
             return decode_changes(body)
         except (struct.error, ValueError) as error:
-            raise LogOutageError(
+            raise MalformedAnswerError(
                 f'{self.address}{self.path} returned a malformed body: {error}'
             ) from error
 
@@ -119,6 +124,9 @@
         The body is malformed.
     """
     era, end, complete = PEER_HEADER.unpack_from(body)
+    # Another service may have the address now.
+    if not (NO_ERA <= era <= MAX_ERA and NO_OFFSET <= end <= MAX_OFFSET):
+        raise ValueError(f'era {era}, end {end}')
     position = PEER_HEADER.size
     records = []
     while position < len(body):
@@ -132,5 +140,7 @@
         position += length
         if position > len(body):
             raise ValueError(f'the record of {key!r} is cut short')
+        if offset > end + MAX_AHEAD:
+            raise ValueError(f'offset {offset} of {key!r}, end {end}')
         records.append(KeyedRecord(key, content, offset))
     return Page(tuple(records), end, complete, era)
