Tell from readers' notices alone whether a host reads the configuration for itself

A host that hears of no other took its own reads of the endpoints for their notices, so it went on with long waits for the next version: after a restore of the store that does not answer the wait, and datagrams lost between all hosts, a version was in force there 8 s after its acknowledgement. Change: only the notices of hosts that read for others count.

--- a/trefoilspool/endpointsync.py
+++ b/trefoilspool/endpointsync.py
@@ -5,7 +5,7 @@
 
 from trefoilspool import clock
 from trefoilspool.departures import EndpointRecord
-from trefoilspool.endpointview import EndpointsRead, EndpointView
+from trefoilspool.endpointview import STALE_S, EndpointsRead, EndpointView
 from trefoilspool.mesh import MeshTask
 from trefoilspool.peertopics import ENDPOINTS_PATH, PeerTopic
 from trefoilspool.replication import (
@@ -100,6 +100,16 @@
             return True
         return self.view.is_stale()
 
+    def reads_for_others(self) -> bool:
+        """Return whether this host reads for others, or hears of none that do.
+
+        Its own reads do not tell it what others have read.
+        """
+        if self.mesh.peers.is_preferred_home(READERS):
+            return True
+        read = self.mesh.endpoints_read
+        return read is None or clock.now() - read.received_at >= STALE_S
+
     def on_read(self) -> None:
         """Announce to peers that this host has read the store."""
         self.mark_current(clock.now())
--- a/trefoilspool/endpointview.py
+++ b/trefoilspool/endpointview.py
@@ -13,7 +13,7 @@
 from trefoilspool.slotmessages import EndpointSpec
 from trefoilspool.store import KeyedRecord, KeyedSource
 
-__all__ = ['EndpointView', 'EndpointsRead']
+__all__ = ['STALE_S', 'EndpointView', 'EndpointsRead']
 
 # Older records are stale: the host then reads the store itself.
 STALE_S = 1.3
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -94,7 +94,7 @@
             ConfigurationHandlers(
                 self.put_in_force, self.on_version, self.on_settings_restored
             ),
-            self.endpoint_sync.should_read,
+            self.endpoint_sync.reads_for_others,
             self.mesh.peers,
             options.control_port,
             self.stopping,
