Tell in an answer which attempt may have run, not only that the last did not

A caller read 502 with 'status 503, not run': the attempt before had broken off, and only the last one was named. Change: the detail names the attempt that may have run, then the last one. Result: the new test of test_truth failed before, passes now.

--- a/tests/test_truth.py
+++ b/tests/test_truth.py
@@ -1,5 +1,6 @@
 """Callers get the truth: whole responses, their own, and what became of them."""
 
+import json
 import socket
 import threading
 import time
@@ -123,6 +124,27 @@
         assert response.headers['server-stamp'] == 'stamp.1'
 
 
+class TestUnknownOutcome:
+    def test_answer_tells_which_attempt_may_have_run(
+        self, cluster: GatewayCluster
+    ) -> None:
+        """The last attempt was refused, an earlier one broke off."""
+        running = hosts_with(cluster, 2)
+        behaviours = iter((ServedRequest.reset, ServedRequest.refuse))
+        for endpoint in cluster.endpoints:
+            endpoint.behaviour = lambda served: next(behaviours)(served)
+        response = cluster.call(running, '/look/1')
+        first = next(
+            endpoint.name
+            for endpoint in cluster.endpoints
+            if endpoint.name in str(response.body)
+        )
+        detail = json.loads(response.body)['detail']
+        assert response.status == 502
+        assert detail.startswith(f'no response from {first}')
+        assert 'not run' in detail
+
+
 class TestStrayResponses:
     def test_third_response_is_not_taken_unchecked(
         self, cluster: GatewayCluster
--- a/trefoilspool/requestprogress.py
+++ b/trefoilspool/requestprogress.py
@@ -66,6 +66,8 @@
         Times of the attempt whose response is read.
     last_failure : AttemptFailure or None
         The last failed attempt.
+    unknown_failure : AttemptFailure or None
+        The last failed attempt that may have run.
     has_begun : bool
         Whether the caller has the start of a stream, which only events of the
         same stream may follow.
@@ -84,6 +86,7 @@
         self.slot_number = 0
         self.times = AttemptTimes()
         self.last_failure: AttemptFailure | None = None
+        self.unknown_failure: AttemptFailure | None = None
         self.has_begun = False
         self.software: str | None = None
 
@@ -131,6 +134,8 @@
         self.unprocessed_attempts += ending in UNPROCESSED_ENDINGS
         self.avoid = (*self.avoid, endpoint)
         self.last_failure = failure
+        if failure.may_have_run:
+            self.unknown_failure = failure
 
     def reported_ending(
         self, failure: AttemptFailure, times: AttemptTimes, now: float
@@ -183,4 +188,11 @@
             )
         if failure.ending is AttemptEnding.failed:
             return EndpointFailedError(failure.detail)
-        return MayHaveRunError(failure.detail)
+        return MayHaveRunError(self.unknown_detail(failure))
+
+    def unknown_detail(self, failure: AttemptFailure) -> str:
+        """Return what became of the attempt that may have run, and after it."""
+        unknown = self.unknown_failure
+        if unknown is None or unknown is failure:
+            return failure.detail
+        return f'{unknown.detail}; then: {failure.detail}'
