Take the daemon out of the host's module, and the faults out of the replay's

host and pages imported each other, and so did replay and replayfaults: moves only, with the fault handlers passed to a replay.

--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -8,6 +8,7 @@
 
 from trefoilspool.replay import Replay
 from trefoilspool.replaycommand import format_json, replay_file
+from trefoilspool.replayfaults import FAULT_HANDLERS
 from trefoilspool.replayrecord import ReplayRecord
 from trefoilspool.summary import Summary, summarize
 from trefoilspool.trace import Trace, load_trace
@@ -46,7 +47,7 @@
 @functools.cache
 def replay_trace(name: str, policy: str = 'tiered') -> ReplayResult:
     trace = load_trace(TRACES / f'{name}.jsonl')
-    record = Replay(trace, policy).run()
+    record = Replay(trace, policy, FAULT_HANDLERS).run()
     return ReplayResult(trace, record, summarize(trace, record))
 
 
--- a/trefoilspool/cmdline.py
+++ b/trefoilspool/cmdline.py
@@ -194,7 +194,7 @@
         Each flag can be given as a TREFOILSPOOL_ variable; see
         docs/operators/options.md.
         """
-        from trefoilspool.host import serve
+        from trefoilspool.hostdaemon import serve
 
         options = load_options(HostOptions, flags)
         with log_to_stderr(options.name, options.log_level):
--- a/trefoilspool/host.py
+++ b/trefoilspool/host.py
@@ -1,15 +1,12 @@
-"""The daemon that runs on every host."""
+"""The tasks and filters of the daemon that runs on every host."""
 
 import secrets
-import signal
 import socket
-import threading
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
 import logbook
-import waitress
 
 from trefoilspool.attempts import Attempts
 from trefoilspool.broker import BrokerTask
@@ -27,7 +24,6 @@
 from trefoilspool.membership import Heartbeat, View, home_of
 from trefoilspool.openrequests import OpenRequests
 from trefoilspool.options import HostOptions
-from trefoilspool.pages import Pages
 from trefoilspool.pipeline import Filters, Pipeline
 from trefoilspool.platforms.http import HttpLog, HttpRosterService
 from trefoilspool.queries import QueryTask
@@ -36,28 +32,20 @@
 from trefoilspool.roster import Leave, ReportTask, RosterTask
 from trefoilspool.router import Destinations, FrameRouter
 from trefoilspool.settingstask import SettingsTask
-from trefoilspool.signals import SignalQueue
 from trefoilspool.task import Stop, Task, TaskGroup
 from trefoilspool.telemetry import Metrics
 from trefoilspool.tickets import TicketRegistry
 from trefoilspool.watch import WatchTask
-from trefoilspool.web import WebApp
 from trefoilspool.wire.gen.peer import ttypes
 
-__all__ = ['Host', 'serve']
+__all__ = ['BACKLOG_CONNECTIONS', 'Host']
 
 NS_PER_US = 1000
 INCARNATION_RANDOM_BITS = 4
 TASK_THREADS = 256  # one for each peer link, besides the fixed tasks
 POOL_THREADS = 32
-SPARE_THREADS = 16  # for health checks and refusals at the stream limit
-MAX_BODY_BYTES = 64_000_000
-MAX_HEADERS_BYTES = 65_536
 BACKLOG_CONNECTIONS = 512
-LOOKAHEAD_REQUESTS = 1  # needed by waitress to detect closed connections
 DRAIN_POLL_S = 0.05
-MAX_CONNECTIONS = 4096
-CHANNEL_TIMEOUT_S = 3600
 
 logger = logbook.Logger('host')
 
@@ -248,10 +236,6 @@
             self.links[address] = link
             self.group.start(link)
 
-    def web_app(self) -> WebApp:
-        """Return the WSGI application."""
-        return WebApp(Pages(self).table(), self.pipeline.handle)
-
     def drain(self) -> None:
         """Fail /readyz, hand cells over and finish the open requests."""
         self.draining = True
@@ -280,32 +264,3 @@
     if isinstance(element, str):
         element = ttypes.SettingsRecord(-1, element.encode())
     return Item(field, element)
-
-
-def serve(options: HostOptions) -> None:
-    """Run a host until SIGTERM or SIGINT, then drain and return."""
-    host = Host(options)
-    host.start()
-    server = waitress.create_server(
-        host.web_app(),
-        host=options.address,
-        port=options.port,
-        threads=options.max_streams + SPARE_THREADS,
-        send_bytes=1,
-        channel_request_lookahead=LOOKAHEAD_REQUESTS,
-        max_request_body_size=MAX_BODY_BYTES,
-        max_request_header_size=MAX_HEADERS_BYTES,
-        connection_limit=MAX_CONNECTIONS,
-        channel_timeout=CHANNEL_TIMEOUT_S,
-        backlog=BACKLOG_CONNECTIONS,
-        clear_untrusted_proxy_headers=True,
-        ident='trefoilspool',
-    )
-    signals = SignalQueue((signal.SIGTERM, signal.SIGINT))
-    runner = threading.Thread(target=server.run, daemon=True)
-    runner.start()
-    logger.info('host {} listening on port {}', host.name, options.port)
-    signals.get()
-    host.drain()
-    server.close()
-    host.stop()
--- a/trefoilspool/pages.py
+++ b/trefoilspool/pages.py
@@ -1,13 +1,11 @@
 """The pages that a host serves about itself."""
 
-from __future__ import annotations
-
 from collections.abc import Mapping
 from http import HTTPStatus
-from typing import TYPE_CHECKING
 
 from trefoilspool.filter import Response
 from trefoilspool.filters.authenticate import BEARER_PREFIX
+from trefoilspool.host import Host
 from trefoilspool.membership import home_of
 from trefoilspool.problems import UnauthorizedError
 from trefoilspool.web import (
@@ -17,9 +15,6 @@
     request_headers,
 )
 
-if TYPE_CHECKING:
-    from trefoilspool.host import Host
-
 __all__ = ['Pages']
 
 
--- a/trefoilspool/replay.py
+++ b/trefoilspool/replay.py
@@ -10,7 +10,6 @@
 from trefoilspool.cell import Cell
 from trefoilspool.enginemodel import EngineModel, Sequence
 from trefoilspool.policies import POLICIES
-from trefoilspool.replayfaults import FAULT_HANDLERS
 from trefoilspool.replayrecord import GrantRecord, ReplayRecord, RequestOutcome
 from trefoilspool.replayreports import EngineReports
 from trefoilspool.replayrequests import LiveRequest
@@ -40,6 +39,9 @@
         Engines, requests and faults.
     policy : str
         A key of ``POLICIES``.
+    fault_handlers : mapping
+        By the kind of a fault, what it does to the replay; see
+        `replayfaults`.
 
     Attributes
     ----------
@@ -53,9 +55,15 @@
         Whether the membership lists an engine as usable.
     """
 
-    def __init__(self, trace: Trace, policy: str = 'tiered') -> None:
+    def __init__(
+        self,
+        trace: Trace,
+        policy: str,
+        fault_handlers: Mapping[str, Callable[..., None]],
+    ) -> None:
         self.trace = trace
         self.policy = policy
+        self.fault_handlers = fault_handlers
         self.cell = Cell(POLICIES[policy]())
         self.engines = {spec.name: EngineModel(spec) for spec in trace.engines}
         self.stepping: set[str] = set()
@@ -337,7 +345,7 @@
 
     def apply_fault(self, fault: FaultEvent) -> None:
         """Start or end a fault."""
-        FAULT_HANDLERS[fault.fault](self, fault)
+        self.fault_handlers[fault.fault](self, fault)
 
 
 DECISION_HANDLERS: Mapping[type, Callable[..., None]] = {
--- a/trefoilspool/replaycommand.py
+++ b/trefoilspool/replaycommand.py
@@ -7,6 +7,7 @@
 from trefoilspool.errors import OptionError
 from trefoilspool.policies import POLICIES
 from trefoilspool.replay import Replay
+from trefoilspool.replayfaults import FAULT_HANDLERS
 from trefoilspool.summary import Summary, summarize
 from trefoilspool.trace import Trace, load_trace
 
@@ -50,7 +51,7 @@
 def replay_file(path: str, policy: str) -> tuple[Trace, Summary]:
     """Replay a trace file under a policy and summarize the result."""
     trace = load_trace(pathlib.Path(path))
-    record = Replay(trace, check_policy(policy)).run()
+    record = Replay(trace, check_policy(policy), FAULT_HANDLERS).run()
     return trace, summarize(trace, record)
 
 
--- a/trefoilspool/replayfaults.py
+++ b/trefoilspool/replayfaults.py
@@ -1,18 +1,13 @@
 """Faults that a trace injects into a replay."""
 
-from __future__ import annotations
-
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING
 
 from trefoilspool import events
 from trefoilspool.cell import Cell
 from trefoilspool.policies import POLICIES
+from trefoilspool.replay import Replay
 from trefoilspool.trace import FaultEvent
 
-if TYPE_CHECKING:
-    from trefoilspool.replay import Replay
-
 __all__ = ['FAULT_HANDLERS']
 
 COLLECT_WINDOW_S = 1.0  # time in which a new home host grants nothing
