Pass over odd records of the log, and take odd answers of it for failed ones

Change: records are checked and raise BadRecordError, which is logged, on all hosts alike; an odd page, trim or roster is an outage, an odd roster entry costs only itself; an odd answer to an append counts as lost.

--- a/trefoilspool/fold.py
+++ b/trefoilspool/fold.py
@@ -8,13 +8,21 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+import logbook
+
+from trefoilspool.errors import BadRecordError
+from trefoilspool.jsonfields import Fields, parse_object
 from trefoilspool.platform import LogRecord
 from trefoilspool.tree import Tree
 
-__all__ = ['Edit', 'Fold', 'HistoryEntry', 'encode_edit']
+__all__ = ['Edit', 'Fold', 'HistoryEntry', 'encode_edit', 'is_snapshot']
 
+RECORD = 'settings'
+VERDICT_TYPES = [int, str, str, bool, str]
 MAX_VERDICTS = 20_000  # edits remembered, to ignore repeated appends
 
+logger = logbook.Logger('settings')
+
 
 class Edit(NamedTuple):
     """New values by path and key; None removes a key.
@@ -66,18 +74,36 @@
         self.snapshot_offset = -1
 
     def apply(self, record: LogRecord) -> None:
-        """Fold the next record; one that was folded before is ignored."""
-        body = json.loads(record.body)
-        if 'snapshot' in body:
-            self.apply_snapshot(record.offset, body['snapshot'])
-            # Records between those that it covers and its own may be edits.
-            if record.offset > self.next_offset:
-                return
-        if record.offset < self.next_offset:
-            return
-        if 'edit' in body and body['edit'] not in self.verdicts:
-            self.apply_edit(record.offset, Edit(**body))
-        self.next_offset = record.offset + 1
+        """Fold the next record; one that was folded before is ignored.
+
+        A malformed one is passed over, on all hosts alike.
+        """
+        try:
+            body = parse_object(RECORD, record.body.encode())
+            self.apply_body(record.offset, body)
+        except BadRecordError as error:
+            logger.warning(
+                'settings_record_unreadable',
+                extra={'offset': record.offset, 'error': str(error)},
+            )
+        # Records between those that a snapshot covers and its own may be edits.
+        if record.offset == self.next_offset:
+            self.next_offset = record.offset + 1
+
+    def apply_body(self, offset: int, body: Fields) -> None:
+        """Apply the snapshot or the edit of a record.
+
+        Raises
+        ------
+        BadRecordError
+            It is malformed.
+        """
+        if 'snapshot' in body.source:
+            self.apply_snapshot(offset, body.source['snapshot'])
+        elif 'edit' in body.source and offset >= self.next_offset:
+            edit = decode_edit(body)
+            if edit.edit not in self.verdicts:
+                self.apply_edit(offset, edit)
 
     def apply_edit(self, offset: int, edit: Edit) -> None:
         """Accept an edit unless a key it sets has changed since its base."""
@@ -124,25 +150,30 @@
         }
         return json.dumps({'snapshot': state}, sort_keys=True)
 
-    def apply_snapshot(self, offset: int, state: dict[str, object]) -> None:
+    def apply_snapshot(self, offset: int, source: object) -> None:
         """Replace the state by a snapshot that covers more records.
 
         A snapshot that was appended after records that it does not cover does
         not count as the last one, so that another is written.
+
+        Raises
+        ------
+        BadRecordError
+            It is malformed.
         """
-        covered = int(str(state['next']))
+        state = Fields(RECORD, source)
+        covered = state.integer('next')
+        nodes = decode_nodes(state, 'nodes')
+        changed = decode_changed(state)
+        verdicts = decode_verdicts(state)
         if covered >= offset:
             self.snapshot_offset = max(self.snapshot_offset, offset)
         if covered <= self.next_offset:
             return
         self.next_offset = covered
-        self.nodes = dict(state['nodes'])  # type: ignore[call-overload]
-        self.changed_at = dict(state['changed'])  # type: ignore[call-overload]
-        entries = [
-            HistoryEntry(*entry)
-            for entry in state['verdicts']  # type: ignore[attr-defined]
-        ]
-        self.verdicts = {entry.edit: entry for entry in entries}
+        self.nodes = nodes
+        self.changed_at = changed
+        self.verdicts = verdicts
 
     def tree(self) -> Tree:
         """Return the tree after the last record folded."""
@@ -156,3 +187,95 @@
         for path, changes in edit.changes.items()
         for key in changes
     ]
+
+
+def decode_edit(body: Fields) -> Edit:
+    """Decode an edit.
+
+    Raises
+    ------
+    BadRecordError
+        It is malformed.
+    """
+    return Edit(
+        body.string('edit'),
+        whole(body, body.required('base')),
+        body.text('author'),
+        decode_nodes(body, 'changes'),
+    )
+
+
+def whole(fields: Fields, value: object) -> int:
+    """Return a whole number.
+
+    Raises
+    ------
+    BadRecordError
+        It is none.
+    """
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise BadRecordError(fields.record, '', value, 'a whole number')
+    return value
+
+
+def decode_nodes(fields: Fields, field: str) -> dict[str, dict[str, object]]:
+    """Decode values by path and key.
+
+    Raises
+    ------
+    BadRecordError
+        They are malformed.
+    """
+    rows = Fields(fields.record, fields.required(field)).source
+    return {
+        path: dict(Fields(path, node).source) for path, node in rows.items()
+    }
+
+
+def decode_changed(state: Fields) -> dict[str, int]:
+    """Decode when keys were changed, as offsets.
+
+    Raises
+    ------
+    BadRecordError
+        They are malformed.
+    """
+    rows = Fields(RECORD, state.required('changed')).source
+    return {key: whole(state, offset) for key, offset in rows.items()}
+
+
+def decode_verdicts(state: Fields) -> dict[str, HistoryEntry]:
+    """Decode the edits that were accepted or not, by their ids.
+
+    Raises
+    ------
+    BadRecordError
+        They are malformed.
+    """
+    rows = state.required('verdicts')
+    if not isinstance(rows, list):
+        raise BadRecordError(RECORD, 'verdicts', rows, 'a list')
+    entries = [decode_verdict(row) for row in rows]
+    return {entry.edit: entry for entry in entries}
+
+
+def decode_verdict(row: object) -> HistoryEntry:
+    """Decode whether an edit was accepted.
+
+    Raises
+    ------
+    BadRecordError
+        It is malformed.
+    """
+    if not isinstance(row, list) or list(map(type, row)) != VERDICT_TYPES:
+        raise BadRecordError(RECORD, 'verdicts', row, 'five values')
+    return HistoryEntry(*row)
+
+
+def is_snapshot(record: LogRecord) -> bool:
+    """Return whether a record holds a snapshot."""
+    try:
+        return 'snapshot' in parse_object(RECORD, record.body.encode()).source
+    except BadRecordError:
+        # It is logged when it is folded.
+        return False
--- a/trefoilspool/ledger.py
+++ b/trefoilspool/ledger.py
@@ -4,11 +4,18 @@
 import json
 from typing import NamedTuple
 
+import logbook
+
+from trefoilspool.errors import BadRecordError
+from trefoilspool.jsontext import parse_json
 from trefoilspool.platform import LogRecord
 
 __all__ = ['Claim', 'ClaimBatch', 'Holder', 'Ledger', 'key_hash']
 
 HASH_CHARS = 32
+BATCH_TYPES = [str, int, list, list]
+
+logger = logbook.Logger('claims')
 
 
 class Claim(NamedTuple):
@@ -47,6 +54,42 @@
     return digest[:HASH_CHARS]
 
 
+def decode_batch(body: str) -> ClaimBatch:
+    """Decode the body of a log record.
+
+    Raises
+    ------
+    BadRecordError
+        It is no batch.
+    """
+    try:
+        batch = parse_json(body.encode())
+    except ValueError as error:
+        raise BadRecordError('claims', '', str(error), 'JSON') from None
+    if not isinstance(batch, list) or list(map(type, batch)) != BATCH_TYPES:
+        raise BadRecordError('claims', '', batch, 'a batch')
+    host, incarnation, claims, releases = batch
+    return ClaimBatch(
+        host, incarnation, decode_claims(claims), decode_claims(releases)
+    )
+
+
+def decode_claims(rows: list[object]) -> tuple[Claim, ...]:
+    """Decode claims.
+
+    Raises
+    ------
+    BadRecordError
+        A row is none.
+    """
+    claims = []
+    for row in rows:
+        if not isinstance(row, list) or list(map(type, row)) != [str, int]:
+            raise BadRecordError('claims', '', row, 'a key and a number')
+        claims.append(Claim(*row))
+    return tuple(claims)
+
+
 class Ledger:
     """Holders of all keys, as of the claim records applied so far.
 
@@ -61,17 +104,24 @@
         self.by_offset: list[tuple[int, str]] = []
 
     def apply(self, record: LogRecord) -> ClaimBatch | None:
-        """Apply a record; return its batch, None if it was applied before."""
+        """Apply a record.
+
+        Returns
+        -------
+        ClaimBatch or None
+            Its batch; None if it was applied before, or is malformed.
+        """
         if record.offset < self.next_offset:
             return None
         self.next_offset = record.offset + 1
-        host, incarnation, claims, releases = json.loads(record.body)
-        batch = ClaimBatch(
-            host,
-            incarnation,
-            tuple(Claim(*claim) for claim in claims),
-            tuple(Claim(*claim) for claim in releases),
-        )
+        try:
+            batch = decode_batch(record.body)
+        except BadRecordError as error:
+            logger.warning(
+                'claims_unreadable',
+                extra={'offset': record.offset, 'error': str(error)},
+            )
+            return None
         for released in batch.releases:
             self.release(batch, released)
         for claim in batch.claims:
--- a/trefoilspool/platforms/http.py
+++ b/trefoilspool/platforms/http.py
@@ -1,16 +1,21 @@
 """Adapters to the platform over HTTP."""
 
 import http.client
-import json
-from typing import Any, cast
+from collections.abc import Iterator
+from typing import TypeVar, get_type_hints
 from urllib.parse import urlsplit
 
+import logbook
+
 from trefoilspool.errors import (
+    BadRecordError,
     LogLostAnswerError,
     LogOutageError,
     LogRejectedError,
+    MalformedAnswerError,
     TrimmedError,
 )
+from trefoilspool.jsonfields import Fields, parse_object
 from trefoilspool.platform import (
     EndpointEntry,
     HostEntry,
@@ -29,6 +34,10 @@
 HTTP_OK = 200
 HTTP_SERVER_ERROR = 500  # from here on, an append may have taken effect
 
+Entry = TypeVar('Entry', HostEntry, EndpointEntry)
+
+logger = logbook.Logger('roster')
+
 
 def send_request(
     url: str,
@@ -109,7 +118,10 @@
             raise LogRejectedError(
                 f'append to {stream} rejected with status {status}, not 201',
             )
-        return int(json.loads(content)['offset'])
+        try:
+            return parse_object('append', content).integer('offset')
+        except BadRecordError as error:
+            raise LogLostAnswerError(str(error)) from error
 
     def read(self, stream: str, start: int, limit: int = 500) -> LogPage:
         """Read records from ``start``; see the base class for errors."""
@@ -118,15 +130,14 @@
             status, content = send_request(self.url, 'GET', path)
         except LogLostAnswerError as error:
             raise LogOutageError(str(error)) from error
-        if status == HTTP_GONE:
-            raise TrimmedError(int(json.loads(content)['first']))
-        if status != HTTP_OK:
+        if status not in {HTTP_OK, HTTP_GONE}:
             raise LogOutageError(
                 f'read of {stream} returned status {status}, not 200'
             )
-        page = json.loads(content)
-        records = tuple(LogRecord(*record) for record in page['records'])
-        return LogPage(page['first'], page['end'], records)
+        try:
+            return decode_page(status, parse_object('page', content))
+        except BadRecordError as error:
+            raise MalformedAnswerError(f'read of {stream}: {error}') from error
 
 
 class HttpRosterService(RosterService):
@@ -151,8 +162,73 @@
             raise LogOutageError(
                 f'read of the roster returned status {status}, not 200'
             )
-        roster = cast(dict[str, Any], json.loads(content))
-        return Roster(
-            tuple(HostEntry(**entry) for entry in roster['hosts']),
-            tuple(EndpointEntry(**entry) for entry in roster['endpoints']),
-        )
+        try:
+            roster = parse_object('roster', content)
+            return Roster(
+                tuple(entries(HostEntry, roster, 'hosts')),
+                tuple(entries(EndpointEntry, roster, 'endpoints')),
+            )
+        except BadRecordError as error:
+            raise MalformedAnswerError(str(error)) from error
+
+
+def decode_page(status: int, page: Fields) -> LogPage:
+    """Decode the answer to a read.
+
+    Raises
+    ------
+    TrimmedError
+        The log no longer has the first record.
+    BadRecordError
+        The answer is malformed.
+    """
+    first = whole(page, 'first')
+    if status == HTTP_GONE:
+        raise TrimmedError(first)
+    rows = page.required('records')
+    if not isinstance(rows, list):
+        raise BadRecordError(page.record, 'records', rows, 'a list')
+    return LogPage(first, whole(page, 'end'), tuple(map(decode_record, rows)))
+
+
+def whole(fields: Fields, field: str) -> int:
+    """Return a required whole number.
+
+    Raises
+    ------
+    BadRecordError
+        It is missing, or no such number.
+    """
+    fields.required(field)
+    return fields.integer(field)
+
+
+def decode_record(row: object) -> LogRecord:
+    """Decode a record.
+
+    Raises
+    ------
+    BadRecordError
+        It is malformed.
+    """
+    if not isinstance(row, list) or list(map(type, row)) != [int, str]:
+        raise BadRecordError('page', 'records', row, 'offset and body')
+    return LogRecord(*row)
+
+
+def entries(kind: type[Entry], roster: Fields, field: str) -> Iterator[Entry]:
+    """Yield the entries of a list of the roster; leave out odd ones.
+
+    Raises
+    ------
+    BadRecordError
+        The roster has no such list.
+    """
+    roster.required(field)
+    types = list(get_type_hints(kind).values())
+    for row in roster.objects(field):
+        known = [row.source.get(name) for name in kind._fields]
+        if list(map(type, known)) == types:
+            yield kind._make(known)
+        else:
+            logger.warning('roster_entry_unreadable', extra={'field': field})
--- a/trefoilspool/settingstask.py
+++ b/trefoilspool/settingstask.py
@@ -1,6 +1,5 @@
 """Replication of the settings tree from the log and from peers."""
 
-import json
 import time
 from collections.abc import Callable
 from typing import NamedTuple
@@ -8,10 +7,12 @@
 import logbook
 
 from trefoilspool.errors import (
+    BadRecordError,
     LogError,
     TrimmedError,
 )
-from trefoilspool.fold import Fold
+from trefoilspool.fold import Fold, is_snapshot
+from trefoilspool.jsonfields import parse_object
 from trefoilspool.peertask import Send
 from trefoilspool.platform import LogPage, LogRecord, LogService
 from trefoilspool.task import Task
@@ -109,11 +110,6 @@
     return deferred
 
 
-def is_snapshot(record: LogRecord) -> bool:
-    """Return whether a record holds a snapshot."""
-    return 'snapshot' in json.loads(record.body)
-
-
 class SettingsTask(Task):
     """Folds the settings stream and publishes the tree.
 
@@ -166,8 +162,16 @@
                 body = self.fold.snapshot()
                 self.send(message.host, 'settings_records', body)
         elif isinstance(message, PeerSnapshot):
-            state = json.loads(message.body)['snapshot']
-            self.fold.apply_snapshot(-1, state)
+            self.on_peer_snapshot(message)
+
+    def on_peer_snapshot(self, message: PeerSnapshot) -> None:
+        """Adopt a peer's snapshot; a malformed one changes nothing."""
+        try:
+            body = parse_object('snapshot', message.body.encode())
+            self.fold.apply_snapshot(-1, body.required('snapshot'))
+        except BadRecordError as error:
+            logger.warning('snapshot_unreadable', extra={'error': str(error)})
+        else:
             self.publish()
 
     def on_peer_offset(self, message: PeerOffset) -> None:
