--- a/tests/test_crashingpart.py
+++ b/tests/test_crashingpart.py
@@ -734,7 +734,7 @@
         )
         assert decoded is not None
         assert wire.decision_from_wire(decoded.verdicts[0], 'h1') == granted
-        assert wire.held_from_wire(decoded.roll, 'h1') == [held]
+        assert wire.held_from_wire(decoded.roll[0], 'h1') == held
         assert (
             endpointreports.crash_report_from_wire(decoded.crashes[0]) == report
         )
--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -58,6 +58,9 @@
     'slotevents',
     'slotscheduler',
     'versionstore',
+    'wire/checks',
+    '../platform/storecalls',
+    'exchange',
     'workerpool',
 )
 CALL = re.compile(
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -3,6 +3,8 @@
 import http.client
 from collections.abc import Callable
 
+import logbook
+
 from trefoilspool.boundedconnection import skip_bytes
 from trefoilspool.connections import (
     ConnectionPool,
@@ -25,6 +27,8 @@
 MIN_TIMEOUT_S = 0.001  # zero would make a socket non-blocking
 
 
+logger = logbook.Logger('exchange')
+
 HeadHandler = Callable[[OutboundRequest, ResponseHead, bool], None]
 
 
@@ -164,6 +168,16 @@
                 return EndpointResponse(
                     self.pool, connection, response, head, wait
                 )
+            logger.warning(
+                'response_not_own',
+                extra={
+                    'request': request_id,
+                    'endpoint': outbound.endpoint,
+                    'of': head.request_id,
+                    'status': head.status,
+                    'not_run': head.not_run,
+                },
+            )
             # No response can follow one that has no length or that closed the
             # connection.
             if response.length is None or connection.sock is None:
