Take a report that is noted while its datagram is made for a fresh one

Change: ages down to a second below zero count as none, waits below zero as zero. The search for half characters is left out of texts that are ASCII, as decoding had become slower.

--- a/trefoilspool/jsonfields.py
+++ b/trefoilspool/jsonfields.py
@@ -126,7 +126,9 @@
 
 def has_surrogate(text: str) -> bool:
     """Return whether a text has half a character, as JSON can express it."""
-    return any('\ud800' <= character <= '\udfff' for character in text)
+    return not text.isascii() and any(
+        '\ud800' <= character <= '\udfff' for character in text
+    )
 
 
 def is_label(text: str) -> bool:
--- a/trefoilspool/wire/checks.py
+++ b/trefoilspool/wire/checks.py
@@ -17,8 +17,10 @@
 
 __all__ = [
     'address',
+    'age_s',
     'count',
     'counts',
+    'given',
     'known',
     'label',
     'member',
@@ -29,6 +31,8 @@
 
 # Positions and revisions stay far below, so that they can still rise.
 MAX_COUNT = 1_000_000_000_000_000_000
+MAX_SENDING_MS = 1000
+MS_PER_S = 1000
 MAX_ADDRESSES = 4096  # remembered
 
 Read = TypeVar('Read')
@@ -76,6 +80,19 @@
         raise BadStructError(f'a number is negative: {numbers}')
 
 
+def given(number: int | None) -> int:
+    """Return a number.
+
+    Raises
+    ------
+    BadStructError
+        It is missing.
+    """
+    if number is None:
+        raise BadStructError('a number is missing')
+    return number
+
+
 def count(number: int | None, most: int = MAX_COUNT) -> int:
     """Return a number from 0 to a bound.
 
@@ -89,6 +106,20 @@
     return number
 
 
+def age_s(age_ms: int | None) -> float:
+    """Return an age in seconds.
+
+    Raises
+    ------
+    BadStructError
+        It is missing, or below zero by more than a sender takes for a datagram:
+        what it notes meanwhile is younger than the datagram.
+    """
+    if age_ms is None or age_ms < -MAX_SENDING_MS:
+        raise BadStructError(f'{age_ms} ms is no age')
+    return max(0, age_ms) / MS_PER_S
+
+
 def member(kinds: type[Kind], number: int | None) -> Kind:
     """Return the member of an enumeration with a number.
 
--- a/trefoilspool/wire/endpointreports.py
+++ b/trefoilspool/wire/endpointreports.py
@@ -24,7 +24,6 @@
     'served_to_wire',
 ]
 
-MS_PER_S = 1000
 MAX_QUARANTINE_BYTES = 4096  # the parts in one datagram
 MAX_LIMITS = 128  # in one datagram
 MAX_REVISION = 1_000_000_000  # rises by one at a time
@@ -54,7 +53,7 @@
         mesh.endpoint_run_from_wire(wire.run),
         tuple(wire.parts),
         wire.request,
-        checks.count(wire.age_ms) / MS_PER_S,
+        checks.age_s(wire.age_ms),
         bool(wire.down),
     )
 
@@ -92,7 +91,7 @@
     return LimitReport(
         mesh.endpoint_run_from_wire(struct.run),
         checks.rate(struct.per_s),
-        checks.count(struct.age_ms) / MS_PER_S,
+        checks.age_s(struct.age_ms),
     )
 
 
@@ -116,10 +115,10 @@
     checks.known(struct.parts, struct.ages_ms)
     return ServedReport(
         tuple(
-            ServedPart(part, checks.count(age_ms) / MS_PER_S)
+            ServedPart(part, checks.age_s(age_ms))
             for part, age_ms in zip(struct.parts, struct.ages_ms, strict=False)
         ),
-        checks.count(struct.covered_ms) / MS_PER_S,
+        checks.age_s(struct.covered_ms),
     )
 
 
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -222,7 +222,6 @@
         wire.output_tokens,
         wire.attempt,
         wire.charge,
-        wire.waited_ms,
     )
     return slotmessages.SlotRequest(
         key=slotmessages.SlotKey(entry, wire.request),
@@ -233,7 +232,7 @@
         output_tokens=wire.output_tokens,
         first_byte_due=now + wire.aim_ms / MS_PER_S,
         deadline=now + wire.left_ms / MS_PER_S,
-        arrived_at=now - wire.waited_ms / MS_PER_S,
+        arrived_at=now - checks.age_s(wire.waited_ms),
         avoid=tuple(wire.avoid or ()),
         attempt=wire.attempt,
         prompt_prefixes=tuple(wire.parts or ()),
@@ -294,7 +293,7 @@
             slotmessages.RefusalReason.quarantined
             if wire.quarantined
             else checks.member(slotmessages.RefusalReason, wire.reason),
-            checks.count(wire.retry_after_ms) / MS_PER_S,
+            max(0, checks.given(wire.retry_after_ms)) / MS_PER_S,
         )
     return slotmessages.Queued(key)
 
@@ -361,13 +360,13 @@
         A field cannot be used.
     """
     checks.known(wire.request, wire.service_name, wire.endpoint)
-    checks.counts(wire.prompt_tokens, wire.output_tokens, wire.age_ms)
+    checks.counts(wire.prompt_tokens, wire.output_tokens)
     return slotmessages.HeldSlot(
         slotmessages.SlotKey(entry, wire.request),
         wire.service_name,
         wire.endpoint,
         wire.prompt_tokens,
         wire.output_tokens,
-        wire.age_ms / MS_PER_S,
-        checks.count(wire.streaming_ms or 0) / MS_PER_S,
+        checks.age_s(wire.age_ms),
+        checks.age_s(wire.streaming_ms or 0),
     )
