Let all connections to endpoints be opened in one place; name hosts in judgements

Cause: the logs of RECOVER do not tell which host's failed attempts eject an endpoint, and a test cannot cut one host off from endpoints that others reach. Change: endpoint_judged names the entry host; a Dialer opens the connections of requests and of end checks. No decision changes.

--- a/trefoilspool/connections.py
+++ b/trefoilspool/connections.py
@@ -6,10 +6,11 @@
 import struct
 import threading
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from trefoilspool import clock
 from trefoilspool.boundedconnection import BoundedConnection
+from trefoilspool.paths.dialer import Dialer
 from trefoilspool.responsebounds import ByteBudget
 
 __all__ = ['ConnectionPool', 'EndpointConnection', 'first_readable']
@@ -26,6 +27,9 @@
 MAX_HELD_BYTES = 16_777_216
 
 
+SocketOpener = Callable[..., socket.socket]
+
+
 class EndpointConnection(BoundedConnection):
     """An HTTP connection to an endpoint that detects a dead peer.
 
@@ -44,8 +48,14 @@
         Whether this host has ended it, so that its end is no end of a body.
     """
 
-    def __init__(self, address: str, port: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        open_socket: SocketOpener = socket.create_connection,
+    ) -> None:
         super().__init__(address, port, timeout=CONNECT_TIMEOUT_S)
+        self._create_connection = open_socket
         self.idle_since = 0.0
         self.idle_limit_s = MAX_IDLE_S
         self.carried: set[str] = set()
@@ -119,9 +129,16 @@
 
 
 class ConnectionPool:
-    """Idle connections to endpoints; safe to use from any thread."""
+    """Idle connections to endpoints; safe to use from any thread.
+
+    Parameters
+    ----------
+    dialer : Dialer, optional
+        Opens the connections.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, dialer: Dialer | None = None) -> None:
+        self.dialer = dialer or Dialer()
         self.lock = threading.Lock()
         self.idle: dict[tuple[str, int], deque[EndpointConnection]] = {}
         self.opened_count = 0
@@ -156,7 +173,19 @@
                     return connection
                 connection.close()
         self.opened_count += 1
-        return EndpointConnection(address, port)
+        return EndpointConnection(address, port, self.open_socket)
+
+    def open_socket(
+        self, address: tuple[str, int], timeout_s: float, source: object
+    ) -> socket.socket:
+        """Return an open connection, as ``http.client`` asks for one.
+
+        Raises
+        ------
+        OSError
+            When it fails.
+        """
+        return self.dialer.open(*address, timeout_s)
 
     def release(self, connection: EndpointConnection) -> None:
         """Put a connection whose response has been read back into the pool."""
--- a/trefoilspool/endchecks.py
+++ b/trefoilspool/endchecks.py
@@ -1,6 +1,5 @@
 """Checks whether endpoints ended whose attempts broke at their start."""
 
-import socket
 from collections.abc import Callable, Mapping
 from enum import Enum, auto
 from typing import NamedTuple
@@ -9,6 +8,7 @@
 
 from trefoilspool import clock
 from trefoilspool.departures import EndpointRecord, EndpointRun
+from trefoilspool.paths.dialer import Dialer
 from trefoilspool.task import Task
 
 __all__ = ['BrokenStart', 'EndCheckTask']
@@ -63,6 +63,8 @@
         Records of the endpoints by name.
     on_ended : callable
         Called with the number of each attempt whose endpoint has ended.
+    dialer : Dialer, optional
+        Opens the connections.
 
     Attributes
     ----------
@@ -74,10 +76,12 @@
         self,
         endpoints: Mapping[str, EndpointRecord],
         on_ended: Callable[[int], None],
+        dialer: Dialer | None = None,
     ) -> None:
         super().__init__(IDLE_S)
         self.endpoints = endpoints
         self.on_ended = on_ended
+        self.dialer = dialer or Dialer()
         self.pending: dict[EndpointRun, PendingCheck] = {}
 
     def handle(self, message: object) -> None:
@@ -116,9 +120,8 @@
         record = self.endpoints.get(run.name)
         if record is None or record.run != run:
             return CheckResult.unknown
-        address = (record.address, record.port)
         try:
-            with socket.create_connection(address, TIMEOUT_S):
+            with self.dialer.open(record.address, record.port, TIMEOUT_S):
                 return CheckResult.accepts
         except ConnectionRefusedError:
             return CheckResult.refuses
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -18,6 +18,7 @@
     EndpointReplacedError,
     SendFailedError,
 )
+from trefoilspool.paths.dialer import Dialer
 from trefoilspool.readwait import ReadWait
 
 __all__ = ['EndpointClient']
@@ -48,16 +49,19 @@
     on_head : callable
         Called with a request and each head that its endpoint sends, and with
         whether that belongs to an earlier request.
+    dialer : Dialer, optional
+        Opens connections to endpoints.
     """
 
     def __init__(
         self,
         dialect: Dialect,
         on_head: HeadHandler = no_op,
+        dialer: Dialer | None = None,
     ) -> None:
         self.dialect = dialect
         self.on_head = on_head
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(dialer)
 
     def connect(
         self, address: str, port: int, max_idle_s: float, request_id: str
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -19,6 +19,7 @@
 from trefoilspool.httpserver import HttpServer
 from trefoilspool.mesh import MeshTask
 from trefoilspool.options import GatewayOptions
+from trefoilspool.paths.dialer import Dialer
 from trefoilspool.peers import HostInfo
 from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.quarantinestore import QuarantineStoreTask
@@ -123,8 +124,11 @@
         self.mesh.on_quarantine_due = self.quarantine_task.on_due
         self.mesh.quarantine_gossip.on_entry = self.count_quarantine
         self.watch = WatchTask()
+        self.dialer = Dialer()
         self.end_checks = EndCheckTask(
-            self.directory.endpoints, self.mesh.client.on_endpoint_down
+            self.directory.endpoints,
+            self.mesh.client.on_endpoint_down,
+            self.dialer,
         )
         self.mesh.client.on_broken_start = self.end_checks.post
         self.quiet_periods = QuietPeriods()
@@ -135,7 +139,7 @@
             self.endpoint_signs.on_leaving_runs
         )
         self.endpoint_client = EndpointClient(
-            platform.dialect(), self.endpoint_signs.on_head
+            platform.dialect(), self.endpoint_signs.on_head, self.dialer
         )
         self.gateway = Gateway(
             RequestServer(
--- /dev/null
+++ b/trefoilspool/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Ways from a host to an endpoint: its own path, or one of another host."""
--- a/trefoilspool/slotevents.py
+++ b/trefoilspool/slotevents.py
@@ -75,6 +75,7 @@
         'endpoint_judged',
         {
             'endpoint': endpoint.spec.name,
+            'entry': release.key.entry,
             'before': before.name,
             'after': endpoint.reliability.state.name,
             'ending': release.ending.name,
