Relay connections through hosts that reach the endpoint; judge endpoints, not paths

Callers saw: hosts that had lost their paths to all endpoints served 0 of 459 first attempts in a second, while the others served 142 of 143. Change: reachability belongs to the pair of host and endpoint (paths/table). A host whose own connection fails asks a peer for one (paths/relayclient, paths/relaytask: bytes pass as they come, framed, so that the relay's end is never the end of a response); it says unreachable only if hosts that reach other endpoints fail as well, else no_path or path_lost, which the home host does not count. End checks use the same ways. Why it works: what passes is the connection, so that ids, bodies, deadlines, slots, limits and the number of attempts stay where they were.

--- a/scripts/generate-wire.sh
+++ b/scripts/generate-wire.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 out=$(mktemp -d)
-for idl in peer mesh; do
+for idl in peer mesh relay; do
     thrift --gen py -out "$out" "trefoilspool/wire/$idl.thrift"
     rm -rf "trefoilspool/wire/gen/$idl"
     mkdir -p "trefoilspool/wire/gen/$idl"
--- a/tests/test_endchecks.py
+++ b/tests/test_endchecks.py
@@ -18,6 +18,10 @@
     CheckResult,
     EndCheckTask,
 )
+from trefoilspool.paths.dialer import Dialer
+from trefoilspool.paths.relayclient import RelayClient
+from trefoilspool.paths.ways import EndpointPaths
+from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.runsigns import NO_SIGNS, RunSigns
 
 ADDRESS = '127.0.0.1'
@@ -53,7 +57,12 @@
         with socket.create_server((ADDRESS, 0)) as listener:
             port = listener.getsockname()[1]
         record = EndpointRecord('i-1', 's', ADDRESS, port, 'z', 1, False, 7)
-        return EndCheckTask({'i-1': record}, ended.append)
+        dialer = Dialer()
+        own = PeerRegistry(HostInfo('h1', ADDRESS, 1))
+        paths = EndpointPaths(
+            dialer, RelayClient(own, port, dialer), lambda: [record]
+        )
+        return EndCheckTask({'i-1': record}, ended.append, paths)
 
     def test_attempts_at_one_run_are_checked_together(
         self, task: EndCheckTask, ended: list[int]
--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -62,6 +62,10 @@
     '../platform/storecalls',
     'exchange',
     'workerpool',
+    'paths/relayclient',
+    'paths/relaytask',
+    'paths/table',
+    'paths/ways',
 )
 CALL = re.compile(
     r"(?:logger\.\w+|self\.log|log_decision|DecisionEvent)\(\s*'([^']+)'"
--- a/trefoilspool/connections.py
+++ b/trefoilspool/connections.py
@@ -10,10 +10,16 @@
 
 from trefoilspool import clock
 from trefoilspool.boundedconnection import BoundedConnection
-from trefoilspool.paths.dialer import Dialer
+from trefoilspool.departures import EndpointRun
+from trefoilspool.paths.relayedsocket import RelayedSocket
 from trefoilspool.responsebounds import ByteBudget
 
-__all__ = ['ConnectionPool', 'EndpointConnection', 'first_readable']
+__all__ = [
+    'CONNECT_TIMEOUT_S',
+    'ConnectionPool',
+    'EndpointConnection',
+    'first_readable',
+]
 
 MS_PER_S = 1000
 CONNECT_TIMEOUT_S = 0.3
@@ -27,7 +33,7 @@
 MAX_HELD_BYTES = 16_777_216
 
 
-SocketOpener = Callable[..., socket.socket]
+SocketOpener = Callable[[], socket.socket | RelayedSocket]
 
 
 class EndpointConnection(BoundedConnection):
@@ -35,8 +41,6 @@
 
     Attributes
     ----------
-    tcp_socket : socket or None
-        The socket, also while ``http.client`` has dropped its own reference.
     idle_since : float
         When the connection returned to the pool, in monotonic seconds.
     idle_limit_s : float
@@ -44,23 +48,37 @@
     carried : set of str
         Ids of the requests that it has carried. A response tells by its id to
         which of them it belongs, so none is sent on it twice.
+    run : EndpointRun
+        The endpoint's run to which it was opened.
     is_aborted : bool
         Whether this host has ended it, so that its end is no end of a body.
+    tcp_socket : socket, RelayedSocket or None
+        The socket, also while ``http.client`` has dropped its own reference.
     """
 
-    def __init__(
-        self,
-        address: str,
-        port: int,
-        open_socket: SocketOpener = socket.create_connection,
-    ) -> None:
+    def __init__(self, address: str, port: int) -> None:
         super().__init__(address, port, timeout=CONNECT_TIMEOUT_S)
-        self._create_connection = open_socket
         self.idle_since = 0.0
         self.idle_limit_s = MAX_IDLE_S
         self.carried: set[str] = set()
         self.is_aborted = False
-        self.tcp_socket: socket.socket | None = None
+        self.run = EndpointRun('', 0)
+        self.tcp_socket: socket.socket | RelayedSocket | None = None
+
+    def open_with(self, open_socket: SocketOpener) -> None:
+        """Open the connection over a socket that is made elsewhere.
+
+        Parameters
+        ----------
+        open_socket : callable
+            Returns the open socket.
+        """
+
+        def create(*_: object) -> socket.socket | RelayedSocket:
+            return open_socket()
+
+        self._create_connection = create
+        self.connect()
 
     def connect(self) -> None:
         """Open the connection."""
@@ -69,6 +87,11 @@
         # which the connection is closed; ``abort`` needs the socket then.
         self.tcp_socket = self.sock
 
+    @property
+    def is_relayed(self) -> bool:
+        """Return whether another host relays it."""
+        return isinstance(self.tcp_socket, RelayedSocket)
+
     def is_reusable(self) -> bool:
         """Return whether the idle connection is open with no bytes unread."""
         return self.sock is not None and not self.wait_readable(0)
@@ -77,6 +100,8 @@
         """Return whether bytes have arrived, rather than the end."""
         if self.tcp_socket is None:
             return False
+        if isinstance(self.tcp_socket, RelayedSocket):
+            return self.tcp_socket.has_bytes()
         try:
             return bool(
                 self.tcp_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -129,16 +154,9 @@
 
 
 class ConnectionPool:
-    """Idle connections to endpoints; safe to use from any thread.
-
-    Parameters
-    ----------
-    dialer : Dialer, optional
-        Opens the connections.
-    """
+    """Idle connections to endpoints; safe to use from any thread."""
 
-    def __init__(self, dialer: Dialer | None = None) -> None:
-        self.dialer = dialer or Dialer()
+    def __init__(self) -> None:
         self.lock = threading.Lock()
         self.idle: dict[tuple[str, int], deque[EndpointConnection]] = {}
         self.opened_count = 0
@@ -173,23 +191,19 @@
                     return connection
                 connection.close()
         self.opened_count += 1
-        return EndpointConnection(address, port, self.open_socket)
+        return EndpointConnection(address, port)
 
-    def open_socket(
-        self, address: tuple[str, int], timeout_s: float, source: object
-    ) -> socket.socket:
-        """Return an open connection, as ``http.client`` asks for one.
-
-        Raises
-        ------
-        OSError
-            When it fails.
-        """
-        return self.dialer.open(*address, timeout_s)
+    def drop(self, address: str, port: int) -> None:
+        """Close the idle connections to an endpoint."""
+        with self.lock:
+            idle = self.idle.pop((address, port), ())
+        for connection in idle:
+            connection.close()
 
     def release(self, connection: EndpointConnection) -> None:
         """Put a connection whose response has been read back into the pool."""
-        if len(connection.carried) >= MAX_REQUESTS:
+        # A relayed connection is of use only while the own path is broken.
+        if len(connection.carried) >= MAX_REQUESTS or connection.is_relayed:
             connection.close()
             return
         connection.idle_since = clock.now()
--- a/trefoilspool/draining.py
+++ b/trefoilspool/draining.py
@@ -5,6 +5,7 @@
 from trefoilspool import clock
 from trefoilspool.gateway import Gateway
 from trefoilspool.httpserver import HttpServer
+from trefoilspool.paths.relaytask import RelayTask
 
 __all__ = ['await_open_requests']
 
@@ -17,7 +18,9 @@
 END_REQUESTS_S = 7.2
 
 
-def await_open_requests(gateway: Gateway, server: HttpServer) -> None:
+def await_open_requests(
+    gateway: Gateway, server: HttpServer, relay: RelayTask
+) -> None:
     """Wait until no request is open; reject new ones, later end those left.
 
     Parameters
@@ -27,6 +30,8 @@
     server : HttpServer
         Server whose idle connections are closed, so that their callers
         connect to other hosts.
+    relay : RelayTask
+        Connections of other hosts, which are not ended either.
     """
     started_at = clock.now()
     while clock.now() < started_at + MAX_DRAIN_S:
@@ -35,7 +40,9 @@
         gateway.ending = elapsed_s >= END_REQUESTS_S
         server.close_idle()
         # The gateway does not count a request that no thread has taken.
-        is_busy = gateway.open_count or server.has_requests()
+        is_busy = (
+            gateway.open_count or server.has_requests() or relay.open_count
+        )
         if elapsed_s >= MIN_DRAIN_S and not is_busy:
             return
         time.sleep(POLL_S)
--- a/trefoilspool/endchecks.py
+++ b/trefoilspool/endchecks.py
@@ -8,7 +8,11 @@
 
 from trefoilspool import clock
 from trefoilspool.departures import EndpointRecord, EndpointRun
-from trefoilspool.paths.dialer import Dialer
+from trefoilspool.errors import (
+    ConnectFailedError,
+    EndpointRefusedConnectionError,
+)
+from trefoilspool.paths.ways import EndpointPaths
 from trefoilspool.task import Task
 
 __all__ = ['BrokenStart', 'EndCheckTask']
@@ -63,8 +67,8 @@
         Records of the endpoints by name.
     on_ended : callable
         Called with the number of each attempt whose endpoint has ended.
-    dialer : Dialer, optional
-        Opens the connections.
+    paths : EndpointPaths
+        Opens the connections: one that other hosts are refused, too, has ended.
 
     Attributes
     ----------
@@ -76,12 +80,12 @@
         self,
         endpoints: Mapping[str, EndpointRecord],
         on_ended: Callable[[int], None],
-        dialer: Dialer | None = None,
+        paths: EndpointPaths,
     ) -> None:
         super().__init__(IDLE_S)
         self.endpoints = endpoints
         self.on_ended = on_ended
-        self.dialer = dialer or Dialer()
+        self.paths = paths
         self.pending: dict[EndpointRun, PendingCheck] = {}
 
     def handle(self, message: object) -> None:
@@ -121,10 +125,11 @@
         if record is None or record.run != run:
             return CheckResult.unknown
         try:
-            with self.dialer.open(record.address, record.port, TIMEOUT_S):
-                return CheckResult.accepts
-        except ConnectionRefusedError:
+            self.paths.open(record, TIMEOUT_S).close()
+        except EndpointRefusedConnectionError:
             return CheckResult.refuses
-        except OSError:
+        except ConnectFailedError as error:
             # Nothing can be told from a link that is cut, for one.
+            logger.debug('end_unknown', extra={'error': str(error)})
             return CheckResult.unknown
+        return CheckResult.accepts
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -16,6 +16,7 @@
     EndpointError,
     EndpointRefusedConnectionError,
     EndpointReplacedError,
+    NoPathError,
     SendFailedError,
     StreamCutError,
 )
@@ -141,14 +142,18 @@
         try:
             connection = self.connect(endpoint)
         except ConnectFailedError as error:
-            return AttemptFailure(
-                AttemptEnding.unreachable,
-                False,
-                str(error),
-                is_down=isinstance(error, EndpointRefusedConnectionError),
-            )
+            return connect_failure(error)
         return self.send(slot, connection)
 
+    def has_path(self, name: str) -> bool:
+        """Return whether this host's path to an endpoint works.
+
+        If it does not, the end of an attempt there says nothing of the
+        endpoint.
+        """
+        endpoint = self.directory.endpoints.get(name)
+        return endpoint is None or self.endpoint_client.paths.verify(endpoint)
+
     def obstacle(self, slot: Slot, now: float) -> str:
         """Return why a slot cannot be used, an empty text if it can."""
         remaining_s = self.request.deadline - now
@@ -199,10 +204,10 @@
             or not self.request.caller_request.request_id
         )
         return self.endpoint_client.connect(
-            endpoint.address,
-            endpoint.port,
+            endpoint,
             NEW_ONLY_MAX_IDLE_S if needs_new else REPEATABLE_MAX_IDLE_S,
             self.request.caller_request.request_id,
+            self.request.deadline - clock.now(),
         )
 
     def send(
@@ -396,6 +401,17 @@
         return StartedResponse(slot, response, first, rest)
 
 
+def connect_failure(error: ConnectFailedError) -> AttemptFailure:
+    """Return the failure of an attempt that got no connection."""
+    has_path = not isinstance(error, NoPathError)
+    return AttemptFailure(
+        AttemptEnding.unreachable if has_path else AttemptEnding.no_path,
+        False,
+        str(error),
+        is_down=isinstance(error, EndpointRefusedConnectionError),
+    )
+
+
 def goes_on(head: ResponseHead) -> bool:
     """Return whether a response may go on with a stream that has begun."""
     return head.status == HTTPStatus.OK and head.media_type in STREAM_TYPES
--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -9,6 +9,7 @@
     'EndpointRefusedConnectionError',
     'EndpointReplacedError',
     'ConnectFailedError',
+    'NoPathError',
     'EndpointError',
     'SendFailedError',
     'StreamCutError',
@@ -176,6 +177,10 @@
     """No connection was made, so nothing was sent."""
 
 
+class NoPathError(ConnectFailedError):
+    """No path leads to the endpoint, and nothing shows that it is at fault."""
+
+
 class EndpointRefusedConnectionError(ConnectFailedError):
     """Nothing listens at the endpoint's address."""
 
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -5,20 +5,22 @@
 
 import logbook
 
+from trefoilspool import clock
 from trefoilspool.boundedconnection import skip_bytes
 from trefoilspool.connections import (
+    CONNECT_TIMEOUT_S,
     ConnectionPool,
     EndpointConnection,
 )
+from trefoilspool.departures import EndpointRecord
 from trefoilspool.dialect import Dialect, OutboundRequest, ResponseHead
 from trefoilspool.endpointresponse import EndpointResponse
 from trefoilspool.errors import (
     ConnectFailedError,
-    EndpointRefusedConnectionError,
     EndpointReplacedError,
     SendFailedError,
 )
-from trefoilspool.paths.dialer import Dialer
+from trefoilspool.paths.ways import EndpointPaths
 from trefoilspool.readwait import ReadWait
 
 __all__ = ['EndpointClient']
@@ -46,50 +48,61 @@
     ----------
     dialect : Dialect
         Encodes requests and decodes heads.
+    paths : EndpointPaths
+        Opens connections to endpoints.
     on_head : callable
         Called with a request and each head that its endpoint sends, and with
         whether that belongs to an earlier request.
-    dialer : Dialer, optional
-        Opens connections to endpoints.
     """
 
     def __init__(
         self,
         dialect: Dialect,
+        paths: EndpointPaths,
         on_head: HeadHandler = no_op,
-        dialer: Dialer | None = None,
     ) -> None:
         self.dialect = dialect
         self.on_head = on_head
-        self.pool = ConnectionPool(dialer)
+        self.pool = ConnectionPool()
+        self.paths = paths
 
     def connect(
-        self, address: str, port: int, max_idle_s: float, request_id: str
+        self,
+        endpoint: EndpointRecord,
+        max_idle_s: float,
+        request_id: str,
+        lifetime_s: float,
     ) -> EndpointConnection:
         """Return an open connection that has not carried the request.
 
         Parameters
         ----------
-        address, port : str, int
+        endpoint : EndpointRecord
             The endpoint.
         max_idle_s : float
             Longest time that a reused connection may have been idle.
         request_id : str
             Id of the request.
+        lifetime_s : float
+            Longest time that the request takes, in seconds.
 
         Raises
         ------
         ConnectFailedError
             When no connection could be made; nothing was sent.
         """
+        address, port = endpoint.address, endpoint.port
+        if self.paths.table.is_broken(endpoint.run):
+            self.pool.drop(address, port)
         connection = self.pool.acquire(address, port, max_idle_s, request_id)
         if connection.sock is None:
+            connection.run = endpoint.run
             try:
-                connection.connect()
-            except ConnectionRefusedError as error:
-                raise EndpointRefusedConnectionError(
-                    f'{address}:{port} refuses connections',
-                ) from error
+                connection.open_with(
+                    lambda: self.paths.open(
+                        endpoint, CONNECT_TIMEOUT_S, lifetime_s
+                    )
+                )
             except OSError as error:
                 raise ConnectFailedError(
                     f'no connection to {address}:{port}: {error!r}',
@@ -169,6 +182,7 @@
             is_stray = head.request_id != request_id
             self.on_head(outbound, head, is_stray)
             if not is_stray:
+                self.on_heard(connection)
                 return EndpointResponse(
                     self.pool, connection, response, head, wait
                 )
@@ -194,6 +208,11 @@
             f'instead of {request_id!r}'
         )
 
+    def on_heard(self, connection: EndpointConnection) -> None:
+        """Note that this host's own path has brought a response."""
+        if not connection.is_relayed:
+            self.paths.table.on_heard(connection.run, clock.now())
+
     def write_request(
         self, connection: EndpointConnection, outbound: OutboundRequest
     ) -> None:
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -20,6 +20,10 @@
 from trefoilspool.mesh import MeshTask
 from trefoilspool.options import GatewayOptions
 from trefoilspool.paths.dialer import Dialer
+from trefoilspool.paths.pathchecks import PathCheckTask
+from trefoilspool.paths.relayclient import RelayClient
+from trefoilspool.paths.relaytask import RelayTask
+from trefoilspool.paths.ways import EndpointPaths
 from trefoilspool.peers import HostInfo
 from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.quarantinestore import QuarantineStoreTask
@@ -62,6 +66,10 @@
         Keeps the endpoints' records current.
     quiet_periods : QuietPeriods
         Endpoints that get no requests of this host for a while.
+    paths : EndpointPaths
+        This host's ways to endpoints.
+    relay : RelayTask
+        Relays connections of other hosts.
     """
 
     def __init__(self, options: GatewayOptions, platform: Platform) -> None:
@@ -125,10 +133,26 @@
         self.mesh.quarantine_gossip.on_entry = self.count_quarantine
         self.watch = WatchTask()
         self.dialer = Dialer()
+        self.paths = EndpointPaths(
+            self.dialer,
+            RelayClient(self.mesh.peers, options.mesh_port, self.dialer),
+            lambda: list(self.directory.endpoints.values()),
+        )
+        self.paths.on_relayed = lambda: self.metrics.count(
+            'trefoilspool_relayed_total'
+        )
+        self.path_checks = PathCheckTask(self.paths, self.directory)
+        self.relay = RelayTask(
+            options.mesh_port,
+            self.mesh.peers,
+            self.directory,
+            self.paths,
+            self.metrics,
+        )
         self.end_checks = EndCheckTask(
             self.directory.endpoints,
             self.mesh.client.on_endpoint_down,
-            self.dialer,
+            self.paths,
         )
         self.mesh.client.on_broken_start = self.end_checks.post
         self.quiet_periods = QuietPeriods()
@@ -139,7 +163,7 @@
             self.endpoint_signs.on_leaving_runs
         )
         self.endpoint_client = EndpointClient(
-            platform.dialect(), self.endpoint_signs.on_head, self.dialer
+            platform.dialect(), self.paths, self.endpoint_signs.on_head
         )
         self.gateway = Gateway(
             RequestServer(
@@ -163,16 +187,22 @@
     def task_loops(self) -> Iterable[Callable[[], None]]:
         """Yield the loop of each task."""
         yield self.mesh.run
-        yield self.watch.run
-        yield self.end_checks.run
-        yield self.settings_sync.store_task.run
-        yield self.endpoint_sync.store_task.run
-        yield self.discovery_task.run
-        yield self.quarantine_task.run
-        yield self.version_task.run
-        yield self.settings_sync.peer_task.run
-        yield self.endpoint_sync.peer_task.run
         yield self.clean_up
+        looping = (
+            self.watch,
+            self.end_checks,
+            self.path_checks,
+            self.relay,
+            self.settings_sync.store_task,
+            self.endpoint_sync.store_task,
+            self.discovery_task,
+            self.quarantine_task,
+            self.version_task,
+            self.settings_sync.peer_task,
+            self.endpoint_sync.peer_task,
+        )
+        for task in looping:
+            yield task.run
 
     def clean_up(self) -> None:
         """Close idle connections, and drop or end what is due, periodically."""
@@ -250,13 +280,15 @@
         """
         gateway = self.gateway
         gateway.draining = True
+        self.relay.is_leaving = True
         self.publish_own_info()
         self.mesh.announce()
         logger.info('draining', extra={'open': gateway.open_count})
-        await_open_requests(gateway, server)
+        await_open_requests(gateway, server, self.relay)
         logger.info('drained', extra={'open': gateway.open_count})
 
     def stop(self) -> None:
         """Stop the tasks."""
         self.stopping.set()
         self.mesh.stopping.set()
+        self.relay.stop()
--- a/trefoilspool/peers.py
+++ b/trefoilspool/peers.py
@@ -249,6 +249,23 @@
                 if host.name == self.own.name or self.is_recent(host, now)
             ]
 
+    def relays(self, now: float) -> list[HostInfo]:
+        """Return the other hosts that may be asked to relay connections."""
+        with self.lock:
+            return [
+                host
+                for host in self.hosts.values()
+                if host.name != self.own.name
+                and not host.leaving
+                and host.name not in self.suspects
+                and self.is_recent(host, now)
+            ]
+
+    def is_address_known(self, address: str) -> bool:
+        """Return whether a known host has an address."""
+        with self.lock:
+            return any(host.address == address for host in self.hosts.values())
+
     def is_recent(self, host: HostInfo, now: float) -> bool:
         """Return whether a heartbeat or report is in the retention period.
 
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -16,6 +16,7 @@
 from trefoilspool.servedreports import ServedReport
 from trefoilspool.slotmessages import (
     SERVED_STREAMING_S,
+    UNSENT_ENDINGS,
     AttemptEnding,
     DecisionEvent,
     EndpointSpec,
@@ -43,7 +44,6 @@
 HOME_IDLE_S = 10.0
 
 END_SIGNS = frozenset((AttemptEnding.unreachable, AttemptEnding.gone))
-UNSENT_ENDINGS = frozenset((AttemptEnding.unused, AttemptEnding.unreachable))
 
 
 class GuardDecision(Enum):
--- a/trefoilspool/replacement.py
+++ b/trefoilspool/replacement.py
@@ -106,6 +106,9 @@
         if wait.has_resumed():
             return clock.now() + RESUMED_READ_S
         was_silent = not wait.is_dripping()
+        if was_silent:
+            # So that the replacement, too, is sent over a path that works.
+            self.attempts.has_path(silent.slot.endpoint)
         self.pending = self.start(silent, wait)
         if self.pending is None:
             return self.progress.read_until(REPLACEMENT_INTERVAL_S, clock.now())
--- a/trefoilspool/requestprogress.py
+++ b/trefoilspool/requestprogress.py
@@ -36,7 +36,12 @@
 # route's max_attempts: the request was not sent, or the endpoint responded that
 # it has another name (421).
 UNPROCESSED_ENDINGS = frozenset(
-    (AttemptEnding.unreachable, AttemptEnding.gone, AttemptEnding.unused)
+    (
+        AttemptEnding.unreachable,
+        AttemptEnding.no_path,
+        AttemptEnding.gone,
+        AttemptEnding.unused,
+    )
 )
 
 
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -31,6 +31,9 @@
 
 __all__ = ['RequestExecution', 'RequestServer']
 
+# An attempt that ended so may have lost its path, not its endpoint.
+PATH_ENDINGS = frozenset((AttemptEnding.broken, AttemptEnding.silent))
+
 
 class RequestServer(ServingParts):
     """Serves routed requests."""
@@ -84,6 +87,7 @@
             parts.slot_client,
             parts.directory,
             parts.quiet_periods,
+            parts.endpoint_client.paths.table,
             parts.data_centre,
         )
         self.attempts = EndpointAttempts(
@@ -186,6 +190,8 @@
         """Log a failed attempt and release its slot."""
         now = clock.now()
         ending = self.progress.reported_ending(failure, times, now)
+        if ending in PATH_ENDINGS and not self.attempts.has_path(slot.endpoint):
+            ending = AttemptEnding.path_lost
         self.progress.on_failure(failure, ending, slot.endpoint)
         if failure.ending is AttemptEnding.gone:
             self.parts.directory.on_displaced(slot.endpoint)
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -7,6 +7,7 @@
 from trefoilspool.callerrors import OverLimitError, QuarantinedError
 from trefoilspool.dialect import CallerRequest
 from trefoilspool.directory import Directory
+from trefoilspool.paths.table import PathTable
 from trefoilspool.problems import (
     CallerGoneError,
     OverloadedError,
@@ -55,6 +56,8 @@
         Endpoints by name.
     quiet_periods : QuietPeriods
         Endpoints that get no requests of this host for a while.
+    path_table : PathTable
+        Endpoints to which no path leads from this host.
     data_centre : str
         Data centre of this host.
 
@@ -70,6 +73,7 @@
         slot_client: SlotClient,
         directory: Directory,
         quiet_periods: QuietPeriods,
+        path_table: PathTable,
         data_centre: str,
     ) -> None:
         self.progress = progress
@@ -77,6 +81,7 @@
         self.slot_client = slot_client
         self.directory = directory
         self.quiet_periods = quiet_periods
+        self.path_table = path_table
         self.data_centre = data_centre
         self.held: dict[SlotKey, Slot] = {}
 
@@ -100,10 +105,12 @@
             When none is granted.
         """
         started = clock.now()
-        quiet = self.quiet_endpoints(started)
-        slot_request = self.slot_request((*self.progress.avoid, *avoid, *quiet))
+        barred = self.barred_endpoints(started)
+        slot_request = self.slot_request(
+            (*self.progress.avoid, *avoid, *barred)
+        )
         self.progress.slot_number = slot_request.key.number
-        decision = self.decide(slot_request, quiet, is_unneeded)
+        decision = self.decide(slot_request, barred, is_unneeded)
         if isinstance(decision, Refused):
             raise self.refusal_problem(decision)
         assert isinstance(decision, Granted)
@@ -121,7 +128,7 @@
             slot_request.key,
             decision.endpoint,
             now,
-            self.slot_client.started_ms(decision.endpoint),
+            self.slot_client.run(decision.endpoint).started_ms,
             decision.is_probe,
             self.slot_client.software(decision.endpoint)
             if decision.is_verified
@@ -157,13 +164,13 @@
     def decide(
         self,
         slot_request: SlotRequest,
-        quiet: dict[str, float],
+        barred: dict[str, float],
         is_unneeded: Callable[[], bool],
     ) -> SlotDecision:
         """Return the decision on a slot request.
 
         If no endpoint of the service may get the request, it is refused here,
-        until the first quiet period ends.
+        until the first one may get requests again.
         """
         names = self.directory.names(slot_request.service, slot_request.allows)
         if not names or set(names) - set(slot_request.avoid):
@@ -171,27 +178,33 @@
                 slot_request,
                 lambda: self.request.client_disconnected() or is_unneeded(),
             )
-        wait = min(quiet.values(), default=RETRY_AFTER_S)
+        wait = min(barred.values(), default=RETRY_AFTER_S)
         log_decision(
             'no_endpoint',
             self.request.caller_request.request_id,
-            quiet=quiet,
+            barred=barred,
             failed=self.progress.avoid,
             retry_after_s=round(wait, 3),
         )
         return Refused(slot_request.key, RefusalReason.no_endpoint, wait)
 
-    def quiet_endpoints(self, now: float) -> dict[str, float]:
-        """Return the service's endpoints that want no requests of this host.
+    def barred_endpoints(self, now: float) -> dict[str, float]:
+        """Return the service's endpoints that get no requests of this host.
+
+        They want none of it, or no path leads there.
 
         Returns
         -------
         dict
             Seconds left, by endpoint.
         """
-        return self.quiet_periods.quiet(
-            self.directory.names(self.request.service), now
-        )
+        names = self.directory.names(self.request.service)
+        return {
+            **self.path_table.unreachable(
+                (self.slot_client.run(name) for name in names), now
+            ),
+            **self.quiet_periods.quiet(names, now),
+        }
 
     def refusal_problem(self, decision: Refused) -> Problem:
         """Return the problem of a request that was refused a slot."""
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -157,10 +157,10 @@
                     address, unused_release(decision.key, decision.endpoint)
                 )
 
-    def started_ms(self, endpoint: str) -> int:
-        """Return the Unix milliseconds of an endpoint's start, 0 if unknown."""
+    def run(self, endpoint: str) -> EndpointRun:
+        """Return an endpoint's run; its start is 0 if unknown."""
         spec = self.choice.available_endpoints.get(endpoint)
-        return spec.started_ms if spec else 0
+        return spec.run if spec else EndpointRun(endpoint, 0)
 
     def software(self, endpoint: str) -> str:
         """Return the version of an endpoint's software, empty if unknown."""
--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -14,6 +14,7 @@
     'HeldSlot',
     'Queued',
     'SERVED_STREAMING_S',
+    'UNSENT_ENDINGS',
     'RefusalReason',
     'Refused',
     'SlotDecision',
@@ -66,6 +67,15 @@
     cancelled = 6  # ended by the caller or by this system
     silent = 7  # the endpoint accepted the request and sent nothing
     gone = 8  # the endpoint has left, or another one now has its address
+    # The last two say nothing of the endpoint.
+    no_path = 9  # not sent, as no path leads from this host to the endpoint
+    path_lost = 10  # sent, but this host's path to the endpoint broke
+
+
+# After these nothing has reached an endpoint.
+UNSENT_ENDINGS = frozenset(
+    (AttemptEnding.unused, AttemptEnding.unreachable, AttemptEnding.no_path)
+)
 
 
 class RefusalReason(IntEnum):
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -22,6 +22,7 @@
 from trefoilspool.reservations import Reservations
 from trefoilspool.slotevents import judged_event, refusal_event
 from trefoilspool.slotmessages import (
+    UNSENT_ENDINGS,
     AttemptEnding,
     DecisionEvent,
     EndpointSpec,
@@ -49,9 +50,9 @@
         AttemptEnding.refused,
         AttemptEnding.unreachable,
         AttemptEnding.gone,
+        AttemptEnding.no_path,
     )
 )
-UNSENT_ENDINGS = frozenset((AttemptEnding.unused, AttemptEnding.unreachable))
 # Refused requests that have no claim to a minimum share.
 UNCOUNTED_REFUSALS = frozenset(
     (RefusalReason.over_limit, RefusalReason.quarantined)
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -48,6 +48,11 @@
 NEWER_REASONS = {
     slotmessages.RefusalReason.quarantined: slotmessages.RefusalReason.crowded,
 }
+# Endings that builds before do not know, and what is sent as theirs.
+NEWER_ENDINGS = {
+    slotmessages.AttemptEnding.no_path: slotmessages.AttemptEnding.unused,
+    slotmessages.AttemptEnding.path_lost: slotmessages.AttemptEnding.cancelled,
+}
 DECODE_ERRORS = (TException, EOFError, ValueError, TypeError, OverflowError)
 
 
@@ -302,7 +307,7 @@
     """Build the Thrift struct of a release."""
     return ttypes.End(
         release.key.number,
-        int(release.ending),
+        int(NEWER_ENDINGS.get(release.ending, release.ending)),
         release.endpoint,
         ms(release.first_s),
         release.events,
