Ask further hosts, and others each time, before an endpoint counts as unreachable

Cause: the first three hosts in a fixed order were asked each time, and hosts that reach other endpoints were asked again at once, so that the same cut pairs failed for good; one that reaches nothing was believed if the asker reached others. Change: up to six hosts within 0.25 s, those that failed for a run not again for a while, a relay remembers its own failure for 0.5 s; only the word of a host that reaches others counts. Measured: TestSomeEndpoints failed before (503 at all five hosts) and passes.

--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -488,3 +488,33 @@
         with pytest.raises(ConnectionResetError):
             while self.receive(near):
                 assert sent
+
+
+class TestSomeEndpoints:
+    """Several hosts are cut off from the same endpoint, and reach another."""
+
+    @pytest.fixture
+    def crowd(self) -> Iterator[RelayWorld]:
+        """Yield six hosts, of which the last reaches all endpoints."""
+        made = RelayWorld()
+        made.start(endpoints=2)
+        made.path_cut.heal()
+        for _ in range(4):
+            made.add_host()
+        for running in made.hosts:
+            wait_for(
+                lambda running=running: len(running.host.mesh.peers.hosts) == 6,
+                'all hosts',
+            )
+        yield made
+        made.close()
+
+    def test_endpoint_that_one_host_reaches(self, crowd: RelayWorld) -> None:
+        crowd.endpoints[1].behaviour = ServedRequest.refuse
+        for running in crowd.hosts[:5]:
+            PathCut(running, crowd.endpoints[:1], HANG)
+        served = [
+            [crowd.call(running).status for _ in range(3)]
+            for running in crowd.hosts
+        ]
+        assert served == [[200] * 3] * 6
--- a/trefoilspool/paths/pathchecks.py
+++ b/trefoilspool/paths/pathchecks.py
@@ -40,7 +40,7 @@
 
     def tick(self) -> None:
         """Check the paths whose last check is the oldest."""
-        if not self.table.broken and not self.table.unreachable_until:
+        if not self.table.broken and not self.table.failures:
             return
         known = frozenset(
             endpoint.run for endpoint in list(self.directory.endpoints.values())
--- a/trefoilspool/paths/relayclient.py
+++ b/trefoilspool/paths/relayclient.py
@@ -26,14 +26,19 @@
 CONNECT_TIMEOUT_S = 0.1
 # A relay gives up its own connection, and one for comparison, before.
 REPLY_TIMEOUT_S = 0.4
-MAX_RELAYS_ASKED = 3  # for one connection
-# How long a host is not asked again after each outcome, in seconds.
+# For one connection hosts are asked until one leads there, at most so many, and
+# no further one after so long.
+MAX_RELAYS_ASKED = 6
+MAX_ASKING_S = 0.25
 UNANSWERED_PAUSE_S = 1.0
+# How long a host that reaches nothing is not asked again.
+CUT_OFF_PAUSE_S = 1.0
+# How long a host is not asked again for the same endpoint after each outcome.
 PAUSES_S: Mapping[RelayOutcome, float] = {
     RelayOutcome.busy: 0.2,
     RelayOutcome.unreachable: 1.0,
-    RelayOutcome.refused: 1.0,
-    RelayOutcome.unknown: 0,
+    RelayOutcome.refused: 0.3,
+    RelayOutcome.unknown: 0.3,
 }
 MAX_REMEMBERED = 4096
 
@@ -73,7 +78,9 @@
     Attributes
     ----------
     paused_until : dict
-        Time until which a host is not asked, in seconds, by name.
+        Time until which a host is not asked, in seconds, by its name.
+    failed_until : dict
+        The same for one run, by the host's name and the run.
     relays : dict
         The host that last led to a run, by run.
     """
@@ -84,6 +91,7 @@
         self.dialer = dialer
         self.lock = threading.Lock()
         self.paused_until: dict[str, float] = {}
+        self.failed_until: dict[tuple[str, EndpointRun], float] = {}
         self.relays: dict[EndpointRun, str] = {}
 
     def has_peers(self) -> bool:
@@ -95,7 +103,10 @@
         """Ask hosts in turn for a connection to an endpoint."""
         replies: list[RelayReply] = []
         asked = ''
+        ends_at = clock.now() + MAX_ASKING_S
         for host in self.candidates(request.run):
+            if clock.now() >= ends_at:
+                break
             asked = host.name
             connection, reply = self.ask(host, request)
             if connection is not None:
@@ -103,7 +114,7 @@
                 return RelayAttempt(connection, asked, tuple(replies))
             if reply is not None:
                 replies.append(reply)
-            self.pause(host, reply)
+            self.pause(host, request.run, reply)
         return RelayAttempt(None, asked, tuple(replies))
 
     def candidates(self, run: EndpointRun) -> Iterator[HostInfo]:
@@ -117,7 +128,7 @@
         usable = [
             host
             for host in self.peers.relays(now)
-            if self.paused_until.get(host.name, 0) <= now
+            if not self.is_paused(host.name, run, now)
         ]
         last = self.relays.get(run, '')
 
@@ -159,19 +170,33 @@
                 self.relays.clear()
             self.relays[run] = host.name
 
-    def pause(self, host: HostInfo, reply: RelayReply | None) -> None:
-        """Do not ask a host again for a while, if its answer is of itself.
+    def is_paused(self, name: str, run: EndpointRun, now: float) -> bool:
+        """Return whether a host is not asked for a run."""
+        until = max(
+            self.paused_until.get(name, 0),
+            self.failed_until.get((name, run), 0),
+        )
+        return now < until
+
+    def pause(
+        self, host: HostInfo, run: EndpointRun, reply: RelayReply | None
+    ) -> None:
+        """Do not ask a host again for a while.
 
         One that reaches other endpoints may lead to those.
         """
-        if reply is None:
-            pause_s = UNANSWERED_PAUSE_S
-        elif reply.reaches_other and reply.outcome is not RelayOutcome.busy:
-            return
-        else:
-            pause_s = PAUSES_S[reply.outcome]
+        now = clock.now()
         with self.lock:
-            self.paused_until[host.name] = clock.now() + pause_s
+            if reply is None:
+                self.paused_until[host.name] = now + UNANSWERED_PAUSE_S
+                return
+            if reply.outcome is not RelayOutcome.busy:
+                if not reply.reaches_other:
+                    self.paused_until[host.name] = now + CUT_OFF_PAUSE_S
+            if len(self.failed_until) >= MAX_REMEMBERED:
+                self.failed_until.clear()
+            pause_s = PAUSES_S[reply.outcome]
+            self.failed_until[host.name, run] = now + pause_s
 
 
 def exchange(sock: socket.socket, request: RelayRequest) -> RelayReply:
--- a/trefoilspool/paths/relaytask.py
+++ b/trefoilspool/paths/relaytask.py
@@ -10,6 +10,7 @@
 import logbook
 
 from trefoilspool import clock
+from trefoilspool.departures import EndpointRun
 from trefoilspool.directory import Directory
 from trefoilspool.errors import BadStructError
 from trefoilspool.paths.relaymessages import (
@@ -34,6 +35,8 @@
 SWEEP_S = 0.5
 # A connection may outlive the time that it is needed by so much.
 LIFETIME_SLACK_S = 1.0
+# After it could not be reached in time, an endpoint is not tried for so long.
+RETRY_PAUSE_S = 0.5
 WAKE = b'w'
 READ_WAKES = 4096
 
@@ -76,6 +79,8 @@
         The tunnels by each of their connections.
     pending : int
         Requests that have no tunnel yet.
+    not_before : dict
+        Time before which an endpoint is not tried, in seconds, by its run.
     """
 
     def __init__(
@@ -105,6 +110,7 @@
         self.tunnels: dict[socket.socket, Tunnel] = {}
         self.lock = threading.Lock()
         self.pending = 0
+        self.not_before: dict[EndpointRun, float] = {}
         self.swept_at = 0.0
         self.dialling = ThreadPoolExecutor(DIALLING_THREADS, 'relay')
 
@@ -221,7 +227,8 @@
         endpoint = self.directory.get(request.run.name)
         if endpoint is None or endpoint.run != request.run:
             return RelayOutcome.unknown, None
-        if self.paths.table.is_broken(endpoint.run):
+        is_paused = clock.now() < self.not_before.get(endpoint.run, 0)
+        if is_paused or self.paths.table.is_broken(endpoint.run):
             return RelayOutcome.unreachable, None
         try:
             far = self.paths.open_directly(endpoint, CHECK_TIMEOUT_S)
@@ -232,6 +239,7 @@
                 'relay_not_connected',
                 extra={'endpoint': endpoint.name, 'error': repr(error)},
             )
+            self.not_before[endpoint.run] = clock.now() + RETRY_PAUSE_S
             return RelayOutcome.unreachable, None
         far.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return RelayOutcome.connected, far
@@ -284,6 +292,9 @@
         for tunnel in set(self.tunnels.values()):
             if now >= tunnel.expires_at:
                 self.end(tunnel)
+        for run, until in list(self.not_before.items()):
+            if now >= until:
+                self.not_before.pop(run, None)
 
     def end(self, tunnel: Tunnel) -> None:
         """Stop waiting for events of a tunnel and close it."""
--- a/trefoilspool/paths/table.py
+++ b/trefoilspool/paths/table.py
@@ -7,6 +7,7 @@
 import logbook
 
 from trefoilspool.departures import EndpointRun
+from trefoilspool.errors import ConnectFailedError
 
 __all__ = ['BrokenPath', 'PathTable']
 
@@ -31,6 +32,21 @@
     checked_at: float
 
 
+class FailedRun(NamedTuple):
+    """A run to which no way led.
+
+    Attributes
+    ----------
+    until : float
+        Time until which it is not tried again, in seconds.
+    error : ConnectFailedError
+        What tells whether it is at fault.
+    """
+
+    until: float
+    error: ConnectFailedError
+
+
 class ReachedRun(NamedTuple):
     """A run that this host has reached, and when, in seconds."""
 
@@ -50,8 +66,8 @@
     ----------
     broken : dict
         Broken paths by the endpoint's run.
-    unreachable_until : dict
-        Time until which a run is not tried again, in seconds, by run.
+    failures : dict
+        The runs that are not tried again for a while, by run.
     newest, newest_other : ReachedRun
         The run that was reached last, and the last one besides it.
     """
@@ -59,7 +75,7 @@
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.broken: dict[EndpointRun, BrokenPath] = {}
-        self.unreachable_until: dict[EndpointRun, float] = {}
+        self.failures: dict[EndpointRun, FailedRun] = {}
         self.newest = NEVER_REACHED
         self.newest_other = NEVER_REACHED
 
@@ -71,7 +87,7 @@
         """Note that a connection of this host's own to a run was made."""
         self.on_heard(run, now)
         with self.lock:
-            self.unreachable_until.pop(run, None)
+            self.failures.pop(run, None)
             path = self.broken.pop(run, None)
         if path is not None:
             logger.info(
@@ -111,19 +127,34 @@
                 extra={'endpoint': run.name, 'detail': detail},
             )
 
-    def on_unreachable(self, run: EndpointRun, now: float) -> None:
-        """Note that no way led to a run."""
+    def on_failed(
+        self, run: EndpointRun, error: ConnectFailedError, now: float
+    ) -> None:
+        """Note that no way led to a run.
+
+        Parameters
+        ----------
+        run : EndpointRun
+            The endpoint's run.
+        error : ConnectFailedError
+            What tells whether it is at fault.
+        now : float
+            The present time in seconds.
+        """
         with self.lock:
-            self.unreachable_until[run] = now + UNREACHABLE_S
+            self.failures[run] = FailedRun(now + UNREACHABLE_S, error)
 
     def on_relayed(self, run: EndpointRun) -> None:
         """Note that another host leads to a run."""
         with self.lock:
-            self.unreachable_until.pop(run, None)
+            self.failures.pop(run, None)
 
-    def is_unreachable(self, run: EndpointRun, now: float) -> bool:
-        """Return whether a run is not tried, as no way led there."""
-        return self.unreachable_until.get(run, 0) > now
+    def recent_failure(
+        self, run: EndpointRun, now: float
+    ) -> ConnectFailedError | None:
+        """Return why a run is not tried, None if it is."""
+        failed = self.failures.get(run)
+        return failed.error if failed and now < failed.until else None
 
     def unreachable(
         self, runs: Iterable[EndpointRun], now: float
@@ -137,13 +168,13 @@
         now : float
             The present time in seconds.
         """
-        if not self.unreachable_until:
+        if not self.failures:
             return {}
-        until = self.unreachable_until
+        failures = self.failures
         return {
-            run.name: until[run] - now
+            run.name: failures[run].until - now
             for run in runs
-            if self.is_unreachable(run, now)
+            if self.recent_failure(run, now)
         }
 
     def reaches_other(self, run: EndpointRun, now: float) -> bool:
@@ -158,8 +189,8 @@
             self.broken = {
                 run: path for run, path in self.broken.items() if run in runs
             }
-            self.unreachable_until = {
-                run: until
-                for run, until in self.unreachable_until.items()
-                if until > now
+            self.failures = {
+                run: failed
+                for run, failed in self.failures.items()
+                if failed.until > now
             }
--- a/trefoilspool/paths/ways.py
+++ b/trefoilspool/paths/ways.py
@@ -123,6 +123,9 @@
         ConnectFailedError
             When hosts that reach others do not reach it.
         """
+        known = self.table.recent_failure(endpoint.run, clock.now())
+        if known is not None:
+            raise type(known)(str(known))
         failure = KNOWN_BROKEN
         if not self.table.is_broken(endpoint.run):
             try:
@@ -162,7 +165,9 @@
         """
         attempt = self.relays.connect(RelayRequest(endpoint.run, lifetime_s))
         if attempt.connection is None:
-            raise self.failed(endpoint, failure, attempt)
+            error = self.failed(endpoint, failure, attempt)
+            self.table.on_failed(endpoint.run, error, clock.now())
+            raise error
         self.table.on_broken(endpoint.run, failure.detail, clock.now())
         self.table.on_relayed(endpoint.run)
         self.on_relayed()
@@ -179,12 +184,10 @@
         attempt: RelayAttempt,
     ) -> ConnectFailedError:
         """Return the error of an endpoint to which no way led."""
-        now = clock.now()
         run = endpoint.run
-        self.table.on_unreachable(run, now)
         where = f'{endpoint.address}:{endpoint.port}'
         if not self.is_at_fault(run, attempt.replies):
-            self.table.on_broken(run, failure.detail, now)
+            self.table.on_broken(run, failure.detail, clock.now())
             return NoPathError(f'no path to {where}: {failure.detail}')
         is_refused = failure.is_refused or any(
             reply.outcome is RelayOutcome.refused for reply in attempt.replies
@@ -200,17 +203,16 @@
     ) -> bool:
         """Return whether a failure to reach a run is the endpoint's.
 
-        Two hosts have to fail, of which one reaches another endpoint; a host
+        Another host that reaches other endpoints has to fail as well; a host
         that is alone compares for itself.
         """
-        failed = [
-            reply for reply in replies if reply.outcome in FAILED_OUTCOMES
-        ]
-        if any(reply.reaches_other for reply in failed):
-            return True
-        if failed or not self.relays.has_peers():
-            return self.reaches_other(run)
-        return False
+        if self.relays.has_peers():
+            return any(
+                reply.reaches_other
+                for reply in replies
+                if reply.outcome in FAILED_OUTCOMES
+            )
+        return self.reaches_other(run)
 
     def reaches_other(self, run: EndpointRun) -> bool:
         """Return whether this host reaches an endpoint other than a run.
@@ -255,12 +257,11 @@
         run = endpoint.run
         if self.table.is_broken(run):
             return False
-        if not self.table.is_unreachable(run, clock.now()):
-            try:
-                self.open(endpoint, CHECK_TIMEOUT_S).close()
-            except ConnectFailedError as error:
-                logger.info(
-                    'path_verified',
-                    extra={'endpoint': run.name, 'detail': str(error)},
-                )
+        try:
+            self.open(endpoint, CHECK_TIMEOUT_S).close()
+        except ConnectFailedError as error:
+            logger.info(
+                'path_verified',
+                extra={'endpoint': run.name, 'detail': str(error)},
+            )
         return not self.table.is_broken(run)
