Free the slot of an attempt whose path is lost, while its response is waited for

Cause: an attempt on a connection that hangs held its slot until the response's time was over, in routes that may run once until the deadline. Change: after a silence, if this host's path is broken, the slot is released as path_lost and the response is waited for as before; a slot is released once.

--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -74,6 +74,13 @@
         clients = [running.host.mesh.client for running in self.hosts]
         return sum(len(client.held) for client in clients)
 
+    def reserved(self) -> int:
+        """Return how many slots the home hosts count as used."""
+        return sum(
+            len(scheduler.reservations)
+            for scheduler in self.schedulers()
+        )
+
     def run(self) -> EndpointRun:
         """Return the run of the only endpoint."""
         directory = self.hosts[1].host.directory
@@ -518,3 +525,35 @@
             for running in crowd.hosts
         ]
         assert served == [[200] * 3] * 6
+
+
+class TestSilentPath:
+    """A path breaks under a request whose connection then stays silent."""
+
+    def test_slot_is_free_before_the_deadline(self, world: RelayWorld) -> None:
+        world.path_cut.heal()
+        ports = {world.endpoint.port}
+        resumed = threading.Event()
+
+        def respond(served: ServedRequest) -> None:
+            world.path_cut.ports = ports
+            resumed.wait(10)
+            served.respond()
+
+        world.endpoint.behaviour = respond
+        seen: list[int] = []
+        caller = threading.Thread(
+            target=lambda: seen.append(
+                world.call(world.cut_off, '/book/1').status
+            )
+        )
+        started = time.monotonic()
+        caller.start()
+        wait_for(world.held, 'a slot')
+        wait_for(lambda: not world.held(), 'a free slot')
+        assert time.monotonic() - started < 2
+        resumed.set()
+        caller.join()
+        assert seen == [200]
+        assert len(world.endpoint.runs) == 1
+        wait_for(lambda: world.reserved() == 0, 'no reservation')
--- a/trefoilspool/replacement.py
+++ b/trefoilspool/replacement.py
@@ -82,6 +82,9 @@
     def on_silence(self, silent: SentAttempt, wait: ReadWait) -> float:
         """Try to replace a silent attempt.
 
+        At-most-once requests and the last allowed attempt are waited for until
+        the deadline.
+
         Parameters
         ----------
         silent : SentAttempt
@@ -101,14 +104,18 @@
         TimeoutError
             When the request's time is over.
         """
-        if self.is_over() or not self.progress.may_replace():
+        if self.is_over():
             return give_up(wait)
         if wait.has_resumed():
             return clock.now() + RESUMED_READ_S
         was_silent = not wait.is_dripping()
-        if was_silent:
-            # So that the replacement, too, is sent over a path that works.
-            self.attempts.has_path(silent.slot.endpoint)
+        if was_silent and not self.attempts.has_path(silent.slot.endpoint):
+            # The path may come back, but others need not wait for it.
+            self.slots.release(
+                silent.slot, AttemptEnding.path_lost, silent.times
+            )
+        if not self.progress.may_replace():
+            return self.progress.last_read
         self.pending = self.start(silent, wait)
         if self.pending is None:
             return self.progress.read_until(REPLACEMENT_INTERVAL_S, clock.now())
--- a/trefoilspool/requestprogress.py
+++ b/trefoilspool/requestprogress.py
@@ -106,13 +106,13 @@
         return True
 
     def read_until(self, limit_s: float, now: float) -> float:
-        """Return the time until which an attempt is waited for.
+        """Return the time until which an attempt counts as going on."""
+        return min(self.last_read, now + limit_s)
 
-        At-most-once requests and the last allowed attempt are waited for until
-        the deadline; ``limit_s`` bounds the others.
-        """
-        last = self.request.deadline + READ_SLACK_S
-        return min(last, now + limit_s) if self.may_replace() else last
+    @property
+    def last_read(self) -> float:
+        """Return the time until which any attempt is waited for at most."""
+        return self.request.deadline + READ_SLACK_S
 
     def may_replace(self) -> bool:
         """Return whether another attempt may replace one that is silent."""
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -246,7 +246,7 @@
         *,
         is_down: bool = False,
     ) -> None:
-        """Release a slot and report how its attempt ended.
+        """Release a slot, if it is held, and report how its attempt ended.
 
         Parameters
         ----------
@@ -259,10 +259,11 @@
         is_down : bool
             Whether the endpoint refused a connection.
         """
+        if self.held.pop(slot.key, None) is None:
+            return
         now = clock.now()
         if ending is AttemptEnding.broken and times.has_hardly_begun(now):
             self.report_crash(slot, now)
-        self.held.pop(slot.key, None)
         self.slot_client.release(
             SlotRelease(
                 slot.key,
