Let the soak cut hosts off from endpoints

Cause: no seed of the soak had hosts without a path to endpoints. Change: hosts of the soak are started by a program of the tests, whose new connections to endpoints a file lets hang or be refused; seeds from 800 on, but for those with planned work only, cut one to all hosts off, at times twice at once.

--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -307,6 +307,19 @@
     return f'limit {endpoint.name}'
 
 
+def paths_cut(world: World, rng: random.Random) -> str:
+    """Cut hosts, at times all, off from the endpoints."""
+    count = rng.randint(1, len(world.hosts))
+    cut = rng.sample(world.hosts, count)
+    how = rng.choice(('hang', 'reset'))
+    for host in cut:
+        host.cut_file.write_text(how)
+    time.sleep(rng.uniform(0.5, 4))
+    for host in cut:
+        host.cut_file.unlink(missing_ok=True)
+    return f'paths cut {count}'
+
+
 PLANNED_FAULTS: Mapping[str, Fault] = {
     'term': term,
     'hup': hup,
@@ -356,10 +369,20 @@
 }
 
 
+FIRST_SEED_WITH_PATHS = 800
+PATH_FAULTS: Mapping[str, Fault] = {
+    **VERSION_FAULTS,
+    'paths_cut': paths_cut,
+    'paths_cut_again': paths_cut,
+}
+
+
 def fault_table(seed: int, *, planned_only: bool) -> Mapping[str, Fault]:
     """Return the faults from which a seed chooses."""
     if seed >= FIRST_SEED_WITH_LIMITS:
         own = NEWEST_PLANNED_FAULTS if planned_only else NEWEST_FAULTS
+        if seed >= FIRST_SEED_WITH_PATHS and not planned_only:
+            return {**own, **PATH_FAULTS}
         if seed >= FIRST_SEED_WITH_VERSIONS:
             return {**own, **VERSION_FAULTS}
         return {**own, **LIMIT_FAULTS}
@@ -380,7 +403,7 @@
 
 def inject_fault(world: World, name: str, seed: int) -> None:
     """Run a fault to its end, and restart hosts that have ended."""
-    fault = {**NEWEST_FAULTS, **VERSION_FAULTS}[name]
+    fault = {**NEWEST_FAULTS, **PATH_FAULTS}[name]
     record(world, lambda: fault(world, random.Random(seed)))
     for host in world.hosts:
         host.restart_if_ended()
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -53,6 +53,8 @@
         self.address = f'{world.network}.{number}'
         self.store = Proxy(world.store.address)
         self.log = world.folder / f'{self.name}.log'
+        # While it exists, new connections to endpoints fail.
+        self.cut_file = world.folder / f'{self.name}.cut'
         self.listen = f'{self.address}:{world.ports[0]}'
         self.ready = f'{self.address}:{world.ports[1]}'
         self.lock = threading.Lock()
@@ -76,9 +78,13 @@
         }
         with self.log.open('ab') as log:
             return subprocess.Popen(
-                [sys.executable, 'platform/run_host.py'],
+                [sys.executable, 'tests/soakhost.py'],
                 cwd=ROOT,
-                env={**os.environ, **variables},
+                env={
+                    **os.environ,
+                    **variables,
+                    'SOAK_CUT_FILE': str(self.cut_file),
+                },
                 stdout=log,
                 stderr=log,
             )
