Ask the host that led to an endpoint last without ordering the others

Change: the host that led there last is asked first; the others are put in order only if it does not.

--- a/trefoilspool/paths/relayclient.py
+++ b/trefoilspool/paths/relayclient.py
@@ -1,5 +1,6 @@
 """Connections to endpoints that other hosts relay."""
 
+import heapq
 import socket
 import threading
 from collections.abc import Iterator, Mapping
@@ -125,18 +126,20 @@
         """
         now = clock.now()
         own = self.peers.own.name
+        last = self.peers.relay(self.relays.get(run, ''), now)
+        if last is not None and not self.is_paused(last.name, run, now):
+            yield last
         usable = [
             host
             for host in self.peers.relays(now)
-            if not self.is_paused(host.name, run, now)
+            if host != last and not self.is_paused(host.name, run, now)
         ]
-        last = self.relays.get(run, '')
 
-        def order(host: HostInfo) -> tuple[bool, int]:
+        def order(host: HostInfo) -> int:
             text = f'{own}|{run.name}|{host.name}'
-            return host.name != last, xxhash.xxh64_intdigest(text.encode())
+            return int(xxhash.xxh64_intdigest(text.encode()))
 
-        yield from sorted(usable, key=order)[:MAX_RELAYS_ASKED]
+        yield from heapq.nsmallest(MAX_RELAYS_ASKED, usable, key=order)
 
     def ask(
         self, host: HostInfo, request: RelayRequest
--- a/trefoilspool/peers.py
+++ b/trefoilspool/peers.py
@@ -255,12 +255,27 @@
             return [
                 host
                 for host in self.hosts.values()
-                if host.name != self.own.name
-                and not host.leaving
-                and host.name not in self.suspects
-                and self.is_recent(host, now)
+                if self.may_relay(host, now)
             ]
 
+    def relay(self, name: str, now: float) -> HostInfo | None:
+        """Return a host by its name if it may be asked to relay."""
+        with self.lock:
+            host = self.hosts.get(name)
+            return host if host and self.may_relay(host, now) else None
+
+    def may_relay(self, host: HostInfo, now: float) -> bool:
+        """Return whether another host may be asked to relay connections.
+
+        The caller holds the lock.
+        """
+        is_usable = not host.leaving and host.name not in self.suspects
+        return (
+            is_usable
+            and host.name != self.own.name
+            and self.is_recent(host, now)
+        )
+
     def is_address_known(self, address: str) -> bool:
         """Return whether a known host has an address."""
         with self.lock:
