Hold a refused connection against an endpoint only if a peer is refused as well

Cause: an own connection that is refused, as a cut path does, counted as proof that the endpoint's process had ended if a peer only could not reach it in time. Change: with peers, only their word tells.

--- a/trefoilspool/paths/ways.py
+++ b/trefoilspool/paths/ways.py
@@ -189,9 +189,11 @@
         if not self.is_at_fault(run, attempt.replies):
             self.table.on_broken(run, failure.detail, clock.now())
             return NoPathError(f'no path to {where}: {failure.detail}')
-        is_refused = failure.is_refused or any(
-            reply.outcome is RelayOutcome.refused for reply in attempt.replies
-        )
+        # What a cut path does says nothing of the endpoint's process.
+        is_refused = failure.is_refused
+        if attempt.replies:
+            refused = RelayReply(RelayOutcome.refused, reaches_other=True)
+            is_refused = refused in attempt.replies
         if is_refused:
             return EndpointRefusedConnectionError(
                 f'{where} refuses connections'
