Tell the home host of a refused connection also while no other host confirms it

Callers could see: events of two versions in a stream that is taken up, if its endpoint was down, came back as another version, and no peer had answered. Change: the refusal is told as before; only the blame for it needs a second host. Measured: test_endpoint_back_while_no_other_host_tells failed before (as a copy of the test with a peer that does not answer) and passes.

--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -17,6 +17,8 @@
 )
 from platformendpoint import PlatformEndpoint, ServedRequest
 
+from trefoilspool.paths import relayclient
+
 ALL_EVENTS = [0, 1, 2, 3, 4]
 VERSIONS = ('v1', 'v2')
 
@@ -495,6 +497,17 @@
         assert take_up(cluster, hosts[1], 'a').status == 503
         assert 'again' not in first.runs
 
+    def test_endpoint_back_while_no_other_host_tells(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """That a host is refused must count while no other confirms it."""
+
+        def unanswered(*_: object) -> None:
+            raise TimeoutError
+
+        monkeypatch.setattr(relayclient, 'exchange', unanswered)
+        self.test_endpoint_back_under_its_name_before_its_record(cluster)
+
 
 def change_beside(cluster: GatewayCluster, changed: str) -> None:
     """Change something while no host runs."""
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -403,9 +403,12 @@
 
 def connect_failure(error: ConnectFailedError) -> AttemptFailure:
     """Return the failure of an attempt that got no connection."""
-    has_path = not isinstance(error, NoPathError)
+    if isinstance(error, NoPathError):
+        return AttemptFailure(
+            AttemptEnding.no_path, False, str(error), is_down=error.is_refused
+        )
     return AttemptFailure(
-        AttemptEnding.unreachable if has_path else AttemptEnding.no_path,
+        AttemptEnding.unreachable,
         False,
         str(error),
         is_down=isinstance(error, EndpointRefusedConnectionError),
--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -178,7 +178,15 @@
 
 
 class NoPathError(ConnectFailedError):
-    """No path leads to the endpoint, and nothing shows that it is at fault."""
+    """No path leads to the endpoint, and nothing shows that it is at fault.
+
+    Attributes
+    ----------
+    is_refused : bool
+        Whether the own connection was refused: the endpoint may be down.
+    """
+
+    is_refused = False
 
 
 class EndpointRefusedConnectionError(ConnectFailedError):
--- a/trefoilspool/paths/ways.py
+++ b/trefoilspool/paths/ways.py
@@ -6,6 +6,7 @@
 endpoint is at fault.
 """
 
+import copy
 import random
 import socket
 from collections.abc import Callable, Sequence
@@ -125,7 +126,7 @@
         """
         known = self.table.recent_failure(endpoint.run, clock.now())
         if known is not None:
-            raise type(known)(str(known))
+            raise copy.copy(known)
         failure = KNOWN_BROKEN
         if not self.table.is_broken(endpoint.run):
             try:
@@ -188,7 +189,9 @@
         where = f'{endpoint.address}:{endpoint.port}'
         if not self.is_at_fault(run, attempt.replies):
             self.table.on_broken(run, failure.detail, clock.now())
-            return NoPathError(f'no path to {where}: {failure.detail}')
+            error = NoPathError(f'no path to {where}: {failure.detail}')
+            error.is_refused = failure.is_refused
+            return error
         # What a cut path does says nothing of the endpoint's process.
         is_refused = failure.is_refused
         if attempt.replies:
