--- a/review/harness.py
+++ b/review/harness.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -318,13 +319,17 @@
 
     def run(self, play: Callable[['Case'], bool]) -> None:
         """Play a case; exit with 1 if the rule was broken, 0 if it held."""
+        # The processes are ended also if the script is.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
         try:
             is_broken = play(self)
+        except Exception as error:
+            self.note('could not run', error=repr(error))
+            sys.exit(COULD_NOT_RUN)
         finally:
             self.close()
         self.note('result', rule='broken' if is_broken else 'held')
         self.record_file.close()
-        # Threads of stand-ins are not waited for.
         sys.stdout.write(f'{"broken" if is_broken else "held"}\n')
         sys.stdout.flush()
         sys.exit(BROKEN if is_broken else HELD)
