Relay headers of responses in time that grows with their length only

Cause: the expression that joins folded lines began with any blanks, so it was tried at each blank of a run and read to the run's end each time: n * n / 2 steps, with the interpreter's lock held. The standard library's parser was the other hypothesis; with the expression of gatewayapp.py alone changed the same heads are relayed at once. Change: the expression begins at the line break, so that each character is looked at once. What is sent is the same, but for blanks before a fold, which stay.

--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -28,8 +28,10 @@
 Environ = Mapping[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 METRICS_PATH = '/metrics'
-# A line break within a header of a response, which is sent as a space.
-FOLD = re.compile(r'\s*[\r\n]+\s*')
+# A line break within a header of a response, which is sent as a space. The
+# expression begins with the break: one that can begin at each blank of a run,
+# and reads to its end, takes time with the square of the run's length.
+FOLD = re.compile(r'[\r\n]\s*')
 
 
 class GatewayApp(Application):
