Bound the work of parsing callers' heads and chunked bodies

Callers saw, or could: no answer from a host, for seconds to minutes, after any caller without a key had sent one odd head or body. Cause: three expressions and loops of the HTTP library take time with the square of what comes in: blanks before a header's value, an authority in a request line that does not match in the end, unfinished lines of chunk sizes and trailers. All threads of the process stand still meanwhile. 65,536 bytes of a head and 64 MB of a body were let in, whatever maxHeaderBytes and maxBodyBytes said. The product's own interface uses the same parser.

--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -120,6 +120,7 @@
             self.application,
             (self.options.listen, self.options.ready, self.options.control),
         )
+        self.host.on_limits = self.server.limit_requests
         self.host.start()
         threading.Thread(target=self.server.run, daemon=True).start()
 
--- a/trefoilspool/gatewaydaemon.py
+++ b/trefoilspool/gatewaydaemon.py
@@ -47,6 +47,7 @@
     host = GatewayHost(options, platform)
     handler.incarnation = host.incarnation
     server = HttpServer(GatewayApp(host), options.listeners)
+    host.on_limits = server.limit_requests
     host.start()
     threading.Thread(target=server.run, daemon=True).start()
     logger.info(
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -28,7 +28,7 @@
 from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.quarantinestore import QuarantineStoreTask
 from trefoilspool.quietperiods import QuietPeriods
-from trefoilspool.routing import Configuration
+from trefoilspool.routing import CallerLimits, Configuration
 from trefoilspool.serving import RequestServer
 from trefoilspool.servingparts import EndpointKnowledge
 from trefoilspool.settingssync import ConfigurationHandlers, SettingsSync
@@ -131,6 +131,7 @@
         )
         self.mesh.on_quarantine_due = self.quarantine_task.on_due
         self.mesh.quarantine_gossip.on_entry = self.count_quarantine
+        self.on_limits: Callable[[CallerLimits], None] = ignore_limits
         self.watch = WatchTask()
         self.dialer = Dialer()
         self.paths = EndpointPaths(
@@ -234,6 +235,7 @@
         """
         self.mesh.set_configuration(configuration)
         self.directory.on_configuration(configuration)
+        self.on_limits(configuration.limits)
         self.gateway.configuration = configuration
 
     def on_version(self) -> None:
@@ -292,3 +294,7 @@
         self.stopping.set()
         self.mesh.stopping.set()
         self.relay.stop()
+
+
+def ignore_limits(limits: CallerLimits) -> None:
+    """Do nothing, as no server bounds what callers send."""
--- a/trefoilspool/hostdaemon.py
+++ b/trefoilspool/hostdaemon.py
@@ -5,10 +5,12 @@
 
 import logbook
 import waitress
+from waitress.channel import HTTPChannel
 
 from trefoilspool.host import BACKLOG_CONNECTIONS, Host
 from trefoilspool.options import HostOptions
 from trefoilspool.pages import Pages
+from trefoilspool.requestparser import StrictParser
 from trefoilspool.signals import SignalQueue
 from trefoilspool.web import WebApp
 
@@ -24,6 +26,12 @@
 logger = logbook.Logger('host')
 
 
+class StrictChannel(HTTPChannel):  # type: ignore[misc]
+    """A caller's connection, parsed by ``StrictParser``."""
+
+    parser_class = StrictParser
+
+
 def serve(options: HostOptions) -> None:
     """Run a host until SIGTERM or SIGINT, then drain and return."""
     host = Host(options)
@@ -43,6 +51,7 @@
         clear_untrusted_proxy_headers=True,
         ident='trefoilspool',
     )
+    server.channel_class = StrictChannel
     signals = SignalQueue((signal.SIGTERM, signal.SIGINT))
     runner = threading.Thread(target=server.run, daemon=True)
     runner.start()
--- a/trefoilspool/httpserver.py
+++ b/trefoilspool/httpserver.py
@@ -14,6 +14,7 @@
     CallerChannel,
     PageChannel,
 )
+from trefoilspool.routing import CallerLimits
 from trefoilspool.workerpool import WorkerPool
 
 __all__ = ['HttpServer']
@@ -74,6 +75,19 @@
             if isinstance(dispatcher, BaseWSGIServer):
                 dispatcher.channel_class = channel_class(dispatcher, addresses)
 
+    def limit_requests(self, limits: CallerLimits) -> None:
+        """Bound the heads and bodies of the requests that come from now on.
+
+        The parser refuses what is longer while it is being received.
+        """
+        # waitress refuses what has as many bytes as its limit.
+        self.server.adj.max_request_header_size = (
+            min(limits.max_header_bytes, MAX_HEADERS_BYTES) + 1
+        )
+        self.server.adj.max_request_body_size = (
+            min(limits.max_body_bytes, MAX_BODY_BYTES) + 1
+        )
+
     def run(self) -> None:
         """Serve until all sockets are closed."""
         while self.sockets and not self.closed:
