Bound what is kept of a prompt's parts

Callers saw, or could: a host that stands still, or is ended by the platform with all its requests, after one caller with a key had sent a prompt of thousands of parts; and a home host that counts as silent after prompts of over 115 parts. Cause: the id of each prefix holds those of all parts before it, so that memory and the question to the home host grow with the square of the number of parts. Questions over 60,000 bytes are dropped. The home host kept prefixes without a bound. Evidence: 500, 1000 and 2000 parts gave 125, 500 and 2,000 thousand characters; 200 parts of four characters a question of 60,549 bytes. Change: the first 32 parts count for placement and quarantine (crash reports name 16 already), long ids by a digest; usual prompts keep their ids, which hosts of earlier builds read. An endpoint's cached prefixes are bounded, the oldest go first.

--- a/tests/test_inputcost.py
+++ b/tests/test_inputcost.py
@@ -1,6 +1,7 @@
 """Input from outside takes work and memory in proportion to its size."""
 
 import contextlib
+import io
 import itertools
 import socket
 import time
@@ -8,8 +9,17 @@
 
 import pytest
 from gatewaycluster import GatewayCluster, RunningHost
+from headers import PlatformDialect
 from platformendpoint import ServedRequest
 
+from trefoilspool.benches.slotscheduler import make_ask
+from trefoilspool.datagramsocket import MAX_DATAGRAM_BYTES
+from trefoilspool.endpointload import MAX_CACHED_PREFIXES, EndpointLoad
+from trefoilspool.meshdatagrams import message_datagram
+from trefoilspool.peers import HostInfo
+from trefoilspool.slotmessages import EndpointSpec
+from trefoilspool.wire.mesh import encode
+
 # A route's timeout in the deployments is at least this long.
 TIMEOUT_S = 2.5
 RUN = 40_000  # below the bytes that a host allows a head
@@ -213,3 +223,58 @@
         head = request(b'POST /look/1 HTTP/1.1', key, framing)
         assert status_of(running, (head, *pieces)) == 200
         assert cluster.endpoints[0].requests[-1].body == body
+
+
+def prefixes_of(prompt: str) -> tuple[str, ...]:
+    """Return the prefixes that are decoded from a Prefix-Hash header."""
+    environ = {
+        'REQUEST_METHOD': 'POST',
+        'REQUEST_URI': '/look/1',
+        'HTTP_PREFIX_HASH': prompt,
+        'wsgi.input': io.BytesIO(),
+    }
+    return PlatformDialect().decode_request(environ).prompt_prefixes
+
+
+class TestPrompt:
+    # LOST: one prompt of 15,000 parts took 388 MB and stopped a host for 0.9 s.
+    @pytest.mark.parametrize('part', ['', 'ab:1', 'a' * 500, '/'])
+    def test_ids_grow_no_faster_than_the_header(self, part: str) -> None:
+        half, whole, double = (
+            sum(map(len, prefixes_of(','.join(parts * [part]))))
+            for parts in (500, 1000, 2000)
+        )
+        assert whole <= 2 * half
+        assert double <= 4 * half
+
+    # RECOVER: questions too long for a datagram made a home host look dead.
+    @pytest.mark.parametrize('part', ['ab:1', 'a' * 500, '\xff' * 500])
+    def test_question_to_the_home_host_fits_a_datagram(self, part: str) -> None:
+        prefixes = prefixes_of(','.join(200 * [part]))
+        ask = make_ask(1)._replace(prompt_prefixes=prefixes)
+        own = HostInfo('h1', '127.0.0.1', 1)
+        assert len(encode(message_datagram(own, ask, 0))) <= MAX_DATAGRAM_BYTES
+
+    def test_first_parts_count(self) -> None:
+        prompt = ','.join(f'{number:x}:10' for number in range(100))
+        prefixes = prefixes_of(prompt)
+        assert prefixes[:3] == ('0', '0/1', '0/1/2')
+        assert len(prefixes) == 32
+
+    def test_it_is_served_in_time(self, cluster: GatewayCluster) -> None:
+        running = host_with_endpoint(cluster)
+        began = time.monotonic()
+        response = cluster.call(running, '/look/1', Prefix_Hash=',' * 15_000)
+        assert time.monotonic() - began < STANDSTILL_S
+        assert response.status == 200
+        sent = cluster.endpoints[0].requests[-1]
+        assert sent.headers['prefix-hash'] == ',' * 15_000
+
+    # LOST: prefixes of prompts that nobody sends again filled a home host.
+    def test_cached_prefixes_are_bounded(self) -> None:
+        load = EndpointLoad(EndpointSpec('i-1', 'engines', 'z1', 8, 1, 7))
+        for number in range(2 * MAX_CACHED_PREFIXES):
+            usual = make_ask(number)
+            load.reserve(usual._replace(prompt_prefixes=(f'{number}',)), 0)
+        assert len(load.cached_prefixes) == MAX_CACHED_PREFIXES
+        assert f'{number}' in load.cached_prefixes
--- a/trefoilspool/endpointload.py
+++ b/trefoilspool/endpointload.py
@@ -1,5 +1,6 @@
 """State of an endpoint in the slot scheduler: slots, speed, reliability."""
 
+import itertools
 import math
 from typing import NamedTuple
 
@@ -34,7 +35,7 @@
 # An endpoint registers and renews its record every 1.2 s, and hosts read the
 # records every 1.1 s.
 REREAD_S = 3.0
-PREFIX_CLEANUP_COUNT = 4096  # above this, expired prefixes are dropped
+MAX_CACHED_PREFIXES = 4096  # above this, the least recently used are dropped
 
 
 class Reservation(NamedTuple):
@@ -172,10 +173,7 @@
             own = self.uncached_tokens(ask, now) / PREFILL_TOKENS_PER_S
             start = max(now, self.prefill_free_at)
             self.prefill_free_at = start + own * self.slowness
-            for prefix in ask.prompt_prefixes:
-                self.cached_prefixes[prefix] = now + PREFIX_RETENTION_S
-            if len(self.cached_prefixes) > PREFIX_CLEANUP_COUNT:
-                self.drop_expired_prefixes(now)
+            self.remember_prefixes(ask.prompt_prefixes, now)
         reservation = Reservation(
             ask.service,
             self.spec.name,
@@ -191,13 +189,15 @@
         self.reservations[ask.key] = reservation
         return reservation
 
-    def drop_expired_prefixes(self, now: float) -> None:
-        """Drop prefixes not used for ``PREFIX_RETENTION_S``."""
-        self.cached_prefixes = {
-            prefix: expiry
-            for prefix, expiry in self.cached_prefixes.items()
-            if expiry > now
-        }
+    def remember_prefixes(self, prefixes: tuple[str, ...], now: float) -> None:
+        """Note that prefixes are cached; forget the least recently used."""
+        for prefix in prefixes:
+            # Inserted again, so that the dictionary stays in order of use.
+            self.cached_prefixes.pop(prefix, None)
+            self.cached_prefixes[prefix] = now + PREFIX_RETENTION_S
+        excess = max(0, len(self.cached_prefixes) - MAX_CACHED_PREFIXES)
+        for oldest in list(itertools.islice(self.cached_prefixes, excess)):
+            self.cached_prefixes.pop(oldest)
 
     def record_release(
         self,
--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from trefoilspool.departures import EndpointRun
+from trefoilspool.promptparts import shared_parts
 
 __all__ = [
     'AttemptEnding',
@@ -44,8 +45,8 @@
     fingerprint : str
         Id of the whole request; empty if unknown.
     """
-    parts = prompt_prefixes[-1].split('/')[:-1] if prompt_prefixes else []
-    return (*parts, fingerprint) if fingerprint else tuple(parts)
+    parts = shared_parts(prompt_prefixes)
+    return (*parts, fingerprint) if fingerprint else parts
 
 
 class SlotKey(NamedTuple):
