Read small pieces of responses at a pace

Callers saw: requests that end seconds after their timeout, and a host that is late to say that it is ready, while endpoints in trouble send chunks or events of a byte or so without end. Cause: a bound on bytes is no bound on work. A piece of one byte costs as much as one of thousands; threads that never wait take the interpreter from the others. What had been received before the deadline was relayed after it. Three of the six tests of TestSmallPieces fail without the pace. Tests of events pass a pace now.

--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -17,7 +17,12 @@
 )
 from trefoilspool.eventstream import split_events
 from trefoilspool.peertopics import peer_page
-from trefoilspool.responsebounds import ByteBudget, collect_body
+from trefoilspool.readpace import PieceBudget, ReadPace
+from trefoilspool.responsebounds import (
+    ByteBudget,
+    ReceiveLimits,
+    collect_body,
+)
 from trefoilspool.slotacquisition import SlotAcquirer
 from trefoilspool.slotmessages import AttemptEnding
 
@@ -640,6 +645,10 @@
         assert not {'x-hop', 'trailers', 'te'} & set(response.headers)
 
 
+def new_pace() -> ReadPace:
+    return ReadPace(ReceiveLimits(), PieceBudget())
+
+
 class TestSplitEvents:
     @pytest.mark.parametrize('size', [1, 2, 3, 7, 50, 1000])
     def test_chunks_of_any_size(self, size: int) -> None:
@@ -647,18 +656,19 @@
         stream = b''.join(events)
         reader = io.BytesIO(stream)
         chunks = iter(lambda: reader.read(size), b'')
-        assert list(split_events(chunks, ByteBudget(0))) == events
+        assert list(split_events(chunks, ByteBudget(0), new_pace())) == events
 
     def test_end_inside_an_event(self) -> None:
         with pytest.raises(StreamCutError):
-            list(split_events(iter((event(0)[:-1],)), ByteBudget(0)))
+            cut = iter((event(0)[:-1],))
+            list(split_events(cut, ByteBudget(0), new_pace()))
 
     def test_time_is_linear(self) -> None:
         """A long event in small chunks takes no longer than several short."""
         chunks = iter([b'x' * 16] * 100_000)
         started = time.monotonic()
         with pytest.raises(StreamCutError):
-            list(split_events(chunks, ByteBudget(9_000_000)))
+            list(split_events(chunks, ByteBudget(9_000_000), new_pace()))
         assert time.monotonic() - started < ANSWER_DUE_S
 
 
@@ -679,7 +689,7 @@
     def test_event(self) -> None:
         budget = ByteBudget(4_000_000)
         chunks = itertools.chain(self.chunks(budget), (b'\n\n', PIECE))
-        stream = split_events(chunks, budget)
+        stream = split_events(chunks, budget, new_pace())
         assert len(next(stream)) == 20 * len(PIECE) + 2
         with pytest.raises(StreamCutError):
             next(stream)
@@ -690,7 +700,7 @@
         with pytest.raises(StreamCutError):
             collect_body(self.chunks(budget), budget)
         with pytest.raises(StreamCutError):
-            list(split_events(self.chunks(budget), budget))
+            list(split_events(self.chunks(budget), budget, new_pace()))
         assert collect_body(iter((PIECE,)), ByteBudget(0)) == PIECE
         assert budget.free == 1_000_000
 
--- a/tests/test_inputcost.py
+++ b/tests/test_inputcost.py
@@ -12,11 +12,23 @@
 from headers import PlatformDialect
 from platformendpoint import ServedRequest
 
+from trefoilspool import clock
 from trefoilspool.benches.slotscheduler import make_ask
+from trefoilspool.boundedconnection import BoundedResponse
 from trefoilspool.datagramsocket import MAX_DATAGRAM_BYTES
 from trefoilspool.endpointload import MAX_CACHED_PREFIXES, EndpointLoad
+from trefoilspool.eventstream import split_events
 from trefoilspool.meshdatagrams import message_datagram
 from trefoilspool.peers import HostInfo
+from trefoilspool.readpace import (
+    OWN_BURST_PIECES,
+    OWN_PIECES_PER_S,
+    SHARED_BURST_PIECES,
+    SHARED_PIECES_PER_S,
+    PieceBudget,
+    ReadPace,
+)
+from trefoilspool.responsebounds import ByteBudget, ReceiveLimits
 from trefoilspool.slotmessages import EndpointSpec
 from trefoilspool.wire.mesh import encode
 
@@ -278,3 +290,102 @@
             load.reserve(usual._replace(prompt_prefixes=(f'{number}',)), 0)
         assert len(load.cached_prefixes) == MAX_CACHED_PREFIXES
         assert f'{number}' in load.cached_prefixes
+
+
+class SimulatedTime:
+    """A clock that moves only as someone sleeps."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now_s = 0.0
+        monkeypatch.setattr(clock, 'now', lambda: self.now_s)
+        monkeypatch.setattr(time, 'sleep', self.sleep)
+
+    def sleep(self, duration_s: float) -> None:
+        self.now_s += duration_s
+
+
+@pytest.fixture
+def simulated(monkeypatch: pytest.MonkeyPatch) -> SimulatedTime:
+    return SimulatedTime(monkeypatch)
+
+
+class TestSmallPieces:
+    # CONFIG: chunks of one byte without end kept a host busy for 10 s.
+    def test_endless_chunks_of_one_byte(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        read_size = BoundedResponse._read_next_chunk_size
+        sizes = itertools.count()
+
+        def count_size(response: BoundedResponse) -> int:
+            next(sizes)
+            return read_size(response)
+
+        def behave(served: ServedRequest) -> None:
+            served.start_stream()
+            with contextlib.suppress(OSError):
+                for chunks in itertools.repeat(b'1\r\nx\r\n' * PIECE):
+                    served.sock.sendall(chunks)
+
+        monkeypatch.setattr(
+            BoundedResponse, '_read_next_chunk_size', count_size
+        )
+        cluster.add_endpoint().behaviour = behave
+        running = cluster.add_host()
+        cluster.wait_for_endpoints(running, 1)
+        response = cluster.call(running, '/book/1', Deadline_Ms='1500')
+        assert response.status == 504
+        # At the pace of one response until a second after its deadline.
+        allowed = 2.5 * OWN_PIECES_PER_S + OWN_BURST_PIECES
+        allowed += 2.5 * SHARED_PIECES_PER_S + SHARED_BURST_PIECES
+        assert next(sizes) <= allowed
+
+    def test_all_responses_together(self, simulated: SimulatedTime) -> None:
+        shared = PieceBudget()
+        paces = [ReadPace(ReceiveLimits(), shared) for _ in range(48)]
+        turns = [0] * len(paces)
+        while simulated.now_s < 10:
+            for number, pace in enumerate(paces):
+                if pace.own.take() or shared.take():
+                    turns[number] += 1
+            simulated.sleep(0.001)
+        own = 10 * OWN_PIECES_PER_S + OWN_BURST_PIECES
+        all_shared = 10 * SHARED_PIECES_PER_S + SHARED_BURST_PIECES
+        assert sum(turns) <= 48 * (own + 1) + all_shared + 1
+
+    def test_model_that_streams_single_tokens_is_not_delayed(
+        self, simulated: SimulatedTime
+    ) -> None:
+        pace = ReadPace(ReceiveLimits(), PieceBudget())
+        for number in range(5000):
+            simulated.now_s = number * 0.00355
+            pace.on_piece(30)
+            assert simulated.now_s == number * 0.00355
+
+    def test_large_pieces_are_not_delayed(
+        self, simulated: SimulatedTime
+    ) -> None:
+        pace = ReadPace(ReceiveLimits(), PieceBudget(0, 0))
+        for _ in range(5000):
+            pace.on_piece(1448)
+        assert not simulated.now_s
+
+    # CONFIG: what had been received before the deadline was relayed after it.
+    def test_deadline_ends_the_wait(self, simulated: SimulatedTime) -> None:
+        limits = ReceiveLimits()
+        limits.start_head(2.0)
+        pace = ReadPace(limits, PieceBudget(0, 0))
+        with pytest.raises(TimeoutError):
+            for _ in range(5000):
+                pace.on_piece(2)
+        assert simulated.now_s <= 2.1
+
+    def test_events_of_one_chunk(self, simulated: SimulatedTime) -> None:
+        limits = ReceiveLimits()
+        limits.start_head(2.0)
+        pace = ReadPace(limits, PieceBudget(0, 0))
+        events = split_events(iter((b'\n\n' * PIECE,)), ByteBudget(0), pace)
+        relayed: list[bytes] = []
+        with pytest.raises(TimeoutError):
+            relayed.extend(events)
+        assert len(relayed) <= 2.1 * OWN_PIECES_PER_S + OWN_BURST_PIECES
--- a/tests/test_truth.py
+++ b/tests/test_truth.py
@@ -14,6 +14,7 @@
 from trefoilspool import clock
 from trefoilspool.connections import ConnectionPool
 from trefoilspool.endpointresponse import EndpointResponse
+from trefoilspool.responsebounds import ReceiveLimits
 from trefoilspool.slotacquisition import SlotAcquirer
 from trefoilspool.slotmessages import Granted, RefusalReason, Refused
 
@@ -217,7 +218,9 @@
         http_response = SimpleNamespace(fp=ResetReader())
         response = EndpointResponse(
             ConnectionPool(),
-            SimpleNamespace(tcp_socket=tcp_socket),  # type: ignore[arg-type]
+            SimpleNamespace(  # type: ignore[arg-type]
+                tcp_socket=tcp_socket, limits=ReceiveLimits()
+            ),
             http_response,  # type: ignore[arg-type]
             SimpleNamespace(),  # type: ignore[arg-type]
             0,
--- a/trefoilspool/boundedconnection.py
+++ b/trefoilspool/boundedconnection.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 from trefoilspool import clock
+from trefoilspool.readpace import PieceBudget, ReadPace
 from trefoilspool.responsebounds import (
     MAX_BODY_BYTES,
     READ_BYTES,
@@ -123,9 +124,9 @@
 
 
 def read_pieces(
-    response: http.client.HTTPResponse, limits: ReceiveLimits
+    response: http.client.HTTPResponse, pace: ReadPace
 ) -> Iterator[bytes]:
-    """Yield a body as it is received.
+    """Yield a body as it is received, small pieces at a pace.
 
     Raises
     ------
@@ -133,10 +134,11 @@
         When the connection fails or the body is malformed.
     """
     while True:
-        limits.start_read()
+        pace.limits.start_read()
         piece = response.read1(READ_BYTES)
         if not piece:
             return
+        pace.on_piece(len(piece))
         yield piece
 
 
@@ -179,7 +181,7 @@
     limits.start_head(clock.now() + idle_s + TRANSFER_TIMEOUT_S, idle_s)
     response = connection.getresponse()
     body = bytearray()
-    for piece in read_pieces(response, limits):
+    for piece in read_pieces(response, ReadPace(limits, PieceBudget())):
         body += piece
         if len(body) > MAX_BODY_BYTES:
             raise ResponseBoundError(f'over {MAX_BODY_BYTES} bytes of a body')
--- a/trefoilspool/connections.py
+++ b/trefoilspool/connections.py
@@ -12,6 +12,7 @@
 from trefoilspool.boundedconnection import BoundedConnection
 from trefoilspool.departures import EndpointRun
 from trefoilspool.paths.relayedsocket import RelayedSocket
+from trefoilspool.readpace import PieceBudget
 from trefoilspool.responsebounds import ByteBudget
 
 __all__ = [
@@ -161,6 +162,7 @@
         self.idle: dict[tuple[str, int], deque[EndpointConnection]] = {}
         self.opened_count = 0
         self.held_bytes = ByteBudget(MAX_HELD_BYTES)
+        self.small_pieces = PieceBudget()
 
     def acquire(
         self, address: str, port: int, max_idle_s: float, request_id: str = ''
--- a/trefoilspool/endpointresponse.py
+++ b/trefoilspool/endpointresponse.py
@@ -18,6 +18,7 @@
     StreamCutError,
 )
 from trefoilspool.eventstream import split_events
+from trefoilspool.readpace import ReadPace
 from trefoilspool.readwait import ReadWait, give_up
 from trefoilspool.responsebounds import collect_body, drop_body, raise_timeout
 
@@ -60,6 +61,7 @@
         self.head = head
         self.wait = wait
         self.is_released = False
+        self.pace = ReadPace(connection.limits, pool.small_pieces)
 
     @property
     def is_unsized(self) -> bool:
@@ -90,10 +92,15 @@
             When the stream is cut short, or it or an event is too long.
         """
         try:
-            yield from split_events(self.chunks(), self.pool.held_bytes)
-        except StreamCutError:
+            yield from split_events(
+                self.chunks(), self.pool.held_bytes, self.pace
+            )
+        except (StreamCutError, EndpointReplacedError):
             self.close()
             raise
+        except TimeoutError as error:
+            self.close()
+            raise StreamCutError(f'the response was cut: {error!r}') from error
 
     def discard(self) -> bool:
         """Drop the body; close the connection unless the body ends soon.
@@ -158,7 +165,7 @@
         EndpointReplacedError
             When another attempt has replaced this one.
         """
-        yield from read_pieces(self.http_response, self.connection.limits)
+        yield from read_pieces(self.http_response, self.pace)
 
     def return_connection(self) -> None:
         """Release the connection, or close it if the endpoint will close it.
--- a/trefoilspool/eventstream.py
+++ b/trefoilspool/eventstream.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from trefoilspool.errors import StreamCutError
+from trefoilspool.readpace import ReadPace
 from trefoilspool.responsebounds import ByteBudget, HeldBytes
 
 __all__ = ['split_events']
@@ -13,7 +14,7 @@
 
 
 def split_events(
-    chunks: Iterator[bytes], budget: ByteBudget
+    chunks: Iterator[bytes], budget: ByteBudget, pace: ReadPace
 ) -> Iterator[bytes]:
     """Yield the events of a stream, each with its terminator.
 
@@ -23,6 +24,8 @@
         The stream, in pieces of any size.
     budget : ByteBudget
         Memory for a long event.
+    pace : ReadPace
+        The pace of events that come many at a time.
 
     Raises
     ------
@@ -44,7 +47,7 @@
             # The terminator may have begun in the chunk before.
             searched = max(0, len(pending) - 1)
             pending += chunk
-            yield from take_events(pending, searched)
+            yield from take_events(pending, searched, pace)
             held.hold(len(pending))
     finally:
         held.release()
@@ -60,7 +63,9 @@
     return end >= 0 and end + len(EVENT_END) == len(chunk)
 
 
-def take_events(pending: bytearray, searched: int) -> Iterator[bytes]:
+def take_events(
+    pending: bytearray, searched: int, pace: ReadPace
+) -> Iterator[bytes]:
     """Yield the whole events of a buffer and remove them from it.
 
     Parameters
@@ -69,12 +74,15 @@
         The buffer.
     searched : int
         Position before which no terminator begins.
+    pace : ReadPace
+        The pace of the events.
     """
     start = 0
     end = pending.find(EVENT_END, searched)
     while end >= 0:
         end += len(EVENT_END)
         yield bytes(pending[start:end])
+        pace.on_piece(end - start)
         start = end
         end = pending.find(EVENT_END, start)
     del pending[:start]
