Cut long texts in log lines

Callers could see: a host that is ended for its memory, after others had sent odd heads while nobody read its log. Cause: the queue of log lines is bounded at 4,096 lines, a line was not. A refused head is quoted in its line, with up to 16 kB, so that a full queue holds 64 MB and more. Evidence: by counting; not seen in a host. Change: a line of over 8,192 characters keeps both ends of its long texts.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -13,6 +13,7 @@
 from test_slotscheduler import ask
 
 from trefoilspool.jsonlog import (
+    MAX_LINE_CHARS,
     MAX_QUEUED_LINES,
     SAMPLE_ABOVE_LINES,
     QueuedJsonHandler,
@@ -130,6 +131,17 @@
         assert (first['event'], first['request']) == ('fault', 'q1')
         assert (second['event'], second['listen']) == ('started', 'a')
 
+    # LOST: texts of callers in 4,096 queued lines exceeded a host's memory.
+    def test_long_texts_are_cut(self, piped: PipedHandler) -> None:
+        text = f'<{"x" * 65_536}>'
+        with piped.handler.applicationbound():
+            log_decision('reject', text, detail=text, left_s=1)
+        line = piped.lines()[0]
+        assert len(json.dumps(line)) <= MAX_LINE_CHARS
+        assert str(line['detail']).startswith('<xxx')
+        assert str(line['detail']).endswith('xxx>')
+        assert line['event'] == 'reject'
+
     def test_library_message_is_logged_as_a_detail(
         self, piped: PipedHandler
     ) -> None:
--- a/trefoilspool/jsonlog.py
+++ b/trefoilspool/jsonlog.py
@@ -16,6 +16,9 @@
 SAMPLE_ABOVE_LINES = 512  # queued lines above which routine lines are omitted
 SUCCESS_STATUS_END = 300
 BATCH_LINES = 64
+# Texts of callers may fill the queue.
+MAX_LINE_CHARS = 8192
+END_CHARS = 256  # kept of both ends of a text in a line that is longer
 STOP_LINE = ''  # ends the writer
 CLOSE_TIMEOUT_S = 1.0
 
@@ -75,7 +78,7 @@
         }
         if record.exc_info:
             fields['error'] = record.formatted_exception
-        return json.dumps(fields, default=str)
+        return bounded_line(fields)
 
     def write_all(self) -> None:
         """Write queued lines until the handler is closed."""
@@ -115,6 +118,25 @@
         self.writer.join(CLOSE_TIMEOUT_S)
 
 
+def bounded_line(fields: Mapping[str, object]) -> str:
+    """Return fields as JSON; cut their texts if the line is too long."""
+    line = json.dumps(fields, default=str)
+    if len(line) <= MAX_LINE_CHARS:
+        return line
+    cut = {
+        name: shortened(field) if isinstance(field, str) else field
+        for name, field in fields.items()
+    }
+    return json.dumps(cut, default=str)
+
+
+def shortened(text: str) -> str:
+    """Return both ends of a long text."""
+    if len(text) <= 2 * END_CHARS:
+        return text
+    return f'{text[:END_CHARS]} ... {text[-END_CHARS:]}'
+
+
 def event_fields(record: logbook.LogRecord) -> dict[str, str]:
     """Return the fields that name the event of a record.
 
