--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -37,6 +37,7 @@
     'jsonlog',
     'localchoice',
     'homeservice',
+    'memoryarenas',
     'mesh',
     'datagramsocket',
     'endpointview',
