--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -169,9 +169,14 @@
             self.send(handler, self.fault, b'{}')
             return
         key_end = 5 + body[4]
-        offset = self.put(
-            query['topic'][0], body[5:key_end].decode(), body[key_end:]
-        )
+        with self.changed:
+            end = self.topic(query['topic'][0]).end
+            if int(query.get('at', [end])[0]) != end:
+                self.send(handler, 412, json.dumps({'end': end}).encode())
+                return
+            offset = self.put(
+                query['topic'][0], body[5:key_end].decode(), body[key_end:]
+            )
         if self.fault == 'lost':
             # The record is written, but the writer gets no response.
             handler.close_connection = True
--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -68,6 +68,10 @@
     'paths/relaytask',
     'paths/table',
     'paths/ways',
+    'rollouts/gate',
+    'rollouts/gossip',
+    'rollouts/statustask',
+    'listedtopic',
 )
 CALL = re.compile(
     r"(?:logger\.\w+|self\.log|log_decision|DecisionEvent)\(\s*'([^']+)'"
--- a/tests/test_inputgrowth.py
+++ b/tests/test_inputgrowth.py
@@ -71,7 +71,7 @@
 
 def product_modules() -> Iterator[ModuleType]:
     """Yield the modules of the product and of the platform's adapter."""
-    for adapter in ('headers', 'records', 'storecalls'):
+    for adapter in ('headers', 'records', 'rolloutrecords', 'storecalls'):
         yield importlib.import_module(adapter)
     for found in pkgutil.walk_packages(trefoilspool.__path__, 'trefoilspool.'):
         if not found.name.endswith('__main__') and '.gen' not in found.name:
--- a/tests/test_odddatagrams.py
+++ b/tests/test_odddatagrams.py
@@ -65,6 +65,15 @@
         inner = values(arguments[0], arguments[1])
         items = inner.filter(lambda value: value is not None)
         return st.none() | st.lists(items, max_size=3)
+    if kind == TType.MAP:
+        numbers = values(arguments[0], None), values(arguments[2], None)
+        return st.none() | st.dictionaries(
+            *(
+                number.filter(lambda value: value is not None)
+                for number in numbers
+            ),
+            max_size=3,
+        )
     return (
         st.none()
         | {
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -8,7 +8,7 @@
 import pytest
 from gatewaycluster import wait_for
 from platformstore import PlatformStore
-from storecalls import MAX_IDLE_S, RESPONSE_TIMEOUT_S, StoreTopic
+from storecalls import RESPONSE_TIMEOUT_S, StoreTopic
 
 from trefoilspool.discovery import DiscoveryTask
 from trefoilspool.errors import (
@@ -24,6 +24,7 @@
     StoreReplicationTask,
 )
 from trefoilspool.store import KeyedRecord, Page
+from trefoilspool.storeconnection import MAX_IDLE_S
 
 TOPIC = 'keyed.servers'
 CONTENT = b'{"x": 1}'
@@ -216,7 +217,7 @@
         silent = socket.create_server(('127.0.0.1', 0))
         topic.connection.sock.close()
         topic.connection.sock = socket.create_connection(silent.getsockname())
-        topic.used_at -= MAX_IDLE_S
+        topic.connection.used_at -= MAX_IDLE_S
         started = time.monotonic()
         assert topic.read_latest().end == 0
         assert time.monotonic() - started < RESPONSE_TIMEOUT_S
--- a/trefoilspool/endpointload.py
+++ b/trefoilspool/endpointload.py
@@ -109,6 +109,16 @@
         """
         return now - self.down_at >= REREAD_S
 
+    @property
+    def name(self) -> str:
+        """Return its name."""
+        return self.spec.name
+
+    @property
+    def software(self) -> str:
+        """Return the version of its software."""
+        return self.spec.software
+
     @property
     def free_slots(self) -> int:
         """Return the number of slots that are not in use."""
--- a/trefoilspool/endpointpool.py
+++ b/trefoilspool/endpointpool.py
@@ -5,6 +5,7 @@
 from trefoilspool.endpointload import EndpointLoad
 from trefoilspool.endpointpacer import EndpointPacer
 from trefoilspool.limits.refusalpacer import RefusalPacer
+from trefoilspool.rollouts.rules import candidate_groups, usable
 from trefoilspool.slotmessages import EndpointSpec, SlotRequest
 
 __all__ = ['EndpointPool']
@@ -59,13 +60,14 @@
         return self.by_service.get(service, ())
 
     def accepting(self, ask: SlotRequest, now: float) -> Sequence[EndpointLoad]:
-        """Return the endpoints of the version at which a request may go on."""
+        """Return the endpoints at whose versions a request may run."""
+        endpoints = self.of_service(ask.service)
+        if ask.version_rule is not None:
+            endpoints = usable(ask.version_rule, endpoints)
         if ask.software is None:
-            return self.of_service(ask.service)
+            return endpoints
         return [
-            endpoint
-            for endpoint in self.of_service(ask.service)
-            if endpoint.accepts(ask, now)
+            endpoint for endpoint in endpoints if endpoint.accepts(ask, now)
         ]
 
     def slot_share(self, ask: SlotRequest, now: float) -> float:
@@ -122,12 +124,24 @@
         return self.pacer.wait_s(runs, ahead, now)
 
     def best(self, ask: SlotRequest, now: float) -> EndpointLoad | None:
-        """Return the endpoint with the best score of those with a free slot.
+        """Return the endpoint with the best score of those with a free slot."""
+        eligible = self.eligible(ask, now)
+        if ask.version_rule is None:
+            return self.best_of(eligible, ask, now)
+        groups = candidate_groups(
+            ask.version_rule, self.of_service(ask.service), eligible
+        )
+        found = (self.best_of(group, ask, now) for group in groups)
+        return next(filter(None, found), None)
+
+    def best_of(
+        self, eligible: list[EndpointLoad], ask: SlotRequest, now: float
+    ) -> EndpointLoad | None:
+        """Return the best of some endpoints, None if none has a free slot.
 
         An endpoint that is too slow to finish in time is chosen only if all
         eligible endpoints are too slow.
         """
-        eligible = self.eligible(ask, now)
         left = (ask.deadline - now) * FINISH_SHARE
         in_time = [
             endpoint
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -13,6 +13,7 @@
 from trefoilspool.endchecks import EndCheckTask
 from trefoilspool.endpointsigns import EndpointSigns
 from trefoilspool.endpointsync import EndpointSync
+from trefoilspool.errors import BadRecordError
 from trefoilspool.exchange import EndpointClient
 from trefoilspool.gateway import Gateway
 from trefoilspool.gatewayplatform import Platform
@@ -28,10 +29,13 @@
 from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.quarantinestore import QuarantineStoreTask
 from trefoilspool.quietperiods import QuietPeriods
+from trefoilspool.replica import Position
+from trefoilspool.rollouts.statustask import StatusTask
 from trefoilspool.routing import CallerLimits, Configuration
 from trefoilspool.serving import RequestServer
 from trefoilspool.servingparts import EndpointKnowledge
 from trefoilspool.settingssync import ConfigurationHandlers, SettingsSync
+from trefoilspool.store import KeyedRecord
 from trefoilspool.telemetry import Metrics
 from trefoilspool.versionstore import VersionStoreTask
 from trefoilspool.watch import WatchTask
@@ -87,8 +91,14 @@
             capacity=options.capacity,
         )
         self.mesh = MeshTask(
-            own_info, options.mesh_port, options.seed_addresses
+            own_info,
+            options.mesh_port,
+            options.seed_addresses,
         )
+        self.mesh.client.rollouts.metrics = self.metrics
+        gossip = self.mesh.rollout_gossip
+        gossip.metrics = self.metrics
+        gossip.coordinator.exposure_share = options.exposure_share
         topics = platform.topics()
         self.endpoint_sync = EndpointSync(
             topics.endpoints,
@@ -101,7 +111,10 @@
             topics.settings,
             lambda content: platform.decode_configuration(content),
             ConfigurationHandlers(
-                self.put_in_force, self.on_version, self.on_settings_restored
+                self.put_in_force,
+                self.on_version,
+                self.on_settings_restored,
+                self.on_orders,
             ),
             self.endpoint_sync.reads_for_others,
             self.mesh.peers,
@@ -129,6 +142,13 @@
             self.mesh.peers,
             self.stopping,
         )
+        self.status_task = StatusTask(
+            topics.statuses,
+            platform,
+            gossip,
+            self.mesh.call_soon,
+            self.stopping,
+        )
         self.mesh.on_quarantine_due = self.quarantine_task.on_due
         self.mesh.quarantine_gossip.on_entry = self.count_quarantine
         self.on_limits: Callable[[CallerLimits], None] = ignore_limits
@@ -199,6 +219,7 @@
             self.discovery_task,
             self.quarantine_task,
             self.version_task,
+            self.status_task,
             self.settings_sync.peer_task,
             self.endpoint_sync.peer_task,
         )
@@ -226,6 +247,27 @@
         self.discovery_task.on_store_restored()
         self.quarantine_task.on_store_restored()
         self.version_task.on_store_restored()
+        self.mesh.call_soon(self.mesh.rollout_gossip.on_store_restored)
+
+    def on_orders(self, records: list[KeyedRecord], era: int) -> None:
+        """Take the operator's orders among new records."""
+        for record in records:
+            try:
+                order = self.platform.decode_order(
+                    record.key, record.content, Position(era, record.offset)
+                )
+            except BadRecordError as error:
+                logger.warning(
+                    'order_not_used',
+                    extra={
+                        'key': record.key,
+                        'offset': record.offset,
+                        'error': str(error),
+                    },
+                )
+                continue
+            if order is not None:
+                self.mesh.client.rollouts.on_order(order, clock.now())
 
     def put_in_force(self, configuration: Configuration) -> None:
         """Put a configuration in force in all parts of this host.
--- a/trefoilspool/gatewayplatform.py
+++ b/trefoilspool/gatewayplatform.py
@@ -5,8 +5,10 @@
 
 from trefoilspool.departures import EndpointRecord
 from trefoilspool.dialect import Dialect
+from trefoilspool.replica import Position
+from trefoilspool.rollouts.messages import RolloutOrder, RolloutStatus
 from trefoilspool.routing import Configuration
-from trefoilspool.store import KeyedSource, KeyedTopic
+from trefoilspool.store import ConditionalTopic, KeyedSource, KeyedTopic
 
 __all__ = ['Platform', 'StoreTopics']
 
@@ -24,6 +26,8 @@
         The quarantined prompt parts.
     versions : KeyedTopic
         The versions of the endpoints' software.
+    statuses : ConditionalTopic
+        What the operator is told, such as how roll-outs go on.
     """
 
     settings: KeyedSource
@@ -31,6 +35,7 @@
     hosts: KeyedTopic
     quarantine: KeyedTopic
     versions: KeyedTopic
+    statuses: ConditionalTopic
 
 
 class Platform(ABC):
@@ -64,6 +69,41 @@
             When the content is invalid.
         """
 
+    @abstractmethod
+    def decode_order(
+        self, key: str, content: bytes, position: Position
+    ) -> RolloutOrder | None:
+        """Decode a roll-out's order from a record of the settings' topic.
+
+        Returns
+        -------
+        RolloutOrder or None
+            None for the record of something else.
+
+        Raises
+        ------
+        BadRecordError
+            When the order cannot be used.
+        """
+
+    @abstractmethod
+    def status_key(self, service: str) -> str:
+        """Return the key of the status of a service's roll-out."""
+
+    @abstractmethod
+    def encode_status(self, status: RolloutStatus) -> bytes:
+        """Encode the content of a roll-out's status."""
+
+    @abstractmethod
+    def decode_status(self, service: str, content: bytes) -> RolloutStatus:
+        """Decode a roll-out's status from the content of its record.
+
+        Raises
+        ------
+        BadRecordError
+            When the content is invalid.
+        """
+
     @abstractmethod
     def readiness_path(self) -> str:
         """Return the path of the load balancer's readiness check."""
--- a/trefoilspool/heartbeats.py
+++ b/trefoilspool/heartbeats.py
@@ -6,6 +6,7 @@
 from trefoilspool.limitgossip import LimitGossip
 from trefoilspool.peers import HostInfo
 from trefoilspool.quarantinegossip import QuarantineGossip
+from trefoilspool.rollouts.gossip import RolloutGossip
 from trefoilspool.slotclient import SlotClient
 from trefoilspool.wire import endpointreports
 from trefoilspool.wire import mesh as wire
@@ -29,6 +30,8 @@
         Limits that the home host is told.
     leaving_reports : LeavingReports
         Endpoints' runs that told this host that they are leaving.
+    rollout_gossip : RolloutGossip
+        What this host has seen of roll-outs.
     """
 
     def __init__(
@@ -38,12 +41,14 @@
         quarantine_gossip: QuarantineGossip,
         limit_gossip: LimitGossip,
         leaving_reports: LeavingReports,
+        rollout_gossip: RolloutGossip,
     ) -> None:
         self.client = client
         self.home_contact = home_contact
         self.quarantine_gossip = quarantine_gossip
         self.limit_gossip = limit_gossip
         self.leaving_reports = leaving_reports
+        self.rollout_gossip = rollout_gossip
 
     def datagram(self, home: HostInfo, now: float) -> ttypes.Datagram:
         """Return a heartbeat; one for a new home host holds more."""
@@ -55,6 +60,9 @@
             limits=self.limit_gossip.structs_for_home(
                 now, home_is_new=home_is_new
             ),
+            rollout_reports=self.rollout_gossip.report_structs(
+                home_is_new=home_is_new
+            ),
         )
         leaving = self.leaving_reports.current(now)
         if leaving:
--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -11,6 +11,7 @@
 from trefoilspool.meshsender import MeshSender
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantinegossip import QuarantineGossip
+from trefoilspool.rollouts.gossip import RolloutGossip
 from trefoilspool.slotmessages import HeldSlot, SlotRelease, SlotRequest
 from trefoilspool.slotscheduler import SlotScheduler
 from trefoilspool.wire import checks, endpointreports
@@ -35,6 +36,8 @@
         Quarantined parts, for digests.
     limit_gossip : LimitGossip
         Limits of endpoints, for digests.
+    rollout_gossip : RolloutGossip
+        Roll-outs, for digests.
     sender : MeshSender
         Sends datagrams.
     """
@@ -45,12 +48,14 @@
         peers: PeerRegistry,
         quarantine_gossip: QuarantineGossip,
         limit_gossip: LimitGossip,
+        rollout_gossip: RolloutGossip,
         sender: MeshSender,
     ) -> None:
         self.scheduler = scheduler
         self.peers = peers
         self.quarantine_gossip = quarantine_gossip
         self.limit_gossip = limit_gossip
+        self.rollout_gossip = rollout_gossip
         self.sender = sender
         self.heartbeat_counts: Counter[str] = Counter()
 
@@ -93,6 +98,7 @@
                 digest=meshdatagrams.digest(self.scheduler, now),
                 quarantine=self.quarantine_gossip.structs(),
                 limits=self.limit_gossip.structs(now),
+                rollouts=self.rollout_gossip.notice_structs(now),
             )
             self.sender.send(sender.address, reply)
 
--- a/trefoilspool/localchoice.py
+++ b/trefoilspool/localchoice.py
@@ -7,11 +7,13 @@
 
 import logbook
 
+from trefoilspool import clock
 from trefoilspool.endpointlimits import EndpointLimits
 from trefoilspool.endpointpacer import EndpointPacer
 from trefoilspool.peers import PeerRegistry
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.ratelimits import RetryWindow, TokenBucket
+from trefoilspool.rollouts.rules import candidate_groups, usable
 from trefoilspool.routing import Workspace
 from trefoilspool.slotmessages import (
     EndpointSpec,
@@ -49,6 +51,8 @@
     ----------
     available_endpoints : mapping
         The endpoints by name.
+    seen_at : mapping
+        When the run of each became available, in seconds.
     loads, levels : mapping
         Held slots by endpoint, and tokens in the rate limit's bucket by
         workspace, as the home host last told.
@@ -71,6 +75,7 @@
         self.pacer = EndpointPacer(limits, -random.random(), limits.alone_per_s)
         self.lock = threading.Lock()
         self.available_endpoints: Mapping[str, EndpointSpec] = {}
+        self.seen_at: Mapping[str, float] = {}
         self.loads: Mapping[str, int] = {}
         self.ejected: frozenset[str] = frozenset()
         self.levels: Mapping[str, int] = {}
@@ -82,9 +87,25 @@
 
     def on_available_endpoints(self, endpoints: Iterable[EndpointSpec]) -> None:
         """Replace the endpoints that may get requests."""
+        now = clock.now()
+        before = self.available_endpoints
         self.available_endpoints = {
             endpoint.name: endpoint for endpoint in endpoints
         }
+        self.seen_at = {
+            name: self.seen_at[name]
+            if name in before and before[name].run == endpoint.run
+            else now
+            for name, endpoint in self.available_endpoints.items()
+        }
+
+    def names(self, service: str, software: str) -> list[str]:
+        """Return the names of a service's endpoints of a version, sorted."""
+        return sorted(
+            endpoint.name
+            for endpoint in self.available_endpoints.values()
+            if endpoint.service == service and endpoint.software == software
+        )
 
     def on_loads(
         self,
@@ -133,6 +154,7 @@
             and endpoint.name not in self.ejected
             and ask.allows(endpoint.software)
         ]
+        candidates = self.by_version(ask, candidates)
         if not candidates:
             return Refused(ask.key, RefusalReason.no_endpoint, RETRY_AFTER_S)
         with self.lock:
@@ -147,6 +169,25 @@
         )
         return Granted(ask.key, chosen.name)
 
+    def by_version(
+        self, ask: SlotRequest, candidates: list[EndpointSpec]
+    ) -> list[EndpointSpec]:
+        """Return the endpoints that a roll-out allows, if there is one."""
+        if ask.version_rule is None:
+            return candidates
+        endpoints = [
+            endpoint
+            for endpoint in self.available_endpoints.values()
+            if endpoint.service == ask.service
+        ]
+        allowed = frozenset(usable(ask.version_rule, endpoints))
+        groups = candidate_groups(
+            ask.version_rule,
+            endpoints,
+            [endpoint for endpoint in candidates if endpoint in allowed],
+        )
+        return next(filter(None, groups), [])
+
     def admitted(
         self, candidates: list[EndpointSpec], now: float
     ) -> list[EndpointSpec]:
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -30,6 +30,8 @@
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.quarantinegossip import QuarantineGossip
+from trefoilspool.rollouts.coordinator import Coordinator
+from trefoilspool.rollouts.gossip import RolloutGossip
 from trefoilspool.routing import Configuration
 from trefoilspool.slotclient import SlotClient
 from trefoilspool.slotmessages import EndpointSpec, SlotDecision, SlotRequest
@@ -79,7 +81,12 @@
         At which software versions streams began.
     """
 
-    def __init__(self, own: HostInfo, port: int, seeds: Iterable[str]) -> None:
+    def __init__(
+        self,
+        own: HostInfo,
+        port: int,
+        seeds: Iterable[str],
+    ) -> None:
         self.seeds = [seed for seed in seeds if seed != own.address]
         self.peers = PeerRegistry(own)
         self.socket = DatagramSocket(own.address, port)
@@ -95,11 +102,19 @@
         self.scheduler = SlotScheduler(quarantine, self.limits)
         self.scheduler.refusals.phase = random.random()
         self.origin_gossip = OriginGossip(self.peers, self.sender)
+        rollout_gossip = RolloutGossip(
+            self.peers,
+            self.sender,
+            self.client.rollouts,
+            Coordinator(),
+            self.client.count_others,
+        )
         self.home_service = HomeService(
             self.scheduler,
             self.peers,
             self.quarantine_gossip,
             self.limit_gossip,
+            rollout_gossip,
             self.sender,
         )
         self.stopping = threading.Event()
@@ -118,9 +133,15 @@
             self.quarantine_gossip,
             self.limit_gossip,
             self.broadcasts.leaving_reports,
+            rollout_gossip,
         )
         self.handlers = self.handler_table()
 
+    @property
+    def rollout_gossip(self) -> RolloutGossip:
+        """Return what hosts tell each other of roll-outs."""
+        return self.home_service.rollout_gossip
+
     def handler_table(self) -> Mapping[str, DatagramHandler]:
         """Return the handlers by field of `ttypes.Datagram`.
 
@@ -147,6 +168,8 @@
             'begun': self.origin_gossip.on_begun,
             'queries': self.origin_gossip.on_queries,
             'origins': self.origin_gossip.on_origins,
+            'rollouts': self.rollout_gossip.on_notices,
+            'rollout_reports': self.rollout_gossip.on_reports,
         }
 
     def send_message(self, address: str, message: object) -> None:
@@ -307,6 +330,7 @@
         share = self.peers.heard_share() if is_starting else 1.0
         self.scheduler.rate_limits.on_share(share, now)
         self.scheduler.tick(now)
+        self.rollout_gossip.tick(now)
         home = self.peers.home()
         home_changed = home is not None and home.name != self.heartbeat_home
         if self.quarantine_gossip.tick(now):
--- a/trefoilspool/options.py
+++ b/trefoilspool/options.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import TypeVar
 
-from pydantic import Field, ValidationError
+from pydantic import Field, ValidationError, field_validator
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
 from trefoilspool.errors import OptionError
@@ -14,6 +14,7 @@
 ADDRESS = '^[0-9.]+:[0-9]+$'
 
 MILLICORES_PER_CORE = 1000
+DEFAULT_EXPOSURE_SHARE = 0.1
 
 
 class ProcessOptions(BaseSettings):
@@ -95,10 +96,22 @@
     core_share: float = Field(
         1, gt=0, description='share of a core that the process may use'
     )
+    exposure_share: float = Field(
+        DEFAULT_EXPOSURE_SHARE,
+        gt=0,
+        le=1,
+        description='share of a service that an unproven version may get',
+    )
     core_speed: float = Field(
         1, gt=0, description='speed of the core relative to other hosts'
     )
 
+    @field_validator('exposure_share', mode='before')
+    @classmethod
+    def default_of_empty(cls, given: object) -> object:
+        """Take an empty value, of a platform without a bound, for the default."""
+        return DEFAULT_EXPOSURE_SHARE if given == '' else given
+
     @property
     def listeners(self) -> tuple[str, ...]:
         """Return the IP:PORT of all HTTP listeners."""
--- a/trefoilspool/peers.py
+++ b/trefoilspool/peers.py
@@ -231,6 +231,16 @@
                 for name in others
             )
 
+    def heard_since(self, since: float) -> frozenset[str]:
+        """Return this host and those with a heartbeat since a time."""
+        with self.lock:
+            return frozenset(
+                name
+                for name in self.hosts
+                if name == self.own.name
+                or self.last_heartbeat_at.get(name, 0) >= since
+            )
+
     def unresponsive(self) -> list[HostInfo]:
         """Return the hosts that are suspected or have sent no heartbeat."""
         with self.lock:
--- a/trefoilspool/settingssync.py
+++ b/trefoilspool/settingssync.py
@@ -52,11 +52,14 @@
         Called once a version is in force.
     on_restored : callable
         Called when the store was restored from a backup.
+    on_others : callable
+        Called with the new records of other keys and the store's era.
     """
 
     put_in_force: Callable[[Configuration], None]
     on_version: Callable[[], None]
     on_restored: Callable[[], None]
+    on_others: Callable[[list[KeyedRecord], int], None]
 
 
 class SettingsSync:
@@ -174,10 +177,17 @@
 
     def on_records(self, records: tuple[KeyedRecord, ...]) -> None:
         """Apply the configuration among new records."""
+        others = []
         for record in records:
-            if record.key == CONFIGURATION_KEY and record.content:
+            if not record.content:
+                continue
+            if record.key == CONFIGURATION_KEY:
                 is_used = self.try_configuration(record.content, STORE)
                 self.has_unused_record = not is_used
+            else:
+                others.append(record)
+        if others:
+            self.handlers.on_others(others, self.replica.era)
 
     def on_read(self) -> None:
         """Have the record read again if it could not be used."""
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -15,6 +15,7 @@
 )
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.requestprogress import RETRY_AFTER_S, RequestProgress
+from trefoilspool.rollouts.gate import pace_s
 from trefoilspool.routedrequests import Slot
 from trefoilspool.routing import RepeatPolicy
 from trefoilspool.slotclient import SlotClient
@@ -107,14 +108,23 @@
         started = clock.now()
         barred = self.barred_endpoints(started)
         slot_request = self.slot_request(
-            (*self.progress.avoid, *avoid, *barred)
+            (*self.progress.avoid, *avoid, *barred), started
         )
         self.progress.slot_number = slot_request.key.number
         decision = self.decide(slot_request, barred, is_unneeded)
+        rollouts = self.slot_client.rollouts
         if isinstance(decision, Refused):
+            rollouts.on_refused(slot_request.service, slot_request.version_rule)
             raise self.refusal_problem(decision)
         assert isinstance(decision, Granted)
         now = clock.now()
+        rollouts.on_granted(
+            slot_request.service,
+            slot_request.version_rule,
+            self.slot_client.used_endpoint(
+                slot_request.service, decision.endpoint
+            ),
+        )
         log_decision(
             'grant',
             self.request.caller_request.request_id,
@@ -137,7 +147,7 @@
         self.held[slot.key] = slot
         return slot
 
-    def slot_request(self, avoid: tuple[str, ...]) -> SlotRequest:
+    def slot_request(self, avoid: tuple[str, ...], now: float) -> SlotRequest:
         """Return the slot request of the next attempt."""
         request = self.request
         return SlotRequest(
@@ -159,6 +169,9 @@
             repeatable=request.route.repeats is not RepeatPolicy.never,
             fingerprint=request.fingerprint,
             software=self.progress.software,
+            version_rule=self.slot_client.rollouts.rule(
+                request.service, self.progress.software, now
+            ),
         )
 
     def decide(
@@ -264,6 +277,15 @@
         now = clock.now()
         if ending is AttemptEnding.broken and times.has_hardly_begun(now):
             self.report_crash(slot, now)
+        self.slot_client.rollouts.on_end(
+            self.request.service,
+            self.request.route.name,
+            slot.endpoint,
+            ending,
+            times.first_byte_s,
+            pace_s(times.event_count, times.decode_s(now)),
+            now,
+        )
         self.slot_client.release(
             SlotRelease(
                 slot.key,
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -19,6 +19,8 @@
 from trefoilspool.localchoice import RETRY_AFTER_S, LocalChoice
 from trefoilspool.peers import PeerRegistry
 from trefoilspool.quarantine import Quarantine
+from trefoilspool.rollouts.evidence import GROUPS, OTHERS, UsedEndpoint
+from trefoilspool.rollouts.gate import RolloutGate
 from trefoilspool.servedreports import ServedLog, ServedReport
 from trefoilspool.slotmessages import (
     SERVED_STREAMING_S,
@@ -115,6 +117,8 @@
         Chooses endpoints while no home host replies.
     on_broken_start : callable
         Called with each crashed attempt, to check its endpoint.
+    rollouts : RolloutGate
+        The roll-outs that this host knows.
     """
 
     def __init__(
@@ -135,6 +139,7 @@
         self.crash_reports = CrashReports()
         self.on_broken_start: Callable[[BrokenStart], None] = lambda _: None
         self.served_log = ServedLog(clock.now())
+        self.rollouts = RolloutGate()
         self.lock = threading.Lock()
         self.attempt_numbers = itertools.count(
             random.getrandbits(FIRST_NUMBER_BITS)
@@ -269,6 +274,28 @@
                 counts[slot.endpoint] = counts.get(slot.endpoint, 0) + 1
         return counts
 
+    def used_endpoint(self, service: str, name: str) -> UsedEndpoint:
+        """Return what roll-outs count of an endpoint of a service."""
+        target = self.rollouts.target(service)
+        software = self.software(name)
+        group = OTHERS
+        if software == target:
+            names = self.choice.names(service, target)
+            group = names.index(name) % GROUPS if name in names else 0
+        return UsedEndpoint(
+            name, software, group, self.choice.seen_at.get(name, 0)
+        )
+
+    def count_others(self, service: str, target: str) -> int:
+        """Return the slots held at other versions of a service than one."""
+        with self.lock:
+            held = list(self.held.values())
+        return sum(
+            slot.ask.service == service
+            and self.software(slot.endpoint) != target
+            for slot in held
+        )
+
     def release(self, release: SlotRelease) -> None:
         """Release a slot."""
         with self.lock:
--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -6,6 +6,7 @@
 
 from trefoilspool.departures import EndpointRun
 from trefoilspool.promptparts import shared_parts
+from trefoilspool.rollouts.messages import VersionRule
 
 __all__ = [
     'AttemptEnding',
@@ -118,6 +119,9 @@
     software : str or None
         Version at which its stream began, the only one at which it may go on;
         None before a first event.
+    version_rule : VersionRule or None
+        Whether it may run at the version that is rolled out; None without a
+        roll-out.
     """
 
     key: SlotKey
@@ -138,6 +142,7 @@
     repeatable: bool
     fingerprint: str = ''
     software: str | None = None
+    version_rule: VersionRule | None = None
 
     def allows(self, software: str) -> bool:
         """Return whether an endpoint of a version may get the request."""
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -21,6 +21,7 @@
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.ratelimits import RateLimits
 from trefoilspool.reservations import Reservations
+from trefoilspool.rollouts.messages import VersionRule
 from trefoilspool.slotevents import judged_event, refusal_event
 from trefoilspool.slotmessages import (
     UNSENT_ENDINGS,
@@ -207,17 +208,35 @@
             else frozenset()
         )
         held_back = self.is_held_back if self.may_hold_back(service) else None
+        # Rules of roll-outs under which no slot is free.
+        blocked: set[VersionRule | None] = set()
         for ask in queue.candidates(now, preferred, held_back):
-            decision = self.guard.decide(ask, now)
-            if decision in HELD_BACK:
+            if ask.version_rule in blocked:
                 continue
-            endpoint = self.pool.best(ask, now)
-            if endpoint is not None:
-                self.waiting.remove(ask.key)
-                is_probe = decision is GuardDecision.probe
-                self.grant(ask, endpoint, now, is_probe=is_probe)
-            elif not self.pool.has_free_slot(service, now):
-                return
+            if not self.try_grant(ask, now):
+                if not self.pool.has_free_slot(service, now):
+                    return
+                blocked.update(filter(None, (ask.version_rule,)))
+
+    def try_grant(self, ask: SlotRequest, now: float) -> bool:
+        """Grant the best free slot to a waiting request.
+
+        Returns
+        -------
+        bool
+            Whether it was granted one, or is held back; False if none is free
+            for it.
+        """
+        decision = self.guard.decide(ask, now)
+        if decision in HELD_BACK:
+            return True
+        endpoint = self.pool.best(ask, now)
+        if endpoint is None:
+            return False
+        self.waiting.remove(ask.key)
+        is_probe = decision is GuardDecision.probe
+        self.grant(ask, endpoint, now, is_probe=is_probe)
+        return True
 
     def may_hold_back(self, service: str) -> bool:
         """Return whether some waiting requests may have to be passed over."""
--- a/trefoilspool/store.py
+++ b/trefoilspool/store.py
@@ -3,7 +3,13 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
-__all__ = ['KeyedRecord', 'KeyedSource', 'KeyedTopic', 'Page']
+__all__ = [
+    'ConditionalTopic',
+    'KeyedRecord',
+    'KeyedSource',
+    'KeyedTopic',
+    'Page',
+]
 
 
 class KeyedRecord(NamedTuple):
@@ -91,3 +97,31 @@
         LogOutageError
             The record may not have been written.
         """
+
+
+class ConditionalTopic(KeyedTopic):
+    """A topic whose writes may depend on what has been read."""
+
+    @abstractmethod
+    def put_at(self, key: str, content: bytes, end: int) -> bool:
+        """Append a record only if the topic still ends where it was read.
+
+        Parameters
+        ----------
+        key : str
+            The record's key.
+        content : bytes
+            The record's content.
+        end : int
+            Offset after the last record that was read.
+
+        Returns
+        -------
+        bool
+            Whether the record was written; False if the topic has grown.
+
+        Raises
+        ------
+        LogOutageError
+            The record may not have been written.
+        """
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -264,6 +264,85 @@
         return not (self == other)
 
 
+class VersionRule(object):
+    """
+    Attributes:
+     - target
+     - use
+     - share_permille
+
+    """
+
+
+    def __init__(self, target=None, use=None, share_permille=None,):
+        self.target = target
+        self.use = use
+        self.share_permille = share_permille
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BYTE:
+                    self.use = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.share_permille = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VersionRule')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.use is not None:
+            oprot.writeFieldBegin('use', TType.BYTE, 2)
+            oprot.writeByte(self.use)
+            oprot.writeFieldEnd()
+        if self.share_permille is not None:
+            oprot.writeFieldBegin('share_permille', TType.I32, 3)
+            oprot.writeI32(self.share_permille)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Ask(object):
     """
     Attributes:
@@ -285,11 +364,12 @@
      - repeatable
      - fingerprint
      - software
+     - version_rule
 
     """
 
 
-    def __init__(self, request=None, service_name=None, workspace=None, rank=None, prompt_tokens=None, output_tokens=None, aim_ms=None, left_ms=None, avoid=None, attempt=None, parts=None, streams=None, charge=None, data_centre=None, waited_ms=None, repeatable=None, fingerprint=None, software=None,):
+    def __init__(self, request=None, service_name=None, workspace=None, rank=None, prompt_tokens=None, output_tokens=None, aim_ms=None, left_ms=None, avoid=None, attempt=None, parts=None, streams=None, charge=None, data_centre=None, waited_ms=None, repeatable=None, fingerprint=None, software=None, version_rule=None,):
         self.request = request
         self.service_name = service_name
         self.workspace = workspace
@@ -308,6 +388,7 @@
         self.repeatable = repeatable
         self.fingerprint = fingerprint
         self.software = software
+        self.version_rule = version_rule
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -418,6 +499,12 @@
                     self.software = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.version_rule = VersionRule()
+                    self.version_rule.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -506,6 +593,10 @@
             oprot.writeFieldBegin('software', TType.STRING, 18)
             oprot.writeString(self.software.encode('utf-8') if sys.version_info[0] == 2 else self.software)
             oprot.writeFieldEnd()
+        if self.version_rule is not None:
+            oprot.writeFieldBegin('version_rule', TType.STRUCT, 19)
+            self.version_rule.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1692,6 +1783,453 @@
         return not (self == other)
 
 
+class RolloutOrder(object):
+    """
+    Attributes:
+     - service_name
+     - target
+     - duration_ms
+     - position
+
+    """
+
+
+    def __init__(self, service_name=None, target=None, duration_ms=None, position=None,):
+        self.service_name = service_name
+        self.target = target
+        self.duration_ms = duration_ms
+        self.position = position
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.duration_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.position = Position()
+                    self.position.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutOrder')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 2)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.duration_ms is not None:
+            oprot.writeFieldBegin('duration_ms', TType.I32, 3)
+            oprot.writeI32(self.duration_ms)
+            oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.STRUCT, 4)
+            self.position.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutNotice(object):
+    """
+    Attributes:
+     - order
+     - phase
+     - share_permille
+     - stored
+     - age_ms
+
+    """
+
+
+    def __init__(self, order=None, phase=None, share_permille=None, stored=None, age_ms=None,):
+        self.order = order
+        self.phase = phase
+        self.share_permille = share_permille
+        self.stored = stored
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.order = RolloutOrder()
+                    self.order.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BYTE:
+                    self.phase = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.share_permille = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.stored = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutNotice')
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.STRUCT, 1)
+            self.order.write(oprot)
+            oprot.writeFieldEnd()
+        if self.phase is not None:
+            oprot.writeFieldBegin('phase', TType.BYTE, 2)
+            oprot.writeByte(self.phase)
+            oprot.writeFieldEnd()
+        if self.share_permille is not None:
+            oprot.writeFieldBegin('share_permille', TType.I32, 3)
+            oprot.writeI32(self.share_permille)
+            oprot.writeFieldEnd()
+        if self.stored is not None:
+            oprot.writeFieldBegin('stored', TType.BOOL, 4)
+            oprot.writeBool(self.stored)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutRow(object):
+    """
+    Attributes:
+     - route
+     - group
+     - requests
+     - failures
+     - first_bytes
+     - paces
+
+    """
+
+
+    def __init__(self, route=None, group=None, requests=None, failures=None, first_bytes=None, paces=None,):
+        self.route = route
+        self.group = group
+        self.requests = requests
+        self.failures = failures
+        self.first_bytes = first_bytes
+        self.paces = paces
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I16:
+                    self.group = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.failures = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.first_bytes = {}
+                    (_ktype50, _vtype51, _size49) = iprot.readMapBegin()
+                    for _i53 in range(_size49):
+                        _key54 = iprot.readI16()
+                        _val55 = iprot.readI32()
+                        self.first_bytes[_key54] = _val55
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.MAP:
+                    self.paces = {}
+                    (_ktype57, _vtype58, _size56) = iprot.readMapBegin()
+                    for _i60 in range(_size56):
+                        _key61 = iprot.readI16()
+                        _val62 = iprot.readI32()
+                        self.paces[_key61] = _val62
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutRow')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.I16, 2)
+            oprot.writeI16(self.group)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 3)
+            oprot.writeI32(self.requests)
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.I32, 4)
+            oprot.writeI32(self.failures)
+            oprot.writeFieldEnd()
+        if self.first_bytes is not None:
+            oprot.writeFieldBegin('first_bytes', TType.MAP, 5)
+            oprot.writeMapBegin(TType.I16, TType.I32, len(self.first_bytes))
+            for kiter63, viter64 in self.first_bytes.items():
+                oprot.writeI16(kiter63)
+                oprot.writeI32(viter64)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.paces is not None:
+            oprot.writeFieldBegin('paces', TType.MAP, 6)
+            oprot.writeMapBegin(TType.I16, TType.I32, len(self.paces))
+            for kiter65, viter66 in self.paces.items():
+                oprot.writeI16(kiter65)
+                oprot.writeI32(viter66)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutReport(object):
+    """
+    Attributes:
+     - order
+     - phase
+     - sent
+     - exposed
+     - open_others
+     - rows
+
+    """
+
+
+    def __init__(self, order=None, phase=None, sent=None, exposed=None, open_others=None, rows=None,):
+        self.order = order
+        self.phase = phase
+        self.sent = sent
+        self.exposed = exposed
+        self.open_others = open_others
+        self.rows = rows
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.order = RolloutOrder()
+                    self.order.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BYTE:
+                    self.phase = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.sent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.exposed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.open_others = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = RolloutRow()
+                        _elem72.read(iprot)
+                        self.rows.append(_elem72)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutReport')
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.STRUCT, 1)
+            self.order.write(oprot)
+            oprot.writeFieldEnd()
+        if self.phase is not None:
+            oprot.writeFieldBegin('phase', TType.BYTE, 2)
+            oprot.writeByte(self.phase)
+            oprot.writeFieldEnd()
+        if self.sent is not None:
+            oprot.writeFieldBegin('sent', TType.I32, 3)
+            oprot.writeI32(self.sent)
+            oprot.writeFieldEnd()
+        if self.exposed is not None:
+            oprot.writeFieldBegin('exposed', TType.I32, 4)
+            oprot.writeI32(self.exposed)
+            oprot.writeFieldEnd()
+        if self.open_others is not None:
+            oprot.writeFieldBegin('open_others', TType.I32, 5)
+            oprot.writeI32(self.open_others)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter73 in self.rows:
+                iter73.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -1713,11 +2251,13 @@
      - begun
      - queries
      - origins
+     - rollouts
+     - rollout_reports
 
     """
 
 
-    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None, leaving=None, crashes=None, quarantine=None, limits=None, served=None, begun=None, queries=None, origins=None,):
+    def __init__(self, sender=None, asks=None, verdicts=None, ends=None, roll=None, digest=None, hosts=None, hello=None, levels=None, endpoints_read=None, leaving=None, crashes=None, quarantine=None, limits=None, served=None, begun=None, queries=None, origins=None, rollouts=None, rollout_reports=None,):
         self.sender = sender
         self.asks = asks
         self.verdicts = verdicts
@@ -1736,6 +2276,8 @@
         self.begun = begun
         self.queries = queries
         self.origins = origins
+        self.rollouts = rollouts
+        self.rollout_reports = rollout_reports
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1755,44 +2297,44 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Ask()
-                        _elem54.read(iprot)
-                        self.asks.append(_elem54)
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = Ask()
+                        _elem79.read(iprot)
+                        self.asks.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.verdicts = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = Verdict()
-                        _elem60.read(iprot)
-                        self.verdicts.append(_elem60)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = Verdict()
+                        _elem85.read(iprot)
+                        self.verdicts.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype64, _size61) = iprot.readListBegin()
-                    for _i65 in range(_size61):
-                        _elem66 = End()
-                        _elem66.read(iprot)
-                        self.ends.append(_elem66)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = End()
+                        _elem91.read(iprot)
+                        self.ends.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.roll = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = Holding()
-                        _elem72.read(iprot)
-                        self.roll.append(_elem72)
+                    (_etype95, _size92) = iprot.readListBegin()
+                    for _i96 in range(_size92):
+                        _elem97 = Holding()
+                        _elem97.read(iprot)
+                        self.roll.append(_elem97)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1805,11 +2347,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = HostCard()
-                        _elem78.read(iprot)
-                        self.hosts.append(_elem78)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = HostCard()
+                        _elem103.read(iprot)
+                        self.hosts.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1821,11 +2363,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.levels = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = Level()
-                        _elem84.read(iprot)
-                        self.levels.append(_elem84)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = Level()
+                        _elem109.read(iprot)
+                        self.levels.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1838,44 +2380,44 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype88, _size85) = iprot.readListBegin()
-                    for _i89 in range(_size85):
-                        _elem90 = EndpointRun()
-                        _elem90.read(iprot)
-                        self.leaving.append(_elem90)
+                    (_etype113, _size110) = iprot.readListBegin()
+                    for _i114 in range(_size110):
+                        _elem115 = EndpointRun()
+                        _elem115.read(iprot)
+                        self.leaving.append(_elem115)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = CrashReport()
-                        _elem96.read(iprot)
-                        self.crashes.append(_elem96)
+                    (_etype119, _size116) = iprot.readListBegin()
+                    for _i120 in range(_size116):
+                        _elem121 = CrashReport()
+                        _elem121.read(iprot)
+                        self.crashes.append(_elem121)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.quarantine = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = QuarantineEntry()
-                        _elem102.read(iprot)
-                        self.quarantine.append(_elem102)
+                    (_etype125, _size122) = iprot.readListBegin()
+                    for _i126 in range(_size122):
+                        _elem127 = QuarantineEntry()
+                        _elem127.read(iprot)
+                        self.quarantine.append(_elem127)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = EndpointLimit()
-                        _elem108.read(iprot)
-                        self.limits.append(_elem108)
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = EndpointLimit()
+                        _elem133.read(iprot)
+                        self.limits.append(_elem133)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1888,33 +2430,55 @@
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.begun = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = StreamOrigin()
-                        _elem114.read(iprot)
-                        self.begun.append(_elem114)
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = StreamOrigin()
+                        _elem139.read(iprot)
+                        self.begun.append(_elem139)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.queries = []
-                    (_etype118, _size115) = iprot.readListBegin()
-                    for _i119 in range(_size115):
-                        _elem120 = OriginQuery()
-                        _elem120.read(iprot)
-                        self.queries.append(_elem120)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = OriginQuery()
+                        _elem145.read(iprot)
+                        self.queries.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.origins = []
-                    (_etype124, _size121) = iprot.readListBegin()
-                    for _i125 in range(_size121):
-                        _elem126 = StreamOrigin()
-                        _elem126.read(iprot)
-                        self.origins.append(_elem126)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = StreamOrigin()
+                        _elem151.read(iprot)
+                        self.origins.append(_elem151)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.rollouts = []
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = RolloutNotice()
+                        _elem157.read(iprot)
+                        self.rollouts.append(_elem157)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.LIST:
+                    self.rollout_reports = []
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = RolloutReport()
+                        _elem163.read(iprot)
+                        self.rollout_reports.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1935,29 +2499,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter127 in self.asks:
-                iter127.write(oprot)
+            for iter164 in self.asks:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter128 in self.verdicts:
-                iter128.write(oprot)
+            for iter165 in self.verdicts:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter129 in self.ends:
-                iter129.write(oprot)
+            for iter166 in self.ends:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.roll is not None:
             oprot.writeFieldBegin('roll', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.roll))
-            for iter130 in self.roll:
-                iter130.write(oprot)
+            for iter167 in self.roll:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1967,8 +2531,8 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter131 in self.hosts:
-                iter131.write(oprot)
+            for iter168 in self.hosts:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hello is not None:
@@ -1978,8 +2542,8 @@
         if self.levels is not None:
             oprot.writeFieldBegin('levels', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.levels))
-            for iter132 in self.levels:
-                iter132.write(oprot)
+            for iter169 in self.levels:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_read is not None:
@@ -1989,29 +2553,29 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter133 in self.leaving:
-                iter133.write(oprot)
+            for iter170 in self.leaving:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter134 in self.crashes:
-                iter134.write(oprot)
+            for iter171 in self.crashes:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantine is not None:
             oprot.writeFieldBegin('quarantine', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantine))
-            for iter135 in self.quarantine:
-                iter135.write(oprot)
+            for iter172 in self.quarantine:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter136 in self.limits:
-                iter136.write(oprot)
+            for iter173 in self.limits:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
@@ -2021,22 +2585,36 @@
         if self.begun is not None:
             oprot.writeFieldBegin('begun', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.begun))
-            for iter137 in self.begun:
-                iter137.write(oprot)
+            for iter174 in self.begun:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.queries is not None:
             oprot.writeFieldBegin('queries', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.queries))
-            for iter138 in self.queries:
-                iter138.write(oprot)
+            for iter175 in self.queries:
+                iter175.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter139 in self.origins:
-                iter139.write(oprot)
+            for iter176 in self.origins:
+                iter176.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rollouts is not None:
+            oprot.writeFieldBegin('rollouts', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
+            for iter177 in self.rollouts:
+                iter177.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rollout_reports is not None:
+            oprot.writeFieldBegin('rollout_reports', TType.LIST, 21)
+            oprot.writeListBegin(TType.STRUCT, len(self.rollout_reports))
+            for iter178 in self.rollout_reports:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2079,6 +2657,13 @@
     (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
     (2, TType.I64, 'started_ms', None, None, ),  # 2
 )
+all_structs.append(VersionRule)
+VersionRule.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.BYTE, 'use', None, None, ),  # 2
+    (3, TType.I32, 'share_permille', None, None, ),  # 3
+)
 all_structs.append(Ask)
 Ask.thrift_spec = (
     None,  # 0
@@ -2100,6 +2685,7 @@
     (16, TType.BOOL, 'repeatable', None, None, ),  # 16
     (17, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 17
     (18, TType.STRING, 'software', 'UTF8', None, ),  # 18
+    (19, TType.STRUCT, 'version_rule', [VersionRule, None], None, ),  # 19
 )
 all_structs.append(Verdict)
 Verdict.thrift_spec = (
@@ -2201,6 +2787,43 @@
     (1, TType.LIST, 'loads', (TType.STRUCT, [Load, None], False), None, ),  # 1
     (2, TType.LIST, 'levels', (TType.STRUCT, [Level, None], False), None, ),  # 2
 )
+all_structs.append(RolloutOrder)
+RolloutOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'duration_ms', None, None, ),  # 3
+    (4, TType.STRUCT, 'position', [Position, None], None, ),  # 4
+)
+all_structs.append(RolloutNotice)
+RolloutNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'order', [RolloutOrder, None], None, ),  # 1
+    (2, TType.BYTE, 'phase', None, None, ),  # 2
+    (3, TType.I32, 'share_permille', None, None, ),  # 3
+    (4, TType.BOOL, 'stored', None, None, ),  # 4
+    (5, TType.I32, 'age_ms', None, None, ),  # 5
+)
+all_structs.append(RolloutRow)
+RolloutRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
+    (2, TType.I16, 'group', None, None, ),  # 2
+    (3, TType.I32, 'requests', None, None, ),  # 3
+    (4, TType.I32, 'failures', None, None, ),  # 4
+    (5, TType.MAP, 'first_bytes', (TType.I16, None, TType.I32, None, False), None, ),  # 5
+    (6, TType.MAP, 'paces', (TType.I16, None, TType.I32, None, False), None, ),  # 6
+)
+all_structs.append(RolloutReport)
+RolloutReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'order', [RolloutOrder, None], None, ),  # 1
+    (2, TType.BYTE, 'phase', None, None, ),  # 2
+    (3, TType.I32, 'sent', None, None, ),  # 3
+    (4, TType.I32, 'exposed', None, None, ),  # 4
+    (5, TType.I32, 'open_others', None, None, ),  # 5
+    (6, TType.LIST, 'rows', (TType.STRUCT, [RolloutRow, None], False), None, ),  # 6
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -2223,6 +2846,8 @@
     (17, TType.LIST, 'begun', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 17
     (18, TType.LIST, 'queries', (TType.STRUCT, [OriginQuery, None], False), None, ),  # 18
     (19, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 19
+    (20, TType.LIST, 'rollouts', (TType.STRUCT, [RolloutNotice, None], False), None, ),  # 20
+    (21, TType.LIST, 'rollout_reports', (TType.STRUCT, [RolloutReport, None], False), None, ),  # 21
 )
 fix_spec(all_structs)
 del all_structs
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -14,7 +14,7 @@
 from trefoilspool.departures import EndpointRun
 from trefoilspool.peers import HostInfo
 from trefoilspool.replica import Position
-from trefoilspool.wire import checks
+from trefoilspool.wire import checks, rollouts
 from trefoilspool.wire.gen.mesh import ttypes
 
 __all__ = [
@@ -198,6 +198,9 @@
         repeatable=ask.repeatable,
         fingerprint=ask.fingerprint or None,
         software=ask.software,
+        version_rule=rollouts.rule_to_wire(ask.version_rule)
+        if ask.version_rule
+        else None,
     )
 
 
@@ -247,6 +250,9 @@
         repeatable=bool(wire.repeatable),
         fingerprint=wire.fingerprint or '',
         software=wire.software,
+        version_rule=rollouts.rule_from_wire(wire.version_rule)
+        if wire.version_rule
+        else None,
     )
 
 
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -19,6 +19,12 @@
   1: string name
   2: i64 started_ms         // Unix time of its start
 }
+// Whether a request may run at the version that is rolled out.
+struct VersionRule {
+  1: string target
+  2: byte use               // 0 avoided, 1 preferred, 2 required, 3 forbidden
+  3: i32 share_permille     // of the requests that the target gets
+}
 struct Ask {
   1: i64 request
   2: string service_name
@@ -38,6 +44,7 @@
   16: bool repeatable
   17: optional string fingerprint // of the path, the caller and the body
   18: optional string software    // version at which the stream began
+  19: optional VersionRule version_rule
 }
 struct Verdict {
   1: i64 request
@@ -124,6 +131,40 @@
   1: list<Load> loads
   2: list<Level> levels
 }
+// An operator's order to move a service to a version.
+struct RolloutOrder {
+  1: string service_name
+  2: string target
+  3: i32 duration_ms
+  4: Position position      // of the order's record in the store
+}
+// What the home host has decided of an order.
+struct RolloutNotice {
+  1: RolloutOrder order
+  2: byte phase             // 0 held, 1 canary, 2 expanding, 3 draining,
+                            // 4 completed, 5 reverted
+  3: i32 share_permille     // of the requests that the target may get
+  4: bool stored            // the status in the store says the same
+  5: i32 age_ms             // since the order was taken up
+}
+// Responses on a route at a group of endpoints, since the order is known.
+struct RolloutRow {
+  1: string route
+  2: i16 group              // of the target's endpoints; -1 other versions
+  3: i32 requests
+  4: i32 failures
+  5: map<i16, i32> first_bytes // responses by bucket of the time
+  6: map<i16, i32> paces
+}
+// What an entry has seen of an order.
+struct RolloutReport {
+  1: RolloutOrder order
+  2: byte phase             // on which the entry acts
+  3: i32 sent               // attempts to the service
+  4: i32 exposed            // those to the target
+  5: i32 open_others        // attempts open at other versions
+  6: list<RolloutRow> rows  // those that have changed
+}
 struct Datagram {
   1: HostCard sender
   2: optional list<Ask> asks
@@ -147,4 +188,6 @@
   17: optional list<StreamOrigin> begun   // streams that began at the sender
   18: optional list<OriginQuery> queries
   19: optional list<StreamOrigin> origins // the answer to queries
+  20: optional list<RolloutNotice> rollouts
+  21: optional list<RolloutReport> rollout_reports
 }
