Give endpoints that start or recover requests at the pace of their answers

Cause: an endpoint that comes up beside busy ones has no request, so it was the best choice for each that waited, and had its slots filled at once while it was cold; a fixed ramp would leave a fast one idle.

Change: limits/endpointpace.py, pure: a preference that begins at two requests, grows by one with each answer that begins in time and is halved by one that does not, or by a refusal; anew with a new run, after a refused connection and when an ejected endpoint is trusted again.

--- a/trefoilspool/endpointload.py
+++ b/trefoilspool/endpointload.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from trefoilspool.departures import EndpointRun
+from trefoilspool.limits.endpointpace import EndpointPace, pace_sign
 from trefoilspool.reliability import Reliability
 from trefoilspool.slotmessages import (
     AttemptEnding,
@@ -50,6 +51,8 @@
         The endpoint's run when the slot was granted.
     is_probe : bool
         Whether the request tests a quarantined part.
+    predicted_s : float
+        Seconds to the first byte, as predicted at the grant; 0 if it was not.
     """
 
     service: str
@@ -62,6 +65,7 @@
     parts: tuple[str, ...] = ()
     run: EndpointRun = EndpointRun('', 0)
     is_probe: bool = False
+    predicted_s: float = 0
 
 
 class EndpointLoad:
@@ -84,6 +88,8 @@
         expires, in seconds.
     down_at : float
         When it last refused a connection, in seconds.
+    pace : EndpointPace
+        Number of requests that it gets before others are preferred.
     """
 
     def __init__(self, spec: EndpointSpec) -> None:
@@ -95,6 +101,9 @@
         self.prefill_free_at = 0.0
         self.cached_prefixes: dict[str, float] = {}
         self.down_at = -math.inf
+        self.pace = EndpointPace(spec.slots)
+        # Requests whose answers the pace already took for signs.
+        self.answered: set[SlotKey] = set()
 
     def accepts(self, ask: SlotRequest, now: float) -> bool:
         """Return whether a request may go on at the endpoint's version."""
@@ -179,6 +188,7 @@
     ) -> Reservation:
         """Reserve a slot for a request."""
         self.reliability.on_grant(now)
+        predicted_s = self.predict_first_byte_s(ask, now)
         if self.is_engine:
             own = self.uncached_tokens(ask, now) / PREFILL_TOKENS_PER_S
             start = max(now, self.prefill_free_at)
@@ -195,6 +205,7 @@
             ask.parts,
             self.spec.run,
             is_probe,
+            predicted_s,
         )
         self.reservations[ask.key] = reservation
         return reservation
@@ -224,8 +235,11 @@
         granted_at, now : float
             When the slot was granted and the present time, in seconds.
         """
+        self.answered.discard(release.key)
         if release.is_down:
             self.down_at = now
+            self.pace.restart()
+        state = self.reliability.state
         failed = release.ending in FAILURE_ENDINGS
         if failed or release.ending is AttemptEnding.completed:
             self.reliability.observe(
@@ -233,9 +247,30 @@
                 sent_at=granted_at,
                 now=now,
             )
+        if not failed and state is not self.reliability.state:
+            self.pace.restart()
         if release.ending is AttemptEnding.completed:
             self.update_slowness(release)
 
+    def on_answer(
+        self, key: SlotKey, predicted_s: float, first_byte_s: float
+    ) -> None:
+        """Take the beginning of an answer for a sign of the pace, once.
+
+        Parameters
+        ----------
+        key : SlotKey
+            The request.
+        predicted_s, first_byte_s : float
+            Seconds to the first byte, as predicted and as it was; 0 if not
+            known.
+        """
+        if not self.pace.is_finding or key in self.answered:
+            return
+        if predicted_s and first_byte_s:
+            self.answered.add(key)
+            self.pace.on_sign(pace_sign(first_byte_s, predicted_s))
+
     def update_slowness(self, release: SlotRelease) -> None:
         """Update the slowness from the gaps between a stream's events."""
         if release.events < MIN_EVENTS or not self.is_engine:
--- a/trefoilspool/endpointpool.py
+++ b/trefoilspool/endpointpool.py
@@ -30,6 +30,9 @@
 
     Attributes
     ----------
+    finds_pace : bool
+        Whether endpoints that have just started or recovered get requests at
+        the pace of their answers.
     by_name : dict
         Endpoints by name.
     by_service : dict
@@ -39,18 +42,23 @@
     def __init__(self, pacer: EndpointPacer, refusals: RefusalPacer) -> None:
         self.pacer = pacer
         self.refusals = refusals
+        self.finds_pace = False
         self.by_name: dict[str, EndpointLoad] = {}
         self.by_service: dict[str, list[EndpointLoad]] = {}
 
     def replace(self, endpoints: Iterable[EndpointSpec]) -> None:
         """Replace the endpoints; those of the same run keep their load."""
         previous = self.by_name
+        # Where all endpoints are new, none has just started more than others.
+        services = self.by_service
         self.by_name = {}
         self.by_service = {}
         for spec in endpoints:
             endpoint = previous.get(spec.name)
             if endpoint is None or not is_same_run(endpoint.spec, spec):
                 endpoint = EndpointLoad(spec)
+                if spec.service in services:
+                    endpoint.pace.restart()
             endpoint.spec = spec
             self.by_name[spec.name] = endpoint
             self.by_service.setdefault(spec.service, []).append(endpoint)
@@ -153,6 +161,12 @@
             for endpoint in in_time or eligible
             if endpoint.free_slots > 0
         ]
+        if self.finds_pace:
+            free = [
+                endpoint
+                for endpoint in free
+                if endpoint.pace.admits(len(endpoint.reservations))
+            ] or free
         return min(
             free,
             key=lambda endpoint: endpoint.score(ask, now),
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -96,6 +96,7 @@
             options.seed_addresses,
         )
         self.mesh.client.rollouts.metrics = self.metrics
+        self.mesh.scheduler.pool.finds_pace = options.endpoint_pace
         gossip = self.mesh.rollout_gossip
         gossip.metrics = self.metrics
         gossip.coordinator.exposure_share = options.exposure_share
@@ -234,6 +235,12 @@
             self.settings_sync.end_overdue_wait(clock.now())
             self.quiet_periods.forget_ended(clock.now())
 
+    def count_ended_connection(self, reason: str) -> None:
+        """Count a connection that was ended for want of room or as overdue."""
+        self.metrics.count(
+            f'trefoilspool_connections_ended_total{{reason="{reason}"}}'
+        )
+
     def count_quarantine(self, entry: QuarantineEntry) -> None:
         """Count a change of a prompt part's quarantine."""
         state = 'quarantined' if entry.active else 'lifted'
--- a/trefoilspool/options.py
+++ b/trefoilspool/options.py
@@ -96,6 +96,19 @@
     core_share: float = Field(
         1, gt=0, description='share of a core that the process may use'
     )
+    memory_mb: float = Field(
+        0,
+        ge=0,
+        description='memory of the process in megabytes; 0 if unknown',
+    )
+    max_fds: int = Field(
+        0, ge=0, description='descriptors of the process; 0 if unknown'
+    )
+    endpoint_pace: bool = Field(
+        default=False,
+        description='whether endpoints that have just started or recovered '
+        'get requests at the pace of their answers',
+    )
     exposure_share: float = Field(
         DEFAULT_EXPOSURE_SHARE,
         gt=0,
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -11,10 +11,11 @@
 
 from trefoilspool.crashevidence import CrashReport
 from trefoilspool.endpointlimits import EndpointLimits
-from trefoilspool.endpointload import EndpointLoad
+from trefoilspool.endpointload import EndpointLoad, Reservation
 from trefoilspool.endpointpacer import EndpointPacer
 from trefoilspool.endpointpool import EndpointPool
 from trefoilspool.grantrates import GrantRates
+from trefoilspool.limits.endpointpace import PaceSign
 from trefoilspool.limits.refusalpacer import RefusalPacer
 from trefoilspool.minimumshares import MinimumShares
 from trefoilspool.promptguard import GuardDecision, PromptGuard
@@ -311,6 +312,10 @@
         endpoint = self.available_endpoints.get(release.endpoint)
         if endpoint is not None:
             granted_at = now if reservation is None else reservation.granted_at
+            if reservation is not None:
+                endpoint.on_answer(
+                    release.key, reservation.predicted_s, release.first_s
+                )
             self.record_release(endpoint, release, granted_at, now)
         if reservation is None:
             return
@@ -333,6 +338,7 @@
         if release.ending is AttemptEnding.refused:
             held = len(endpoint.reservations)
             self.refusals.on_refused(endpoint.spec.run, held, now)
+            endpoint.pace.on_sign(PaceSign.refused)
         before = endpoint.reliability.state
         endpoint.record_release(release, granted_at, now)
         after = endpoint.reliability.state
@@ -366,12 +372,23 @@
         reservation = self.reservations.get(held.key)
         if reservation is not None and reservation.endpoint == held.endpoint:
             self.guard.on_held(held, reservation, now)
+            self.on_stream(held, reservation)
             return
         self.waiting.remove(held.key)
         adopted = self.reservations.adopt(held, now)
         if reservation is None:
             self.pacer.charge_elsewhere(adopted.run, now)
 
+    def on_stream(self, held: HeldSlot, reservation: Reservation) -> None:
+        """Note that a stream has begun, which tells of its endpoint's pace."""
+        endpoint = self.available_endpoints.get(held.endpoint)
+        if endpoint is not None and held.streaming_s:
+            endpoint.on_answer(
+                held.key,
+                reservation.predicted_s,
+                held.age_s - held.streaming_s,
+            )
+
     def reclaim(self, key: SlotKey, now: float) -> None:
         """Free a slot whose release was lost, or whose entry host is lost."""
         reservation = self.reservations.cancel(key, now)
