Keep callers' connections and bytes within the room of the machine

Cause: each connection of a caller was bounded, the sum was not. Bodies that stop a byte short of their end, at any path and listener, filled the memory of a host; connections that say nothing took its descriptors up to 1,000, oldest first; each connection kept its last answer in the library's buffer until the next; a long response counted only while it was received.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -68,6 +68,7 @@
     'paths/relaytask',
     'paths/table',
     'paths/ways',
+    'intake/keeper',
     'rollouts/gate',
     'rollouts/gossip',
     'rollouts/statustask',
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -349,6 +349,7 @@
         status = response.head.status
         if status < FIRST_SERVER_ERROR_STATUS:
             return started
+        response.release_held()
         return AttemptFailure(
             AttemptEnding.failed, True, f'status {status}', started
         )
--- a/trefoilspool/endpointresponse.py
+++ b/trefoilspool/endpointresponse.py
@@ -20,7 +20,13 @@
 from trefoilspool.eventstream import split_events
 from trefoilspool.readpace import ReadPace
 from trefoilspool.readwait import ReadWait, give_up
-from trefoilspool.responsebounds import collect_body, drop_body, raise_timeout
+from trefoilspool.responsebounds import (
+    MAX_BODY_BYTES,
+    HeldBytes,
+    collect_held_body,
+    drop_body,
+    raise_timeout,
+)
 
 __all__ = ['EndpointResponse']
 
@@ -61,6 +67,7 @@
         self.head = head
         self.wait = wait
         self.is_released = False
+        self.held = HeldBytes(pool.held_bytes, MAX_BODY_BYTES)
         self.pace = ReadPace(connection.limits, pool.small_pieces)
 
     @property
@@ -72,17 +79,24 @@
     def read_body(self) -> bytes:
         """Return the whole body and release the connection.
 
+        The memory of a long one is held until `release_held` is called.
+
         Raises
         ------
         StreamCutError
             When the body is cut short or too long.
         """
         try:
-            return collect_body(self.chunks(), self.pool.held_bytes)
-        except StreamCutError:
+            return collect_held_body(self.chunks(), self.held)
+        except (OSError, StreamCutError):
+            self.held.release()
             self.close()
             raise
 
+    def release_held(self) -> None:
+        """Note that the body is no longer held."""
+        self.held.release()
+
     def events(self) -> Iterator[bytes]:
         """Yield the body's events, then release the connection.
 
--- a/trefoilspool/gatewaydaemon.py
+++ b/trefoilspool/gatewaydaemon.py
@@ -10,9 +10,11 @@
 from trefoilspool.gatewayhost import GatewayHost
 from trefoilspool.gatewayplatform import Platform
 from trefoilspool.httpserver import HttpServer
+from trefoilspool.intake.room import room_of_machine
 from trefoilspool.jsonlog import QueuedJsonHandler
 from trefoilspool.memoryarenas import bound_arenas
 from trefoilspool.options import GatewayOptions
+from trefoilspool.responsebounds import ByteBudget
 from trefoilspool.signals import SignalQueue
 
 __all__ = ['serve_gateway']
@@ -21,6 +23,7 @@
 logger = logbook.Logger('daemon')
 
 
+OVERDUE_CHECK_S = 1.0
 STOP_SIGNALS = frozenset((signal.SIGTERM, signal.SIGINT))
 
 
@@ -48,10 +51,13 @@
     signals = SignalQueue((*STOP_SIGNALS, signal.SIGHUP))
     host = GatewayHost(options, platform)
     handler.incarnation = host.incarnation
-    server = HttpServer(GatewayApp(host), options.listeners)
+    room = room_of_machine(options.memory_mb, options.max_fds)
+    server = HttpServer(GatewayApp(host), options.listeners, room)
+    server.keeper.on_ended = host.count_ended_connection
+    host.endpoint_client.pool.held_bytes = ByteBudget(room.response_bytes)
     host.on_limits = server.limit_requests
     host.start()
-    threading.Thread(target=server.run, daemon=True).start()
+    start_server(server, host)
     logger.info(
         'started',
         extra={
@@ -66,3 +72,24 @@
     server.close()
     host.stop()
     logger.info('stopped')
+
+
+def start_server(server: HttpServer, host: GatewayHost) -> None:
+    """Start the threads of a host's server."""
+    threading.Thread(target=server.run, daemon=True).start()
+    threading.Thread(
+        target=end_overdue_connections,
+        args=(server, host.stopping),
+        daemon=True,
+    ).start()
+
+
+def end_overdue_connections(
+    server: HttpServer, stopping: threading.Event
+) -> None:
+    """End the connections that take too long, periodically."""
+    while not stopping.wait(OVERDUE_CHECK_S):
+        try:
+            server.keeper.end_overdue()
+        except Exception:
+            logger.exception('overdue_check_failed')
--- a/trefoilspool/httpserver.py
+++ b/trefoilspool/httpserver.py
@@ -14,6 +14,8 @@
     CallerChannel,
     PageChannel,
 )
+from trefoilspool.intake.keeper import RoomKeeper
+from trefoilspool.intake.room import Room, room_of_machine
 from trefoilspool.routing import CallerLimits
 from trefoilspool.workerpool import WorkerPool
 
@@ -22,7 +24,7 @@
 BACKLOG = 512
 LOOKAHEAD_REQUESTS = 1  # makes waitress detect a caller's disconnect
 CHANNEL_TIMEOUT_S = 600
-MAX_CONNECTIONS = 1000
+MAX_SOCKETS = 4000
 MAX_BODY_BYTES = 64_000_000
 MAX_HEADERS_BYTES = 65_536
 # Bodies stay in memory: a full disk would end their requests.
@@ -42,16 +44,25 @@
     addresses : sequence of str
         IP:PORT of each listening socket. Callers use the first; the others have
         pages that are answered even while all threads wait.
+    room : Room, optional
+        What may be held for callers.
+
+    Attributes
+    ----------
+    keeper : RoomKeeper
+        Ends connections that use up the room or are overdue.
     """
 
     def __init__(
         self,
         application: Application,
         addresses: Sequence[str],
+        room: Room | None = None,
     ) -> None:
         self.sockets: dict[Any, Any] = {}
         self.closed = False
         self.worker_pool = WorkerPool()
+        self.keeper = RoomKeeper(self.channels, room or room_of_machine(0, 0))
         self.server = waitress.create_server(
             application,
             map=self.sockets,
@@ -61,7 +72,8 @@
             channel_request_lookahead=LOOKAHEAD_REQUESTS,
             max_request_body_size=MAX_BODY_BYTES,
             max_request_header_size=MAX_HEADERS_BYTES,
-            connection_limit=MAX_CONNECTIONS,
+            # The keeper ends connections long before.
+            connection_limit=MAX_SOCKETS,
             inbuf_overflow=MAX_BUFFERED_BYTES,
             outbuf_overflow=MAX_BUFFERED_BYTES,
             channel_timeout=CHANNEL_TIMEOUT_S,
@@ -73,6 +85,7 @@
         )
         for dispatcher in self.sockets.values():
             if isinstance(dispatcher, BaseWSGIServer):
+                dispatcher.keeper = self.keeper
                 dispatcher.channel_class = channel_class(dispatcher, addresses)
 
     def limit_requests(self, limits: CallerLimits) -> None:
@@ -87,6 +100,8 @@
         self.server.adj.max_request_body_size = (
             min(limits.max_body_bytes, MAX_BODY_BYTES) + 1
         )
+        self.keeper.header_timeout_s = limits.header_timeout_s
+        self.keeper.idle_timeout_s = limits.idle_timeout_s
 
     def run(self) -> None:
         """Serve until all sockets are closed."""
--- a/trefoilspool/requestparser.py
+++ b/trefoilspool/requestparser.py
@@ -1,5 +1,7 @@
 """Parser of callers' requests; whatever it cannot parse gets an answer."""
 
+from typing import Any
+
 import logbook
 from waitress.adjustments import Adjustments
 from waitress.buffers import OverflowableBuffer
@@ -50,6 +52,8 @@
 
     # Takes a whole head, or one that is too long, or a body with a length.
     parse = HTTPRequestParser.received
+    body_rcv: Any
+    completed: bool
 
     def __init__(self, adjustments: Adjustments) -> None:
         super().__init__(adjustments)
@@ -118,11 +122,25 @@
             self.completed = True
         return consumed
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are held of the request."""
+        return len(self.head) + len(self.body_rcv or b'')
+
     def reject(self, error: Error) -> None:
         """End the request with a response that says why."""
         self.error = error
         self.completed = True
 
+    def drop(self, error: Error) -> None:
+        """End a request that is not whole, and free what is held of it."""
+        self.reject(error)
+        self.head.clear()
+        self.read_at = clock.now()
+        if self.body_rcv is not None:
+            self.body_rcv.getbuf().close()
+        self.body_rcv = None
+
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the head of a request.
 
--- a/trefoilspool/responsebounds.py
+++ b/trefoilspool/responsebounds.py
@@ -24,6 +24,7 @@
     'ReceiveLimits',
     'ResponseBoundError',
     'collect_body',
+    'collect_held_body',
     'drop_body',
     'raise_timeout',
 ]
@@ -279,19 +280,29 @@
         When the body is cut short or too long.
     """
     held = HeldBytes(budget, MAX_BODY_BYTES)
-    received = 0
-    pieces = []
     try:
-        for chunk in chunks:
-            received += len(chunk) + PIECE_BYTES
-            held.hold(received)
-            pieces.append(chunk)
-        return b''.join(pieces)
+        return collect_held_body(chunks, held)
     finally:
-        pieces.clear()
         held.release()
 
 
+def collect_held_body(chunks: Iterator[bytes], held: HeldBytes) -> bytes:
+    """Return a whole body, which is held until the caller releases it.
+
+    Raises
+    ------
+    StreamCutError
+        When the body is cut short or too long.
+    """
+    received = 0
+    pieces = []
+    for chunk in chunks:
+        received += len(chunk) + PIECE_BYTES
+        held.hold(received)
+        pieces.append(chunk)
+    return b''.join(pieces)
+
+
 def drop_body(chunks: Iterator[bytes]) -> bool:
     """Drop a body; return false if it is too long to be read to its end.
 
--- a/trefoilspool/responsechunks.py
+++ b/trefoilspool/responsechunks.py
@@ -6,7 +6,7 @@
 
 from trefoilspool.errors import CutResponseError
 
-__all__ = ['StartedChunks', 'TrackedChunks']
+__all__ = ['HeldChunks', 'StartedChunks', 'TrackedChunks']
 
 logger = logbook.Logger('gateway')
 
@@ -37,6 +37,42 @@
         close_chunks(self.rest)
 
 
+class HeldChunks(Iterator[bytes]):
+    """A whole body whose memory is held until it has been passed on.
+
+    Parameters
+    ----------
+    body : bytes
+        The body.
+    release : callable
+        Called once the body has been taken, or is not wanted.
+    """
+
+    def __init__(self, body: bytes, release: Callable[[], None]) -> None:
+        self.body: bytes | None = body
+        self.release = release
+
+    def __next__(self) -> bytes:
+        """Return the body, once.
+
+        Raises
+        ------
+        StopIteration
+            When it has been returned.
+        """
+        body = self.body
+        if body is None:
+            self.release()
+            raise StopIteration
+        self.body = None
+        return body
+
+    def close(self) -> None:
+        """Release the memory."""
+        self.body = None
+        self.release()
+
+
 class TrackedChunks(Iterator[bytes]):
     """The chunks of a body; calls a function once when it ends or is closed.
 
--- a/trefoilspool/routing.py
+++ b/trefoilspool/routing.py
@@ -174,10 +174,12 @@
 
 
 class CallerLimits(NamedTuple):
-    """Size limits of requests, in bytes."""
+    """Limits of requests: sizes in bytes, times in seconds; 0 s for any."""
 
     max_header_bytes: int
     max_body_bytes: int
+    header_timeout_s: float = 0
+    idle_timeout_s: float = 0
 
 
 class RouteTable:
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -16,6 +16,7 @@
 from trefoilspool.replacement import Replacer
 from trefoilspool.requestoutcomes import record_outcome
 from trefoilspool.requestprogress import RequestProgress
+from trefoilspool.responsechunks import HeldChunks
 from trefoilspool.routedrequests import (
     AttemptFailure,
     RoutedRequest,
@@ -234,7 +235,9 @@
         )
         length = ('Content-Length', str(len(started.body)))
         return Response(
-            head.status, (*head.headers, length), iter((started.body,))
+            head.status,
+            (*head.headers, length),
+            HeldChunks(started.body, started.response.release_held),
         )
 
     def release_body(self, started: StartedResponse) -> None:
