Leave descriptors for all listeners and for the host's own sockets

Cause: by reading: 1,000 connections of callers and 200 of each of three other listeners are more than 1,535 descriptors allow beside the host's own.

Change: each other listener has a twentieth of the sockets, callers what is left of them after these and the host's own.

--- a/trefoilspool/intake/room.py
+++ b/trefoilspool/intake/room.py
@@ -35,8 +35,9 @@
 OWN_SOCKETS = 280
 MAX_CONNECTIONS = 1000
 CALLERS_SHARE = 3  # of the sockets at least one in so many is for callers
-PAGES_SHARE = 6
-MAX_PAGE_CONNECTIONS = 200
+PAGE_LISTENERS = 3  # for readiness checks, other hosts and metrics
+PAGES_SHARE = 20  # of the sockets one in so many is for each of them
+MAX_PAGE_CONNECTIONS = 100
 # A connection that holds less never yields for the sake of memory.
 SMALL_BYTES = 16_384
 
@@ -122,11 +123,10 @@
     if not descriptors:
         return MAX_CONNECTIONS, MAX_PAGE_CONNECTIONS
     sockets = max(0, descriptors - FILE_DESCRIPTORS)
-    connections = max(sockets - OWN_SOCKETS, sockets // CALLERS_SHARE)
-    return (
-        min(MAX_CONNECTIONS, connections),
-        min(MAX_PAGE_CONNECTIONS, sockets // PAGES_SHARE),
-    )
+    pages = min(MAX_PAGE_CONNECTIONS, sockets // PAGES_SHARE)
+    left = sockets - OWN_SOCKETS - pages * PAGE_LISTENERS
+    connections = max(left, sockets // CALLERS_SHARE)
+    return min(MAX_CONNECTIONS, connections), pages
 
 
 def loads_to_end(
