Explain where a request would go now, without sending it

Cause: an operator could see where requests had gone, not where one would go.

Change: trefoilspool explain asks a host at its metrics address; the page tells the route, the service, the wait, and each endpoint with what keeps it out. It reads the scheduler on the thread that owns it and grants nothing.

--- a/trefoilspool/cmdline.py
+++ b/trefoilspool/cmdline.py
@@ -10,6 +10,7 @@
 import fire
 import logbook
 
+from trefoilspool.askhost import ask_host
 from trefoilspool.benchcommand import check_bounds, run_capacity
 from trefoilspool.claimload import run_claims
 from trefoilspool.claims import MAX_BATCH_CLAIMS
@@ -257,6 +258,31 @@
         lines = find_lines([*files, *split(logs)], str(request))
         return explain(lines, str(request))
 
+    def explain(
+        self,
+        address: str,
+        path: str,
+        authority: str = '',
+        workspace: str = '',
+        prompt_tokens: int = 100,
+        output_tokens: int = 100,
+    ) -> str:
+        """Explain where a request would go now, and why, without sending it.
+
+        ``ADDRESS`` is the IP:PORT at which a host serves its metrics, or the
+        one for other hosts. The answer names the home host, which decides.
+        """
+        return ask_host(
+            str(address),
+            {
+                'path': path,
+                'authority': authority,
+                'workspace': workspace,
+                'prompt_tokens': prompt_tokens,
+                'output_tokens': output_tokens,
+            },
+        )
+
     def smoke(self, hosts: Any, token: str) -> str:
         """Send one request of each kind and print its outcome.
 
--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -7,6 +7,7 @@
     'BadStructError',
     'CutResponseError',
     'EndpointRefusedConnectionError',
+    'HostUnreachableError',
     'EndpointReplacedError',
     'ConnectFailedError',
     'NoPathError',
@@ -77,6 +78,10 @@
     """A benchmark measured more than its bound."""
 
 
+class HostUnreachableError(TrefoilspoolError):
+    """A host does not answer."""
+
+
 class TraceError(TrefoilspoolError):
     """A file is not a trace in the expected schema."""
 
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -1,5 +1,6 @@
 """The WSGI application of a gateway host."""
 
+import json
 import re
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
@@ -16,6 +17,7 @@
     ENDPOINTS_PATH,
     encode_changes,
 )
+from trefoilspool.placement import explain_placement, parse_question
 from trefoilspool.problems import (
     OverloadedError,
     Problem,
@@ -28,6 +30,7 @@
 Environ = Mapping[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 METRICS_PATH = '/metrics'
+EXPLAIN_PATH = '/explain'
 # A line break within a header of a response, which is sent as a space. The
 # expression begins with the break: one that can begin at each blank of a run,
 # and reads to its end, takes time with the square of the run's length.
@@ -57,6 +60,8 @@
                 CONFIGURATION_PATH,
             ): self.configuration,
             (port_of(host.options.control), ENDPOINTS_PATH): self.endpoints,
+            (port_of(host.options.control), EXPLAIN_PATH): self.explain,
+            (port_of(host.options.metrics), EXPLAIN_PATH): self.explain,
         }
 
     def __call__(
@@ -121,6 +126,21 @@
         """Return the configuration in force, for a peer."""
         return sized_response(HTTPStatus.OK, self.host.settings_sync.content)
 
+    def explain(self, query: str) -> Response:
+        """Return where a request would go now, for an operator."""
+        try:
+            question = parse_question(query)
+        except ValueError as error:
+            return json_response(HTTPStatus.BAD_REQUEST, {'error': str(error)})
+        host = self.host
+        placement = explain_placement(
+            question,
+            host.gateway.configuration,
+            host.mesh,
+            host.options.data_centre,
+        )
+        return json_response(HTTPStatus.OK, placement)
+
     def endpoints(self, query: str) -> Response:
         """Return the endpoint records from a position on, for a peer."""
         try:
@@ -130,6 +150,16 @@
         return sized_response(HTTPStatus.OK, body)
 
 
+def json_response(status: int, content: object) -> Response:
+    """Return a response with a JSON body."""
+    body = json.dumps(content).encode()
+    headers = (
+        ('Content-Type', 'application/json'),
+        ('Content-Length', str(len(body))),
+    )
+    return Response(status, headers, iter((body,)))
+
+
 def port_of(listener: str) -> str:
     """Return the port of an IP:PORT."""
     return listener.rpartition(':')[2]
--- a/trefoilspool/rollouts/gate.py
+++ b/trefoilspool/rollouts/gate.py
@@ -188,6 +188,18 @@
                 announcement.order.target, use, announcement.share
             )
 
+    def usual_rule(self, service: str) -> VersionRule | None:
+        """Return the rule of a request without a credit; take nothing."""
+        gated = self.services.get(service)
+        if gated is None or gated.announcement.phase is Phase.completed:
+            return None
+        announcement = gated.announcement
+        return VersionRule(
+            announcement.order.target,
+            USES[announcement.phase][False],
+            announcement.share,
+        )
+
     def on_refused(self, service: str, rule: VersionRule | None) -> None:
         """Give back the credit of an attempt that got no endpoint."""
         gated = self.services.get(service)
