Store the end of a roll-out again if a restored store has lost it

Cause: a completed roll-out counted as in progress once the store had come back from a copy: only reverted ones were written again. Change: both final phases are due until the store has them.

--- a/tests/test_rollouthosts.py
+++ b/tests/test_rollouthosts.py
@@ -127,6 +127,28 @@
         lost.stop()
         world.wait_for_state('completed')
 
+    def test_home_hears_no_other(self, world: RolloutWorld) -> None:
+        """Two hosts decide for a while; the store holds one final state."""
+        world.start(durationS=12)
+        wait_for(lambda: world.runs(world.new) > 3, 'a test')
+        world.home().cut_datagrams()
+        wait_for(lambda: world.status.get('state') != 'in_progress', 'end')
+        ended = world.status['state']
+        served = len(world.statuses)
+        wait_for(lambda: len(world.statuses) > served + 50, 'requests')
+        assert world.status['state'] == ended
+        assert set(world.statuses) <= {200, 503}
+
+    def test_store_loses_the_end(self, world: RolloutWorld) -> None:
+        """The store is restored from before the end, which is stored again."""
+        world.start()
+        wait_for(lambda: world.status, 'status')
+        backup = world.cluster.store.backup()
+        world.wait_for_state('completed')
+        world.cluster.store.restore(backup)
+        assert world.status['state'] == 'in_progress'
+        world.wait_for_state('completed')
+
     def test_second_order_replaces_the_first(self, world: RolloutWorld) -> None:
         world.start(target='v9', durationS=30)
         wait_for(lambda: world.status.get('target') == 'v9', 'status')
--- a/trefoilspool/rollouts/coordinator.py
+++ b/trefoilspool/rollouts/coordinator.py
@@ -451,8 +451,9 @@
         """Return the state to store, None if there is nothing to store."""
         if rollout.announcement.is_stored:
             return None
-        if rollout.phase is Phase.reverted:
-            return State.reverted
+        if rollout.phase in STATES_OF_FINAL:
+            # A restored store may have lost it.
+            return STATES_OF_FINAL[rollout.phase]
         if self.is_drained(rollout, hosts, now):
             return State.completed
         return None if rollout.is_started else State.in_progress
@@ -502,6 +503,7 @@
     State.completed: Phase.completed,
     State.reverted: Phase.reverted,
 }
+STATES_OF_FINAL = {phase: state for state, phase in FINAL_STATES.items()}
 NEXT_STEPS = {
     Phase.held: Coordinator.end_held,
     Phase.canary: Coordinator.end_test,
