--- a/tests/soak.py
+++ b/tests/soak.py
@@ -29,6 +29,7 @@
     fault_table,
     inject_fault,
 )
+from soakrollouts import check_rollouts
 from soakstreams import StreamShares, check_streams, stream_shares
 from soakworld import SoakHost, World, WorldShape
 
@@ -140,6 +141,7 @@
     recover(world, callers[0])
     statuses = Counter(sent.status for sent in world.ledger.sent.values())
     violations = all_violations(world.ledger)
+    violations.extend(check_rollouts(world))
     violations.extend(check_streams(world.ledger, world.all_endpoints))
     return Result(
         seed,
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -8,6 +8,7 @@
 
 from soakledger import BadPart, FaultSpan, LimitSpan
 from soakproxy import Mode, Proxy
+from soakrollouts import crowd, order_rollout
 from soakworld import GRACE_S, SoakHost, World
 
 Fault = Callable[[World, random.Random], str]
@@ -377,15 +378,36 @@
 }
 
 
+FIRST_SEED_WITH_ROLLOUTS = 900
+ROLLOUT_FAULTS: Mapping[str, Fault] = {
+    **PATH_FAULTS,
+    'order_rollout': order_rollout,
+    'order_rollout_again': order_rollout,
+    'crowd': crowd,
+}
+
+
+# Faults besides the newest ones, by the first seed that has them; latest first.
+ADDED_FAULTS = (
+    (FIRST_SEED_WITH_ROLLOUTS, ROLLOUT_FAULTS),
+    (FIRST_SEED_WITH_PATHS, PATH_FAULTS),
+    (FIRST_SEED_WITH_VERSIONS, VERSION_FAULTS),
+    (FIRST_SEED_WITH_LIMITS, LIMIT_FAULTS),
+)
+PLANNED_ADDED_FAULTS = ADDED_FAULTS[2:]
+
+
+def added_faults(seed: int, *, planned_only: bool) -> Mapping[str, Fault]:
+    """Return what a seed has besides the newest faults."""
+    tables = PLANNED_ADDED_FAULTS if planned_only else ADDED_FAULTS
+    return next(table for first, table in tables if seed >= first)
+
+
 def fault_table(seed: int, *, planned_only: bool) -> Mapping[str, Fault]:
     """Return the faults from which a seed chooses."""
     if seed >= FIRST_SEED_WITH_LIMITS:
         own = NEWEST_PLANNED_FAULTS if planned_only else NEWEST_FAULTS
-        if seed >= FIRST_SEED_WITH_PATHS and not planned_only:
-            return {**own, **PATH_FAULTS}
-        if seed >= FIRST_SEED_WITH_VERSIONS:
-            return {**own, **VERSION_FAULTS}
-        return {**own, **LIMIT_FAULTS}
+        return {**own, **added_faults(seed, planned_only=planned_only)}
     if seed >= FIRST_SEED_WITH_SERIES:
         return NEWEST_PLANNED_FAULTS if planned_only else NEWEST_FAULTS
     table = PLANNED_FAULTS if planned_only else ALL_FAULTS
@@ -403,7 +425,7 @@
 
 def inject_fault(world: World, name: str, seed: int) -> None:
     """Run a fault to its end, and restart hosts that have ended."""
-    fault = {**NEWEST_FAULTS, **PATH_FAULTS}[name]
+    fault = {**NEWEST_FAULTS, **ROLLOUT_FAULTS}[name]
     record(world, lambda: fault(world, random.Random(seed)))
     for host in world.hosts:
         host.restart_if_ended()
