Take a drain back when the version becomes suspect

Cause: by reading: a version that became suspect while all requests went to it was only waited for, and was completed 5 s after the time limit. A host's stored start was taken by the time of day also where hosts had told its age.

Change: a suspect drain goes back to the test, or is reverted at the limit; the stored start counts only where no host has told one.

--- a/trefoilspool/rollouts/coordinator.py
+++ b/trefoilspool/rollouts/coordinator.py
@@ -256,7 +256,9 @@
         rollout = self.rollouts.get(status.service)
         if rollout is None or not is_of_order(status, rollout.order):
             return
-        rollout.started_at = min(rollout.started_at, now - age_s)
+        if rollout.phase is Phase.held:
+            # Otherwise a host has told its age by a steady clock.
+            rollout.started_at = min(rollout.started_at, now - age_s)
         rollout.is_started = True
         final = FINAL_STATES.get(status.state)
         if final is not None:
@@ -381,9 +383,7 @@
             self.change(rollout, Phase.reverted, 0, 'undecided', now)
             return
         if self.is_doubtful(rollout, now):
-            rollout.step = -1
-            rollout.was_doubtful = True
-            self.begin_test(rollout, 'doubtful', now)
+            self.take_back(rollout, now)
         elif rollout.is_step_over(now):
             self.take_step(rollout, now)
 
@@ -398,10 +398,22 @@
     def end_drain(
         self, rollout: Rollout, hosts: frozenset[str], now: float
     ) -> None:
-        """Note whether nothing is open at other versions any more.
+        """Take the drain back if the version has become suspect.
 
-        The roll-out is completed once the store has the status.
+        Otherwise the roll-out is completed once the store has the status.
         """
+        if not rollout.judge.is_suspect():
+            return
+        if rollout.is_due(now):
+            self.change(rollout, Phase.reverted, 0, 'undecided', now)
+        else:
+            self.take_back(rollout, now)
+
+    def take_back(self, rollout: Rollout, now: float) -> None:
+        """Test the version again, with a small share."""
+        rollout.step = -1
+        rollout.was_doubtful = True
+        self.begin_test(rollout, 'doubtful', now)
 
     def grow(self, rollout: Rollout, now: float) -> None:
         """Take the next step."""
