Look at all connections only when there are too many

Cause: each new connection of a caller made the keeper look at all others, and each answer got a new buffer: work with the square of the connections after all callers have lost theirs.

--- a/trefoilspool/callerchannel.py
+++ b/trefoilspool/callerchannel.py
@@ -134,6 +134,8 @@
         Whether the connection is closed also if it was never used.
     checked_bytes : int
         Bytes that the request in arrival held when the room was last checked.
+    kept_bytes : int
+        Bytes of answers that the library's buffers may still keep.
     """
 
     parser_class = StrictParser
@@ -153,6 +155,7 @@
         self.ends_with: Error | None = None
         self.yields_unused = False
         self.checked_bytes = 0
+        self.kept_bytes = 0
         super().__init__(*arguments, **options)
         self.keeper.make_room(self)
 
@@ -281,6 +284,7 @@
     def write_soon(self, data: bytes) -> int:
         """Queue bytes of an answer."""
         written: int = super().write_soon(data)
+        self.kept_bytes += written
         if self.total_outbufs_len >= CHECKED_BYTES:
             self.keeper.free_memory()
         return written
@@ -312,12 +316,15 @@
             self.log_unanswered(request, 'an earlier response was the last one')
 
     def drop_sent_bytes(self) -> None:
-        """Free the memory of an answer that has been sent.
+        """Free the memory of a long answer that has been sent.
 
         The library's buffer keeps it until the next answer on the connection.
         """
+        if self.kept_bytes < CHECKED_BYTES:
+            return
         with self.outbuf_lock:
             if not self.total_outbufs_len and self.connected:
+                self.kept_bytes = 0
                 self.outbufs = [OverflowableBuffer(self.adj.outbuf_overflow)]
                 self.current_outbuf_count = 0
 
--- a/trefoilspool/intake/keeper.py
+++ b/trefoilspool/intake/keeper.py
@@ -65,10 +65,11 @@
         limit = self.room.connections
         if opened.never_waits:
             limit = self.room.page_connections
-        loads = self.loads(opened.server)
-        if len(loads) > limit:
-            for channel in connections_to_end(loads, limit):
-                self.end(channel, 'connections', len(loads))
+        open_count: int = len(opened.server.active_channels)
+        if open_count <= limit:
+            return
+        for channel in connections_to_end(self.loads(opened.server), limit):
+            self.end(channel, 'connections', open_count)
 
     def free_memory(self) -> None:
         """End what exceeds the memory for callers."""
