Close connections that make room without an answer

A connection whose head was arriving was answered and then kept open for two seconds, until its caller closed it, and a lingering one could not yield.

Change: for want of connections it is closed at once, which callers may take for an unread request; lingering ones yield.

--- a/trefoilspool/callerchannel.py
+++ b/trefoilspool/callerchannel.py
@@ -16,7 +16,13 @@
 from trefoilspool.requestparser import StrictParser
 from trefoilspool.telemetry import log_decision
 
-__all__ = ['Application', 'CallerChannel', 'Keeper', 'PageChannel']
+__all__ = [
+    'NO_CONNECTIONS',
+    'Application',
+    'CallerChannel',
+    'Keeper',
+    'PageChannel',
+]
 
 # After its last response a connection is read for this long, since a close with
 # unread bytes resets it, which can destroy the response on its way.
@@ -27,6 +33,7 @@
 # The room is checked again after so many further bytes of a connection.
 CHECKED_BYTES = 65_536
 NO_ROOM_RETRY_AFTER = '0.5'
+NO_CONNECTIONS = 'connections'  # reason of an end: there are too many
 
 logger = logbook.Logger('callerchannel')
 
@@ -206,12 +213,14 @@
         activity = self.load().activity
         if activity is Activity.busy or self.is_ending:
             return False
-        if activity is Activity.idle:
+        # An answer would keep the connection open until its caller closes it.
+        is_unanswered = reason == NO_CONNECTIONS and activity > Activity.idle
+        if self.lingers_until or is_unanswered or activity is Activity.answer:
+            self.will_close = True
+        elif activity is Activity.idle:
             # A request may be arriving: the thread that reads it decides.
             self.yields_unused = True
             self.closes_idle = True
-        elif activity is Activity.answer or self.lingers_until:
-            self.will_close = True
         else:
             self.ends_with = ENDING_ERRORS.get(reason, NoRoomError)(reason)
         self.server.pull_trigger()
--- a/trefoilspool/intake/keeper.py
+++ b/trefoilspool/intake/keeper.py
@@ -5,7 +5,11 @@
 import logbook
 
 from trefoilspool import clock
-from trefoilspool.callerchannel import CallerChannel, Keeper
+from trefoilspool.callerchannel import (
+    NO_CONNECTIONS,
+    CallerChannel,
+    Keeper,
+)
 from trefoilspool.intake.room import (
     ConnectionLoad,
     Room,
@@ -69,7 +73,7 @@
         if open_count <= limit:
             return
         for channel in connections_to_end(self.loads(opened.server), limit):
-            self.end(channel, 'connections', open_count)
+            self.end(channel, NO_CONNECTIONS, open_count)
 
     def free_memory(self) -> None:
         """End what exceeds the memory for callers."""
