--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -12,7 +12,7 @@
 import pytest
 
 from trefoilspool.replica import Position
-from trefoilspool.rollouts.coordinator import Coordinator, ReportSource
+from trefoilspool.rollouts.coordinator import Coordinator
 from trefoilspool.rollouts.evidence import GROUPS, OTHERS, UsedEndpoint
 from trefoilspool.rollouts.gate import RolloutGate
 from trefoilspool.rollouts.messages import (
@@ -22,6 +22,7 @@
     State,
     TargetUse,
 )
+from trefoilspool.rollouts.progress import ReportSource
 from trefoilspool.rollouts.rules import candidate_groups, usable
 from trefoilspool.slotmessages import AttemptEnding
 
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -30,6 +30,7 @@
 from trefoilspool.quarantinestore import QuarantineStoreTask
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.replica import Position
+from trefoilspool.rollouts.exposure import ExposureBudget
 from trefoilspool.rollouts.statustask import StatusTask
 from trefoilspool.routing import CallerLimits, Configuration
 from trefoilspool.serving import RequestServer
@@ -99,7 +100,9 @@
         self.mesh.scheduler.pool.finds_pace = options.endpoint_pace
         gossip = self.mesh.rollout_gossip
         gossip.metrics = self.metrics
-        gossip.coordinator.exposure_share = options.exposure_share
+        gossip.coordinator.budget = ExposureBudget(
+            options.exposure_share, options.exposure_tolerance
+        )
         topics = platform.topics()
         self.endpoint_sync = EndpointSync(
             topics.endpoints,
--- a/trefoilspool/options.py
+++ b/trefoilspool/options.py
@@ -3,10 +3,14 @@
 from collections.abc import Mapping
 from typing import TypeVar
 
-from pydantic import Field, ValidationError, field_validator
+from pydantic import Field, ValidationError, ValidationInfo, field_validator
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
 from trefoilspool.errors import OptionError
+from trefoilspool.rollouts.exposure import (
+    DEFAULT_EXPOSURE_SHARE,
+    DEFAULT_EXPOSURE_TOLERANCE,
+)
 
 __all__ = ['GatewayOptions', 'HostOptions', 'StandinOptions', 'load_options']
 
@@ -14,7 +18,6 @@
 ADDRESS = '^[0-9.]+:[0-9]+$'
 
 MILLICORES_PER_CORE = 1000
-DEFAULT_EXPOSURE_SHARE = 0.1
 
 
 class ProcessOptions(BaseSettings):
@@ -115,15 +118,22 @@
         le=1,
         description='share of a service that an unproven version may get',
     )
+    exposure_tolerance: int = Field(
+        DEFAULT_EXPOSURE_TOLERANCE,
+        ge=0,
+        description='requests that an unproven version may get besides',
+    )
     core_speed: float = Field(
         1, gt=0, description='speed of the core relative to other hosts'
     )
 
-    @field_validator('exposure_share', mode='before')
+    @field_validator('exposure_share', 'exposure_tolerance', mode='before')
     @classmethod
-    def default_of_empty(cls, given: object) -> object:
+    def default_of_empty(cls, given: object, info: ValidationInfo) -> object:
         """Take an empty value, of a platform without a bound, for the default."""
-        return DEFAULT_EXPOSURE_SHARE if given == '' else given
+        if given == '' and info.field_name is not None:
+            return cls.model_fields[info.field_name].default
+        return given
 
     @property
     def listeners(self) -> tuple[str, ...]:
--- a/trefoilspool/rollouts/coordinator.py
+++ b/trefoilspool/rollouts/coordinator.py
@@ -4,51 +4,34 @@
 the hosts act on is announced to them, and their reports are cumulative.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import NamedTuple
 
+from trefoilspool.rollouts.exposure import ExposureBudget
 from trefoilspool.rollouts.messages import (
     FINAL_PHASES,
     Announcement,
     Phase,
-    RolloutOrder,
     RolloutReport,
     RolloutStatus,
-    RowKey,
     State,
-    Tally,
+    is_of_order,
     is_same_order,
 )
-from trefoilspool.rollouts.verdict import (
-    Finding,
-    VersionJudge,
-    difference,
-    total,
+from trefoilspool.rollouts.progress import (
+    STEP_ACCEPTANCE,
+    STEPS,
+    ReceivedReport,
+    ReportSource,
+    Rollout,
 )
+from trefoilspool.rollouts.verdict import Finding, difference, total
 
-__all__ = [
-    'Coordinator',
-    'Decision',
-    'ReportSource',
-    'is_of_order',
-]
+__all__ = ['Coordinator', 'Decision']
 
-EXPOSURE_SHARE = 0.1
-EXPOSURE_TOLERANCE = 50
 JUDGE_S = 0.2  # between two judgements
 # The test begins without the store after so long.
 STORE_WAIT_S = 1.5
-SHARE_DIGITS = 3  # hosts tell each other shares in thousandths
-# Part of the allowed exposure that the test of a version uses up.
-CANARY_PART = 0.6
-# Part after which a step is taken back unless the version is proven.
-STEPS_PART = 0.85
-MAX_CANARY_SHARE = 0.2
-# The share grows in these steps, each held for so long at least.
-STEPS = (0.25, 0.5)
-STEP_S = 1.0
-# Odds of the evidence of one step, after which the next follows.
-STEP_ACCEPTANCE = 3.4  # ln 30
 # A version is tested for this part of the time of its order at least, and for
 # the later part if the evidence is scarce.
 LEAST_TEST = 0.55
@@ -58,8 +41,6 @@
 OVERTIME_S = 5.0
 # Reports of a host older than this say nothing of what it has open now.
 FRESH_S = 2.0
-# Before this the rate of requests is not known.
-RATE_AFTER_S = 1.0
 
 
 class Decision(NamedTuple):
@@ -82,118 +63,13 @@
     exposed: int
 
 
-class ReportSource(NamedTuple):
-    """A run of a host."""
-
-    host: str
-    incarnation: int
-
-
-class ReceivedReport(NamedTuple):
-    """A report and when it came, in seconds."""
-
-    report: RolloutReport
-    received_at: float
-
-
-class Rollout:
-    """One roll-out.
-
-    Attributes
-    ----------
-    started_at : float
-        When the order was taken up, in seconds; may be before this process
-        started.
-    step : int
-        Index in ``STEPS``; -1 while the version is tested.
-    stepped_at : float
-        When the phase or step last changed, in seconds.
-    clean_before : float
-        Evidence for the version when the step began.
-    hold_s : float
-        Seconds after which the step ends also without enough evidence.
-    was_doubtful : bool
-        Whether a step was taken back; the next needs enough evidence then.
-    pending : list
-        What was reported since the last judgement.
-    """
-
-    def __init__(self, announcement: Announcement, now: float) -> None:
-        self.announcement = announcement
-        self.started_at = now
-        self.stepped_at = now
-        self.step = -1
-        self.clean_before = 0.0
-        self.hold_s = 0.0
-        self.was_doubtful = False
-        self.judge = VersionJudge()
-        self.judged_at = now
-        self.reports: dict[ReportSource, ReceivedReport] = {}
-        self.pending: list[Mapping[RowKey, Tally]] = []
-        self.is_started = False
-
-    @property
-    def order(self) -> RolloutOrder:
-        """Return the order."""
-        return self.announcement.order
-
-    @property
-    def phase(self) -> Phase:
-        """Return the phase."""
-        return self.announcement.phase
-
-    def sent(self) -> int:
-        """Return the attempts that were sent to the service."""
-        return sum(received.report.sent for received in self.reports.values())
-
-    def exposed(self) -> int:
-        """Return the attempts that were sent to the target."""
-        return sum(
-            received.report.exposed for received in self.reports.values()
-        )
-
-    def left(self, part: float, now: float) -> float:
-        """Return the seconds until a part of the order's time is over."""
-        return self.started_at + part * self.order.duration_s - now
-
-    def begin_step(self, now: float) -> None:
-        """Note the beginning of a step of the share, or of the drain.
-
-        What is left of the order's time is divided between the steps left.
-        """
-        self.step += 1
-        self.clean_before = self.judge.clean()
-        steps_left = len(STEPS) + 2 - self.step
-        self.hold_s = max(0, self.left(1, now) / steps_left)
-
-    def is_step_over(self, now: float) -> bool:
-        """Return whether the evidence of the step, or its time, suffices."""
-        held_s = now - self.stepped_at
-        if held_s < min(STEP_S, self.hold_s) or self.judge.is_suspect():
-            return False
-        if self.gained() >= STEP_ACCEPTANCE:
-            return True
-        return held_s >= self.hold_s and self.gained() >= 0
-
-    def gained(self) -> float:
-        """Return the evidence for the version since the step began."""
-        return self.judge.clean() - self.clean_before
-
-    def is_due(self, now: float) -> bool:
-        """Return whether the order's time is over."""
-        return self.left(1, now) <= 0
-
-
 class Coordinator:
     """The roll-outs of all services.
 
     Attributes
     ----------
-    exposure_share : float
-        Share of a service's requests, between an order and its time limit,
-        that a bad version may get.
-    exposure_tolerance : int
-        Requests that it may get besides.
+    budget : ExposureBudget
+        Requests that a version may get before it is proven.
     rollouts : dict
         Roll-outs by service.
     decisions : list of Decision
@@ -201,8 +77,7 @@
     """
 
     def __init__(self) -> None:
-        self.exposure_share = EXPOSURE_SHARE
-        self.exposure_tolerance = EXPOSURE_TOLERANCE
+        self.budget = ExposureBudget()
         self.rollouts: dict[str, Rollout] = {}
         self.decisions: list[Decision] = []
 
@@ -268,7 +143,8 @@
 
     def begin_test(self, rollout: Rollout, reason: str, now: float) -> None:
         """Give the target a small share."""
-        self.change(rollout, Phase.canary, self.first_share(), reason, now)
+        share = self.budget.first_share()
+        self.change(rollout, Phase.canary, share, reason, now)
 
     def on_report(
         self, source: ReportSource, report: RolloutReport, now: float
@@ -347,34 +223,19 @@
         if rollout.gained() <= -STEP_ACCEPTANCE:
             return True
         is_proven = rollout.judge.clean() >= ACCEPTANCE
-        allowed = STEPS_PART * self.allowed_exposure(rollout, now)
-        return not is_proven and rollout.exposed() > allowed
-
-    def allowed_exposure(self, rollout: Rollout, now: float) -> float:
-        """Return how many requests the target may get if it is bad."""
-        elapsed = max(now - rollout.started_at, RATE_AFTER_S)
-        expected = rollout.sent() / elapsed * rollout.order.duration_s
-        return self.exposure_share * expected + self.exposure_tolerance
+        return not is_proven and self.budget.is_nearly_used(rollout, now)
 
     def set_canary_share(self, rollout: Rollout, now: float) -> None:
-        """Use up a part of the allowed exposure within the test.
+        """Use up a part of the exposure budget within the test.
 
         The share is set once, when the rate of requests is known.
         """
-        elapsed = now - rollout.started_at
-        is_set = rollout.announcement.share != self.first_share()
-        if elapsed < RATE_AFTER_S or is_set or not rollout.sent():
+        if rollout.announcement.share != self.budget.first_share():
             return
-        per_s = rollout.sent() / elapsed
-        allowed = CANARY_PART * self.allowed_exposure(rollout, now)
-        share = allowed / (per_s * rollout.order.duration_s * LONGEST_TEST)
-        share = round(min(share, MAX_CANARY_SHARE), SHARE_DIGITS)
+        test_s = rollout.order.duration_s * LONGEST_TEST
+        share = self.budget.canary_share(rollout, test_s, now)
         self.change(rollout, Phase.canary, share, 'rate_known', now)
 
-    def first_share(self) -> float:
-        """Return the share before the rate of requests is known."""
-        return round(self.exposure_share * CANARY_PART, SHARE_DIGITS)
-
     def end_step(
         self, rollout: Rollout, hosts: frozenset[str], now: float
     ) -> None:
@@ -503,14 +364,6 @@
         )
 
 
-def is_of_order(status: RolloutStatus, order: RolloutOrder) -> bool:
-    """Return whether a status is of an order, also after a restore."""
-    if (status.service, status.target) != (order.service, order.target):
-        return False
-    same_era = status.position.era == order.position.era
-    return not same_era or status.position == order.position
-
-
 FINAL_STATES = {
     State.completed: Phase.completed,
     State.reverted: Phase.reverted,
--- a/trefoilspool/rollouts/gossip.py
+++ b/trefoilspool/rollouts/gossip.py
@@ -7,11 +7,7 @@
 
 from trefoilspool.meshsender import MeshSender
 from trefoilspool.peers import HostInfo, PeerRegistry
-from trefoilspool.rollouts.coordinator import (
-    Coordinator,
-    Decision,
-    ReportSource,
-)
+from trefoilspool.rollouts.coordinator import Coordinator, Decision
 from trefoilspool.rollouts.gate import OpenCounter, RolloutGate
 from trefoilspool.rollouts.messages import (
     RolloutReport,
@@ -19,6 +15,7 @@
     State,
     Tally,
 )
+from trefoilspool.rollouts.progress import ReportSource
 from trefoilspool.telemetry import Metrics
 from trefoilspool.wire import checks
 from trefoilspool.wire import mesh as wire
--- a/trefoilspool/rollouts/messages.py
+++ b/trefoilspool/rollouts/messages.py
@@ -18,6 +18,7 @@
     'Tally',
     'TargetUse',
     'VersionRule',
+    'is_of_order',
     'is_same_order',
 ]
 
@@ -88,6 +89,14 @@
     started_ms: int
 
 
+def is_of_order(status: RolloutStatus, order: RolloutOrder) -> bool:
+    """Return whether a status is of an order, also after a restore."""
+    if (status.service, status.target) != (order.service, order.target):
+        return False
+    same_era = status.position.era == order.position.era
+    return not same_era or status.position == order.position
+
+
 class Announcement(NamedTuple):
     """What the home host tells of a roll-out.
 
--- a/trefoilspool/rollouts/statustask.py
+++ b/trefoilspool/rollouts/statustask.py
@@ -14,12 +14,12 @@
     StoreRestoredError,
 )
 from trefoilspool.gatewayplatform import Platform
-from trefoilspool.rollouts.coordinator import is_of_order
 from trefoilspool.rollouts.gossip import RolloutGossip
 from trefoilspool.rollouts.messages import (
     RolloutOrder,
     RolloutStatus,
     State,
+    is_of_order,
 )
 from trefoilspool.store import ConditionalTopic, Page
 
