Move the queue of the slot scheduler into a folder of its own

Cause: the flat folder holds over a hundred modules; how requests wait is one subject.

Change: servicequeue, waitingrequests, waitprediction, minimumshares and grantrates move to queueing/, unchanged.

--- a/tests/test_slotscheduler.py
+++ b/tests/test_slotscheduler.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from trefoilspool.minimumshares import MinimumShares
+from trefoilspool.queueing.minimumshares import MinimumShares
+from trefoilspool.queueing.waitprediction import QUEUE_TIMEOUT_S
 from trefoilspool.routing import Workspace
 from trefoilspool.slotmessages import (
     AttemptEnding,
@@ -18,7 +19,6 @@
     SlotRequest,
 )
 from trefoilspool.slotscheduler import HOLD_TIMEOUT_S, SlotScheduler
-from trefoilspool.waitprediction import QUEUE_TIMEOUT_S
 
 SERVICE = 'engines'
 
--- a/trefoilspool/localchoice.py
+++ b/trefoilspool/localchoice.py
@@ -12,6 +12,7 @@
 from trefoilspool.endpointpacer import EndpointPacer
 from trefoilspool.peers import PeerRegistry
 from trefoilspool.quarantine import Quarantine
+from trefoilspool.queueing.waitprediction import RETRY_AFTER_DIVISOR
 from trefoilspool.ratelimits import RetryWindow, TokenBucket
 from trefoilspool.rollouts.rules import candidate_groups, usable
 from trefoilspool.routing import Workspace
@@ -23,7 +24,6 @@
     SlotDecision,
     SlotRequest,
 )
-from trefoilspool.waitprediction import RETRY_AFTER_DIVISOR
 
 __all__ = ['RETRY_AFTER_S', 'LocalChoice']
 
--- a/trefoilspool/waitingrequests.py
+++ b/trefoilspool/queueing/waitingrequests.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
-from trefoilspool.servicequeue import ServiceQueue
+from trefoilspool.queueing.servicequeue import ServiceQueue
 from trefoilspool.slotmessages import SlotKey, SlotRequest
 from trefoilspool.versionhistory import ServiceVersion
 
--- a/trefoilspool/waitprediction.py
+++ b/trefoilspool/queueing/waitprediction.py
@@ -3,12 +3,12 @@
 from collections import defaultdict
 
 from trefoilspool.endpointpool import EndpointPool
-from trefoilspool.grantrates import GrantRates
-from trefoilspool.minimumshares import MinimumShares
+from trefoilspool.queueing.grantrates import GrantRates
+from trefoilspool.queueing.minimumshares import MinimumShares
+from trefoilspool.queueing.waitingrequests import WaitingRequests
 from trefoilspool.ratelimits import RateLimits
 from trefoilspool.slotmessages import RefusalReason, SlotRequest
 from trefoilspool.versionhistory import ServiceVersion
-from trefoilspool.waitingrequests import WaitingRequests
 
 __all__ = ['QUEUE_TIMEOUT_S', 'RETRY_AFTER_DIVISOR', 'WaitPredictor']
 
--- a/trefoilspool/slotevents.py
+++ b/trefoilspool/slotevents.py
@@ -1,6 +1,7 @@
 """The log events of the slot scheduler's decisions."""
 
 from trefoilspool.endpointload import EndpointLoad
+from trefoilspool.queueing.waitprediction import WaitPredictor
 from trefoilspool.reliability import ReliabilityState
 from trefoilspool.slotmessages import (
     DecisionEvent,
@@ -8,7 +9,6 @@
     SlotRelease,
     SlotRequest,
 )
-from trefoilspool.waitprediction import WaitPredictor
 
 __all__ = ['judged_event', 'refusal_event']
 
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -14,12 +14,14 @@
 from trefoilspool.endpointload import EndpointLoad, Reservation
 from trefoilspool.endpointpacer import EndpointPacer
 from trefoilspool.endpointpool import EndpointPool
-from trefoilspool.grantrates import GrantRates
 from trefoilspool.limits.endpointpace import PaceSign
 from trefoilspool.limits.refusalpacer import RefusalPacer
-from trefoilspool.minimumshares import MinimumShares
 from trefoilspool.promptguard import GuardDecision, PromptGuard
 from trefoilspool.quarantine import Quarantine
+from trefoilspool.queueing.grantrates import GrantRates
+from trefoilspool.queueing.minimumshares import MinimumShares
+from trefoilspool.queueing.waitingrequests import WaitingRequests
+from trefoilspool.queueing.waitprediction import WaitPredictor
 from trefoilspool.ratelimits import RateLimits
 from trefoilspool.reservations import Reservations
 from trefoilspool.rollouts.messages import VersionRule
@@ -39,8 +41,6 @@
     SlotRelease,
     SlotRequest,
 )
-from trefoilspool.waitingrequests import WaitingRequests
-from trefoilspool.waitprediction import WaitPredictor
 
 __all__ = ['SlotScheduler']
 
