Test crowds without a key and before endpoints that answer slowly

Cause: two crowds of the operators' wish had no test: callers without a key beside ones with, and a crowd while an endpoint answers slowly.

Change: both, with the crowd and the bounds of the other tests.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -33,6 +33,7 @@
 READERS = 60
 ANSWER_BYTES = 1_000_000
 SETTLE_S = 0.3
+SLOW_ANSWER_S = 2
 SEND_TIMEOUT_S = 0.3
 KB_PER_MB = 1024
 ROUTED, UNROUTED, READY = 'route', 'no route', 'ready'
@@ -140,6 +141,22 @@
         crowd.send(crowd.head(f'Content-Length: {MAX_BODY_BYTES}'), body)
 
 
+def strangers(crowd: Crowd) -> None:
+    """Send bodies without a key beside ones with a key."""
+    body = b'x' * (MAX_BODY_BYTES - 1)
+    for number in range(BODIES):
+        head = crowd.head(f'Content-Length: {MAX_BODY_BYTES}')
+        if number % 2:
+            head = head.replace(KEY.encode(), b'not-a-key')
+        crowd.send(head, body)
+
+
+def whole_bodies(crowd: Crowd) -> None:
+    size = MAX_BODY_BYTES // 4
+    for _ in range(READERS):
+        crowd.send(crowd.head(f'Content-Length: {size}'), b'x' * size)
+
+
 def small_pieces(crowd: Crowd) -> None:
     """Send to all in turn, so that all grow together."""
     head = crowd.head(f'Content-Length: {MAX_BODY_BYTES}')
@@ -234,6 +251,7 @@
 
 CROWDS: tuple[Callable[[Crowd], None], ...] = (
     one_piece,
+    strangers,
     small_pieces,
     chunks,
     far_over_the_limit,
@@ -291,6 +309,21 @@
             crowd.close()
 
 
+class TestSlowEndpoint:
+    """An endpoint answers slowly while a crowd sends whole and half bodies."""
+
+    def test_host_lives_and_serves(self, host: CrowdedHost) -> None:
+        host.endpoint.behaviour = slow_answer
+        crowd = Crowd(host, ROUTED)
+        try:
+            whole_bodies(crowd)
+            one_piece(crowd)
+            host.endpoint.behaviour = ServedRequest.respond
+            host.check()
+        finally:
+            crowd.close()
+
+
 class TestSingleRequest:
     """A single request inside the limits is served in calm."""
 
@@ -309,6 +342,11 @@
     served.respond(body=b'x' * ANSWER_BYTES)
 
 
+def slow_answer(served: ServedRequest) -> None:
+    time.sleep(SLOW_ANSWER_S)
+    served.respond()
+
+
 def long_stream(served: ServedRequest) -> None:
     served.start_stream()
     for number in range(ANSWER_BYTES // 8192):
