Order waiting requests by how long they hold a slot, as a setting

Waiting requests went by due time, the forecast of the wait knew neither who goes before nor what they leave, and slots went to short and long responses alike: a tenth of the lead-query that ran held 32% of their slot time.

`trefoilspool losses` makes the table of who waits and is refused from decision logs; what explains moved into a folder. A metric holds forecasts against waits. The pace of endpoints has a log line of its own.

--- a/tests/test_endpointpace.py
+++ b/tests/test_endpointpace.py
@@ -84,6 +84,18 @@
                 world.scheduler.on_release(ended, 1.1)
         assert not world.pace.is_finding
 
+    def test_log_tells_when_it_begins_and_ends(self) -> None:
+        world = PacedWorld()
+        told = []
+        for step in range(8):
+            world.scheduler.tick(1 + step / 100)
+            told += world.scheduler.take_events()
+            for granted in world.grant(3):
+                ended = release(granted.key.number, granted.endpoint)
+                world.scheduler.on_release(ended, 1.1)
+        assert [event.event for event in told] == ['endpoint_pace'] * 2
+        assert [event.fields['finding'] for event in told] == [True, False]
+
     def test_beginning_of_a_stream_is_an_answer(self) -> None:
         world = PacedWorld()
         granted = next(made for made in world.grant(2) if made.endpoint == 'b')
--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -12,6 +12,7 @@
 from logbook.compat import redirected_logging
 from test_slotscheduler import ask
 
+from trefoilspool.explaining.why import explain, find_lines
 from trefoilspool.jsonlog import (
     MAX_LINE_CHARS,
     MAX_QUEUED_LINES,
@@ -21,7 +22,6 @@
 from trefoilspool.slotmessages import RefusalReason
 from trefoilspool.slotscheduler import SlotScheduler
 from trefoilspool.telemetry import log_decision
-from trefoilspool.why import explain, find_lines
 
 MODULES = (
     'callerchannel',
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,8 +6,8 @@
 import pytest
 from gatewaycluster import AUTHORITY, GatewayCluster, wait_for
 
-from trefoilspool.askhost import ask_host
 from trefoilspool.errors import HostUnreachableError, OptionError
+from trefoilspool.explaining.askhost import ask_host
 
 Explanation = dict[str, object]
 
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -12,6 +12,7 @@
 import trefoilspool
 from trefoilspool.errors import OptionError
 from trefoilspool.events import VictimClass
+from trefoilspool.explaining.why import explain, find_lines
 from trefoilspool.filter import Arrival, Job, Progress
 from trefoilspool.membership import Heartbeat, HostState, Membership
 from trefoilspool.openrequests import OpenRequests
@@ -22,7 +23,6 @@
 from trefoilspool.schema import Settings
 from trefoilspool.tickets import LIFETIME_S, TicketRegistry
 from trefoilspool.tree import KindPlace
-from trefoilspool.why import explain, find_lines
 from trefoilspool.workload import CABRERA, make_engines
 
 ROOT = pathlib.Path(__file__).parent.parent
--- a/trefoilspool/benches/slotscheduler.py
+++ b/trefoilspool/benches/slotscheduler.py
@@ -4,6 +4,7 @@
 
 from trefoilspool.bench import Bench, measure_memory, measure_time
 from trefoilspool.peers import HostInfo
+from trefoilspool.queueing.waitingrequests import QueuedRequest
 from trefoilspool.slotmessages import (
     AttemptEnding,
     EndpointSpec,
@@ -136,7 +137,7 @@
 
 def enqueue(scheduler: SlotScheduler, ask: SlotRequest) -> None:
     """Queue a request without a queue timeout."""
-    scheduler.waiting.add(ask, math.inf)
+    scheduler.waiting.add(QueuedRequest(ask, math.inf))
 
 
 def release_and_enqueue(scheduler: SlotScheduler) -> None:
--- a/trefoilspool/cmdline.py
+++ b/trefoilspool/cmdline.py
@@ -10,7 +10,6 @@
 import fire
 import logbook
 
-from trefoilspool.askhost import ask_host
 from trefoilspool.benchcommand import check_bounds, run_capacity
 from trefoilspool.claimload import run_claims
 from trefoilspool.claims import MAX_BATCH_CLAIMS
@@ -19,6 +18,9 @@
     SettingsError,
     TrefoilspoolError,
 )
+from trefoilspool.explaining.askhost import ask_host
+from trefoilspool.explaining.losses import GROUPINGS, loss_rows, loss_table
+from trefoilspool.explaining.why import explain, find_lines, read_all
 from trefoilspool.operator import Operator, check_changes, load_tree_file
 from trefoilspool.options import HostOptions, StandinOptions, load_options
 from trefoilspool.pathload import PathLoad
@@ -35,7 +37,6 @@
 from trefoilspool.smoke import try_kinds
 from trefoilspool.telemetry import JsonHandler
 from trefoilspool.trace import save_trace
-from trefoilspool.why import explain, find_lines
 from trefoilspool.workload import (
     CABRERA,
     SCENARIOS,
@@ -258,6 +259,16 @@
         lines = find_lines([*files, *split(logs)], str(request))
         return explain(lines, str(request))
 
+    def losses(self, *files: str, by: str = 'route', logs: str = '') -> str:
+        """Tell what became of the requests in decision logs, in a table.
+
+        ``BY`` is one of route, second, workspace and endpoint.
+        """
+        if by not in GROUPINGS:
+            raise OptionError('by', by, ', '.join(GROUPINGS))
+        lines = read_all([*files, *split(logs)])
+        return loss_table(loss_rows(lines, by))
+
     def explain(
         self,
         address: str,
--- a/trefoilspool/endpointpool.py
+++ b/trefoilspool/endpointpool.py
@@ -33,6 +33,8 @@
     finds_pace : bool
         Whether endpoints that have just started or recovered get requests at
         the pace of their answers.
+    finding_pace : set of str
+        Endpoints whose pace was being found at the last look.
     by_name : dict
         Endpoints by name.
     by_service : dict
@@ -43,6 +45,7 @@
         self.pacer = pacer
         self.refusals = refusals
         self.finds_pace = False
+        self.finding_pace: set[str] = set()
         self.by_name: dict[str, EndpointLoad] = {}
         self.by_service: dict[str, list[EndpointLoad]] = {}
 
@@ -63,10 +66,32 @@
             self.by_name[spec.name] = endpoint
             self.by_service.setdefault(spec.service, []).append(endpoint)
 
+    def changed_paces(self) -> list[EndpointLoad]:
+        """Return endpoints whose pace is being found, or is no longer.
+
+        Each change is returned once.
+        """
+        if not self.finds_pace:
+            return []
+        finding = {
+            name
+            for name, endpoint in self.by_name.items()
+            if endpoint.pace.is_finding
+        }
+        changed = self.finding_pace.symmetric_difference(finding)
+        self.finding_pace = finding
+        return [
+            self.by_name[name] for name in sorted(changed & self.by_name.keys())
+        ]
+
     def of_service(self, service: str) -> Sequence[EndpointLoad]:
         """Return the endpoints of a service."""
         return self.by_service.get(service, ())
 
+    def slots(self, service: str) -> int:
+        """Return the number of slots of a service."""
+        return sum(endpoint.spec.slots for endpoint in self.of_service(service))
+
     def accepting(self, ask: SlotRequest, now: float) -> Sequence[EndpointLoad]:
         """Return the endpoints at whose versions a request may run."""
         endpoints = self.of_service(ask.service)
@@ -80,9 +105,7 @@
 
     def slot_share(self, ask: SlotRequest, now: float) -> float:
         """Return the share of its service's slots that a request may get."""
-        total = sum(
-            endpoint.spec.slots for endpoint in self.of_service(ask.service)
-        )
+        total = self.slots(ask.service)
         usable = sum(
             endpoint.spec.slots for endpoint in self.accepting(ask, now)
         )
--- /dev/null
+++ b/trefoilspool/explaining/__init__.py
@@ -0,0 +1,1 @@
+"""Explains decisions to operators: of a request, of a choice, of a load."""
--- a/trefoilspool/placement.py
+++ b/trefoilspool/explaining/placement.py
@@ -228,7 +228,7 @@
             for endpoint in endpoints
         ],
     )
-    reason = refusal(scheduler, ask, wait_s, now)
+    reason = refusal(scheduler, ask, now)
     if reason is None:
         return placement
     placement['outcome'] = f'refused: {reason.name}'
@@ -239,13 +239,14 @@
 
 
 def refusal(
-    scheduler: SlotScheduler, ask: SlotRequest, wait_s: float, now: float
+    scheduler: SlotScheduler, ask: SlotRequest, now: float
 ) -> RefusalReason | None:
     """Return why a request would be refused, None if it would not."""
     endpoints = scheduler.pool.of_service(ask.service)
     if not any(endpoint.accepts(ask, now) for endpoint in endpoints):
         return RefusalReason.no_endpoint
-    if wait_s and now + wait_s > scheduler.waits.timeout_at(ask, now):
+    timeout_at = scheduler.waits.timeout_at(ask, now)
+    if not scheduler.waits.has_room(ask, timeout_at, now):
         return RefusalReason.crowded
     if ask.charge and scheduler.rate_limits.refill_s(ask, now) > 0:
         return RefusalReason.over_limit
--- a/trefoilspool/why.py
+++ b/trefoilspool/explaining/why.py
@@ -7,7 +7,7 @@
 
 from trefoilspool.errors import OptionError
 
-__all__ = ['explain', 'find_lines', 'parse_line']
+__all__ = ['explain', 'find_lines', 'parse_line', 'read_all']
 
 
 DESCRIPTIONS = {
@@ -58,7 +58,7 @@
     OptionError
         When a file cannot be read.
     """
-    lines = [line for name in files for line in read_lines(name)]
+    lines = list(read_all(files))
     matching = [
         line
         for line in lines
@@ -69,6 +69,18 @@
     return sorted(matching, key=lambda line: str(line['time']))
 
 
+def read_all(files: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yield the lines of several log files.
+
+    Raises
+    ------
+    OptionError
+        When a file cannot be read.
+    """
+    for name in files:
+        yield from read_lines(name)
+
+
 def read_lines(name: str) -> Iterator[dict[str, Any]]:
     """Yield the lines of a log file.
 
--- a/trefoilspool/gatewayapp.py
+++ b/trefoilspool/gatewayapp.py
@@ -9,6 +9,7 @@
 from waitress.task import hop_by_hop
 
 from trefoilspool.callerchannel import Application
+from trefoilspool.explaining.placement import explain_placement, parse_question
 from trefoilspool.filter import Response
 from trefoilspool.gateway import BUSY_RETRY_AFTER_S, Arrival
 from trefoilspool.gatewayhost import GatewayHost
@@ -17,7 +18,6 @@
     ENDPOINTS_PATH,
     encode_changes,
 )
-from trefoilspool.placement import explain_placement, parse_question
 from trefoilspool.problems import (
     OverloadedError,
     Problem,
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -28,6 +28,7 @@
 from trefoilspool.peers import HostInfo
 from trefoilspool.quarantine import QuarantineEntry
 from trefoilspool.quarantinestore import QuarantineStoreTask
+from trefoilspool.queueing.order import ORDERS
 from trefoilspool.quietperiods import QuietPeriods
 from trefoilspool.replica import Position
 from trefoilspool.rollouts.exposure import ExposureBudget
@@ -98,6 +99,8 @@
         )
         self.mesh.client.rollouts.metrics = self.metrics
         self.mesh.scheduler.pool.finds_pace = options.endpoint_pace
+        self.mesh.scheduler.calibration.metrics = self.metrics
+        self.mesh.scheduler.use_order(ORDERS[options.slot_order])
         gossip = self.mesh.rollout_gossip
         gossip.metrics = self.metrics
         gossip.coordinator.budget = ExposureBudget(
--- a/trefoilspool/options.py
+++ b/trefoilspool/options.py
@@ -1,7 +1,7 @@
 """Process settings, read from flags and ``TREFOILSPOOL_`` variables."""
 
 from collections.abc import Mapping
-from typing import TypeVar
+from typing import Literal, TypeVar
 
 from pydantic import Field, ValidationError, ValidationInfo, field_validator
 from pydantic_settings import BaseSettings, SettingsConfigDict
@@ -112,6 +112,11 @@
         description='whether endpoints that have just started or recovered '
         'get requests at the pace of their answers',
     )
+    slot_order: Literal['due', 'shortest'] = Field(
+        'due',
+        description='which waiting request of a rank gets a slot first: the '
+        'one that is due first, or the one that holds it for a short time',
+    )
     exposure_share: float = Field(
         DEFAULT_EXPOSURE_SHARE,
         gt=0,
--- a/trefoilspool/queueing/minimumshares.py
+++ b/trefoilspool/queueing/minimumshares.py
@@ -34,7 +34,7 @@
     """
 
     def __init__(self) -> None:
-        self.counts_by_rank: dict[int, DecayingCounts] = {}
+        self.counts_by_class: dict[int, DecayingCounts] = {}
 
     def on_ask(self, rank: int, now: float) -> None:
         """Count a slot request."""
@@ -46,13 +46,15 @@
 
     def counts(self, rank: int, now: float) -> DecayingCounts:
         """Return the present counts of a rank."""
-        counts = self.counts_by_rank.setdefault(rank, DecayingCounts())
+        counts = self.counts_by_class.setdefault(rank, DecayingCounts())
         counts.decay(now)
         return counts
 
     def underserved(self, now: float) -> frozenset[int]:
         """Return the ranks whose share of grants is below the minimum."""
-        present = {rank: self.counts(rank, now) for rank in self.counts_by_rank}
+        present = {
+            rank: self.counts(rank, now) for rank in self.counts_by_class
+        }
         min_share = MIN_RELATIVE_SHARE * overall_grant_share(present.values())
         return frozenset(
             rank
--- a/trefoilspool/queueing/servicequeue.py
+++ b/trefoilspool/queueing/servicequeue.py
@@ -2,20 +2,38 @@
 
 import itertools
 from collections.abc import Callable, Iterator
+from typing import NamedTuple
 
 from sortedcontainers import SortedKeyList
 
+from trefoilspool.queueing.order import (
+    LEAST_FIRST_BYTE_S,
+    Lane,
+    QueueOrder,
+    is_late,
+)
+from trefoilspool.queueing.shares import NOTHING_PREFERRED, Preferred
 from trefoilspool.slotmessages import SlotKey, SlotRequest
 
 __all__ = ['ServiceQueue']
 
-MIN_FIRST_BYTE_S = 0.05  # shortest time from the grant to the first byte
 MAX_CANDIDATES = 12
-NO_RANKS: frozenset[int] = frozenset()
+
+# Sort key of a part of a lane, with the preference of its rank and size.
+PartKey = tuple[bool, int, bool, bool, int]
+
+
+class LanePart(NamedTuple):
+    """The requests of a lane that can be on time, or those that cannot."""
+
+    key: PartKey
+    asks: SortedKeyList[SlotRequest]
+    start: int
+    stop: int
 
 
 def due_order(ask: SlotRequest) -> tuple[float, SlotKey]:
-    """Return the sort key of a request within its rank."""
+    """Return the sort key of a request within its lane."""
     return ask.first_byte_due, ask.key
 
 
@@ -25,10 +43,21 @@
     The order is by rank. Within a rank, the requests whose first byte can no
     longer be on time come last: in a burst not all requests can be on time, and
     serving the oldest first would make all of them late.
+
+    Parameters
+    ----------
+    order : QueueOrder
+        The order within a rank.
+
+    Attributes
+    ----------
+    lanes : dict
+        The requests of each lane, by the time at which they are due.
     """
 
-    def __init__(self) -> None:
-        self.ranks: dict[int, SortedKeyList[SlotRequest]] = {}
+    def __init__(self, order: QueueOrder) -> None:
+        self.order = order
+        self.lanes: dict[Lane, SortedKeyList[SlotRequest]] = {}
         self.count = 0
 
     def __len__(self) -> int:
@@ -36,49 +65,51 @@
 
     def add(self, ask: SlotRequest) -> None:
         """Add a request."""
-        asks = self.ranks.get(ask.rank)
+        lane = self.order.lane(ask)
+        asks = self.lanes.get(lane)
         if asks is None:
             asks = SortedKeyList(key=due_order)
-            self.ranks[ask.rank] = asks
+            self.lanes[lane] = asks
         asks.add(ask)
         self.count += 1
 
     def remove(self, ask: SlotRequest) -> None:
         """Remove a request."""
-        self.ranks[ask.rank].remove(ask)
+        self.lanes[self.order.lane(ask)].remove(ask)
         self.count -= 1
 
     def ahead(
         self,
         ask: SlotRequest,
         now: float,
-        preferred: frozenset[int] = NO_RANKS,
+        preferred: Preferred = NOTHING_PREFERRED,
     ) -> int:
-        """Count the requests that get a slot before a new one.
+        """Count the requests that get a slot before a given one.
 
         Parameters
         ----------
         ask : SlotRequest
-            The new request.
+            The request; it need not wait.
         now : float
             The present time in seconds.
-        preferred : frozenset of int
-            Ranks that go before all others.
+        preferred : Preferred
+            Ranks and sizes that go before others.
         """
+        lane = self.order.lane(ask)
+        own = part_key(lane, preferred, late=is_late(ask, now))
         total = 0
-        own = rank_order(ask.rank, preferred)
-        for rank, asks in self.ranks.items():
-            if rank_order(rank, preferred) < own:
-                total += len(asks)
-            elif rank == ask.rank:
-                on_time = asks.bisect_key_left((now + MIN_FIRST_BYTE_S,))
-                total += max(0, asks.bisect_key_left(due_order(ask)) - on_time)
+        for part in self.parts(now, preferred):
+            if part.key < own:
+                total += part.stop - part.start
+            elif part.key == own:
+                place = part.asks.bisect_key_left(due_order(ask))
+                total += max(0, min(place, part.stop) - part.start)
         return total
 
     def candidates(
         self,
         now: float,
-        preferred: frozenset[int] = NO_RANKS,
+        preferred: Preferred = NOTHING_PREFERRED,
         held_back: Callable[[SlotRequest, float], bool] | None = None,
     ) -> list[SlotRequest]:
         """Return the first requests in order, at most ``MAX_CANDIDATES``.
@@ -87,8 +118,8 @@
         ----------
         now : float
             The present time in seconds.
-        preferred : frozenset of int
-            Ranks that go first.
+        preferred : Preferred
+            Ranks and sizes that go before others.
         held_back : callable, optional
             Whether a request may not get a slot yet, at the present time.
         """
@@ -98,20 +129,34 @@
         return list(itertools.islice(ordered, MAX_CANDIDATES))
 
     def ordered(
-        self,
-        now: float,
-        preferred: frozenset[int],
+        self, now: float, preferred: Preferred
     ) -> Iterator[SlotRequest]:
         """Yield all requests in the order in which they get slots."""
-        for _, rank in sorted(
-            (rank_order(key, preferred), key) for key in self.ranks
-        ):
-            asks = self.ranks[rank]
-            on_time = asks.bisect_key_left((now + MIN_FIRST_BYTE_S,))
-            yield from asks[on_time:]
-            yield from asks[:on_time]
-
-
-def rank_order(rank: int, preferred: frozenset[int]) -> tuple[bool, int]:
-    """Return the sort key of a rank; preferred ranks come first."""
-    return rank not in preferred, rank
+        parts = sorted(self.parts(now, preferred), key=lambda part: part.key)
+        for part in parts:
+            yield from part.asks.islice(part.start, part.stop)
+
+    def parts(self, now: float, preferred: Preferred) -> Iterator[LanePart]:
+        """Yield both parts of each lane."""
+        for lane, asks in self.lanes.items():
+            on_time = asks.bisect_key_left((now + LEAST_FIRST_BYTE_S,))
+            yield LanePart(
+                part_key(lane, preferred, late=False),
+                asks,
+                on_time,
+                len(asks),
+            )
+            yield LanePart(
+                part_key(lane, preferred, late=True), asks, 0, on_time
+            )
+
+
+def part_key(lane: Lane, preferred: Preferred, *, late: bool) -> PartKey:
+    """Return the sort key of a part of a lane."""
+    return (
+        lane.rank not in preferred.ranks,
+        lane.rank,
+        late,
+        lane not in preferred.lanes,
+        lane.size,
+    )
--- a/trefoilspool/queueing/waitingrequests.py
+++ b/trefoilspool/queueing/waitingrequests.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
+from trefoilspool.queueing.order import ORDERS, QueueOrder
 from trefoilspool.queueing.servicequeue import ServiceQueue
 from trefoilspool.slotmessages import SlotKey, SlotRequest
 from trefoilspool.versionhistory import ServiceVersion
@@ -11,10 +12,20 @@
 
 
 class QueuedRequest(NamedTuple):
-    """A waiting request and the time of its queue timeout, in seconds."""
+    """A waiting request.
+
+    Attributes
+    ----------
+    timeout_at, since : float
+        Time of its queue timeout, and when it began to wait, in seconds.
+    predicted_s : float
+        Seconds that it was expected to wait.
+    """
 
     ask: SlotRequest
     timeout_at: float
+    since: float = 0
+    predicted_s: float = 0
 
 
 class WaitingRequests:
@@ -22,6 +33,8 @@
 
     Attributes
     ----------
+    order : QueueOrder
+        The order within a rank.
     by_key : dict
         The requests with their timeouts.
     queues : defaultdict
@@ -33,7 +46,10 @@
 
     def __init__(self) -> None:
         self.by_key: dict[SlotKey, QueuedRequest] = {}
-        self.queues: defaultdict[str, ServiceQueue] = defaultdict(ServiceQueue)
+        self.order: QueueOrder = ORDERS['due']
+        self.queues: defaultdict[str, ServiceQueue] = defaultdict(
+            lambda: ServiceQueue(self.order)
+        )
         self.bound: Counter[ServiceVersion] = Counter()
 
     def __len__(self) -> int:
@@ -50,17 +66,10 @@
         """Return the requests, those that have waited longest first."""
         return list(self.by_key.values())
 
-    def add(self, ask: SlotRequest, timeout_at: float) -> None:
-        """Add a request.
-
-        Parameters
-        ----------
-        ask : SlotRequest
-            The request.
-        timeout_at : float
-            When it is refused if it still waits, in seconds.
-        """
-        self.by_key[ask.key] = QueuedRequest(ask, timeout_at)
+    def add(self, waiting: QueuedRequest) -> None:
+        """Add a request."""
+        ask = waiting.ask
+        self.by_key[ask.key] = waiting
         self.queues[ask.service].add(ask)
         if ask.software is not None:
             self.bound[ServiceVersion(ask.service, ask.software)] += 1
--- a/trefoilspool/queueing/waitprediction.py
+++ b/trefoilspool/queueing/waitprediction.py
@@ -1,10 +1,12 @@
 """How long requests wait for slots, and when refused ones may return."""
 
+import math
 from collections import defaultdict
 
 from trefoilspool.endpointpool import EndpointPool
 from trefoilspool.queueing.grantrates import GrantRates
-from trefoilspool.queueing.minimumshares import MinimumShares
+from trefoilspool.queueing.order import LEAST_FIRST_BYTE_S
+from trefoilspool.queueing.shares import ServiceShares
 from trefoilspool.queueing.waitingrequests import WaitingRequests
 from trefoilspool.ratelimits import RateLimits
 from trefoilspool.slotmessages import RefusalReason, SlotRequest
@@ -17,6 +19,12 @@
 MIN_RETRY_AFTER_S = 0.2
 # Retry-After is at most the time left before the deadline, divided by this.
 RETRY_AFTER_DIVISOR = 3
+# Share of refused requests from which on callers are told the longest delay.
+CROWD_SHARE = 0.3
+# Callers that are refused together return over this part of the longest delay.
+RETURN_SPREAD = 0.5
+# Multiples of it spread evenly between whole numbers.
+GOLDEN_RATIO = 0.6180339887498949
 
 
 class WaitPredictor:
@@ -30,8 +38,8 @@
         Endpoints that may get requests.
     grant_rates : GrantRates
         How many slots are granted a second.
-    minimum_shares : defaultdict
-        Shares of the ranks of each service.
+    shares : defaultdict
+        Shares of the slots of each service.
     rate_limits : RateLimits
         Limits of the workspaces.
     """
@@ -41,13 +49,13 @@
         waiting: WaitingRequests,
         pool: EndpointPool,
         grant_rates: GrantRates,
-        minimum_shares: defaultdict[str, MinimumShares],
+        shares: defaultdict[str, ServiceShares],
         rate_limits: RateLimits,
     ) -> None:
         self.waiting = waiting
         self.pool = pool
         self.grant_rates = grant_rates
-        self.minimum_shares = minimum_shares
+        self.shares = shares
         self.rate_limits = rate_limits
 
     def predict_wait_s(self, ask: SlotRequest, now: float) -> float:
@@ -57,9 +65,40 @@
         version_wait_s = self.version_wait_s(ask, now)
         if not ahead:
             return max(limit_wait_s, version_wait_s)
-        per_s = self.grant_rates.grants_per_s(ask.service, now)
+        per_s = self.grants_per_s(ask, now)
         return max(limit_wait_s, version_wait_s, ahead / per_s)
 
+    def grants_per_s(self, ask: SlotRequest, now: float) -> float:
+        """Return the grants per second for a request and those ahead of it."""
+        order = self.waiting.order
+        if not order.refuses_early(ask):
+            return self.grant_rates.grants_per_s(ask.service, now)
+        turn = order.turn(ask, now)
+        slots = self.pool.slots(ask.service)
+        return self.grant_rates.left_per_s(ask.service, slots, turn, now)
+
+    def has_room(self, ask: SlotRequest, timeout_at: float, now: float) -> bool:
+        """Return whether a request is expected to get a slot in its time.
+
+        Parameters
+        ----------
+        ask : SlotRequest
+            The request, new or waiting.
+        timeout_at : float
+            Time of its queue timeout, in seconds.
+        now : float
+            The present time in seconds.
+        """
+        wait_s = self.predict_wait_s(ask, now)
+        if not wait_s:
+            return True
+        if self.waiting.order.refuses_early(ask):
+            if now + wait_s + LEAST_FIRST_BYTE_S <= ask.first_byte_due:
+                return True
+            late = ask._replace(first_byte_due=now)
+            wait_s = self.predict_wait_s(late, now)
+        return now + wait_s <= timeout_at
+
     def version_wait_s(self, ask: SlotRequest, now: float) -> float:
         """Predict the wait behind others that go on at the same version.
 
@@ -76,7 +115,7 @@
 
     def ahead(self, ask: SlotRequest, now: float) -> int:
         """Count the requests that get a slot before a new one."""
-        preferred = self.minimum_shares[ask.service].underserved(now)
+        preferred = self.shares[ask.service].underserved(now)
         return self.waiting.queues[ask.service].ahead(ask, now, preferred)
 
     def timeout_at(self, ask: SlotRequest, now: float) -> float:
@@ -95,7 +134,9 @@
 
         This is the predicted time until the queue is drained or the token
         bucket refilled, within the bounds set by ``MIN_RETRY_AFTER_S`` and
-        ``RETRY_AFTER_DIVISOR``.
+        ``RETRY_AFTER_DIVISOR``. Where requests are refused early the queue is
+        short and says nothing of the crowd: the more are refused, the later
+        they are told to return, at times that differ.
         """
         most = (ask.deadline - now) / RETRY_AFTER_DIVISOR
         if reason is RefusalReason.quarantined:
@@ -104,8 +145,30 @@
             wait = self.rate_limits.refill_s(ask, now)
         else:
             wait = self.predict_queue_drain_s(ask, now)
+            if self.waiting.order.refuses_early(ask):
+                wait = max(wait, self.crowd_wait_s(ask, most, now))
         return min(max(wait, MIN_RETRY_AFTER_S), max(most, MIN_RETRY_AFTER_S))
 
+    def crowd_wait_s(
+        self, ask: SlotRequest, most_s: float, now: float
+    ) -> float:
+        """Return the seconds after which a caller may find room in a crowd.
+
+        Parameters
+        ----------
+        ask : SlotRequest
+            The refused request.
+        most_s : float
+            The longest delay that leaves it time, in seconds.
+        now : float
+            The present time in seconds.
+        """
+        lane = self.waiting.order.lane(ask)
+        refused = self.shares[ask.service].refused_share(lane, now)
+        crowd = min(1, refused / CROWD_SHARE)
+        place = math.fmod(ask.key.number * GOLDEN_RATIO, 1)
+        return most_s * crowd * (1 - RETURN_SPREAD * place)
+
     def predict_queue_drain_s(self, ask: SlotRequest, now: float) -> float:
         """Predict the seconds until all requests waiting now have slots."""
         waiting = len(self.waiting.queues[ask.service])
--- a/trefoilspool/recorder.py
+++ b/trefoilspool/recorder.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from typing import Any
 
+from trefoilspool.explaining.why import parse_line
 from trefoilspool.trace import EngineSpec, RequestEvent, Trace, make_header
-from trefoilspool.why import parse_line
 
 __all__ = ['record_trace']
 
--- a/trefoilspool/slotevents.py
+++ b/trefoilspool/slotevents.py
@@ -10,7 +10,7 @@
     SlotRequest,
 )
 
-__all__ = ['judged_event', 'refusal_event']
+__all__ = ['judged_event', 'pace_event', 'refusal_event']
 
 
 def refusal_event(
@@ -39,10 +39,9 @@
             'reason': reason.name,
             'service': ask.service,
             'rank': ask.rank,
+            'size': waits.waiting.order.size(ask),
             'ahead': ahead,
-            'places_a_s': round(
-                waits.grant_rates.grants_per_s(ask.service, now), 1
-            ),
+            'places_a_s': round(waits.grants_per_s(ask, now), 1),
             'waited_s': round(now - ask.arrived_at, 3),
             'workspace': ask.workspace,
             'limit_level': bucket and int(bucket.level),
@@ -52,6 +51,25 @@
     )
 
 
+def pace_event(endpoint: EndpointLoad) -> DecisionEvent:
+    """Return the event of an endpoint whose pace is being found, or is found.
+
+    Parameters
+    ----------
+    endpoint : EndpointLoad
+        The endpoint.
+    """
+    return DecisionEvent(
+        'endpoint_pace',
+        {
+            'endpoint': endpoint.name,
+            'finding': endpoint.pace.is_finding,
+            'pace': endpoint.pace.limit,
+            'held': len(endpoint.reservations),
+        },
+    )
+
+
 def judged_event(
     endpoint: EndpointLoad,
     before: ReliabilityState,
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -18,14 +18,22 @@
 from trefoilspool.limits.refusalpacer import RefusalPacer
 from trefoilspool.promptguard import GuardDecision, PromptGuard
 from trefoilspool.quarantine import Quarantine
+from trefoilspool.queueing.calibration import Calibration
 from trefoilspool.queueing.grantrates import GrantRates
-from trefoilspool.queueing.minimumshares import MinimumShares
-from trefoilspool.queueing.waitingrequests import WaitingRequests
+from trefoilspool.queueing.order import QueueOrder, is_late
+from trefoilspool.queueing.shares import (
+    NOTHING_PREFERRED,
+    ServiceShares,
+)
+from trefoilspool.queueing.waitingrequests import (
+    QueuedRequest,
+    WaitingRequests,
+)
 from trefoilspool.queueing.waitprediction import WaitPredictor
 from trefoilspool.ratelimits import RateLimits
 from trefoilspool.reservations import Reservations
 from trefoilspool.rollouts.messages import VersionRule
-from trefoilspool.slotevents import judged_event, refusal_event
+from trefoilspool.slotevents import judged_event, pace_event, refusal_event
 from trefoilspool.slotmessages import (
     UNSENT_ENDINGS,
     AttemptEnding,
@@ -80,6 +88,8 @@
         Limits and budgets.
     waits : WaitPredictor
         How long requests wait.
+    calibration : Calibration
+        How well that is predicted.
     guard : PromptGuard
         Prompt parts that get no endpoint.
     pacer : EndpointPacer
@@ -103,19 +113,24 @@
         self.last_reports: dict[str, float] = {}
         self.rate_limits = RateLimits()
         self.grant_rates = GrantRates()
-        self.minimum_shares: defaultdict[str, MinimumShares] = defaultdict(
-            MinimumShares
+        self.shares: defaultdict[str, ServiceShares] = defaultdict(
+            ServiceShares
         )
         self.waits = WaitPredictor(
             self.waiting,
             self.pool,
             self.grant_rates,
-            self.minimum_shares,
+            self.shares,
             self.rate_limits,
         )
+        self.calibration = Calibration()
         self.decisions: list[SlotDecision] = []
         self.events: list[DecisionEvent] = []
 
+    def use_order(self, order: QueueOrder) -> None:
+        """Set the order of waiting requests, before the first of them."""
+        self.waiting.order = order
+
     @property
     def available_endpoints(self) -> dict[str, EndpointLoad]:
         """Return the endpoints that may get requests, by name."""
@@ -162,11 +177,19 @@
             return
         reason = self.try_admit(ask, now)
         if reason not in UNCOUNTED_REFUSALS:
-            self.minimum_shares[ask.service].on_ask(ask.rank, now)
+            lane = self.waiting.order.lane(ask)
+            self.shares[ask.service].on_ask(lane, now)
         if reason is not None:
             self.refuse(ask, reason, now)
             return
-        self.waiting.add(ask, self.waits.timeout_at(ask, now))
+        self.waiting.add(
+            QueuedRequest(
+                ask,
+                self.waits.timeout_at(ask, now),
+                now,
+                self.waits.predict_wait_s(ask, now),
+            )
+        )
         self.grant_waiting(ask.service, now)
         if ask.key in self.waiting:
             self.decisions.append(Queued(ask.key))
@@ -195,8 +218,8 @@
             for endpoint in endpoints
         ):
             return RefusalReason.no_endpoint
-        wait = self.waits.predict_wait_s(ask, now)
-        if wait and now + wait > self.waits.timeout_at(ask, now):
+        timeout_at = self.waits.timeout_at(ask, now)
+        if not self.waits.has_room(ask, timeout_at, now):
             return RefusalReason.crowded
         return self.rate_limits.try_charge(ask, now)
 
@@ -204,9 +227,9 @@
         """Grant free slots to the waiting requests of a service."""
         queue = self.waiting.queues[service]
         preferred = (
-            self.minimum_shares[service].underserved(now)
+            self.shares[service].underserved(now)
             if queue
-            else frozenset()
+            else NOTHING_PREFERRED
         )
         held_back = self.is_held_back if self.may_hold_back(service) else None
         # Rules of roll-outs under which no slot is free.
@@ -218,6 +241,8 @@
                 if not self.pool.has_free_slot(service, now):
                     return
                 blocked.update(filter(None, (ask.version_rule,)))
+        if not queue:
+            self.grant_rates.on_free(service, now)
 
     def try_grant(self, ask: SlotRequest, now: float) -> bool:
         """Grant the best free slot to a waiting request.
@@ -234,11 +259,18 @@
         endpoint = self.pool.best(ask, now)
         if endpoint is None:
             return False
+        self.calibrate(ask, now)
         self.waiting.remove(ask.key)
         is_probe = decision is GuardDecision.probe
         self.grant(ask, endpoint, now, is_probe=is_probe)
         return True
 
+    def calibrate(self, ask: SlotRequest, now: float) -> None:
+        """Compare the wait of a request that gets a slot with the forecast."""
+        waiting = self.waiting.get(ask.key)
+        if waiting is not None and now > waiting.since:
+            self.calibration.on_granted(waiting, now)
+
     def may_hold_back(self, service: str) -> bool:
         """Return whether some waiting requests may have to be passed over."""
         return bool(
@@ -271,8 +303,9 @@
         self.pacer.charge(reservation.run, now)
         self.refusals.on_granted(reservation.run, ask.key, now)
         self.rate_limits.record_attempt(ask, now)
-        self.grant_rates.record(ask.service, now)
-        self.minimum_shares[ask.service].on_grant(ask.rank, now)
+        order = self.waiting.order
+        self.grant_rates.record(ask.service, order.turn(ask, now), now)
+        self.shares[ask.service].on_grant(order.lane(ask), now)
         self.decisions.append(
             Granted(
                 ask.key,
@@ -286,6 +319,9 @@
         self, ask: SlotRequest, reason: RefusalReason, now: float
     ) -> None:
         """Refuse a request, with a suggested delay before a retry."""
+        waiting = self.waiting.get(ask.key)
+        if waiting is not None:
+            self.calibration.on_refused(waiting)
         self.withdraw(ask.key, now)
         retry_after = self.waits.retry_after(ask, reason, now)
         self.decisions.append(Refused(ask.key, reason, retry_after))
@@ -319,6 +355,9 @@
             self.record_release(endpoint, release, granted_at, now)
         if reservation is None:
             return
+        self.grant_rates.on_released(
+            reservation.service, now - reservation.granted_at
+        )
         if release.ending in NOT_RUN_ENDINGS:
             self.rate_limits.refund(
                 reservation.workspace,
@@ -398,10 +437,11 @@
     def tick(self, now: float) -> None:
         """Apply queue timeouts, remove lost entry hosts, grant free slots."""
         self.guard.tick(now)
+        self.events += map(pace_event, self.pool.changed_paces())
         self.pacer.forget_ended()
         self.refusals.forget_ended()
         for waiting in self.waiting.all():
-            if now >= waiting.timeout_at:
+            if now >= waiting.timeout_at or self.lost_room(waiting, now):
                 self.refuse(waiting.ask, RefusalReason.crowded, now)
             elif self.guard.decide(waiting.ask, now) is GuardDecision.refused:
                 self.refuse(waiting.ask, RefusalReason.quarantined, now)
@@ -411,6 +451,14 @@
         for service in self.waiting.queues:
             self.grant_waiting(service, now)
 
+    def lost_room(self, waiting: QueuedRequest, now: float) -> bool:
+        """Return whether a late request waits behind too many on time."""
+        if not self.waiting.order.refuses_early(waiting.ask):
+            return False
+        return is_late(waiting.ask, now) and not self.waits.has_room(
+            waiting.ask, waiting.timeout_at, now
+        )
+
     def remove_entry(self, entry: str, now: float) -> None:
         """Drop the slots and waiting requests of a lost entry host."""
         self.last_reports.pop(entry, None)
