Test roll-outs with a frozen home host, a slow route and one bad endpoint

Cause: the design claims these three, and no test on real hosts held them.

Change: the home host's thread stands still for 4 s in a good and in a bad roll-out; a version that is slow on one of two routes; one of three new endpoints that fails.

--- a/tests/test_rollouthosts.py
+++ b/tests/test_rollouthosts.py
@@ -1,8 +1,10 @@
 """Roll-outs on real hosts, one failure at a time."""
 
 import contextlib
+import itertools
 import json
 import threading
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -12,12 +14,21 @@
 CALLERS = 6
 DURATION_S = 10
 SERVERS = 3
+SLOW_S = 0.15
+FREEZE_S = 4
 
 
 def fail(served: ServedRequest) -> None:
     served.respond(500, b'broken')
 
 
+def slow_on_a_route(served: ServedRequest) -> None:
+    """Respond several times slower than the old version, on one route."""
+    if '/book/' in served.request.line:
+        time.sleep(SLOW_S)
+    served.respond()
+
+
 class RolloutWorld:
     """Endpoints of an old and a new version, hosts, and callers."""
 
@@ -28,6 +39,7 @@
         self.stopping = threading.Event()
         self.statuses: list[int] = []
         self.new: list[PlatformEndpoint] = []
+        self.paths = itertools.cycle(('/look/1',))
 
     def add(self, version: str) -> PlatformEndpoint:
         return self.cluster.add_endpoint(version=version, capacity=20)
@@ -53,8 +65,9 @@
     def call(self, number: int) -> None:
         while not self.stopping.is_set():
             running = self.hosts[number % len(self.hosts)]
+            path = next(self.paths)
             with contextlib.suppress(OSError):
-                response = self.cluster.call(running, '/look/1')
+                response = self.cluster.call(running, path)
                 self.statuses.append(response.status)
             self.stopping.wait(0.004)
 
@@ -78,6 +91,10 @@
             if running.host.mesh.peers.is_home()
         )
 
+    def freeze_home(self) -> None:
+        """Stop all that the home host decides for a while."""
+        self.home().host.mesh.call_soon(lambda now: time.sleep(FREEZE_S))
+
     def check_reverted(self) -> None:
         """Check that nothing more is sent to the new version."""
         wait_for(
@@ -119,6 +136,13 @@
         assert world.runs(world.old) == before
         assert set(world.statuses) == {200}
 
+    def test_one_bad_endpoint_reverts_nothing(
+        self, world: RolloutWorld
+    ) -> None:
+        world.start()
+        world.new[0].behaviour = fail
+        world.wait_for_state('completed')
+
     def test_home_is_lost(self, world: RolloutWorld) -> None:
         world.start(durationS=10)
         wait_for(lambda: world.runs(world.new) > 3, 'a test')
@@ -127,6 +151,13 @@
         lost.stop()
         world.wait_for_state('completed')
 
+    def test_home_is_frozen(self, world: RolloutWorld) -> None:
+        """It wakes with decisions that another host has gone beyond."""
+        world.start(durationS=15)
+        wait_for(lambda: world.runs(world.new) > 3, 'a test')
+        world.freeze_home()
+        world.wait_for_state('completed')
+
     def test_home_hears_no_other(self, world: RolloutWorld) -> None:
         """Two hosts decide for a while; the store holds one final state."""
         world.start(durationS=12)
@@ -189,6 +220,15 @@
         world.wait_for_state('reverted')
         world.check_reverted()
 
+    def test_home_is_frozen(self, world: RolloutWorld) -> None:
+        world.start(durationS=20)
+        wait_for(lambda: world.runs(world.new) > 3, 'a test')
+        world.freeze_home()
+        for endpoint in world.new:
+            endpoint.behaviour = fail
+        world.wait_for_state('reverted')
+        world.check_reverted()
+
     def test_store_is_silent(self, world: RolloutWorld) -> None:
         world.start(durationS=20)
         wait_for(lambda: world.runs(world.new) > 3, 'a test')
@@ -207,6 +247,14 @@
         world.wait_for_state('reverted')
         world.check_reverted()
 
+    def test_slow_on_one_route(self, world: RolloutWorld) -> None:
+        world.paths = itertools.cycle(('/look/1', '/book/1', '/look/1'))
+        world.start(durationS=20)
+        for endpoint in world.new:
+            endpoint.behaviour = slow_on_a_route
+        world.wait_for_state('reverted')
+        world.check_reverted()
+
 
 class TestOddOrder:
     def test_costs_nothing_else(self, world: RolloutWorld) -> None:
