Look only at lanes in which requests wait, and grant only while slots are free

Change: empty lanes are skipped, the shares of sizes are kept for 20 ms, a service without a free slot is looked at no further. `trefoilspool explain` tells the class of a request and how many go before it.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -42,6 +42,7 @@
         assert told['route'] == 'r-look'
         assert told['service'] == 'engines'
         assert told['decides'] is True
+        assert (told['size'], told['ahead']) == (0, 0)
         verdicts = sorted(
             candidate['verdict'] for candidate in told['candidates']
         )
--- a/trefoilspool/explaining/placement.py
+++ b/trefoilspool/explaining/placement.py
@@ -74,6 +74,8 @@
         The host that decides; others know its counts only roughly.
     retry_after_s, predicted_wait_s : float
         What a refused caller would be told; the wait for a slot.
+    size, ahead : int
+        Its class in the order of waiting requests; those that go before it.
     """
 
     outcome: str
@@ -87,6 +89,8 @@
     rank: int
     rollout: str
     predicted_wait_s: float
+    size: int
+    ahead: int
     retry_after_s: float
     candidates: list[Candidate]
 
@@ -223,6 +227,8 @@
     placement = Placement(
         outcome='granted' if chosen else 'queued',
         predicted_wait_s=round(wait_s, 3),
+        size=scheduler.waiting.order.size(ask),
+        ahead=scheduler.waits.ahead(ask, now),
         candidates=[
             candidate(scheduler, endpoint, chosen, ask, now)
             for endpoint in endpoints
--- a/trefoilspool/queueing/minimumshares.py
+++ b/trefoilspool/queueing/minimumshares.py
@@ -46,7 +46,10 @@
 
     def counts(self, rank: int, now: float) -> DecayingCounts:
         """Return the present counts of a rank."""
-        counts = self.counts_by_class.setdefault(rank, DecayingCounts())
+        counts = self.counts_by_class.get(rank)
+        if counts is None:
+            counts = DecayingCounts()
+            self.counts_by_class[rank] = counts
         counts.decay(now)
         return counts
 
--- a/trefoilspool/queueing/servicequeue.py
+++ b/trefoilspool/queueing/servicequeue.py
@@ -137,8 +137,10 @@
             yield from part.asks.islice(part.start, part.stop)
 
     def parts(self, now: float, preferred: Preferred) -> Iterator[LanePart]:
-        """Yield both parts of each lane."""
+        """Yield both parts of each lane in which requests wait."""
         for lane, asks in self.lanes.items():
+            if not asks:
+                continue
             on_time = asks.bisect_key_left((now + LEAST_FIRST_BYTE_S,))
             yield LanePart(
                 part_key(lane, preferred, late=False),
--- a/trefoilspool/queueing/shares.py
+++ b/trefoilspool/queueing/shares.py
@@ -1,5 +1,6 @@
 """Which ranks of a service, and which sizes of a rank, get too few slots."""
 
+import math
 from collections import defaultdict
 from typing import NamedTuple
 
@@ -9,6 +10,10 @@
 __all__ = ['NOTHING_PREFERRED', 'Preferred', 'ServiceShares']
 
 
+# Shares change over seconds; a decision a millisecond later needs no new ones.
+LANES_KEPT_S = 0.02
+
+
 class Preferred(NamedTuple):
     """What goes before others until it has its minimum share.
 
@@ -28,9 +33,19 @@
 
 
 class ServiceShares:
-    """The shares of the slots of one service."""
+    """The shares of the slots of one service.
+
+    Attributes
+    ----------
+    lanes : frozenset of Lane
+        Lanes below their minimum share.
+    lanes_at : float
+        When these were computed, in seconds.
+    """
 
     def __init__(self) -> None:
+        self.lanes: frozenset[Lane] = frozenset()
+        self.lanes_at = -math.inf
         self.ranks = MinimumShares()
         self.sizes: defaultdict[int, MinimumShares] = defaultdict(MinimumShares)
 
@@ -53,12 +68,16 @@
 
     def underserved(self, now: float) -> Preferred:
         """Return what has less than its minimum share."""
-        return Preferred(
-            self.ranks.underserved(now),
-            frozenset(
-                Lane(rank, size)
-                for rank, shares in self.sizes.items()
-                if len(shares.counts_by_class) > 1
-                for size in shares.underserved(now)
-            ),
+        if now - self.lanes_at >= LANES_KEPT_S:
+            self.lanes = self.underserved_lanes(now)
+            self.lanes_at = now
+        return Preferred(self.ranks.underserved(now), self.lanes)
+
+    def underserved_lanes(self, now: float) -> frozenset[Lane]:
+        """Return the lanes with less than their share of their rank."""
+        return frozenset(
+            Lane(rank, size)
+            for rank, shares in self.sizes.items()
+            if len(shares.counts_by_class) > 1
+            for size in shares.underserved(now)
         )
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -21,10 +21,7 @@
 from trefoilspool.queueing.calibration import Calibration
 from trefoilspool.queueing.grantrates import GrantRates
 from trefoilspool.queueing.order import QueueOrder, is_late
-from trefoilspool.queueing.shares import (
-    NOTHING_PREFERRED,
-    ServiceShares,
-)
+from trefoilspool.queueing.shares import ServiceShares
 from trefoilspool.queueing.waitingrequests import (
     QueuedRequest,
     WaitingRequests,
@@ -226,11 +223,12 @@
     def grant_waiting(self, service: str, now: float) -> None:
         """Grant free slots to the waiting requests of a service."""
         queue = self.waiting.queues[service]
-        preferred = (
-            self.shares[service].underserved(now)
-            if queue
-            else NOTHING_PREFERRED
-        )
+        if not queue:
+            self.grant_rates.on_free(service, now)
+            return
+        if not self.pool.has_free_slot(service, now):
+            return
+        preferred = self.shares[service].underserved(now)
         held_back = self.is_held_back if self.may_hold_back(service) else None
         # Rules of roll-outs under which no slot is free.
         blocked: set[VersionRule | None] = set()
