Let hosts that start without the store take the endpoints from peers

Cause: what endpoints there are came from peers only after a peer had read the store. Ruled out: the list of hosts, which new hosts had within 0.4 s.

Change: a host without any record reads a peer's copy, each time another peer's, until it has one. The copy does not count as current.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -63,6 +63,7 @@
     'wire/checks',
     '../platform/storecalls',
     'exchange',
+    'endpointsync',
     'workerpool',
     'paths/relayclient',
     'paths/relaytask',
--- a/trefoilspool/endpointsync.py
+++ b/trefoilspool/endpointsync.py
@@ -3,10 +3,14 @@
 import threading
 from collections.abc import Callable
 
+import logbook
+
 from trefoilspool import clock
 from trefoilspool.departures import EndpointRecord
 from trefoilspool.endpointview import STALE_S, EndpointsRead, EndpointView
 from trefoilspool.mesh import MeshTask
+from trefoilspool.peerchoice import PeerChoice
+from trefoilspool.peers import HostInfo
 from trefoilspool.peertopics import ENDPOINTS_PATH, PeerTopic
 from trefoilspool.replication import (
     PeerFetchTask,
@@ -24,6 +28,8 @@
 READERS = 3
 FETCH_SPREAD_S = 0.3
 
+logger = logbook.Logger('directory')
+
 
 class EndpointSync:
     """The tasks that read the endpoint records, and their notices to peers.
@@ -52,6 +58,8 @@
         Reads the store.
     peer_task : PeerFetchTask
         Reads peers.
+    peer_choice : PeerChoice
+        Which peer is asked first after a start.
     """
 
     def __init__(
@@ -63,6 +71,7 @@
         stopping: threading.Event,
     ) -> None:
         self.mesh = mesh
+        self.peer_choice = PeerChoice()
         self.control_port = control_port
         self.view = EndpointView(
             decode, self.outage_ended_at, mesh.set_available_endpoints
@@ -136,6 +145,8 @@
         Also records that this host's records are current if the peer that was
         heard last has no further changes.
         """
+        if not self.view.replica.records:
+            return self.find_first()
         read = self.mesh.endpoints_read
         if read is None:
             return None
@@ -145,6 +156,49 @@
             self.mark_current(read.received_at)
         return None
 
+    def find_first(self) -> Callable[[], None] | None:
+        """Return a function that reads what a peer has, None without a peer.
+
+        A host that starts while the store is away knows no endpoint, and no
+        peer announces any: announcements follow reads of the store.
+        """
+        registry = self.mesh.peers
+        others = [
+            host
+            for host in registry.responsive()
+            if host.name != registry.own.name
+        ]
+        peer = self.peer_choice.choose(
+            others, registry.last_heartbeat_at, clock.now()
+        )
+        return None if peer is None else lambda: self.fetch_first(peer)
+
+    def fetch_first(self, peer: HostInfo) -> None:
+        """Read the records of a peer, which may be as old as the outage.
+
+        They do not count as current: the store is still asked, and what it has
+        is newer.
+
+        Raises
+        ------
+        LogOutageError
+            The peer did not respond.
+        """
+        # The next read, if one is needed, is of another peer.
+        self.peer_choice.on_failure(peer.name, clock.now())
+        source = PeerTopic(peer.address, self.control_port, ENDPOINTS_PATH)
+        self.view.replica.apply(source.read_latest())
+        position = self.view.replica.position()
+        logger.info(
+            'endpoints_handed_over',
+            extra={
+                'peer': peer.name,
+                'records': len(self.view.replica.records),
+                'era': position.era,
+                'offset': position.offset,
+            },
+        )
+
     def fetch(self, read: EndpointsRead) -> None:
         """Read the records that a peer has and this host lacks."""
         source = PeerTopic(read.peer.address, self.control_port, ENDPOINTS_PATH)
