--- a/trefoilspool/queueing/grantrates.py
+++ b/trefoilspool/queueing/grantrates.py
@@ -22,8 +22,8 @@
     ----------
     held_s : float
         Seconds for which a slot is held, on average; 0 if not known.
-    free_at : float
-        When a slot was last free and nothing waited, in seconds.
+    empty_at : float
+        When nothing waited last, in seconds.
     granted : deque
         Time and turn of each.
     by_turn : Counter
@@ -34,7 +34,7 @@
         self.granted: deque[tuple[float, Turn]] = deque()
         self.by_turn: Counter[Turn] = Counter()
         self.held_s = 0.0
-        self.free_at = -math.inf
+        self.empty_at = -math.inf
 
     def add(self, turn: Turn, now: float) -> None:
         """Count a granted slot."""
@@ -73,18 +73,18 @@
             gain = HELD_GAIN if grants.held_s else 1
             grants.held_s += gain * (held_s - grants.held_s)
 
-    def on_free(self, service: str, now: float) -> None:
-        """Note that slots are free and nothing waits for them."""
+    def on_empty_queue(self, service: str, now: float) -> None:
+        """Note that nothing waits for a slot."""
         grants = self.services.get(service)
         if grants is not None:
-            grants.free_at = now
+            grants.empty_at = now
 
     def left_per_s(
         self, service: str, slots: int, turn: Turn, now: float
     ) -> float:
         """Return the grants per second that requests ahead of a turn leave.
 
-        A service with free slots could have granted more than it did.
+        A service whose queue was empty could have granted more than it did.
 
         Parameters
         ----------
@@ -101,7 +101,7 @@
         grants = self.services.get(service)
         if grants is None:
             return all_per_s
-        if grants.held_s and now - grants.free_at < WINDOW_S:
+        if grants.held_s and now - grants.empty_at < WINDOW_S:
             all_per_s = max(all_per_s, slots / grants.held_s)
         ahead = sum(
             count for other, count in grants.by_turn.items() if other < turn
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -224,7 +224,7 @@
         """Grant free slots to the waiting requests of a service."""
         queue = self.waiting.queues[service]
         if not queue:
-            self.grant_rates.on_free(service, now)
+            self.grant_rates.on_empty_queue(service, now)
             return
         if not self.pool.has_free_slot(service, now):
             return
@@ -240,7 +240,7 @@
                     return
                 blocked.update(filter(None, (ask.version_rule,)))
         if not queue:
-            self.grant_rates.on_free(service, now)
+            self.grant_rates.on_empty_queue(service, now)
 
     def try_grant(self, ask: SlotRequest, now: float) -> bool:
         """Grant the best free slot to a waiting request.
