Teach the soak restarts while the store is away and the order of slots

Cause: the soak let the store fail and hosts restart, but never all of them in turn during an outage, and played the order of due times only.

Change: from seed 1000 on half of the hosts stop in turn while the store is away, and slots are granted in the order shortest; earlier seeds stay as they were.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -22,6 +22,7 @@
 from soakchecks import all_violations
 from soakfaults import (
     FIRST_SEED_WITH_LIMITS,
+    FIRST_SEED_WITH_OUTAGES,
     FIRST_SEED_WITH_SERIES,
     FIRST_SEED_WITH_VERSIONS,
     crash_by_part,
@@ -49,6 +50,7 @@
 MIN_ENDPOINTS = 6
 CRASH_SHARE = 0.5  # share of these seeds with a part that crashes endpoints
 CRASH_START_S = 3.0
+SLOT_ORDERS = {False: 'due', True: 'shortest'}
 SECONDS_BY_CRASHES = {False: SECONDS, True: 18.0}
 
 
@@ -85,7 +87,13 @@
         versions = rng.choice(VERSION_COUNTS)
         crashes = crashes and rng.random() < CRASH_SHARE
     return Plan(
-        WorldShape(hosts, endpoints, varied=True, versions=versions),
+        WorldShape(
+            hosts,
+            endpoints,
+            varied=True,
+            versions=versions,
+            slot_order=SLOT_ORDERS[seed >= FIRST_SEED_WITH_OUTAGES],
+        ),
         CALLER_COUNT * 2 + hosts // 4,
         crashes,
         seconds or SECONDS_BY_CRASHES[crashes],
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -271,6 +271,19 @@
     return 'config'
 
 
+def restart_without_store(world: World, rng: random.Random) -> str:
+    """Stop several hosts in turn while the store is away.
+
+    Those that start have to get what they need from the others.
+    """
+    hosts = rng.sample(world.hosts, max(2, len(world.hosts) // 2))
+    with world.store.failing(rng.choice(STORE_FAULTS)):
+        for host in hosts:
+            begin(world, rng, host, term_host)
+            time.sleep(rng.uniform(0.5, 2))
+    return 'store'
+
+
 def crash_by_part(world: World, rng: random.Random, until: float) -> None:
     """Let requests with one part crash endpoints until a time."""
     world.ledger.bad_part = BadPart(
@@ -387,14 +400,23 @@
 }
 
 
+FIRST_SEED_WITH_OUTAGES = 1000
+OUTAGE_FAULTS: Mapping[str, Fault] = {
+    **ROLLOUT_FAULTS,
+    'restart_without_store': restart_without_store,
+    'restart_without_store_again': restart_without_store,
+}
+
+
 # Faults besides the newest ones, by the first seed that has them; latest first.
 ADDED_FAULTS = (
+    (FIRST_SEED_WITH_OUTAGES, OUTAGE_FAULTS),
     (FIRST_SEED_WITH_ROLLOUTS, ROLLOUT_FAULTS),
     (FIRST_SEED_WITH_PATHS, PATH_FAULTS),
     (FIRST_SEED_WITH_VERSIONS, VERSION_FAULTS),
     (FIRST_SEED_WITH_LIMITS, LIMIT_FAULTS),
 )
-PLANNED_ADDED_FAULTS = ADDED_FAULTS[2:]
+PLANNED_ADDED_FAULTS = ADDED_FAULTS[3:]
 
 
 def added_faults(seed: int, *, planned_only: bool) -> Mapping[str, Fault]:
@@ -425,7 +447,7 @@
 
 def inject_fault(world: World, name: str, seed: int) -> None:
     """Run a fault to its end, and restart hosts that have ended."""
-    fault = {**NEWEST_FAULTS, **ROLLOUT_FAULTS}[name]
+    fault = {**NEWEST_FAULTS, **OUTAGE_FAULTS}[name]
     record(world, lambda: fault(world, random.Random(seed)))
     for host in world.hosts:
         host.restart_if_ended()
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -33,12 +33,14 @@
 
     ``varied`` endpoints also answer without a length and may crash. With
     several ``versions`` callers also take up streams that were cut.
+    ``slot_order`` is the hosts' setting.
     """
 
     hosts: int = HOST_COUNT
     endpoints: int = ENDPOINT_COUNT
     varied: bool = False
     versions: int = 1
+    slot_order: str = 'due'
 
 
 DEFAULT_SHAPE = WorldShape()
@@ -72,6 +74,7 @@
             'MESH_PORT': str(world.mesh_port),
             'SEEDS': world.seeds,
             'STORE': self.store.address,
+            'SLOT_ORDER': world.shape.slot_order,
         }
         variables = {
             f'TREFOILSPOOL_{name}': text for name, text in settings.items()
