Count none of its rank before a late request that waits in the order of due times

The queue of lanes counted late requests of its rank ahead of another late one; with due times it had counted none, so one that came behind a held-back crowd was refused. Not the load: the test is of the pure core.

Change: as before where all wait until their timeouts; the order shortest counts them.

--- a/tests/test_queueorder.py
+++ b/tests/test_queueorder.py
@@ -253,6 +253,15 @@
         assert queue.ahead(long, 0) == 2
         assert queue.ahead(second, 0) == 0
 
+    def test_late_request_counts_none_of_its_rank_where_all_wait(self) -> None:
+        queue = ServiceQueue(ORDERS['due'])
+        higher = self.ask(7, rank=9)
+        for waiting in (self.ask(5), self.ask(6), higher):
+            queue.add(waiting)
+        late = self.ask(8)
+        assert queue.ahead(late, 1) == 1
+        assert queue.ahead(late._replace(first_byte_due=2), 1) == 1
+
     def test_late_requests_come_last(self) -> None:
         queue = ServiceQueue(self.order)
         short, long = self.ask(5), self.ask(900, first_byte_due=2)
--- a/trefoilspool/queueing/servicequeue.py
+++ b/trefoilspool/queueing/servicequeue.py
@@ -21,6 +21,7 @@
 
 # Sort key of a part of a lane, with the preference of its rank and size.
 PartKey = tuple[bool, int, bool, bool, int]
+RANK_KEYS = 2  # of these, the first are of the rank
 
 
 class LanePart(NamedTuple):
@@ -96,7 +97,11 @@
             Ranks and sizes that go before others.
         """
         lane = self.order.lane(ask)
-        own = part_key(lane, preferred, late=is_late(ask, now))
+        late = is_late(ask, now)
+        own = part_key(lane, preferred, late=late)
+        if late and not self.order.refuses_early(ask):
+            # It waits until its timeout, whoever of its rank goes before.
+            return self.of_earlier_ranks(own, now, preferred)
         total = 0
         for part in self.parts(now, preferred):
             if part.key < own:
@@ -106,6 +111,17 @@
                 total += max(0, min(place, part.stop) - part.start)
         return total
 
+    def of_earlier_ranks(
+        self, own: PartKey, now: float, preferred: Preferred
+    ) -> int:
+        """Count the requests of ranks that go before that of a part."""
+        rank = own[:RANK_KEYS]
+        return sum(
+            part.stop - part.start
+            for part in self.parts(now, preferred)
+            if part.key[:RANK_KEYS] < rank
+        )
+
     def candidates(
         self,
         now: float,
