Store the end of a roll-out again if the store is restored before it is known

The home host learns that the end is stored, the store is restored, and what was learned is published only then: it is taken for stored in the restored store, and the operator is never told. The same where the store's answer is handled after the restore.

Change: what is decided is published before the marks of what is stored are taken away; an answer counts only if no restore became known since its question.

Measured: two tests of the two orders of events fail before and pass now; the stateful test of the protocol passes.

--- a/tests/test_rolloutprotocol.py
+++ b/tests/test_rolloutprotocol.py
@@ -1,7 +1,8 @@
 """The record of a roll-out's status, with several hosts that decide."""
 
 import itertools
-from collections.abc import Iterator
+import threading
+from collections.abc import Callable, Iterator
 
 import pytest
 from hypothesis import settings
@@ -16,9 +17,17 @@
 from rolloutrecords import decode_order, decode_status, encode_status
 
 from trefoilspool.errors import LogOutageError
+from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.replica import Position
+from trefoilspool.rollouts.coordinator import Coordinator
 from trefoilspool.rollouts.gate import RolloutGate
-from trefoilspool.rollouts.messages import RolloutOrder, RolloutStatus, State
+from trefoilspool.rollouts.gossip import RolloutGossip
+from trefoilspool.rollouts.messages import (
+    Phase,
+    RolloutOrder,
+    RolloutStatus,
+    State,
+)
 from trefoilspool.rollouts.statustask import StatusTask
 from trefoilspool.store import ConditionalTopic, KeyedRecord, Page
 
@@ -84,6 +93,7 @@
     def __init__(self, topic: Topic) -> None:
         self.due_states: dict[str, State] = {}
         self.told: list[RolloutStatus] = []
+        self.restores = 0
         self.gate = RolloutGate()
         self.coordinator = self
         self.task = StatusTask(
@@ -204,3 +214,70 @@
     def test_odd_order(self, content: bytes) -> None:
         with pytest.raises(BadRecordError):
             decode_order(KEY, content, Position(0, 4))
+
+
+class Sender:
+    """Counts what is sent to other hosts."""
+
+    def __init__(self) -> None:
+        self.sent: list[object] = []
+
+    def send_all(self, datagram: object, now: float) -> None:
+        self.sent.append(datagram)
+
+
+class TestRestore:
+    """The store is restored just after the end of a roll-out was stored."""
+
+    order = RolloutOrder('engines', 'v2', 10, Position(0, 3))
+
+    @pytest.fixture
+    def gossip(self) -> RolloutGossip:
+        """Return the gossip of a home host that has to store the end."""
+        gate = RolloutGate()
+        gate.on_order(self.order, 0)
+        announcement = gate.services['engines'].announcement
+        draining = announcement._replace(phase=Phase.draining, share=1)
+        gate.on_announcement(draining, 0, 0)
+        peers = PeerRegistry(HostInfo('h1', '127.0.0.1', 1))
+        made = RolloutGossip(
+            peers,
+            Sender(),  # type: ignore[arg-type]
+            gate,
+            Coordinator(),
+            lambda service, target: 0,
+        )
+        made.tick(20)
+        assert made.due_states == {'engines': State.completed}
+        return made
+
+    def completed(self) -> RolloutStatus:
+        return RolloutStatus(
+            'engines', 'v2', State.completed, self.order.position, 0
+        )
+
+    def test_end_that_is_not_published_yet(self, gossip: RolloutGossip) -> None:
+        gossip.coordinator.on_stored(self.completed(), 20, 20)
+        gossip.on_store_restored(20)
+        gossip.tick(21)
+        gossip.tick(21.1)
+        assert gossip.due_states == {'engines': State.completed}
+
+    def test_answer_that_is_read_after_the_restore(
+        self, gossip: RolloutGossip
+    ) -> None:
+        task = StatusTask(
+            Topic(),
+            Codec(),  # type: ignore[arg-type]
+            gossip,
+            lambda call: calls.append(call),
+            threading.Event(),
+        )
+        calls: list[Callable[[float], None]] = []
+        task.step()
+        gossip.on_store_restored(20)
+        for call in calls:
+            call(20)
+        gossip.tick(21)
+        gossip.tick(21.1)
+        assert gossip.due_states == {'engines': State.completed}
--- a/trefoilspool/rollouts/gossip.py
+++ b/trefoilspool/rollouts/gossip.py
@@ -35,7 +35,8 @@
 class RolloutGossip:
     """Carries reports to the home host, and its decisions to all.
 
-    Owned by the mesh task, but for ``due_states``, which any thread may read.
+    Owned by the mesh task, but for ``due_states`` and ``restores``, which any
+    thread may read.
 
     Parameters
     ----------
@@ -54,6 +55,8 @@
     ----------
     due_states : mapping
         States that the store is to have, by service.
+    restores : int
+        How often the store has been restored, as far as is known.
     metrics : Metrics
         Counts the decisions.
     """
@@ -73,6 +76,7 @@
         self.count_others = count_others
         self.due_states: Mapping[str, State] = {}
         self.metrics = Metrics()
+        self.restores = 0
         self.heartbeats = 0
         self.reported: dict[str, Mapping[RowKey, Tally]] = {}
 
@@ -160,7 +164,14 @@
         self.due_states = self.coordinator.due_states(hosts, now)
 
     def on_store_restored(self, now: float) -> None:
-        """Have the states stored again."""
+        """Have the states stored again.
+
+        What was stored just before is published first: published later, it
+        would be taken for stored in the restored store.
+        """
+        self.restores += 1
+        if self.peers.is_home():
+            self.publish(now)
         self.gate.on_store_restored()
         self.coordinator.on_store_restored()
 
--- a/trefoilspool/rollouts/statustask.py
+++ b/trefoilspool/rollouts/statustask.py
@@ -109,13 +109,14 @@
         state : State
             Its state.
         """
+        restores = self.gossip.restores
         page = self.topic.read_latest()
         latest = self.latest_status(page, order.service)
         if latest is not None and is_superseded(order, latest):
             return
         stored = latest if latest and is_of_order(latest, order) else None
         if stored is not None and stored.state in {state, *FINAL_STATES}:
-            self.tell(stored)
+            self.tell(stored, restores)
             return
         started_ms = int((time.time() - clock.now() + started_at) * MS_PER_S)
         status = RolloutStatus(
@@ -137,7 +138,7 @@
                     'end': page.end,
                 },
             )
-            self.tell(status)
+            self.tell(status, restores)
 
     def latest_status(self, page: Page, service: str) -> RolloutStatus | None:
         """Return the stored status of a service, None if there is none."""
@@ -157,12 +158,24 @@
             )
             return None
 
-    def tell(self, status: RolloutStatus) -> None:
-        """Tell the coordinator what is stored."""
+    def tell(self, status: RolloutStatus, restores: int) -> None:
+        """Tell the coordinator what is stored.
+
+        Parameters
+        ----------
+        status : RolloutStatus
+            What was read or written.
+        restores : int
+            Restores of the store that were known before; after another one
+            the store may lack it.
+        """
         age_s = max(0, time.time() - status.started_ms / MS_PER_S)
-        self.call_soon(
-            lambda now: self.gossip.coordinator.on_stored(status, age_s, now)
-        )
+
+        def on_stored(now: float) -> None:
+            if restores == self.gossip.restores:
+                self.gossip.coordinator.on_stored(status, age_s, now)
+
+        self.call_soon(on_stored)
 
 
 def is_superseded(order: RolloutOrder, latest: RolloutStatus) -> bool:
