Log why a stream taken up goes on where it does, and when a host stood still

Change: OriginGossip.find returns its evidence (source, who answered what, how long it took, age of the records), which is logged and counted by source; the datagram socket notices that its thread went on late. No change of logic. The tests of the gossip read the version of what find returns; test_gatewaylogs takes in the new module.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -74,6 +74,7 @@
     'rollouts/gossip',
     'rollouts/statustask',
     'listedtopic',
+    'stalls',
 )
 CALL = re.compile(
     r"(?:logger\.\w+|self\.log|log_decision|DecisionEvent)\(\s*'([^']+)'"
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -386,9 +386,9 @@
         self.set_versions(wire, OLD, NEW)
         wire.gossips['a0'].on_endpoints(0)
         wire.down.add('a0')
-        assert wire.gossips['a5'].find(self.query) == OLD
+        assert wire.gossips['a5'].find(self.query).version == OLD
         unknown = self.query._replace(stream=8)
-        assert wire.gossips['a5'].find(unknown) == UNKNOWN_VERSION
+        assert wire.gossips['a5'].find(unknown).version == UNKNOWN_VERSION
 
     def test_stream_on_a_route_that_has_just_changed_is_told(self) -> None:
         wire = Wire(9)
@@ -404,13 +404,13 @@
     def test_unheard_of_stream_while_there_is_one_version(self) -> None:
         wire = Wire(9)
         self.set_versions(wire, OLD)
-        assert wire.gossips['a5'].find(self.query) == OLD
+        assert wire.gossips['a5'].find(self.query).version == OLD
 
     def test_host_with_stale_records_infers_nothing(self) -> None:
         wire = Wire(1)
         self.set_versions(wire, OLD)
         wire.gossips['a0'].is_stale = lambda: True
-        assert wire.gossips['a0'].find(self.query) == UNKNOWN_VERSION
+        assert wire.gossips['a0'].find(self.query).version == UNKNOWN_VERSION
 
     def test_share_that_is_known_after_most_hosts_ended(self) -> None:
         """With 60 in 100 hosts lost, three copies survive of 78 in 100."""
@@ -426,7 +426,7 @@
         known = 0
         for stream in streams:
             query = self.query._replace(stream=stream << 54)
-            version = wire.gossips['a15'].find(query)
+            version = wire.gossips['a15'].find(query).version
             assert version in {(OLD, NEW)[stream % 2], UNKNOWN_VERSION}
             known += version != UNKNOWN_VERSION
         assert known * 2 >= len(streams)
--- a/trefoilspool/datagramsocket.py
+++ b/trefoilspool/datagramsocket.py
@@ -4,6 +4,9 @@
 
 import logbook
 
+from trefoilspool import clock
+from trefoilspool.stalls import StallWatch
+
 __all__ = ['MAX_DATAGRAM_BYTES', 'DatagramSocket']
 
 MAX_DATAGRAM_BYTES = 60_000
@@ -22,6 +25,11 @@
         IP address of this host.
     port : int
         UDP port, the same on all hosts.
+
+    Attributes
+    ----------
+    stalls : StallWatch
+        Notices that the receiving thread has stood still.
     """
 
     def __init__(self, address: str, port: int) -> None:
@@ -32,6 +40,7 @@
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
         self.socket.bind((address, port))
+        self.stalls = StallWatch(clock.now())
 
     def send(self, address: str, body: bytes) -> None:
         """Send a datagram; it may be lost."""
@@ -56,10 +65,13 @@
         Both are empty after the timeout or a call of ``wake``.
         """
         self.socket.settimeout(timeout_s)
+        self.stalls.on_wait(clock.now(), timeout_s)
         try:
             body, origin = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
         except TimeoutError:
             return b'', ''
+        finally:
+            self.stalls.on_wake(clock.now())
         return body, origin[0]
 
     def fileno(self) -> int:
--- a/trefoilspool/endpointview.py
+++ b/trefoilspool/endpointview.py
@@ -117,9 +117,13 @@
         """Note that this host had all records at a time."""
         self.current_at = max(self.current_at, at)
 
+    def age_s(self) -> float:
+        """Return the seconds since this host last had all records."""
+        return self.now() - self.current_at
+
     def is_stale(self) -> bool:
         """Return whether this host has long not had all records."""
-        return self.now() - self.current_at >= STALE_S
+        return self.age_s() >= STALE_S
 
     def lacks(self, read: EndpointsRead) -> bool:
         """Return whether a peer has read changes that this host lacks."""
--- a/trefoilspool/origingossip.py
+++ b/trefoilspool/origingossip.py
@@ -19,13 +19,15 @@
 from trefoilspool.streamorigins import (
     MAX_STREAMS,
     UNKNOWN,
+    FoundOrigin,
     OriginQuery,
     OriginSource,
     StreamOrigin,
     StreamOrigins,
     agreed_version,
+    deciding_source,
 )
-from trefoilspool.versionhistory import ServiceVersion, VersionHistory
+from trefoilspool.versionhistory import VersionHistory
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 from trefoilspool.wire.origins import (
@@ -53,6 +55,11 @@
     return False
 
 
+def no_age() -> float:
+    """Return an age of zero."""
+    return 0
+
+
 class BegunStream(NamedTuple):
     """A stream that began here and has not ended well.
 
@@ -94,6 +101,8 @@
         Services of the routes.
     is_stale : callable
         Returns whether this host may lack a version that others know.
+    records_age_s : callable
+        Returns the age of this host's endpoint records, in seconds.
     origins : StreamOrigins
         Streams of which other hosts or this one have told.
     begun : dict
@@ -106,6 +115,7 @@
         self.history = VersionHistory(clock.now())
         self.routes = RouteHistory()
         self.is_stale: Callable[[], bool] = never
+        self.records_age_s: Callable[[], float] = no_age
         self.lock = threading.Lock()
         self.origins = StreamOrigins()
         self.begun: dict[int, BegunStream] = {}
@@ -247,25 +257,38 @@
             for inbox in self.lookups.get(origin.stream, ()):
                 inbox.put(Answer(sender.name, origin))
 
-    def find(self, query: OriginQuery) -> ServiceVersion:
-        """Return the version at which a stream began, or `UNKNOWN_VERSION`.
+    def find(self, query: OriginQuery) -> FoundOrigin:
+        """Return at which version a stream began, and how this is known.
 
         Waits for other hosts unless this one has a record.
         """
-        own = self.own_knowledge(query, clock.now())
-        if own.source is OriginSource.recorded:
-            return own.version
+        began_at = clock.now()
+        own = self.own_knowledge(query, began_at)
+        answers: dict[str, StreamOrigin] = {}
+        if own.source is not OriginSource.recorded:
+            answers = self.ask_others(query)
+        origins = (own, *answers.values())
+        return FoundOrigin(
+            agreed_version(origins),
+            deciding_source(origins),
+            answers,
+            len(self.owners(query.stream, ASKED_HOSTS)),
+            clock.now() - began_at,
+            self.records_age_s(),
+        )
+
+    def ask_others(self, query: OriginQuery) -> dict[str, StreamOrigin]:
+        """Ask other hosts for a stream; return what they know, by host."""
         inbox: Inbox = queue.SimpleQueue()
         with self.lock:
             self.lookups.setdefault(query.stream, []).append(inbox)
         try:
-            answers = self.ask(query, inbox)
+            return self.ask(query, inbox)
         finally:
             with self.lock:
                 self.lookups[query.stream].remove(inbox)
                 if not self.lookups[query.stream]:
                     del self.lookups[query.stream]
-        return agreed_version((own, *answers.values()))
 
     def ask(self, query: OriginQuery, inbox: Inbox) -> dict[str, StreamOrigin]:
         """Ask other hosts for a stream; return their answers by host.
--- a/trefoilspool/streamorigins.py
+++ b/trefoilspool/streamorigins.py
@@ -4,7 +4,7 @@
 version that began it. Pure: each call passes the time in seconds.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -15,11 +15,13 @@
 __all__ = [
     'UNKNOWN',
     'UNKNOWN_VERSION',
+    'FoundOrigin',
     'OriginQuery',
     'OriginSource',
     'StreamOrigin',
     'StreamOrigins',
     'agreed_version',
+    'deciding_source',
     'stream_key',
 ]
 
@@ -82,6 +84,33 @@
     window_s: float
 
 
+class FoundOrigin(NamedTuple):
+    """What a host has concluded about the beginning of a stream, and why.
+
+    Attributes
+    ----------
+    version : ServiceVersion
+        The version that began it, or ``UNKNOWN_VERSION``.
+    source : OriginSource
+        What this follows from.
+    answers : mapping
+        The other hosts that answered, and what each knows.
+    asked : int
+        Number of hosts that were asked.
+    waited_s : float
+        Seconds that the search has taken.
+    records_age_s : float
+        Age of this host's endpoint records, in seconds.
+    """
+
+    version: ServiceVersion
+    source: OriginSource
+    answers: Mapping[str, StreamOrigin]
+    asked: int
+    waited_s: float
+    records_age_s: float
+
+
 class RecordedStream(NamedTuple):
     """A recorded version, and when it was recorded, in seconds."""
 
@@ -157,3 +186,13 @@
     if candidates is None or len(candidates) > 1:
         return UNKNOWN_VERSION
     return candidates.pop()
+
+
+def deciding_source(origins: Iterable[StreamOrigin]) -> OriginSource:
+    """Return the source that `agreed_version` goes by."""
+    sources = {origin.source for origin in origins}
+    order = (OriginSource.recorded, OriginSource.several, OriginSource.only)
+    return next(
+        (source for source in order if source in sources),
+        OriginSource.unwatched,
+    )
--- a/trefoilspool/streamtakeup.py
+++ b/trefoilspool/streamtakeup.py
@@ -3,9 +3,8 @@
 from trefoilspool.callerrors import UnknownOriginError
 from trefoilspool.requestprogress import RequestProgress
 from trefoilspool.servingparts import ServingParts
-from trefoilspool.streamorigins import OriginQuery
+from trefoilspool.streamorigins import FoundOrigin, OriginQuery
 from trefoilspool.telemetry import Metrics, log_decision
-from trefoilspool.versionhistory import ServiceVersion
 
 __all__ = ['count_resumption', 'take_up']
 
@@ -27,7 +26,8 @@
     caller_request = request.caller_request
     if not (request.route.streams and caller_request.is_resumption):
         return
-    version = find_version(parts, progress)
+    found = find_origin(parts, progress)
+    version = found.version
     count_resumption(parts.metrics, 'caller', is_known=bool(version.software))
     if not version.software or not request.route.leads_to(version.service):
         raise UnknownOriginError(caller_request.resumes, RETRY_AFTER_S)
@@ -35,14 +35,12 @@
     progress.software = version.software
 
 
-def find_version(
-    parts: ServingParts, progress: RequestProgress
-) -> ServiceVersion:
-    """Find out and log at which version a stream began."""
+def find_origin(parts: ServingParts, progress: RequestProgress) -> FoundOrigin:
+    """Find out, log and count at which version a stream began."""
     request = progress.request
     caller_request = request.caller_request
     route = request.route
-    version = parts.origins.find(
+    found = parts.origins.find(
         OriginQuery(
             request.stream, route.name, route.timeout_s * LIFETIME_TIMEOUTS
         )
@@ -51,11 +49,29 @@
         'stream_taken_up',
         caller_request.request_id,
         resumes=caller_request.resumes,
-        service=version.service,
-        software=version.software,
+        service=found.version.service,
+        software=found.version.software,
         resume_after=caller_request.resume_after,
+        **evidence_fields(found),
     )
-    return version
+    parts.metrics.count(
+        f'trefoilspool_stream_origins_total{{source="{found.source.name}"}}'
+    )
+    return found
+
+
+def evidence_fields(found: FoundOrigin) -> dict[str, object]:
+    """Return the log fields that tell why a version was concluded."""
+    return {
+        'source': found.source.name,
+        'asked': found.asked,
+        'answers': {
+            host: [origin.source.name, origin.software]
+            for host, origin in found.answers.items()
+        },
+        'waited_s': round(found.waited_s, 3),
+        'records_age_s': round(found.records_age_s, 3),
+    }
 
 
 def count_resumption(metrics: Metrics, by: str, *, is_known: bool) -> None:
