Show that streams go on at another version at hosts that missed one

Eight host processes, one version; four are stopped, the second version joins 2 s later and streams begin there at the others; the four wake after 3.5 s and callers take the streams up there. Two streams of two versions are allowed.

The hosts' start script of the soak parts hosts from each other by files; what a socket has received before stays to be read.

--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -57,6 +57,9 @@
         self.log = world.folder / f'{self.name}.log'
         # While it exists, new connections to endpoints fail.
         self.cut_file = world.folder / f'{self.name}.cut'
+        # While it exists, the host is parted from the others, `in`, `out` or
+        # `both` ways.
+        self.parted_file = world.folder / f'{self.address}.parted'
         self.listen = f'{self.address}:{world.ports[0]}'
         self.ready = f'{self.address}:{world.ports[1]}'
         self.lock = threading.Lock()
@@ -104,6 +107,14 @@
         if self.process.poll() is not None:
             self.restart(self.process)
 
+    def part(self, way: str) -> None:
+        """Cut the host off from the other hosts: `in`, `out` or `both`."""
+        self.parted_file.write_text(way)
+
+    def rejoin(self) -> None:
+        """Let the other hosts reach this one, and it them."""
+        self.parted_file.unlink(missing_ok=True)
+
     def close(self) -> None:
         self.process.kill()
         self.process.wait()
@@ -177,8 +188,20 @@
     def add_endpoint(self) -> SoakEndpoint:
         return self.start_endpoint(f'i-{next(self.endpoint_numbers)}')
 
-    def start_endpoint(self, key: str, born: int = 1) -> SoakEndpoint:
-        """Start an endpoint; each start has the next version in turn."""
+    def join(self, version: str) -> SoakEndpoint:
+        """Start an endpoint of a version beside those that serve."""
+        endpoint = self.start_endpoint(
+            f'i-{next(self.endpoint_numbers)}', version=version
+        )
+        endpoint.pause_s = LONG_EVENT_PAUSE_S
+        with self.endpoints_lock:
+            self.endpoints.append(endpoint)
+        return endpoint
+
+    def start_endpoint(
+        self, key: str, born: int = 1, version: str = ''
+    ) -> SoakEndpoint:
+        """Start an endpoint; without a version it has the next one in turn."""
         turn = next(self.endpoint_turns) % self.shape.versions
         endpoint = SoakEndpoint(
             key,
@@ -186,7 +209,7 @@
             self.on_crash,
             varied=self.shape.varied,
             born=born,
-            version=VERSIONS[turn],
+            version=version or VERSIONS[turn],
         )
         if self.shape.versions > 1:
             endpoint.pause_s = LONG_EVENT_PAUSE_S
