Count the age of endpoint records from their source

Cause: a host's own read of the store counted from when it ended, a fetch from a peer from when it ended, and a peer's notice from when it was handled. Change: a read counts from when it was asked for; a notice carries the age of the read it tells of (Position.age_ms), and counts from when the socket was last empty, before which it cannot have arrived. current_at of the view is thereby a time as of which all records are known.

--- a/trefoilspool/broadcasts.py
+++ b/trefoilspool/broadcasts.py
@@ -103,9 +103,23 @@
             meshdatagrams.host_info_datagram(self.peers.own), now
         )
 
-    def send_endpoints_read(self, changed_to: Position, now: float) -> None:
-        """Notify all hosts that this one has read the endpoint records."""
+    def send_endpoints_read(
+        self, changed_to: Position, age_s: float, now: float
+    ) -> None:
+        """Notify all hosts that this one has read the endpoint records.
+
+        Parameters
+        ----------
+        changed_to : Position
+            Position after the latest change.
+        age_s : float
+            Seconds since the read was asked for.
+        now : float
+            The present time in seconds.
+        """
         self.sender.send_all(
-            meshdatagrams.endpoints_read_datagram(self.peers.own, changed_to),
+            meshdatagrams.endpoints_read_datagram(
+                self.peers.own, changed_to, age_s
+            ),
             now,
         )
--- a/trefoilspool/datagramsocket.py
+++ b/trefoilspool/datagramsocket.py
@@ -30,6 +30,9 @@
     ----------
     stalls : StallWatch
         Notices that the receiving thread has stood still.
+    emptied_at : float
+        When no datagram was waiting, in seconds: what is received next arrived
+        later, however long it waits.
     """
 
     def __init__(self, address: str, port: int) -> None:
@@ -41,6 +44,7 @@
         )
         self.socket.bind((address, port))
         self.stalls = StallWatch(clock.now())
+        self.emptied_at = clock.now()
 
     def send(self, address: str, body: bytes) -> None:
         """Send a datagram; it may be lost."""
@@ -64,11 +68,32 @@
 
         Both are empty after the timeout or a call of ``wake``.
         """
+        now = clock.now()
+        self.stalls.on_wait(now, timeout_s)
+        try:
+            body, origin = self.receive_waiting()
+        except BlockingIOError:
+            self.emptied_at = now
+            return self.receive_next(timeout_s)
+        return body, origin[0]
+
+    def receive_waiting(self) -> tuple[bytes, tuple[str, int]]:
+        """Return a datagram that has arrived before, and its origin.
+
+        Raises
+        ------
+        BlockingIOError
+            None has.
+        """
+        self.socket.settimeout(0)
+        return self.socket.recvfrom(MAX_DATAGRAM_BYTES)
+
+    def receive_next(self, timeout_s: float) -> tuple[bytes, str]:
+        """Wait for a datagram; see ``receive``."""
         self.socket.settimeout(timeout_s)
-        self.stalls.on_wait(clock.now(), timeout_s)
         try:
             body, origin = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
-        except TimeoutError:
+        except (TimeoutError, BlockingIOError):
             return b'', ''
         finally:
             self.stalls.on_wake(clock.now())
--- a/trefoilspool/endpointsync.py
+++ b/trefoilspool/endpointsync.py
@@ -117,25 +117,26 @@
         if self.mesh.peers.is_preferred_home(READERS):
             return True
         read = self.mesh.endpoints_read
-        return read is None or clock.now() - read.received_at >= STALE_S
+        return read is None or clock.now() - read.heard_at >= STALE_S
 
     def on_read(self) -> None:
         """Announce to peers that this host has read the store."""
-        self.mark_current(clock.now())
+        asked_at = self.store_task.read_began_at
+        self.mark_current(asked_at)
         changed_to = self.view.replica.changed_to()
         self.mesh.call_soon(
             lambda now: self.mesh.broadcasts.send_endpoints_read(
-                changed_to, now
+                changed_to, now - asked_at, now
             )
         )
 
-    def mark_current(self, at: float) -> None:
-        """Record when this host had all endpoint records.
+    def mark_current(self, asked_at: float) -> None:
+        """Record since when a peer has had all records that this host has.
 
         If other hosts read the store for this host, the store is available, so
         an outage seen in this host's own last read has ended.
         """
-        self.view.mark_current(at)
+        self.view.mark_current(asked_at)
         if not self.mesh.peers.is_preferred_home(READERS):
             self.store_task.on_store_available()
 
@@ -153,7 +154,7 @@
         if self.view.lacks(read):
             return lambda: self.fetch(read)
         if self.view.confirms(read):
-            self.mark_current(read.received_at)
+            self.mark_current(read.asked_at)
         return None
 
     def find_first(self) -> Callable[[], None] | None:
@@ -203,4 +204,4 @@
         """Read the records that a peer has and this host lacks."""
         source = PeerTopic(read.peer.address, self.control_port, ENDPOINTS_PATH)
         if self.view.fetch(source, read.changed_to):
-            self.mark_current(clock.now())
+            self.mark_current(read.asked_at)
--- a/trefoilspool/endpointview.py
+++ b/trefoilspool/endpointview.py
@@ -28,13 +28,21 @@
     ----------
     changed_to : Position
         Position after the latest change that the peer has read.
-    received_at : float
-        When the notice was received, in seconds.
+    heard_at : float
+        The notice arrived at this time or later, in seconds.
+    age_s : float
+        Seconds from the request of the read to the sending of the notice.
     """
 
     peer: HostInfo
     changed_to: Position
-    received_at: float
+    heard_at: float
+    age_s: float = 0
+
+    @property
+    def asked_at(self) -> float:
+        """Return since when, at the latest, the peer has had its records."""
+        return self.heard_at - self.age_s
 
 
 class EndpointView:
@@ -64,7 +72,7 @@
         When this host learned that the store was restored from a backup, in
         seconds.
     current_at : float
-        When this host last had all records, in seconds.
+        All records of this time or before are known, in seconds.
     """
 
     def __init__(
@@ -113,9 +121,9 @@
             # The directory logs the error.
             return record.content
 
-    def mark_current(self, at: float) -> None:
-        """Note that this host had all records at a time."""
-        self.current_at = max(self.current_at, at)
+    def mark_current(self, asked_at: float) -> None:
+        """Note that a source had all records when it was asked, or later."""
+        self.current_at = max(self.current_at, asked_at)
 
     def age_s(self) -> float:
         """Return the seconds since this host last had all records."""
@@ -132,7 +140,7 @@
     def confirms(self, read: EndpointsRead) -> bool:
         """Return whether a notice shows that this host has all records."""
         is_same_era = read.changed_to.era == self.replica.era
-        return is_same_era and read.received_at > self.current_at
+        return is_same_era and read.asked_at > self.current_at
 
     def fetch(self, source: KeyedSource, changed_to: Position) -> bool:
         """Read what a peer has and this host lacks.
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -311,9 +311,17 @@
     def on_endpoints_read(
         self, sender: HostInfo, changed_to: Any, now: float
     ) -> None:
-        """Record that a peer has just read the endpoint records."""
+        """Record that a peer has read the endpoint records.
+
+        The notice may have waited since the socket was last empty.
+        """
         for position in checks.readable(wire.position_from_wire, [changed_to]):
-            self.endpoints_read = EndpointsRead(sender, position, now)
+            self.endpoints_read = EndpointsRead(
+                sender,
+                position,
+                self.socket.emptied_at,
+                checks.age_s(changed_to.age_ms or 0),
+            )
 
     def tick(self, now: float) -> None:
         """Run the scheduler's timers; send heartbeats and hellos if due."""
--- a/trefoilspool/meshdatagrams.py
+++ b/trefoilspool/meshdatagrams.py
@@ -1,5 +1,6 @@
 """The datagrams that a host sends."""
 
+import math
 from collections.abc import Iterable
 
 from trefoilspool.crashevidence import CrashReport
@@ -59,11 +60,23 @@
 
 
 def endpoints_read_datagram(
-    own: HostInfo, changed_to: Position
+    own: HostInfo, changed_to: Position, age_s: float
 ) -> ttypes.Datagram:
-    """Return a datagram of a host that has read the endpoint records."""
+    """Return a datagram of a host that has read the endpoint records.
+
+    Parameters
+    ----------
+    own : HostInfo
+        The host.
+    changed_to : Position
+        Position after the latest change.
+    age_s : float
+        Seconds since the read was asked for.
+    """
     datagram = host_info_datagram(own)
-    datagram.endpoints_read = wire.position_to_wire(changed_to)
+    position = wire.position_to_wire(changed_to)
+    position.age_ms = math.ceil(age_s * wire.MS_PER_S)
+    datagram.endpoints_read = position
     return datagram
 
 
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -133,13 +133,15 @@
     Attributes:
      - era
      - offset
+     - age_ms
 
     """
 
 
-    def __init__(self, era=None, offset=None,):
+    def __init__(self, era=None, offset=None, age_ms=None,):
         self.era = era
         self.offset = offset
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -160,6 +162,11 @@
                     self.offset = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -178,6 +185,10 @@
             oprot.writeFieldBegin('offset', TType.I64, 2)
             oprot.writeI64(self.offset)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2650,6 +2661,7 @@
     None,  # 0
     (1, TType.I64, 'era', None, None, ),  # 1
     (2, TType.I64, 'offset', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
 )
 all_structs.append(EndpointRun)
 EndpointRun.thrift_spec = (
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -13,6 +13,7 @@
 struct Position {
   1: i64 era                // restores of the store so far
   2: i64 offset
+  3: optional i32 age_ms    // since the sender asked for the read; missing: 0
 }
 // One run of an endpoint's process.
 struct EndpointRun {
