Conclude the version of a stream from the store, asked after it was taken up

Cause: without a record, a host that knew one version concluded that the stream had begun there, from what it had not heard: its own word was enough if no other host answered in 0.14 s, and up to 1.3 s old by any clock. A version may join and begin streams within that, and a cut leaves nobody who would answer. Change: that there was no other version until the stream was taken up is taken from the store alone, by an own read that is asked for afterwards (shared by streams that are taken up together, at most one in 50 ms, waited for 0.4 s, not at all while the store is known to be away). What was before a host began to watch follows from another host's answer, if its records were current since then (StreamOrigin.age_ms). Else the stream is refused: 503, not run. Records of streams need none of this. A read that was not due is not announced to peers.

--- a/tests/test_recordages.py
+++ b/tests/test_recordages.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from typing import NamedTuple
 
 import pytest
 from cluster import free_port
@@ -13,14 +14,89 @@
 from trefoilspool.datagramsocket import DatagramSocket
 from trefoilspool.endpointview import STALE_S, EndpointsRead
 from trefoilspool.peers import HostInfo
-from trefoilspool.replica import Position
-from trefoilspool.store import Page
+from trefoilspool.replica import Position, Replica
+from trefoilspool.replication import PollInterval, StoreReplicationTask
+from trefoilspool.store import KeyedSource, Page
 
 PEER = HostInfo('h2', '10.0.0.2', 1)
 LONG_PAUSE_S = 30.0
 SOON_S = 0.5
 
 
+def ignore(records: object) -> None:
+    """Do nothing."""
+
+
+class CountingSource(KeyedSource):
+    """Has no records, and counts how often it is read."""
+
+    def __init__(self, read_s: float) -> None:
+        self.read_s = read_s
+        self.reads = 0
+
+    def read_latest(self) -> Page:
+        self.reads += 1
+        time.sleep(self.read_s)
+        return Page((), 0, complete=True)
+
+    def read_from(self, start: int, wait_s: float, era: int = 0) -> Page:
+        return self.read_latest()
+
+
+class RunningTask(NamedTuple):
+    task: StoreReplicationTask
+    source: CountingSource
+    ended: list[float]
+
+
+@pytest.fixture
+def running() -> Iterator[RunningTask]:
+    """A task whose host is no reader, after its first read."""
+    source = CountingSource(0.02)
+    stopping = threading.Event()
+    ended: list[float] = []
+    task = StoreReplicationTask(
+        'records',
+        source,
+        Replica(ignore),
+        PollInterval(0, LONG_PAUSE_S),
+        stopping,
+        should_read=bool,
+        on_read=lambda: ended.append(task.read_began_at),
+    )
+    runner = threading.Thread(target=task.run, daemon=True)
+    runner.start()
+    wait_for(lambda: ended, 'the first read')
+    yield RunningTask(task, source, ended)
+    stopping.set()
+    task.read_soon()
+    runner.join()
+
+
+class TestReadSoon:
+    def test_pause_ends(self, running: RunningTask) -> None:
+        began_at = clock.now()
+        running.task.read_soon()
+        wait_for(lambda: running.ended[-1] >= began_at, 'a read')
+        assert clock.now() - began_at < SOON_S
+
+    def test_read_that_has_begun_does_not_count(
+        self, running: RunningTask
+    ) -> None:
+        running.task.read_soon()
+        wait_for(lambda: running.source.reads == 2, 'a read to begin')
+        began_at = clock.now()
+        running.task.read_soon()
+        wait_for(lambda: running.ended[-1] >= began_at, 'another read')
+
+    def test_many_callers_share_reads(self, running: RunningTask) -> None:
+        until = clock.now() + SOON_S
+        while clock.now() < until:
+            running.task.read_soon()
+            time.sleep(0.001)
+        assert running.source.reads <= SOON_S / 0.05 + 2
+
+
 class TestWaitingDatagram:
     def test_arrived_after_the_socket_was_last_empty(self) -> None:
         port = free_port()
@@ -101,5 +177,64 @@
 
         source.read_from = read_and_stand_still
         before = clock.now()
-        wait_for(lambda: sync.view.current_at > before, 'a read that took long')
+        wait_for(lambda: sync.view.read_at > before, 'a read that took long')
         assert sync.view.is_stale()
+
+
+class TestAnnouncement:
+    """Peers hear of the usual reads, not of those between them."""
+
+    def test_wanted_read_is_not_announced(
+        self, cluster: GatewayCluster
+    ) -> None:
+        cluster.add_endpoint(version='v1')
+        running = cluster.add_host()
+        sync = running.host.endpoint_sync
+        announced = []
+        sync.mesh.broadcasts.send_endpoints_read = lambda *read: (
+            announced.append(read)
+        )
+        sync.store_task.should_read = bool
+        time.sleep(SOON_S)
+        announced.clear()
+        sync.announced_at = 0
+        assert sync.confirm(clock.now())
+        time.sleep(SOON_S)
+        assert not announced
+
+
+class TestConfirmation:
+    def test_store_is_asked_after_the_question(
+        self, cluster: GatewayCluster
+    ) -> None:
+        cluster.add_endpoint(version='v1')
+        running = cluster.add_host()
+        sync = running.host.endpoint_sync
+        for _ in range(3):
+            since = clock.now()
+            assert sync.confirm(since)
+            assert sync.view.read_at >= since
+            assert clock.now() - since < SOON_S
+
+    def test_store_that_is_away_is_not_waited_for(
+        self, cluster: GatewayCluster
+    ) -> None:
+        cluster.add_endpoint(version='v1')
+        sync = cluster.add_host().host.endpoint_sync
+        cluster.store.fault = 503
+        wait_for(
+            lambda: sync.store_task.outage_began_at is not None, 'the outage'
+        )
+        since = clock.now()
+        assert not sync.confirm(since)
+        assert clock.now() - since < 0.1
+
+    def test_silent_store_is_waited_for_briefly(
+        self, cluster: GatewayCluster
+    ) -> None:
+        cluster.add_endpoint(version='v1')
+        sync = cluster.add_host().host.endpoint_sync
+        cluster.store.fault = 'silent'
+        since = clock.now()
+        assert not sync.confirm(since)
+        assert clock.now() - since < 2 * SOON_S
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -8,6 +8,7 @@
 from trefoilspool.errors import BadRecordError
 from trefoilspool.hashring import HashRing
 from trefoilspool.origingossip import ROUTE_SETTLED_S, OriginGossip
+from trefoilspool.origins.conclusion import Evidence, conclude
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.routehistory import RouteHistory, RouteServices
 from trefoilspool.routing import RepeatPolicy, Route, WeightedService
@@ -28,7 +29,6 @@
     OriginSource,
     StreamOrigin,
     StreamOrigins,
-    agreed_version,
     stream_key,
 )
 from trefoilspool.versionhistory import (
@@ -272,38 +272,66 @@
         origins.record(StreamOrigin(-1, *OLD), MEMORY_S + 1)
         assert list(origins.by_stream) == [-1]
 
-    def test_record_goes_before_what_others_infer(self) -> None:
-        assert (
-            agreed_version(
-                [
-                    StreamOrigin(1, *NEW, OriginSource.only),
-                    StreamOrigin(1, '', '', OriginSource.several),
-                    StreamOrigin(1, *OLD),
-                ]
-            )
-            == OLD
+
+def concluded(
+    own: StreamOrigin,
+    *others: StreamOrigin,
+    is_confirmed: bool = True,
+    watched_s: float = 60,
+) -> ServiceVersion:
+    evidence = Evidence(own, others, is_confirmed, watched_s)
+    return conclude(evidence).version
+
+
+class TestConclusion:
+    only_old = StreamOrigin(1, *OLD, OriginSource.only, 0.5)
+    young = StreamOrigin(1, *OLD, OriginSource.unwatched, 0.5)
+
+    @pytest.mark.parametrize('is_confirmed', [True, False])
+    def test_record_goes_before_what_others_infer(
+        self, is_confirmed: bool
+    ) -> None:
+        origins = (
+            StreamOrigin(1, *NEW, OriginSource.only, 0.5),
+            StreamOrigin(1, '', '', OriginSource.several),
+            StreamOrigin(1, *OLD),
         )
+        assert concluded(*origins, is_confirmed=is_confirmed) == OLD
 
     @pytest.mark.parametrize(
         'sources',
         [
-            (),
             (OriginSource.unwatched,),
             (OriginSource.several, OriginSource.only),
+            (OriginSource.only, OriginSource.several),
         ],
     )
     def test_unknown_is_not_the_same(
         self, sources: tuple[OriginSource, ...]
     ) -> None:
-        known = [StreamOrigin(1, *OLD, source) for source in sources]
-        assert agreed_version(known) == UNKNOWN_VERSION
+        known = [StreamOrigin(1, *OLD, source, 0.5) for source in sources]
+        assert concluded(*known) == UNKNOWN_VERSION
 
     def test_only_version_by_two_hosts_must_be_equal(self) -> None:
-        inferred = [
-            StreamOrigin(1, *version, OriginSource.only)
-            for version in (OLD, NEW)
-        ]
-        assert agreed_version(inferred) == UNKNOWN_VERSION
+        other = StreamOrigin(1, *NEW, OriginSource.only, 0.5)
+        assert concluded(self.only_old, other) == UNKNOWN_VERSION
+        assert concluded(self.young, other) == UNKNOWN_VERSION
+
+    def test_only_version_needs_the_store(self) -> None:
+        """A host out of step has heard of no other, and others with it."""
+        assert concluded(self.only_old) == OLD
+        hosts = (self.only_old, self.only_old, self.only_old)
+        assert concluded(*hosts, is_confirmed=False) == UNKNOWN_VERSION
+
+    def test_another_host_tells_of_the_time_before_the_start(self) -> None:
+        assert concluded(self.young) == UNKNOWN_VERSION
+        assert concluded(self.young, self.only_old, watched_s=1) == OLD
+
+    @pytest.mark.parametrize('age_s', [2, math.inf])
+    def test_time_between_two_watches_is_not_known(self, age_s: float) -> None:
+        before = self.only_old._replace(age_s=age_s)
+        known = concluded(self.young, before, watched_s=1)
+        assert known == UNKNOWN_VERSION
 
 
 class TestRing:
@@ -339,6 +367,7 @@
             gossip = OriginGossip(peers, Link(self, own))  # type: ignore[arg-type]
             gossip.routes.update([route('engines')], -1000)
             gossip.history.started_at = -1000
+            gossip.confirm = lambda since: True
             self.gossips[own.address] = gossip
 
 
@@ -406,6 +435,35 @@
         self.set_versions(wire, OLD)
         assert wire.gossips['a5'].find(self.query).version == OLD
 
+    def test_unheard_of_stream_while_the_store_does_not_answer(self) -> None:
+        """All hosts that answer may be out of step with those that do not."""
+        wire = Wire(9)
+        self.set_versions(wire, OLD)
+        wire.gossips['a5'].confirm = lambda since: False
+        found = wire.gossips['a5'].find(self.query)
+        assert found.version == UNKNOWN_VERSION
+        assert found.source is OriginSource.unconfirmed
+
+    def test_version_that_the_store_tells_of(self) -> None:
+        """The host learns of the second version only by asking."""
+        wire = Wire(1)
+        self.set_versions(wire, OLD)
+        gossip = wire.gossips['a0']
+
+        def confirm(since: float) -> bool:
+            self.set_versions(wire, OLD, NEW)
+            return True
+
+        gossip.confirm = confirm
+        assert gossip.find(self.query).source is OriginSource.several
+
+    def test_record_needs_no_store(self) -> None:
+        wire = Wire(9)
+        self.set_versions(wire, OLD, NEW)
+        wire.gossips['a0'].on_first_event(StreamOrigin(7, *OLD), 'r')
+        wire.gossips['a5'].confirm = lambda since: False
+        assert wire.gossips['a5'].find(self.query).version == OLD
+
     def test_host_with_stale_records_infers_nothing(self) -> None:
         wire = Wire(1)
         self.set_versions(wire, OLD)
--- a/trefoilspool/endpointsync.py
+++ b/trefoilspool/endpointsync.py
@@ -27,6 +27,9 @@
 # Hosts that read the endpoint records from the store and notify the others.
 READERS = 3
 FETCH_SPREAD_S = 0.3
+MIN_ANNOUNCE_S = 1.0
+# The store answers in some milliseconds; a caller waits meanwhile.
+CONFIRM_TIMEOUT_S = 0.4
 
 logger = logbook.Logger('directory')
 
@@ -60,6 +63,8 @@
         Reads peers.
     peer_choice : PeerChoice
         Which peer is asked first after a start.
+    announced_at : float
+        When the read was asked for that was last announced, in seconds.
     """
 
     def __init__(
@@ -73,6 +78,7 @@
         self.mesh = mesh
         self.peer_choice = PeerChoice()
         self.control_port = control_port
+        self.announced_at = 0.0
         self.view = EndpointView(
             decode, self.outage_ended_at, mesh.set_available_endpoints
         )
@@ -120,9 +126,16 @@
         return read is None or clock.now() - read.heard_at >= STALE_S
 
     def on_read(self) -> None:
-        """Announce to peers that this host has read the store."""
+        """Note that this host has read the store; announce it to peers.
+
+        A read that was not due is of use to this host only.
+        """
         asked_at = self.store_task.read_began_at
-        self.mark_current(asked_at)
+        self.view.mark_read(asked_at)
+        is_early = asked_at - self.announced_at < MIN_ANNOUNCE_S
+        if is_early or not self.store_task.is_due:
+            return
+        self.announced_at = asked_at
         changed_to = self.view.replica.changed_to()
         self.mesh.call_soon(
             lambda now: self.mesh.broadcasts.send_endpoints_read(
@@ -130,6 +143,27 @@
             )
         )
 
+    def confirm(self, since: float) -> bool:
+        """Have this host's records confirmed by the store.
+
+        Parameters
+        ----------
+        since : float
+            Since when the store must have been asked, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the store has answered. It is not waited for while it is
+            known to be away.
+        """
+        if self.view.read_at >= since:
+            return True
+        if self.store_task.outage_began_at is not None:
+            return False
+        self.store_task.read_soon()
+        return self.view.await_read(since, CONFIRM_TIMEOUT_S)
+
     def mark_current(self, asked_at: float) -> None:
         """Record since when a peer has had all records that this host has.
 
--- a/trefoilspool/endpointview.py
+++ b/trefoilspool/endpointview.py
@@ -1,5 +1,6 @@
 """A host's view of the endpoints: their records, and how current they are."""
 
+import threading
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -73,6 +74,11 @@
         seconds.
     current_at : float
         All records of this time or before are known, in seconds.
+    read_at : float
+        When the last read of the store that this host has ended was asked for,
+        in seconds.
+    read_ended : Condition
+        Notified when ``read_at`` has changed.
     """
 
     def __init__(
@@ -90,6 +96,8 @@
         self.era = NO_ERA
         self.restored_at = 0.0
         self.current_at = 0.0
+        self.read_at = 0.0
+        self.read_ended = threading.Condition()
 
     def outage_ended_at(self) -> float:
         """Return when the last outage of the store ended, in seconds.
@@ -125,6 +133,26 @@
         """Note that a source had all records when it was asked, or later."""
         self.current_at = max(self.current_at, asked_at)
 
+    def mark_read(self, asked_at: float) -> None:
+        """Note that this host has read the store, asked at a time."""
+        self.mark_current(asked_at)
+        with self.read_ended:
+            self.read_at = max(self.read_at, asked_at)
+            self.read_ended.notify_all()
+
+    def await_read(self, since: float, timeout_s: float) -> bool:
+        """Wait for a read of the store that is asked for since a time.
+
+        Returns
+        -------
+        bool
+            Whether there was one within the timeout.
+        """
+        with self.read_ended:
+            return self.read_ended.wait_for(
+                lambda: self.read_at >= since, timeout_s
+            )
+
     def age_s(self) -> float:
         """Return the seconds since this host last had all records."""
         return self.now() - self.current_at
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -144,6 +144,7 @@
         self.mesh.origin_gossip.history = self.directory.versions
         self.mesh.origin_gossip.is_stale = self.endpoint_sync.view.is_stale
         self.mesh.origin_gossip.records_age_s = self.endpoint_sync.view.age_s
+        self.mesh.origin_gossip.confirm = self.endpoint_sync.confirm
         self.version_task = VersionStoreTask(
             topics.versions,
             self.mesh.origin_gossip,
@@ -348,6 +349,7 @@
     def stop(self) -> None:
         """Stop the tasks."""
         self.stopping.set()
+        self.endpoint_sync.store_task.read_soon()
         self.mesh.stopping.set()
         self.relay.stop()
 
--- a/trefoilspool/origingossip.py
+++ b/trefoilspool/origingossip.py
@@ -14,6 +14,12 @@
 from trefoilspool import clock
 from trefoilspool.hashring import HashRing
 from trefoilspool.meshsender import MeshSender
+from trefoilspool.origins.conclusion import (
+    Evidence,
+    claims,
+    conclude,
+    is_decided,
+)
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.routehistory import RouteHistory
 from trefoilspool.streamorigins import (
@@ -24,8 +30,6 @@
     OriginSource,
     StreamOrigin,
     StreamOrigins,
-    agreed_version,
-    deciding_source,
 )
 from trefoilspool.versionhistory import VersionHistory
 from trefoilspool.wire import mesh as wire
@@ -48,6 +52,7 @@
 YOUNG_S = 30.0
 ROUTE_SETTLED_S = 10.0  # longer than a configuration takes to all hosts
 MAX_ORIGINS = 400  # in one datagram
+UNWATCHED = OriginSource.unwatched
 
 
 def never() -> bool:
@@ -60,6 +65,11 @@
     return 0
 
 
+def unconfirmed(since: float) -> bool:
+    """Return false: no store confirms anything."""
+    return False
+
+
 class BegunStream(NamedTuple):
     """A stream that began here and has not ended well.
 
@@ -103,6 +113,9 @@
         Returns whether this host may lack a version that others know.
     records_age_s : callable
         Returns the age of this host's endpoint records, in seconds.
+    confirm : callable
+        Has the store confirm these records, asked since a time in seconds;
+        returns whether it has.
     origins : StreamOrigins
         Streams of which other hosts or this one have told.
     begun : dict
@@ -116,6 +129,7 @@
         self.routes = RouteHistory()
         self.is_stale: Callable[[], bool] = never
         self.records_age_s: Callable[[], float] = no_age
+        self.confirm: Callable[[float], bool] = unconfirmed
         self.lock = threading.Lock()
         self.origins = StreamOrigins()
         self.begun: dict[int, BegunStream] = {}
@@ -236,18 +250,28 @@
             recorded = self.origins.find(query.stream, now)
         if recorded is not None:
             return recorded
-        service = self.routes.only_service(query.route, query.window_s, now)
+        service = self.routes.present_service(query.route)
         versions = self.history.versions(service, query.window_s, now)
-        source = OriginSource.several
-        software = UNKNOWN
-        if not versions or self.is_stale():
-            source = OriginSource.unwatched
-        elif len(versions) == 1:
-            source = OriginSource.only
-            software = next(iter(versions))
-            if not self.history.has_watched(query.window_s, now):
-                source = OriginSource.unwatched
-        return StreamOrigin(query.stream, service, software, source)
+        if len(versions) > 1:
+            return StreamOrigin(
+                query.stream, service, UNKNOWN, OriginSource.several
+            )
+        return StreamOrigin(
+            query.stream,
+            service,
+            next(iter(versions), UNKNOWN),
+            self.source_of_one(query, now) if versions else UNWATCHED,
+            self.records_age_s(),
+        )
+
+    def source_of_one(self, query: OriginQuery, now: float) -> OriginSource:
+        """Return what it means that this host knows one version only."""
+        has_watched = self.history.has_watched(
+            query.window_s, now
+        ) and self.routes.only_service(query.route, query.window_s, now)
+        if has_watched and not self.is_stale():
+            return OriginSource.only
+        return UNWATCHED
 
     def on_origins(
         self, sender: HostInfo, structs: Iterable[Any], now: float
@@ -260,23 +284,51 @@
     def find(self, query: OriginQuery) -> FoundOrigin:
         """Return at which version a stream began, and how this is known.
 
-        Waits for other hosts unless this one has a record.
+        Waits for other hosts and for the store unless this host has a record.
         """
-        began_at = clock.now()
-        own = self.own_knowledge(query, began_at)
+        taken_up_at = clock.now()
+        own = self.own_knowledge(query, taken_up_at)
         answers: dict[str, StreamOrigin] = {}
         if own.source is not OriginSource.recorded:
             answers = self.ask_others(query)
-        origins = (own, *answers.values())
+        is_confirmed = self.is_confirmed((own, *answers.values()), taken_up_at)
+        now = clock.now()
+        waited_s = now - taken_up_at
+        evidence = Evidence(
+            self.own_knowledge(query, now),
+            tuple(
+                origin._replace(age_s=origin.age_s + waited_s)
+                for origin in answers.values()
+            ),
+            is_confirmed,
+            now - self.history.started_at,
+        )
+        conclusion = conclude(evidence)
         return FoundOrigin(
-            agreed_version(origins),
-            deciding_source(origins),
+            conclusion.version,
+            conclusion.source,
             answers,
             len(self.owners(query.stream, ASKED_HOSTS)),
-            clock.now() - began_at,
+            is_confirmed,
+            waited_s,
             self.records_age_s(),
         )
 
+    def is_confirmed(
+        self, origins: tuple[StreamOrigin, ...], since: float
+    ) -> bool:
+        """Have the store confirm that there was one version, if hosts say so.
+
+        Parameters
+        ----------
+        origins : tuple of StreamOrigin
+            What hosts know of the stream.
+        since : float
+            When the stream was taken up, in seconds.
+        """
+        is_open = bool(claims(origins)) and not is_decided(origins)
+        return is_open and self.confirm(since)
+
     def ask_others(self, query: OriginQuery) -> dict[str, StreamOrigin]:
         """Ask other hosts for a stream; return what they know, by host."""
         inbox: Inbox = queue.SimpleQueue()
--- a/trefoilspool/replication.py
+++ b/trefoilspool/replication.py
@@ -23,6 +23,7 @@
 RETRY_S = 0.3
 PEER_POLL_S = 0.2
 READER_CHECK_S = 0.1  # between calls of should_read
+MIN_PAUSE_S = 0.05  # between reads of which some are wanted soon
 
 logger = logbook.Logger('follow')
 
@@ -106,6 +107,10 @@
         When all records are read again, in seconds.
     max_wait_s : callable
         Returns how long the next read may wait for a record, in seconds.
+    wanted : Event
+        Set if a read is wanted before the next one is due.
+    is_due : bool
+        Whether the last read was due, rather than only wanted.
     """
 
     def __init__(
@@ -136,19 +141,40 @@
         self.reread_at = math.inf
         self.max_wait_s: Callable[[], float] = no_limit
         self.is_interrupted = False
+        self.wanted = threading.Event()
+        self.is_due = True
 
     def interrupt(self) -> None:
         """End a read that waits and read again; usable from any thread."""
         self.is_interrupted = True
         self.source.interrupt()
 
+    def read_soon(self) -> None:
+        """Have the store read without delay; usable from any thread.
+
+        A read that has begun before does not count. While the store is away,
+        the next read is made when it is due.
+        """
+        self.wanted.set()
+
     def run(self) -> None:
         """Read until stopped."""
         while not self.stopping.is_set():
-            if self.replica.end >= 0 and not self.should_read():
-                self.stopping.wait(READER_CHECK_S)
-                continue
-            self.stopping.wait(self.try_read())
+            self.step()
+
+    def step(self) -> None:
+        """Read if this is due or wanted, and wait."""
+        self.is_due = self.replica.end < 0 or self.should_read()
+        if not self.is_due and not self.wanted.is_set():
+            self.wanted.wait(READER_CHECK_S)
+            return
+        self.wanted.clear()
+        pause_s = self.try_read()
+        if self.outage_began_at is not None:
+            self.stopping.wait(pause_s)
+            return
+        self.stopping.wait(min(pause_s, MIN_PAUSE_S))
+        self.wanted.wait(max(0, pause_s - MIN_PAUSE_S))
 
     def try_read(self) -> float:
         """Read once; return the seconds until the next read."""
--- a/trefoilspool/routehistory.py
+++ b/trefoilspool/routehistory.py
@@ -14,6 +14,11 @@
     services: frozenset[str]
     since: float
 
+    @property
+    def only(self) -> str:
+        """Return the only service, empty if there are several."""
+        return next(iter(self.services)) if len(self.services) == 1 else ''
+
 
 class RouteHistory:
     """The services of the routes in force.
@@ -81,14 +86,17 @@
             return known
         return RouteServices(services, now)
 
+    def present_service(self, route: str) -> str:
+        """Return a route's service, empty if it has several or is unknown."""
+        known = self.by_route.get(route)
+        return known.only if known else ''
+
     def only_service(self, route: str, window_s: float, now: float) -> str:
         """Return a route's service if it has had no other within a time.
 
         The result is empty if it has had another, or if that is not known.
         """
         known = self.by_route.get(route)
-        if known is None or len(known.services) != 1:
+        if known is None or now - known.since < window_s:
             return ''
-        return (
-            next(iter(known.services)) if now - known.since >= window_s else ''
-        )
+        return known.only
--- a/trefoilspool/streamorigins.py
+++ b/trefoilspool/streamorigins.py
@@ -4,7 +4,8 @@
 version that began it. Pure: each call passes the time in seconds.
 """
 
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Mapping
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -20,8 +21,6 @@
     'OriginSource',
     'StreamOrigin',
     'StreamOrigins',
-    'agreed_version',
-    'deciding_source',
     'stream_key',
 ]
 
@@ -36,12 +35,15 @@
     ``recorded``: the host that relayed the first event has told. ``only``: the
     service had no other version since then. ``several``: it had, and there is
     no record. ``unwatched``: this host has not run for so long.
+    ``unconfirmed``: the store did not confirm that there was no other; other
+    hosts are not told this.
     """
 
     recorded = 0
     only = 1
     several = 2
     unwatched = 3
+    unconfirmed = 4
 
 
 class StreamOrigin(NamedTuple):
@@ -55,12 +57,16 @@
         Service of the endpoint; empty if unknown.
     software : str
         Version of the endpoint's software, or ``UNKNOWN``.
+    age_s : float
+        Age of the endpoint records from which this follows, in seconds;
+        infinite if not known.
     """
 
     stream: int
     service: str
     software: str
     source: OriginSource = OriginSource.recorded
+    age_s: float = math.inf
 
     @property
     def version(self) -> ServiceVersion:
@@ -97,6 +103,8 @@
         The other hosts that answered, and what each knows.
     asked : int
         Number of hosts that were asked.
+    is_confirmed : bool
+        Whether the store has confirmed this host's records meanwhile.
     waited_s : float
         Seconds that the search has taken.
     records_age_s : float
@@ -107,6 +115,7 @@
     source: OriginSource
     answers: Mapping[str, StreamOrigin]
     asked: int
+    is_confirmed: bool
     waited_s: float
     records_age_s: float
 
@@ -169,30 +178,3 @@
         if recorded is None or now - recorded.at > MEMORY_S:
             return None
         return StreamOrigin(stream, *recorded.version)
-
-
-def agreed_version(origins: Iterable[StreamOrigin]) -> ServiceVersion:
-    """Return the version that follows from what hosts know of a stream.
-
-    A record goes before all else. Without one, the only version of late counts
-    unless a host has seen several.
-    """
-    versions: dict[OriginSource, set[ServiceVersion]] = {}
-    for origin in origins:
-        versions.setdefault(origin.source, set()).add(origin.version)
-    candidates = versions.get(OriginSource.recorded)
-    if candidates is None and OriginSource.several not in versions:
-        candidates = versions.get(OriginSource.only)
-    if candidates is None or len(candidates) > 1:
-        return UNKNOWN_VERSION
-    return candidates.pop()
-
-
-def deciding_source(origins: Iterable[StreamOrigin]) -> OriginSource:
-    """Return the source that `agreed_version` goes by."""
-    sources = {origin.source for origin in origins}
-    order = (OriginSource.recorded, OriginSource.several, OriginSource.only)
-    return next(
-        (source for source in order if source in sources),
-        OriginSource.unwatched,
-    )
--- a/trefoilspool/streamtakeup.py
+++ b/trefoilspool/streamtakeup.py
@@ -69,6 +69,7 @@
             host: [origin.source.name, origin.software]
             for host, origin in found.answers.items()
         },
+        'confirmed': found.is_confirmed,
         'waited_s': round(found.waited_s, 3),
         'records_age_s': round(found.records_age_s, 3),
     }
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -1399,15 +1399,17 @@
      - software
      - source
      - service_name
+     - age_ms
 
     """
 
 
-    def __init__(self, stream=None, software=None, source=None, service_name=None,):
+    def __init__(self, stream=None, software=None, source=None, service_name=None, age_ms=None,):
         self.stream = stream
         self.software = software
         self.source = source
         self.service_name = service_name
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1438,6 +1440,11 @@
                     self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1464,6 +1471,10 @@
             oprot.writeFieldBegin('service_name', TType.STRING, 4)
             oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2772,6 +2783,7 @@
     (2, TType.STRING, 'software', 'UTF8', None, ),  # 2
     (3, TType.BYTE, 'source', None, None, ),  # 3
     (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'age_ms', None, None, ),  # 5
 )
 all_structs.append(OriginQuery)
 OriginQuery.thrift_spec = (
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -112,6 +112,8 @@
   3: byte source            // 0 recorded, 1 the only version of late, 2 one of
                             // several, 3 the sender has not watched for so long
   4: string service_name
+  5: optional i32 age_ms    // of the sender's records of the endpoints; missing:
+                            // not known
 }
 // A stream of whose origin the sender asks.
 struct OriginQuery {
--- a/trefoilspool/wire/origins.py
+++ b/trefoilspool/wire/origins.py
@@ -1,5 +1,6 @@
 """Conversion between origins of streams and datagrams."""
 
+import math
 from collections.abc import Iterable
 
 from trefoilspool.streamorigins import (
@@ -19,6 +20,7 @@
 ]
 
 MS_PER_S = 1000
+MAX_AGE_S = 86_400  # older records tell nothing of any stream
 
 
 def origins_to_wire(
@@ -27,7 +29,11 @@
     """Build the Thrift structs of origins."""
     return [
         ttypes.StreamOrigin(
-            origin.stream, origin.software, int(origin.source), origin.service
+            origin.stream,
+            origin.software,
+            int(origin.source),
+            origin.service,
+            age_to_wire(origin.age_s),
         )
         for origin in origins
     ]
@@ -54,9 +60,17 @@
         struct.service_name or '',
         struct.software or UNKNOWN,
         checks.member(OriginSource, struct.source),
+        math.inf if struct.age_ms is None else checks.age_s(struct.age_ms),
     )
 
 
+def age_to_wire(age_s: float) -> int | None:
+    """Return an age in milliseconds, rounded up; None for an unknown one."""
+    if age_s > MAX_AGE_S:
+        return None
+    return math.ceil(age_s * MS_PER_S)
+
+
 def queries_to_wire(
     queries: Iterable[OriginQuery],
 ) -> list[ttypes.OriginQuery]:
