Keep the slots of hosts that a home host could not hear

Cause: SlotScheduler.tick takes an entry host for lost 1.2 s after its last heartbeat, by the home host's clock. A home host that stood still for longer took all of them for lost at its first step, before it had handled what waited in its buffer, and could grant all their slots again.

Change: HomeService.on_step notices a gap between two steps that no wait explains; the silence of entry hosts then counts from the wake.

Measured: test_slots_of_hosts_that_it_could_not_hear_are_kept failed before (0 of 1 slot kept); it and test_slotscheduler, test_mesh pass.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,6 +1,6 @@
 """Datagrams between hosts, and how often they are sent."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 
@@ -8,7 +8,7 @@
 from trefoilspool.hostlists import HOST_LIST_S, MIN_HOST_LIST_S
 from trefoilspool.mesh import TICK_S, MeshTask
 from trefoilspool.peers import HostInfo
-from trefoilspool.slotmessages import SlotKey, SlotRequest
+from trefoilspool.slotmessages import HeldSlot, SlotKey, SlotRequest
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
@@ -64,6 +64,10 @@
         mesh.tick(now)
 
 
+def hello_of(host: HostInfo) -> ttypes.Datagram:
+    return ttypes.Datagram(wire.host_info_to_wire(host), hello=False)
+
+
 def count_host_lists(sent: Sent) -> int:
     return sum(1 for _, datagram in sent if datagram.hosts is not None)
 
@@ -208,3 +212,37 @@
         assert len(sent) == 2
         assert all(datagram.digest is not None for _, datagram in sent)
         assert len(wire.encode(sent[0][1])) < 200
+
+
+class TestStandingStill:
+    """A home host that wakes with datagrams in its buffer."""
+
+    @pytest.fixture
+    def wake(
+        self, mesh: MeshTask, monkeypatch: pytest.MonkeyPatch
+    ) -> Callable[[float, bytes], None]:
+        """Return a function that runs a step at a time, with a datagram."""
+
+        def run(now: float, body: bytes = b'') -> None:
+            monkeypatch.setattr('trefoilspool.clock.now', lambda: now)
+            monkeypatch.setattr(
+                mesh.socket, 'receive', lambda _: (body, '127.0.9.2')
+            )
+            mesh.step()
+
+        return run
+
+    def test_slots_of_hosts_that_it_could_not_hear_are_kept(
+        self,
+        mesh: MeshTask,
+        sent: Sent,
+        wake: Callable[[float, bytes], None],
+    ) -> None:
+        held = HeldSlot(SlotKey('h2', 1), 's', 'e', 10, 10, 0)
+        wake(100, b'')
+        mesh.scheduler.on_held_slots('h2', [held], 100)
+        wake(103, wire.encode(hello_of(host_info(3))))
+        assert len(mesh.scheduler.reservations) == 1
+        for step in range(1, 30):
+            wake(103 + step * STEP_S, b'')
+        assert not len(mesh.scheduler.reservations)
--- a/tests/test_slotscheduler.py
+++ b/tests/test_slotscheduler.py
@@ -431,6 +431,22 @@
         assert not scheduler.reservations
 
 
+class TestStandingStill:
+    """What a home host may conclude after it stood still."""
+
+    def test_slots_are_kept_until_entry_hosts_can_have_reported(
+        self, scheduler: SlotScheduler
+    ) -> None:
+        granted = HeldSlot(SlotKey('h2', 1), SERVICE, 'a', 100, 10, 0)
+        scheduler.on_held_slots('h2', [granted], 0)
+        woke_at = 2 * HOLD_TIMEOUT_S
+        scheduler.on_stood_still(woke_at)
+        scheduler.tick(woke_at)
+        assert len(scheduler.reservations) == 1
+        scheduler.tick(woke_at + HOLD_TIMEOUT_S + 0.1)
+        assert not len(scheduler.reservations)
+
+
 class TestLimits:
     limited = Workspace('w', frozenset(), None, 1000, 2000, True, 200)
 
--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -5,7 +5,7 @@
 
 import logbook
 
-from trefoilspool import meshdatagrams
+from trefoilspool import clock, meshdatagrams
 from trefoilspool.homecontact import HEARTBEATS_PER_DIGEST
 from trefoilspool.limitgossip import LimitGossip
 from trefoilspool.meshsender import MeshSender
@@ -20,6 +20,10 @@
 
 __all__ = ['HomeService']
 
+# No wait between two steps is as long, so that a host whose next step comes
+# later stood still. With the longest heartbeat period, below HOLD_TIMEOUT_S.
+LONGEST_STEP_S = 0.6
+
 logger = logbook.Logger('mesh')
 
 
@@ -40,6 +44,11 @@
         Roll-outs, for digests.
     sender : MeshSender
         Sends datagrams.
+
+    Attributes
+    ----------
+    stepped_at : float
+        When the mesh task's last step began, in seconds.
     """
 
     def __init__(
@@ -58,6 +67,14 @@
         self.rollout_gossip = rollout_gossip
         self.sender = sender
         self.heartbeat_counts: Counter[str] = Counter()
+        self.stepped_at = clock.now()
+
+    def on_step(self, now: float) -> None:
+        """Note when a step begins, and whether this host stood still before."""
+        before = self.stepped_at
+        self.stepped_at = now
+        if now - before >= LONGEST_STEP_S:
+            self.scheduler.on_stood_still(now)
 
     def on_asks(self, sender: HostInfo, asks: list[Any], now: float) -> None:
         """Pass slot requests to the slot scheduler."""
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -221,6 +221,7 @@
         """Handle one datagram, then callbacks and timers that are due."""
         body, origin = self.socket.receive(self.pause_s(clock.now()))
         now = clock.now()
+        self.home_service.on_step(now)
         if body:
             self.on_datagram(body, origin, now)
         if self.callbacks:
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -449,6 +449,14 @@
         for service in self.waiting.queues:
             self.grant_waiting(service, now)
 
+    def on_stood_still(self, now: float) -> None:
+        """Wait again for the reports of entry hosts.
+
+        While this host stood still it could not hear them, so their silence
+        tells nothing.
+        """
+        self.last_reports = dict.fromkeys(self.last_reports, now)
+
     def lost_room(self, waiting: QueuedRequest, now: float) -> bool:
         """Return whether a late request waits behind too many on time."""
         if not self.waiting.order.refuses_early(waiting.ask):
