Earn no tokens while a home host stands still

Cause: TokenBucket.refill counts the time since the last refill. A home host that stood still found up to a whole burst in the buckets of workspaces when it woke, and half a second's requests in those of endpoints with a limit, while another home host had granted the same.

Change: after a pause of the mesh task the buckets go on from the levels of before; hosts tell the other home host's levels as they did.

Measured: with a limit of 100 a second and an empty bucket, 400 tokens after 4 s of standing still before, 0 now (test_limit_that_another_home_host_granted_is_not_granted_again in test_mesh, and one each in test_slotscheduler and test_endpointpacer; each failed before).

--- a/tests/test_endpointpacer.py
+++ b/tests/test_endpointpacer.py
@@ -287,3 +287,14 @@
         gone = HostInfo('h2', '127.0.0.2', 1, leaving=True)
         contact.peers.on_heartbeat(gone, 9.9)
         assert contact.home_share([9.9, 9.9], 10) == 2 / 3
+
+
+class TestStandingStill:
+    def test_limit_that_another_home_host_granted_is_not_granted_again(
+        self,
+    ) -> None:
+        scheduler = limited(10)
+        assert not scheduler.pacer.admits(RUN, 0)
+        scheduler.on_stood_still(0, 4)
+        assert not scheduler.pacer.admits(RUN, 4)
+        assert scheduler.pacer.admits(RUN, 4.1)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -8,6 +8,7 @@
 from trefoilspool.hostlists import HOST_LIST_S, MIN_HOST_LIST_S
 from trefoilspool.mesh import TICK_S, MeshTask
 from trefoilspool.peers import HostInfo
+from trefoilspool.routing import Workspace
 from trefoilspool.slotmessages import HeldSlot, SlotKey, SlotRequest
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
@@ -246,3 +247,18 @@
         for step in range(1, 30):
             wake(103 + step * STEP_S, b'')
         assert not len(mesh.scheduler.reservations)
+
+    def test_limit_that_another_home_host_granted_is_not_granted_again(
+        self,
+        mesh: MeshTask,
+        sent: Sent,
+        wake: Callable[[float, bytes], None],
+    ) -> None:
+        wake(100, b'')
+        limits = mesh.scheduler.rate_limits
+        limits.on_workspaces(
+            {'w': Workspace('w', frozenset(), None, 100, 1000, True, 0)}, 100
+        )
+        limits.bucket('w', 100).level = 0
+        wake(104, b'')
+        assert dict(limits.levels(104)) == {'w': 0}
--- a/tests/test_slotscheduler.py
+++ b/tests/test_slotscheduler.py
@@ -440,12 +440,23 @@
         granted = HeldSlot(SlotKey('h2', 1), SERVICE, 'a', 100, 10, 0)
         scheduler.on_held_slots('h2', [granted], 0)
         woke_at = 2 * HOLD_TIMEOUT_S
-        scheduler.on_stood_still(woke_at)
+        scheduler.on_stood_still(0, woke_at)
         scheduler.tick(woke_at)
         assert len(scheduler.reservations) == 1
         scheduler.tick(woke_at + HOLD_TIMEOUT_S + 0.1)
         assert not len(scheduler.reservations)
 
+    def test_limit_is_not_earned_meanwhile(
+        self, scheduler: SlotScheduler
+    ) -> None:
+        """Another home host has granted it."""
+        limits = {'w': Workspace('w', frozenset(), None, 100, 1000, True, 0)}
+        scheduler.rate_limits.on_workspaces(limits, 0)
+        scheduler.on_ask(ask(1, charge=500), 0)
+        scheduler.on_stood_still(0, 9)
+        assert dict(scheduler.rate_limits.levels(9)) == {'w': 0}
+        assert dict(scheduler.rate_limits.levels(10)) == {'w': 100}
+
 
 class TestLimits:
     limited = Workspace('w', frozenset(), None, 1000, 2000, True, 200)
--- a/trefoilspool/endpointpacer.py
+++ b/trefoilspool/endpointpacer.py
@@ -93,6 +93,11 @@
             least = -1 - bucket.rate * MAX_DEBT_S
             bucket.level = max(bucket.level - 1, min(bucket.level, least))
 
+    def on_stood_still(self, since: float, now: float) -> None:
+        """Earn nothing while this host stood still, as others may grant it."""
+        for bucket in self.buckets.values():
+            bucket.skip(since, now)
+
     def forget_ended(self) -> None:
         """Drop the buckets of runs that no longer have a limit."""
         for run in list(self.buckets):
--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -74,7 +74,7 @@
         before = self.stepped_at
         self.stepped_at = now
         if now - before >= LONGEST_STEP_S:
-            self.scheduler.on_stood_still(now)
+            self.scheduler.on_stood_still(before, now)
 
     def on_asks(self, sender: HostInfo, asks: list[Any], now: float) -> None:
         """Pass slot requests to the slot scheduler."""
--- a/trefoilspool/ratelimits.py
+++ b/trefoilspool/ratelimits.py
@@ -46,6 +46,11 @@
         self.level = min(self.burst, self.level + earned)
         self.refilled_at = now
 
+    def skip(self, since: float, now: float) -> None:
+        """Earn nothing from one time, in seconds, to the present one."""
+        self.refill(max(since, self.refilled_at))
+        self.refilled_at = max(now, self.refilled_at)
+
     def admits(self, charge: float) -> bool:
         """Return whether a request may be sent at the present level.
 
@@ -128,6 +133,14 @@
             self.share = share
             self.update_buckets(now)
 
+    def on_stood_still(self, since: float, now: float) -> None:
+        """Earn nothing while this host stood still.
+
+        Another home host may have granted all of it.
+        """
+        for bucket in self.buckets.values():
+            bucket.skip(since, now)
+
     def update_buckets(self, now: float) -> None:
         """Apply the present limits and share to all buckets."""
         for name, bucket in self.buckets.items():
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -449,13 +449,22 @@
         for service in self.waiting.queues:
             self.grant_waiting(service, now)
 
-    def on_stood_still(self, now: float) -> None:
-        """Wait again for the reports of entry hosts.
-
-        While this host stood still it could not hear them, so their silence
-        tells nothing.
+    def on_stood_still(self, since: float, now: float) -> None:
+        """Wait again for the reports of entry hosts, and earn no tokens.
+
+        While this host stood still it could not hear the entry hosts, so their
+        silence tells nothing, and another host may have been the home host.
+
+        Parameters
+        ----------
+        since : float
+            When this host stood still at the earliest, in seconds.
+        now : float
+            The present time in seconds.
         """
         self.last_reports = dict.fromkeys(self.last_reports, now)
+        self.rate_limits.on_stood_still(since, now)
+        self.pacer.on_stood_still(since, now)
 
     def lost_room(self, waiting: QueuedRequest, now: float) -> bool:
         """Return whether a late request waits behind too many on time."""
