Take a roll-out for drained only while most hosts are heard

Cause: a host that was not heard for 4 s counted as having nothing open. A home host that is cut off, or that has just stood still, hears nobody, so its own report was enough to store completed, after which the old version is stopped everywhere.

Change: a home host that hears no majority of the hosts it knows waits for all of them, until the time after the order's end as before.

--- a/tests/test_rolloutprotocol.py
+++ b/tests/test_rolloutprotocol.py
@@ -2,7 +2,7 @@
 
 import itertools
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 import pytest
 from hypothesis import settings
@@ -226,27 +226,70 @@
         self.sent.append(datagram)
 
 
+ORDER = RolloutOrder('engines', 'v2', 10, Position(0, 3))
+
+
+def draining_gossip(order: RolloutOrder) -> RolloutGossip:
+    """Return the gossip of a home host that drains the old version."""
+    gate = RolloutGate()
+    gate.on_order(order, 0)
+    announcement = gate.services['engines'].announcement
+    draining = announcement._replace(phase=Phase.draining, share=1)
+    gate.on_announcement(draining, 0, 0)
+    return RolloutGossip(
+        PeerRegistry(HostInfo('h1', '127.0.0.1', 1, capacity=1)),
+        Sender(),  # type: ignore[arg-type]
+        gate,
+        Coordinator(),
+        lambda service, target: 0,
+    )
+
+
+class TestDrain:
+    """What the home host takes for drained."""
+
+    order = ORDER._replace(duration_s=60)
+
+    def due_states(self, heard: int, hosts: int) -> Mapping[str, State]:
+        """Return what is due when some of the hosts are silent."""
+        gossip = draining_gossip(self.order)
+        peers = gossip.peers
+        others = [
+            HostInfo(f'h{number}', f'127.0.0.{number}', 1)
+            for number in range(2, hosts + 1)
+        ]
+        for host in others:
+            peers.on_heartbeat(host, 0)
+        gossip.tick(1)
+        rollout = gossip.coordinator.rollouts['engines']
+        rollout.hold_s = 0
+        for now in range(2, 12):
+            for host in (peers.own, *others[: heard - 1]):
+                peers.on_heartbeat(host, now)
+                gossip.on_reports(
+                    host, gossip.report_structs(home_is_new=True), now
+                )
+            gossip.tick(now)
+        return gossip.due_states
+
+    def test_silence_of_a_few_hosts_does_not_keep_it(self) -> None:
+        assert self.due_states(3, 5) == {'engines': State.completed}
+
+    @pytest.mark.parametrize('heard', (1, 2))
+    def test_silence_of_most_hosts_is_no_end(self, heard: int) -> None:
+        """The home host may be cut off from requests that go on."""
+        assert self.due_states(heard, 5) == {'engines': State.in_progress}
+
+
 class TestRestore:
     """The store is restored just after the end of a roll-out was stored."""
 
-    order = RolloutOrder('engines', 'v2', 10, Position(0, 3))
+    order = ORDER
 
     @pytest.fixture
     def gossip(self) -> RolloutGossip:
         """Return the gossip of a home host that has to store the end."""
-        gate = RolloutGate()
-        gate.on_order(self.order, 0)
-        announcement = gate.services['engines'].announcement
-        draining = announcement._replace(phase=Phase.draining, share=1)
-        gate.on_announcement(draining, 0, 0)
-        peers = PeerRegistry(HostInfo('h1', '127.0.0.1', 1))
-        made = RolloutGossip(
-            peers,
-            Sender(),  # type: ignore[arg-type]
-            gate,
-            Coordinator(),
-            lambda service, target: 0,
-        )
+        made = draining_gossip(self.order)
         made.tick(20)
         assert made.due_states == {'engines': State.completed}
         return made
--- a/trefoilspool/rollouts/gossip.py
+++ b/trefoilspool/rollouts/gossip.py
@@ -26,7 +26,8 @@
 
 # Of so many heartbeats one repeats all rows; the others hold what has changed.
 HEARTBEATS_PER_FULL_REPORT = 8
-# A host without a heartbeat for longer has nothing open that would go on.
+# A host without a heartbeat for longer has nothing open that would go on, if
+# most others are heard.
 LIVE_S = 4.0
 
 logger = logbook.Logger('rollouts')
@@ -158,11 +159,21 @@
             self.due_states = {}
             return
         self.coordinator.follow(self.gate.announcements(), now)
-        hosts = self.peers.heard_since(now - LIVE_S)
+        hosts = self.awaited_hosts(now)
         self.coordinator.tick(hosts, now)
         self.publish(now)
         self.due_states = self.coordinator.due_states(hosts, now)
 
+    def awaited_hosts(self, now: float) -> frozenset[str]:
+        """Return the hosts that may have requests open.
+
+        A host that hears only a minority may itself be cut off, or has just
+        stood still: then the silence of the others tells nothing.
+        """
+        heard = self.peers.heard_since(now - LIVE_S)
+        is_majority = 2 * len(heard) > self.peers.count()
+        return heard if is_majority else self.peers.names()
+
     def on_store_restored(self, now: float) -> None:
         """Have the states stored again.
 
