Count heartbeats and digests from when they may have arrived

Cause: PeerRegistry.on_heartbeat and HomeContact.on_digest took the time at which a datagram is handled. After a stall, datagrams that had waited showed hosts to be alive that had ended, ended suspicions, and made a host that is cut off take itself for in touch.

Change: MeshTask.on_datagram takes heard_at, the time from which the datagram counts, by default the present one; stalls.heard_at gives it from the time at which the buffer was last empty, which DatagramSocket is to tell. Until step passes it on, nothing changes in a running host.

Measured: three tests of test_mesh::TestStandingStill failed with heard_at ignored (104 in place of 100); they and test_stalls, test_peers, test_odddatagrams pass.

--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -157,9 +157,9 @@
             if address == self.address:
                 send(address, datagram)
 
-        def on_own(body: bytes, address: str, now: float) -> None:
+        def on_own(body: bytes, address: str, *times: float) -> None:
             if address == self.address:
-                on_datagram(body, address, now)
+                on_datagram(body, address, *times)
 
         mesh.sender.send, mesh.on_datagram = send_own, on_own
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -262,3 +262,28 @@
         limits.bucket('w', 100).level = 0
         wake(104, b'')
         assert dict(limits.levels(104)) == {'w': 0}
+
+    def test_heartbeat_that_waited_ends_no_suspicion(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        body = wire.encode(hello_of(host_info(2)))
+        mesh.peers.on_timeout('h2', 100)
+        mesh.on_datagram(body, '127.0.9.2', 104, 100)
+        assert host_info(2) in mesh.peers.unresponsive()
+        mesh.on_datagram(body, '127.0.9.2', 104.1, 104.1)
+        assert host_info(2) not in mesh.peers.unresponsive()
+
+    def test_heartbeat_that_waited_is_not_heard_now(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        body = wire.encode(hello_of(host_info(2)))
+        mesh.on_datagram(body, '127.0.9.2', 104, 100)
+        assert 'h2' not in mesh.peers.heard_since(103)
+
+    def test_digest_that_waited_is_no_contact(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        datagram = hello_of(host_info(2))
+        datagram.digest = ttypes.Digest([], [])
+        mesh.on_datagram(wire.encode(datagram), '127.0.9.2', 104, 100)
+        assert mesh.home_contact.heard_at == 100
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -5,7 +5,7 @@
 import logbook
 import pytest
 
-from trefoilspool.stalls import StallWatch
+from trefoilspool.stalls import LONGEST_STEP_S, StallWatch, heard_at
 
 
 class TestStallWatch:
@@ -34,3 +34,13 @@
             watch.on_wait(second - 1, 1)
             watch.on_wake(second)
         assert not log.records
+
+
+class TestHeardAt:
+    def test_datagram_that_may_have_waited(self) -> None:
+        assert heard_at(10, 11 + LONGEST_STEP_S) == 10
+
+    def test_datagram_of_a_host_that_keeps_up(self) -> None:
+        """The buffer was empty when the wait for the datagram began."""
+        now = 10 + LONGEST_STEP_S / 2
+        assert heard_at(10, now) == now
--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -14,16 +14,13 @@
 from trefoilspool.rollouts.gossip import RolloutGossip
 from trefoilspool.slotmessages import HeldSlot, SlotRelease, SlotRequest
 from trefoilspool.slotscheduler import SlotScheduler
+from trefoilspool.stalls import LONGEST_STEP_S
 from trefoilspool.wire import checks, endpointreports
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
 __all__ = ['HomeService']
 
-# No wait between two steps is as long, so that a host whose next step comes
-# later stood still. With the longest heartbeat period, below HOLD_TIMEOUT_S.
-LONGEST_STEP_S = 0.6
-
 logger = logbook.Logger('mesh')
 
 
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -43,6 +43,9 @@
 __all__ = ['MeshTask']
 
 TICK_S = 0.02
+# Their handlers get the time from which a datagram counts, which is earlier than
+# the present time if it has waited.
+EVIDENCE_FIELDS = frozenset(('digest',))
 
 logger = logbook.Logger('mesh')
 
@@ -247,22 +250,42 @@
         for callback in due:
             callback(now)
 
-    def on_datagram(self, body: bytes, address: str, now: float) -> None:
-        """Decode a datagram and call the handler of each field present."""
+    def on_datagram(
+        self,
+        body: bytes,
+        address: str,
+        now: float,
+        heard_at: float | None = None,
+    ) -> None:
+        """Decode a datagram and call the handler of each field present.
+
+        Parameters
+        ----------
+        body : bytes
+            The datagram.
+        address : str
+            Address of its sender.
+        now : float
+            The present time in seconds.
+        heard_at : float, optional
+            When it arrived at the earliest, in seconds; by default now.
+        """
+        heard_at = now if heard_at is None else heard_at
         datagram = wire.decode(body)
         senders = [datagram.sender] if datagram else []
         sender = next(checks.readable(wire.host_info_from_wire, senders), None)
         if sender is None:
             logger.warning('datagram_unreadable', extra={'from': address})
             return
-        if not self.peers.on_heartbeat(sender, now):
+        if not self.peers.on_heartbeat(sender, heard_at):
             return
         for field, handler in self.handlers.items():
             content = getattr(datagram, field)
             if content is None:
                 continue
+            time = heard_at if field in EVIDENCE_FIELDS else now
             try:
-                handler(sender, content, now)
+                handler(sender, content, time)
             except Exception:
                 # The other fields are still of use.
                 logger.exception(
--- a/trefoilspool/peers.py
+++ b/trefoilspool/peers.py
@@ -109,17 +109,27 @@
             self.own = host
             self.hosts[host.name] = host
 
-    def on_heartbeat(self, host: HostInfo, now: float) -> bool:
-        """Record a heartbeat; return False for an earlier incarnation."""
+    def on_heartbeat(self, host: HostInfo, heard_at: float) -> bool:
+        """Record a heartbeat; return False for an earlier incarnation.
+
+        Parameters
+        ----------
+        host : HostInfo
+            Its sender.
+        heard_at : float
+            When it arrived at the earliest, in seconds: one that has waited
+            in this host's buffer does not show that its sender is here now.
+        """
         with self.lock:
             known = self.hosts.get(host.name)
             if known and host.incarnation < known.incarnation:
                 return False
             was_responsive = self.is_responsive(host.name)
             self.hosts[host.name] = host
-            self.last_heartbeat_at[host.name] = now
+            before = self.last_heartbeat_at.get(host.name, heard_at)
+            self.last_heartbeat_at[host.name] = max(before, heard_at)
             suspicion = self.suspects.get(host.name)
-            if suspicion is not None and now >= suspicion.until:
+            if suspicion is not None and heard_at >= suspicion.until:
                 self.past_suspicions[host.name] = self.suspects.pop(host.name)
             has_recovered = not was_responsive and self.is_responsive(host.name)
         if has_recovered:
--- a/trefoilspool/stalls.py
+++ b/trefoilspool/stalls.py
@@ -2,10 +2,14 @@
 
 import logbook
 
-__all__ = ['MIN_STALL_S', 'StallWatch']
+__all__ = ['LONGEST_STEP_S', 'MIN_STALL_S', 'StallWatch', 'heard_at']
 
 # Shorter ones are usual on a busy machine.
 MIN_STALL_S = 0.5
+# No wait for a datagram lasts as long, so that a host which has not found its
+# buffer empty, or made its next step, for longer was held up. With the longest
+# heartbeat period, below HOLD_TIMEOUT_S.
+LONGEST_STEP_S = 0.6
 
 logger = logbook.Logger('mesh')
 
@@ -39,3 +43,19 @@
         stalled_s = now - self.due_at
         if stalled_s >= MIN_STALL_S:
             logger.warning('stood_still', extra={'for_s': round(stalled_s, 3)})
+
+
+def heard_at(emptied_at: float, now: float) -> float:
+    """Return from when a datagram counts that is handled now, in seconds.
+
+    While the loop keeps up, datagrams have just arrived. After a stall they may
+    have waited since the buffer was last empty.
+
+    Parameters
+    ----------
+    emptied_at : float
+        When the buffer was last found empty, in seconds.
+    now : float
+        The present time in seconds.
+    """
+    return now if now - emptied_at < LONGEST_STEP_S else emptied_at
