Grant the share of the hosts heard since a home host woke

Cause: counted a wake as a report of each entry host, so the share of endpoints' limits that a home host grants was whole again, though the hosts may report to another one.

Change: the scheduler keeps the times of reports, and notes since when it listens.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from trefoilspool.departures import EndpointRun
+from trefoilspool.endpointlimits import LimitReport
 from trefoilspool.helloschedule import STARTUP_S
 from trefoilspool.hostlists import HOST_LIST_S, MIN_HOST_LIST_S
 from trefoilspool.mesh import TICK_S, MeshTask
@@ -248,6 +250,24 @@
             wake(103 + step * STEP_S, b'')
         assert not len(mesh.scheduler.reservations)
 
+    def test_share_of_limits_of_endpoints_is_for_hosts_heard_since(
+        self,
+        mesh: MeshTask,
+        sent: Sent,
+        wake: Callable[[float, bytes], None],
+    ) -> None:
+        """The others may report to another home host by now."""
+        mesh.limits.merge([LimitReport(EndpointRun('e', 1), 10, 0)], 'h2', 100)
+        wake(100, b'')
+        for host in map(host_info, range(2, 5)):
+            mesh.peers.on_heartbeat(host, 100)
+            mesh.scheduler.on_held_slots(host.name, [], 100)
+        mesh.scheduler.on_held_slots(mesh.peers.own.name, [], 100)
+        wake(100.1, b'')
+        assert mesh.scheduler.pacer.share == 1
+        wake(104, b'')
+        assert mesh.scheduler.pacer.share == 1 / 4
+
     def test_limit_that_another_home_host_granted_is_not_granted_again(
         self,
         mesh: MeshTask,
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -81,6 +81,8 @@
         Granted slots that have not been released.
     last_reports : dict
         When each entry host last reported its held slots.
+    listening_since : float
+        Since when the silence of an entry host would be noticed, in seconds.
     rate_limits : RateLimits
         Limits and budgets.
     waits : WaitPredictor
@@ -108,6 +110,7 @@
         self.waiting = WaitingRequests()
         self.reservations = Reservations(self.pool, self.guard)
         self.last_reports: dict[str, float] = {}
+        self.listening_since = 0.0
         self.rate_limits = RateLimits()
         self.grant_rates = GrantRates()
         self.shares: defaultdict[str, ServiceShares] = defaultdict(
@@ -444,7 +447,8 @@
             elif self.guard.decide(waiting.ask, now) is GuardDecision.refused:
                 self.refuse(waiting.ask, RefusalReason.quarantined, now)
         for entry, reported_at in list(self.last_reports.items()):
-            if now - reported_at > HOLD_TIMEOUT_S:
+            silent_since = max(reported_at, self.listening_since)
+            if now - silent_since > HOLD_TIMEOUT_S:
                 self.remove_entry(entry, now)
         for service in self.waiting.queues:
             self.grant_waiting(service, now)
@@ -462,7 +466,7 @@
         now : float
             The present time in seconds.
         """
-        self.last_reports = dict.fromkeys(self.last_reports, now)
+        self.listening_since = now
         self.rate_limits.on_stood_still(since, now)
         self.pacer.on_stood_still(since, now)
 
