Free no slot by a list from before its grant

Cause: slots that an entry host does not list are freed unless granted in the 1.2 s before the list is handled. A home host that stood still freed by lists that had waited what it had granted after them, and granted it again.

Change: the 1.2 s, and the report's time, count from when the list may have arrived.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -307,3 +307,16 @@
         datagram.digest = ttypes.Digest([], [])
         mesh.on_datagram(wire.encode(datagram), '127.0.9.2', 104, 100)
         assert mesh.home_contact.heard_at == 100
+
+    def test_list_from_before_a_grant_frees_no_slot(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        held = HeldSlot(SlotKey('h2', 1), 's', 'e', 10, 10, 0)
+        mesh.scheduler.on_held_slots('h2', [held], 100)
+        datagram = hello_of(host_info(2))
+        datagram.roll = []
+        body = wire.encode(datagram)
+        mesh.on_datagram(body, '127.0.9.2', 104, 100)
+        assert len(mesh.scheduler.reservations) == 1
+        mesh.on_datagram(body, '127.0.9.2', 104.1, 104.1)
+        assert not len(mesh.scheduler.reservations)
--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -94,15 +94,31 @@
             self.scheduler.on_release(release, now)
 
     def on_held_slots(
-        self, sender: HostInfo, slots: list[Any], now: float
+        self,
+        sender: HostInfo,
+        slots: list[Any],
+        now: float,
+        heard_at: float | None = None,
     ) -> None:
-        """Record the slots of an entry host; reply with a digest if due."""
+        """Record the slots of an entry host; reply with a digest if due.
+
+        Parameters
+        ----------
+        sender : HostInfo
+            The entry host.
+        slots : list
+            Structs of the slots that it holds.
+        now : float
+            The present time in seconds.
+        heard_at : float, optional
+            When the list arrived at the earliest, in seconds; by default now.
+        """
 
         def convert(held: Any) -> HeldSlot:
             return wire.held_from_wire(held, sender.name)
 
         self.scheduler.on_held_slots(
-            sender.name, list(checks.readable(convert, slots)), now
+            sender.name, list(checks.readable(convert, slots)), now, heard_at
         )
         due = not self.heartbeat_counts[sender.name] % HEARTBEATS_PER_DIGEST
         self.heartbeat_counts[sender.name] += 1
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -43,13 +43,14 @@
 __all__ = ['MeshTask']
 
 TICK_S = 0.02
-# Their handlers get the time from which a datagram counts, which is earlier than
+# Their handlers also get the time from which the datagram counts, which is before
 # the present time if it has waited.
-EVIDENCE_FIELDS = frozenset(('digest',))
+DATED_FIELDS = frozenset(('digest', 'roll'))
 
 logger = logbook.Logger('mesh')
 
-DatagramHandler = Callable[[HostInfo, Any, float], object]
+# Called with the sender, the field, and the times that it needs, in seconds.
+DatagramHandler = Callable[..., object]
 
 
 def do_nothing() -> None:
@@ -283,9 +284,9 @@
             content = getattr(datagram, field)
             if content is None:
                 continue
-            time = heard_at if field in EVIDENCE_FIELDS else now
+            times = (now, heard_at) if field in DATED_FIELDS else (now,)
             try:
-                handler(sender, content, time)
+                handler(sender, content, *times)
             except Exception:
                 # The other fields are still of use.
                 logger.exception(
@@ -305,7 +306,11 @@
             self.client.on_decision(sender.address, decision)
 
     def on_digest(
-        self, sender: HostInfo, digest: ttypes.Digest, now: float
+        self,
+        sender: HostInfo,
+        digest: ttypes.Digest,
+        now: float,
+        heard_at: float,
     ) -> None:
         """Pass the counts and levels of the home host to the slot client."""
         loads = list(checks.readable(wire.load_from_wire, digest.loads))
@@ -314,7 +319,7 @@
             frozenset(endpoint for endpoint, _, ejected in loads if ejected),
             dict(checks.readable(wire.level_from_wire, digest.levels)),
         )
-        self.home_contact.on_digest(sender, now)
+        self.home_contact.on_digest(sender, heard_at)
 
     def on_hosts(self, sender: HostInfo, hosts: list[Any], now: float) -> None:
         """Add the hosts of a peer's list."""
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -390,16 +390,33 @@
         entry: str,
         held_slots: Iterable[HeldSlot],
         now: float,
+        heard_at: float | None = None,
     ) -> None:
-        """Apply the full list of the slots that an entry host holds."""
-        self.last_reports[entry] = now
+        """Apply the full list of the slots that an entry host holds.
+
+        Parameters
+        ----------
+        entry : str
+            Name of the host.
+        held_slots : iterable of HeldSlot
+            The slots, with their ages at ``heard_at``.
+        now : float
+            The present time in seconds.
+        heard_at : float, optional
+            When the list arrived at the earliest, in seconds; by default now.
+            Slots granted shortly before are not on it.
+        """
+        heard_at = now if heard_at is None else heard_at
+        self.last_reports[entry] = max(
+            heard_at, self.last_reports.get(entry, heard_at)
+        )
         self.guard.on_entries(self.last_reports)
         held_keys = set()
         for held in held_slots:
             held_keys.add(held.key)
             self.on_held_slot(held, now)
         for key in self.reservations.missing(
-            entry, held_keys, now - HOLD_TIMEOUT_S
+            entry, held_keys, heard_at - HOLD_TIMEOUT_S
         ):
             self.reclaim(key, now)
 
