Count reports of roll-outs from when they may have arrived

Cause: a roll-out is drained once each host has reported in the last 2 s that nothing is open at the old version. Reports counted from when they are handled, so after a stall old ones were enough to store completed, though another home host may have taken the step back.

Change: on_reports and on_report take heard_at.

Measured: test_reports_that_waited_are_no_end failed before (completed); test_rolloutprotocol, test_rollouts, test_mesh, test_odddatagrams pass.

--- a/tests/test_rolloutprotocol.py
+++ b/tests/test_rolloutprotocol.py
@@ -250,8 +250,10 @@
 
     order = ORDER._replace(duration_s=60)
 
-    def due_states(self, heard: int, hosts: int) -> Mapping[str, State]:
-        """Return what is due when some of the hosts are silent."""
+    def due_states(
+        self, heard: int, hosts: int, waited_s: float = 0
+    ) -> Mapping[str, State]:
+        """Return what is due when some hosts are silent, or reports waited."""
         gossip = draining_gossip(self.order)
         peers = gossip.peers
         others = [
@@ -266,9 +268,8 @@
         for now in range(2, 12):
             for host in (peers.own, *others[: heard - 1]):
                 peers.on_heartbeat(host, now)
-                gossip.on_reports(
-                    host, gossip.report_structs(home_is_new=True), now
-                )
+                structs = gossip.report_structs(home_is_new=True)
+                gossip.on_reports(host, structs or (), now, now - waited_s)
             gossip.tick(now)
         return gossip.due_states
 
@@ -280,6 +281,11 @@
         """The home host may be cut off from requests that go on."""
         assert self.due_states(heard, 5) == {'engines': State.in_progress}
 
+    def test_reports_that_waited_are_no_end(self) -> None:
+        """Hosts may have gone back to the old version meanwhile."""
+        due = self.due_states(5, 5, waited_s=3)
+        assert due == {'engines': State.in_progress}
+
 
 class TestRestore:
     """The store is restored just after the end of a roll-out was stored."""
--- a/trefoilspool/rollouts/coordinator.py
+++ b/trefoilspool/rollouts/coordinator.py
@@ -147,9 +147,19 @@
         self.change(rollout, Phase.canary, share, reason, now)
 
     def on_report(
-        self, source: ReportSource, report: RolloutReport, now: float
+        self, source: ReportSource, report: RolloutReport, heard_at: float
     ) -> None:
-        """Apply what an entry host has seen."""
+        """Apply what an entry host has seen.
+
+        Parameters
+        ----------
+        source : ReportSource
+            The run of the host.
+        report : RolloutReport
+            What it has seen.
+        heard_at : float
+            When the report arrived at the earliest, in seconds.
+        """
         rollout = self.rollouts.get(report.order.service)
         if rollout is None or not is_same_order(report.order, rollout.order):
             return
@@ -159,7 +169,7 @@
         # Reports leave out rows that have not changed.
         rows = {**older, **report.rows}
         rollout.reports[source] = ReceivedReport(
-            report._replace(rows=rows), now
+            report._replace(rows=rows), heard_at
         )
 
     def tick(self, hosts: frozenset[str], now: float) -> None:
@@ -313,10 +323,10 @@
         told = {
             source.host
             for source, received in rollout.reports.items()
-            if now - received.received_at <= FRESH_S
+            if now - received.heard_at <= FRESH_S
             and received.report.phase is Phase.draining
             and not received.report.open_others
-            and received.received_at > rollout.stepped_at
+            and received.heard_at > rollout.stepped_at
         }
         return hosts <= told
 
--- a/trefoilspool/rollouts/gossip.py
+++ b/trefoilspool/rollouts/gossip.py
@@ -126,9 +126,25 @@
             self.gate.on_announcement(announcement, now - age_s, now)
 
     def on_reports(
-        self, sender: HostInfo, structs: Iterable[Any], now: float
+        self,
+        sender: HostInfo,
+        structs: Iterable[Any],
+        now: float,
+        heard_at: float,
     ) -> None:
-        """Take a host's reports; tell it what it does not know yet."""
+        """Take a host's reports; tell it what it does not know yet.
+
+        Parameters
+        ----------
+        sender : HostInfo
+            The host.
+        structs : iterable
+            Structs of its reports.
+        now : float
+            The present time in seconds.
+        heard_at : float
+            When they arrived at the earliest, in seconds.
+        """
         if not self.peers.is_home():
             return
         source = ReportSource(sender.name, sender.incarnation)
@@ -136,7 +152,7 @@
         for report in checks.readable(rolloutwire.report_from_wire, structs):
             # The store may not serve this host.
             self.gate.on_order(report.order, now)
-            self.coordinator.on_report(source, report, now)
+            self.coordinator.on_report(source, report, heard_at)
             is_behind |= report.phase is not self.gate.phase(
                 report.order.service
             )
--- a/trefoilspool/rollouts/progress.py
+++ b/trefoilspool/rollouts/progress.py
@@ -30,10 +30,10 @@
 
 
 class ReceivedReport(NamedTuple):
-    """A report and when it came, in seconds."""
+    """A report and when it came at the earliest, in seconds."""
 
     report: RolloutReport
-    received_at: float
+    heard_at: float
 
 
 class Rollout:
