Count limits that peers report from when they may have arrived

Cause: a report's age counted from when it is handled, so one that had waited while this host stood still replaced a limit that an endpoint named later, here and, told on by the home host, everywhere.

Change: on_limits and merge take heard_at.

Measured: test_limit_that_waited_does_not_replace_a_later_one failed before (10 a second in place of 2); test_mesh, test_endpointpacer, test_odddatagrams, test_refusalpacer pass.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -12,6 +12,7 @@
 from trefoilspool.peers import HostInfo
 from trefoilspool.routing import Workspace
 from trefoilspool.slotmessages import HeldSlot, SlotKey, SlotRequest
+from trefoilspool.wire import endpointreports
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
@@ -320,3 +321,18 @@
         assert len(mesh.scheduler.reservations) == 1
         mesh.on_datagram(body, '127.0.9.2', 104.1, 104.1)
         assert not len(mesh.scheduler.reservations)
+
+    def test_limit_that_waited_does_not_replace_a_later_one(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        run = EndpointRun('e', 1)
+        datagram = hello_of(host_info(2))
+        datagram.limits = endpointreports.limits_to_wire(
+            [LimitReport(run, 10, 0)]
+        )
+        mesh.limits.merge([LimitReport(run, 2, 0)], 'h3', 103)
+        body = wire.encode(datagram)
+        mesh.on_datagram(body, '127.0.9.2', 104, 100)
+        assert mesh.limits.per_s(run) == 2
+        mesh.on_datagram(body, '127.0.9.2', 104.1, 104.1)
+        assert mesh.limits.per_s(run) == 10
--- a/trefoilspool/broadcasts.py
+++ b/trefoilspool/broadcasts.py
@@ -76,10 +76,26 @@
         self.sender.send_home_or_all(datagram, now)
 
     def on_limits(
-        self, sender: HostInfo, structs: list[Any], now: float
+        self,
+        sender: HostInfo,
+        structs: list[Any],
+        now: float,
+        heard_at: float,
     ) -> None:
-        """Adopt the limits of a peer; the home host tells all others."""
-        if self.limit_gossip.on_structs(sender, structs, now):
+        """Adopt the limits of a peer; the home host tells all others.
+
+        Parameters
+        ----------
+        sender : HostInfo
+            The peer.
+        structs : list
+            Structs of the limits, with their ages at ``heard_at``.
+        now : float
+            The present time in seconds.
+        heard_at : float
+            When they arrived at the earliest, in seconds.
+        """
+        if self.limit_gossip.on_structs(sender, structs, heard_at):
             self.sender.send_all(self.limit_gossip.datagram(now), now)
 
     def send_limits(self, now: float) -> None:
--- a/trefoilspool/endpointlimits.py
+++ b/trefoilspool/endpointlimits.py
@@ -152,16 +152,26 @@
         return self.adopt(run, heard, 'response')
 
     def merge(
-        self, reports: Iterable[LimitReport], source: str, now: float
+        self, reports: Iterable[LimitReport], source: str, heard_at: float
     ) -> bool:
-        """Adopt what another host reports; return whether any of it is new."""
+        """Adopt what another host reports; return whether any of it is new.
+
+        Parameters
+        ----------
+        reports : iterable of LimitReport
+            The reports, with their ages at ``heard_at``.
+        source : str
+            Who reports, for the log line.
+        heard_at : float
+            When they arrived at the earliest, in seconds.
+        """
         return any(
             [
                 self.adopt(
                     report.run,
                     KnownLimit(
                         report.per_s,
-                        now - report.age_s,
+                        heard_at - report.age_s,
                         is_own=False,
                         refusals_per_s=report.refusals_per_s,
                     ),
--- a/trefoilspool/limitgossip.py
+++ b/trefoilspool/limitgossip.py
@@ -40,11 +40,11 @@
         self,
         sender: HostInfo,
         structs: Iterable[ttypes.EndpointLimit],
-        now: float,
+        heard_at: float,
     ) -> bool:
         """Adopt what a peer has told; return whether all hosts are to know."""
         reports = endpointreports.limits_from_wire(structs)
-        is_new = self.limits.merge(reports, sender.name, now)
+        is_new = self.limits.merge(reports, sender.name, heard_at)
         return is_new and self.peers.is_home()
 
     def structs(self, now: float) -> list[ttypes.EndpointLimit] | None:
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -45,7 +45,7 @@
 TICK_S = 0.02
 # Their handlers also get the time from which the datagram counts, which is before
 # the present time if it has waited.
-DATED_FIELDS = frozenset(('digest', 'roll', 'rollout_reports'))
+DATED_FIELDS = frozenset(('digest', 'limits', 'roll', 'rollout_reports'))
 
 logger = logbook.Logger('mesh')
 
