--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,14 +1,18 @@
 """Datagrams between hosts, and how often they are sent."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 
+from trefoilspool.departures import EndpointRun
+from trefoilspool.endpointlimits import LimitReport
 from trefoilspool.helloschedule import STARTUP_S
 from trefoilspool.hostlists import HOST_LIST_S, MIN_HOST_LIST_S
 from trefoilspool.mesh import TICK_S, MeshTask
 from trefoilspool.peers import HostInfo
-from trefoilspool.slotmessages import SlotKey, SlotRequest
+from trefoilspool.routing import Workspace
+from trefoilspool.slotmessages import HeldSlot, SlotKey, SlotRequest
+from trefoilspool.wire import endpointreports
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 
@@ -64,6 +68,10 @@
         mesh.tick(now)
 
 
+def hello_of(host: HostInfo) -> ttypes.Datagram:
+    return ttypes.Datagram(wire.host_info_to_wire(host), hello=False)
+
+
 def count_host_lists(sent: Sent) -> int:
     return sum(1 for _, datagram in sent if datagram.hosts is not None)
 
@@ -208,3 +216,123 @@
         assert len(sent) == 2
         assert all(datagram.digest is not None for _, datagram in sent)
         assert len(wire.encode(sent[0][1])) < 200
+
+
+class TestStandingStill:
+    """A home host that wakes with datagrams in its buffer."""
+
+    @pytest.fixture
+    def wake(
+        self, mesh: MeshTask, monkeypatch: pytest.MonkeyPatch
+    ) -> Callable[[float, bytes], None]:
+        """Return a function that runs a step at a time, with a datagram."""
+
+        def run(now: float, body: bytes = b'') -> None:
+            monkeypatch.setattr('trefoilspool.clock.now', lambda: now)
+            monkeypatch.setattr(
+                mesh.socket, 'receive', lambda _: (body, '127.0.9.2')
+            )
+            mesh.step()
+
+        return run
+
+    def test_slots_of_hosts_that_it_could_not_hear_are_kept(
+        self,
+        mesh: MeshTask,
+        sent: Sent,
+        wake: Callable[[float, bytes], None],
+    ) -> None:
+        held = HeldSlot(SlotKey('h2', 1), 's', 'e', 10, 10, 0)
+        wake(100, b'')
+        mesh.scheduler.on_held_slots('h2', [held], 100)
+        wake(103, wire.encode(hello_of(host_info(3))))
+        assert len(mesh.scheduler.reservations) == 1
+        for step in range(1, 30):
+            wake(103 + step * STEP_S, b'')
+        assert not len(mesh.scheduler.reservations)
+
+    def test_share_of_limits_of_endpoints_is_for_hosts_heard_since(
+        self,
+        mesh: MeshTask,
+        sent: Sent,
+        wake: Callable[[float, bytes], None],
+    ) -> None:
+        """The others may report to another home host by now."""
+        mesh.limits.merge([LimitReport(EndpointRun('e', 1), 10, 0)], 'h2', 100)
+        wake(100, b'')
+        for host in map(host_info, range(2, 5)):
+            mesh.peers.on_heartbeat(host, 100)
+            mesh.scheduler.on_held_slots(host.name, [], 100)
+        mesh.scheduler.on_held_slots(mesh.peers.own.name, [], 100)
+        wake(100.1, b'')
+        assert mesh.scheduler.pacer.share == 1
+        wake(104, b'')
+        assert mesh.scheduler.pacer.share == 1 / 4
+
+    def test_limit_that_another_home_host_granted_is_not_granted_again(
+        self,
+        mesh: MeshTask,
+        sent: Sent,
+        wake: Callable[[float, bytes], None],
+    ) -> None:
+        wake(100, b'')
+        limits = mesh.scheduler.rate_limits
+        limits.on_workspaces(
+            {'w': Workspace('w', frozenset(), None, 100, 1000, True, 0)}, 100
+        )
+        limits.bucket('w', 100).level = 0
+        wake(104, b'')
+        assert dict(limits.levels(104)) == {'w': 0}
+
+    def test_heartbeat_that_waited_ends_no_suspicion(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        body = wire.encode(hello_of(host_info(2)))
+        mesh.peers.on_timeout('h2', 100)
+        mesh.on_datagram(body, '127.0.9.2', 104, 100)
+        assert host_info(2) in mesh.peers.unresponsive()
+        mesh.on_datagram(body, '127.0.9.2', 104.1, 104.1)
+        assert host_info(2) not in mesh.peers.unresponsive()
+
+    def test_heartbeat_that_waited_is_not_heard_now(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        body = wire.encode(hello_of(host_info(2)))
+        mesh.on_datagram(body, '127.0.9.2', 104, 100)
+        assert 'h2' not in mesh.peers.heard_since(103)
+
+    def test_digest_that_waited_is_no_contact(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        datagram = hello_of(host_info(2))
+        datagram.digest = ttypes.Digest([], [])
+        mesh.on_datagram(wire.encode(datagram), '127.0.9.2', 104, 100)
+        assert mesh.home_contact.heard_at == 100
+
+    def test_list_from_before_a_grant_frees_no_slot(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        held = HeldSlot(SlotKey('h2', 1), 's', 'e', 10, 10, 0)
+        mesh.scheduler.on_held_slots('h2', [held], 100)
+        datagram = hello_of(host_info(2))
+        datagram.roll = []
+        body = wire.encode(datagram)
+        mesh.on_datagram(body, '127.0.9.2', 104, 100)
+        assert len(mesh.scheduler.reservations) == 1
+        mesh.on_datagram(body, '127.0.9.2', 104.1, 104.1)
+        assert not len(mesh.scheduler.reservations)
+
+    def test_limit_that_waited_does_not_replace_a_later_one(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        run = EndpointRun('e', 1)
+        datagram = hello_of(host_info(2))
+        datagram.limits = endpointreports.limits_to_wire(
+            [LimitReport(run, 10, 0)]
+        )
+        mesh.limits.merge([LimitReport(run, 2, 0)], 'h3', 103)
+        body = wire.encode(datagram)
+        mesh.on_datagram(body, '127.0.9.2', 104, 100)
+        assert mesh.limits.per_s(run) == 2
+        mesh.on_datagram(body, '127.0.9.2', 104.1, 104.1)
+        assert mesh.limits.per_s(run) == 10
--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -5,7 +5,7 @@
 
 import logbook
 
-from trefoilspool import meshdatagrams
+from trefoilspool import clock, meshdatagrams
 from trefoilspool.homecontact import HEARTBEATS_PER_DIGEST
 from trefoilspool.limitgossip import LimitGossip
 from trefoilspool.meshsender import MeshSender
@@ -14,6 +14,7 @@
 from trefoilspool.rollouts.gossip import RolloutGossip
 from trefoilspool.slotmessages import HeldSlot, SlotRelease, SlotRequest
 from trefoilspool.slotscheduler import SlotScheduler
+from trefoilspool.stalls import LONGEST_STEP_S
 from trefoilspool.wire import checks, endpointreports
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
@@ -40,6 +41,11 @@
         Roll-outs, for digests.
     sender : MeshSender
         Sends datagrams.
+
+    Attributes
+    ----------
+    stepped_at : float
+        When the mesh task's last step began, in seconds.
     """
 
     def __init__(
@@ -58,6 +64,14 @@
         self.rollout_gossip = rollout_gossip
         self.sender = sender
         self.heartbeat_counts: Counter[str] = Counter()
+        self.stepped_at = clock.now()
+
+    def on_step(self, now: float) -> None:
+        """Note when a step begins, and whether this host stood still before."""
+        before = self.stepped_at
+        self.stepped_at = now
+        if now - before >= LONGEST_STEP_S:
+            self.scheduler.on_stood_still(before, now)
 
     def on_asks(self, sender: HostInfo, asks: list[Any], now: float) -> None:
         """Pass slot requests to the slot scheduler."""
@@ -80,15 +94,31 @@
             self.scheduler.on_release(release, now)
 
     def on_held_slots(
-        self, sender: HostInfo, slots: list[Any], now: float
+        self,
+        sender: HostInfo,
+        slots: list[Any],
+        now: float,
+        heard_at: float | None = None,
     ) -> None:
-        """Record the slots of an entry host; reply with a digest if due."""
+        """Record the slots of an entry host; reply with a digest if due.
+
+        Parameters
+        ----------
+        sender : HostInfo
+            The entry host.
+        slots : list
+            Structs of the slots that it holds.
+        now : float
+            The present time in seconds.
+        heard_at : float, optional
+            When the list arrived at the earliest, in seconds; by default now.
+        """
 
         def convert(held: Any) -> HeldSlot:
             return wire.held_from_wire(held, sender.name)
 
         self.scheduler.on_held_slots(
-            sender.name, list(checks.readable(convert, slots)), now
+            sender.name, list(checks.readable(convert, slots)), now, heard_at
         )
         due = not self.heartbeat_counts[sender.name] % HEARTBEATS_PER_DIGEST
         self.heartbeat_counts[sender.name] += 1
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -43,10 +43,14 @@
 __all__ = ['MeshTask']
 
 TICK_S = 0.02
+# Their handlers also get the time from which the datagram counts, which is before
+# the present time if it has waited.
+DATED_FIELDS = frozenset(('digest', 'limits', 'roll', 'rollout_reports'))
 
 logger = logbook.Logger('mesh')
 
-DatagramHandler = Callable[[HostInfo, Any, float], object]
+# Called with the sender, the field, and the times that it needs, in seconds.
+DatagramHandler = Callable[..., object]
 
 
 def do_nothing() -> None:
@@ -221,6 +225,7 @@
         """Handle one datagram, then callbacks and timers that are due."""
         body, origin = self.socket.receive(self.pause_s(clock.now()))
         now = clock.now()
+        self.home_service.on_step(now)
         if body:
             self.on_datagram(body, origin, now)
         if self.callbacks:
@@ -246,22 +251,42 @@
         for callback in due:
             callback(now)
 
-    def on_datagram(self, body: bytes, address: str, now: float) -> None:
-        """Decode a datagram and call the handler of each field present."""
+    def on_datagram(
+        self,
+        body: bytes,
+        address: str,
+        now: float,
+        heard_at: float | None = None,
+    ) -> None:
+        """Decode a datagram and call the handler of each field present.
+
+        Parameters
+        ----------
+        body : bytes
+            The datagram.
+        address : str
+            Address of its sender.
+        now : float
+            The present time in seconds.
+        heard_at : float, optional
+            When it arrived at the earliest, in seconds; by default now.
+        """
+        heard_at = now if heard_at is None else heard_at
         datagram = wire.decode(body)
         senders = [datagram.sender] if datagram else []
         sender = next(checks.readable(wire.host_info_from_wire, senders), None)
         if sender is None:
             logger.warning('datagram_unreadable', extra={'from': address})
             return
-        if not self.peers.on_heartbeat(sender, now):
+        if not self.peers.on_heartbeat(sender, heard_at):
             return
         for field, handler in self.handlers.items():
             content = getattr(datagram, field)
             if content is None:
                 continue
+            times = (now, heard_at) if field in DATED_FIELDS else (now,)
             try:
-                handler(sender, content, now)
+                handler(sender, content, *times)
             except Exception:
                 # The other fields are still of use.
                 logger.exception(
@@ -281,7 +306,11 @@
             self.client.on_decision(sender.address, decision)
 
     def on_digest(
-        self, sender: HostInfo, digest: ttypes.Digest, now: float
+        self,
+        sender: HostInfo,
+        digest: ttypes.Digest,
+        now: float,
+        heard_at: float,
     ) -> None:
         """Pass the counts and levels of the home host to the slot client."""
         loads = list(checks.readable(wire.load_from_wire, digest.loads))
@@ -290,7 +319,7 @@
             frozenset(endpoint for endpoint, _, ejected in loads if ejected),
             dict(checks.readable(wire.level_from_wire, digest.levels)),
         )
-        self.home_contact.on_digest(sender, now)
+        self.home_contact.on_digest(sender, heard_at)
 
     def on_hosts(self, sender: HostInfo, hosts: list[Any], now: float) -> None:
         """Add the hosts of a peer's list."""
--- a/trefoilspool/rollouts/gossip.py
+++ b/trefoilspool/rollouts/gossip.py
@@ -26,7 +26,8 @@
 
 # Of so many heartbeats one repeats all rows; the others hold what has changed.
 HEARTBEATS_PER_FULL_REPORT = 8
-# A host without a heartbeat for longer has nothing open that would go on.
+# A host without a heartbeat for longer has nothing open that would go on, if
+# most others are heard.
 LIVE_S = 4.0
 
 logger = logbook.Logger('rollouts')
@@ -125,9 +126,25 @@
             self.gate.on_announcement(announcement, now - age_s, now)
 
     def on_reports(
-        self, sender: HostInfo, structs: Iterable[Any], now: float
+        self,
+        sender: HostInfo,
+        structs: Iterable[Any],
+        now: float,
+        heard_at: float,
     ) -> None:
-        """Take a host's reports; tell it what it does not know yet."""
+        """Take a host's reports; tell it what it does not know yet.
+
+        Parameters
+        ----------
+        sender : HostInfo
+            The host.
+        structs : iterable
+            Structs of its reports.
+        now : float
+            The present time in seconds.
+        heard_at : float
+            When they arrived at the earliest, in seconds.
+        """
         if not self.peers.is_home():
             return
         source = ReportSource(sender.name, sender.incarnation)
@@ -135,7 +152,7 @@
         for report in checks.readable(rolloutwire.report_from_wire, structs):
             # The store may not serve this host.
             self.gate.on_order(report.order, now)
-            self.coordinator.on_report(source, report, now)
+            self.coordinator.on_report(source, report, heard_at)
             is_behind |= report.phase is not self.gate.phase(
                 report.order.service
             )
@@ -158,11 +175,21 @@
             self.due_states = {}
             return
         self.coordinator.follow(self.gate.announcements(), now)
-        hosts = self.peers.heard_since(now - LIVE_S)
+        hosts = self.awaited_hosts(now)
         self.coordinator.tick(hosts, now)
         self.publish(now)
         self.due_states = self.coordinator.due_states(hosts, now)
 
+    def awaited_hosts(self, now: float) -> frozenset[str]:
+        """Return the hosts that may have requests open.
+
+        A host that hears only a minority may itself be cut off, or has just
+        stood still: then the silence of the others tells nothing.
+        """
+        heard = self.peers.heard_since(now - LIVE_S)
+        is_majority = 2 * len(heard) > self.peers.count()
+        return heard if is_majority else self.peers.names()
+
     def on_store_restored(self, now: float) -> None:
         """Have the states stored again.
 
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -81,6 +81,8 @@
         Granted slots that have not been released.
     last_reports : dict
         When each entry host last reported its held slots.
+    listening_since : float
+        Since when the silence of an entry host would be noticed, in seconds.
     rate_limits : RateLimits
         Limits and budgets.
     waits : WaitPredictor
@@ -108,6 +110,7 @@
         self.waiting = WaitingRequests()
         self.reservations = Reservations(self.pool, self.guard)
         self.last_reports: dict[str, float] = {}
+        self.listening_since = 0.0
         self.rate_limits = RateLimits()
         self.grant_rates = GrantRates()
         self.shares: defaultdict[str, ServiceShares] = defaultdict(
@@ -387,16 +390,33 @@
         entry: str,
         held_slots: Iterable[HeldSlot],
         now: float,
+        heard_at: float | None = None,
     ) -> None:
-        """Apply the full list of the slots that an entry host holds."""
-        self.last_reports[entry] = now
+        """Apply the full list of the slots that an entry host holds.
+
+        Parameters
+        ----------
+        entry : str
+            Name of the host.
+        held_slots : iterable of HeldSlot
+            The slots, with their ages at ``heard_at``.
+        now : float
+            The present time in seconds.
+        heard_at : float, optional
+            When the list arrived at the earliest, in seconds; by default now.
+            Slots granted shortly before are not on it.
+        """
+        heard_at = now if heard_at is None else heard_at
+        self.last_reports[entry] = max(
+            heard_at, self.last_reports.get(entry, heard_at)
+        )
         self.guard.on_entries(self.last_reports)
         held_keys = set()
         for held in held_slots:
             held_keys.add(held.key)
             self.on_held_slot(held, now)
         for key in self.reservations.missing(
-            entry, held_keys, now - HOLD_TIMEOUT_S
+            entry, held_keys, heard_at - HOLD_TIMEOUT_S
         ):
             self.reclaim(key, now)
 
@@ -444,11 +464,29 @@
             elif self.guard.decide(waiting.ask, now) is GuardDecision.refused:
                 self.refuse(waiting.ask, RefusalReason.quarantined, now)
         for entry, reported_at in list(self.last_reports.items()):
-            if now - reported_at > HOLD_TIMEOUT_S:
+            silent_since = max(reported_at, self.listening_since)
+            if now - silent_since > HOLD_TIMEOUT_S:
                 self.remove_entry(entry, now)
         for service in self.waiting.queues:
             self.grant_waiting(service, now)
 
+    def on_stood_still(self, since: float, now: float) -> None:
+        """Wait again for the reports of entry hosts, and earn no tokens.
+
+        While this host stood still it could not hear the entry hosts, so their
+        silence tells nothing, and another host may have been the home host.
+
+        Parameters
+        ----------
+        since : float
+            When this host stood still at the earliest, in seconds.
+        now : float
+            The present time in seconds.
+        """
+        self.listening_since = now
+        self.rate_limits.on_stood_still(since, now)
+        self.pacer.on_stood_still(since, now)
+
     def lost_room(self, waiting: QueuedRequest, now: float) -> bool:
         """Return whether a late request waits behind too many on time."""
         if not self.waiting.order.refuses_early(waiting.ask):
