Tell other hosts of open streams before a second version comes

Cause: while a service had one version, a host told nobody of its streams.

Change: a stream that is open for 0.5 s, or that ended otherwise than well before, is told to its three hosts then, 8 streams a second and 16 at once at most, the latest first; what is due is sent by the tick of the mesh thread, one datagram to a host. Streams that end well before are never told. What is over the budget is told as soon as a second version comes, and now also if its route changes. Counters: trefoilspool_origins_told_total, _untold_total. The part that decides is pure (origintelling).

--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -17,7 +17,9 @@
 )
 from platformendpoint import PlatformEndpoint, ServedRequest
 
+from trefoilspool import origintelling
 from trefoilspool.paths import relayclient
+from trefoilspool.streamorigins import stream_key
 
 ALL_EVENTS = [0, 1, 2, 3, 4]
 VERSIONS = ('v1', 'v2')
@@ -377,6 +379,52 @@
             endpoint.behaviour = stream_slowly
         self.assert_goes_on(cluster, hosts[1], first)
 
+    def begin_while_one_version_serves(
+        self, cluster: GatewayCluster
+    ) -> tuple[list[RunningHost], PlatformEndpoint]:
+        """Begin a stream at the first of four hosts that have run for long."""
+        add_endpoints(cluster, 'v1', 'v1')
+        hosts = add_hosts(cluster, 4)
+        for running in hosts:
+            running.run_for_long()
+        return hosts, self.begin(cluster, hosts[0], 'a')
+
+    @pytest.mark.parametrize('fault', ['stopped', 'cut'])
+    def test_host_is_lost_before_the_second_version_comes(
+        self, cluster: GatewayCluster, fault: str
+    ) -> None:
+        hosts, first = self.begin_while_one_version_serves(cluster)
+        wait_until_known(hosts[1:], 'a')
+        if fault == 'stopped':
+            stop_for_good(hosts[0])
+        else:
+            hosts[0].cut_datagrams()
+        add_endpoints(cluster, 'v2', 'v2', 'v2', 'v2')
+        for running in hosts[1:]:
+            cluster.wait_for_endpoints(running, len(cluster.endpoints))
+        for endpoint in cluster.endpoints:
+            endpoint.behaviour = stream_slowly
+        self.assert_goes_on(cluster, hosts[1], first)
+
+    def test_host_is_lost_after_its_route_was_split(
+        self, cluster: GatewayCluster
+    ) -> None:
+        hosts, first = self.begin_while_one_version_serves(cluster)
+        wait_until_known(hosts[1:], 'a')
+        split_route(cluster, hosts)
+        stop_for_good(hosts[0])
+        self.assert_goes_on(cluster, hosts[1], first)
+
+    def test_route_is_split_before_streams_are_told(
+        self, cluster: GatewayCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(origintelling, 'TELL_AFTER_S', 3600.0)
+        hosts, first = self.begin_while_one_version_serves(cluster)
+        split_route(cluster, hosts)
+        wait_until_known(hosts[1:], 'a')
+        stop_for_good(hosts[0])
+        self.assert_goes_on(cluster, hosts[1], first)
+
     def test_host_alone_has_only_one_version(
         self, cluster: GatewayCluster
     ) -> None:
@@ -535,6 +583,41 @@
         )
 
 
+def split_route(cluster: GatewayCluster, hosts: list[RunningHost]) -> None:
+    """Split the route between two services; wait until it is in force."""
+    weights = [{'backend': name, 'weight': 1} for name in ('engines', 'new')]
+    services = [
+        {'name': name, 'healthPath': '/h'} for name in ('engines', 'new')
+    ]
+    cluster.configure(
+        2,
+        routeTable=[chat_route(weightedBackends=weights)],
+        backends=services,
+    )
+    for running in hosts:
+        wait_for(
+            lambda gateway=running.host.gateway: gateway.version == 2,
+            'the configuration',
+        )
+
+
+def wait_until_known(hosts: list[RunningHost], request_id: str) -> None:
+    """Wait until hosts have a record of a stream."""
+    key = stream_key('acme', request_id)
+    for running in hosts:
+        origins = running.host.mesh.origin_gossip.origins
+        wait_for(
+            lambda known=origins.by_stream: key in known,
+            f'a record of the stream at {running.address}',
+        )
+
+
+def stop_for_good(running: RunningHost) -> None:
+    """Stop a host; wait until it answers no datagram any more."""
+    running.stop()
+    wait_for(running.is_stopped, 'the end of the host')
+
+
 def chat_route(**changes: object) -> dict[str, object]:
     return route(
         'chat', 'streaming', streamResume=True, anonymous=True, **changes
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -141,6 +141,7 @@
             self.mesh.home_contact,
             self.stopping,
         )
+        self.mesh.origin_gossip.metrics = self.metrics
         self.mesh.origin_gossip.history = self.directory.versions
         self.mesh.origin_gossip.is_stale = self.endpoint_sync.view.is_stale
         self.mesh.origin_gossip.records_age_s = self.endpoint_sync.view.age_s
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -203,6 +203,7 @@
         self.origin_gossip.routes.update(
             configuration.routes.routes.values(), clock.now()
         )
+        self.call_soon(self.origin_gossip.on_endpoints)
         self.client.choice.workspaces = limits
         self.call_soon(
             lambda now: self.scheduler.rate_limits.on_workspaces(limits, now),
@@ -237,6 +238,7 @@
         due = min(
             self.heartbeat_at + self.home_contact.heartbeat_period_s(),
             self.hello_schedule.next_at,
+            self.origin_gossip.next_at(now),
         )
         return max(TICK_S, due - now)
 
@@ -331,6 +333,7 @@
         self.scheduler.rate_limits.on_share(share, now)
         self.scheduler.tick(now)
         self.rollout_gossip.tick(now)
+        self.origin_gossip.tick(now)
         home = self.peers.home()
         home_changed = home is not None and home.name != self.heartbeat_home
         if self.quarantine_gossip.tick(now):
--- a/trefoilspool/origingossip.py
+++ b/trefoilspool/origingossip.py
@@ -2,22 +2,22 @@
 
 The host that relays a stream's first event tells a few others, chosen by a hash
 of the stream, so that its caller may take it up at any host, and although the
-first one has ended. While a service has only one version, nothing is told: the
-version then follows from the endpoints' records.
+first one has ended. While a service has only one version, it tells them of streams
+that stay open for a while.
 """
 
 import queue
 import threading
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Any, NamedTuple
 
 from trefoilspool import clock
 from trefoilspool.hashring import HashRing
 from trefoilspool.meshsender import MeshSender
+from trefoilspool.origintelling import BegunStream, OriginTelling, TellingTime
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.routehistory import RouteHistory
 from trefoilspool.streamorigins import (
-    MAX_STREAMS,
     UNKNOWN,
     FoundOrigin,
     OriginQuery,
@@ -27,6 +27,7 @@
     agreed_version,
     deciding_source,
 )
+from trefoilspool.telemetry import Metrics
 from trefoilspool.versionhistory import VersionHistory
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
@@ -60,19 +61,6 @@
     return 0
 
 
-class BegunStream(NamedTuple):
-    """A stream that began here and has not ended well.
-
-    Attributes
-    ----------
-    is_told : bool
-        Whether other hosts have been told.
-    """
-
-    origin: StreamOrigin
-    is_told: bool
-
-
 class Answer(NamedTuple):
     """What another host knows of a stream."""
 
@@ -105,8 +93,10 @@
         Returns the age of this host's endpoint records, in seconds.
     origins : StreamOrigins
         Streams of which other hosts or this one have told.
-    begun : dict
-        Streams that began here.
+    telling : OriginTelling
+        Streams that began here, of which others are yet to be told.
+    metrics : Metrics
+        Counts the streams that others were told of.
     """
 
     def __init__(self, peers: PeerRegistry, sender: MeshSender) -> None:
@@ -118,7 +108,8 @@
         self.records_age_s: Callable[[], float] = no_age
         self.lock = threading.Lock()
         self.origins = StreamOrigins()
-        self.begun: dict[int, BegunStream] = {}
+        self.telling = OriginTelling(clock.now())
+        self.metrics = Metrics()
         self.ring = HashRing(())
         self.lookups: dict[int, list[Inbox]] = {}
 
@@ -133,14 +124,13 @@
             Name of its route.
         """
         now = clock.now()
-        is_told = self.must_tell(origin.service, route, now)
+        must_tell = self.must_tell(origin.service, route, now)
         with self.lock:
             self.origins.record(origin, now)
-            self.begun[origin.stream] = BegunStream(origin, is_told)
-            if len(self.begun) > MAX_STREAMS:
-                self.drop_old(now)
-        if is_told:
-            self.tell([origin])
+            if not must_tell:
+                self.telling.add(BegunStream(origin, route, now))
+        if must_tell:
+            self.tell([origin], TellingTime.at_once)
 
     def must_tell(self, service: str, route: str, now: float) -> bool:
         """Return whether a stream's version may not follow from the records.
@@ -157,34 +147,46 @@
     def on_completed(self, stream: int) -> None:
         """Forget a stream that its caller has whole."""
         with self.lock:
-            self.begun.pop(stream, None)
+            self.telling.on_completed(stream)
 
     def on_endpoints(self, now: float) -> None:
-        """Tell of streams that began before a service's second version came."""
+        """Tell of streams whose version may no longer follow from the records.
+
+        A second version has come, or their route has changed.
+        """
+        with self.lock:
+            self.origins.drop_old(now)
+            late = self.telling.take_of(
+                {
+                    group
+                    for group in self.telling.groups()
+                    if self.must_tell(group.service, group.route, now)
+                }
+            )
+        self.tell(late, TellingTime.late)
+
+    def next_at(self, now: float) -> float:
+        """Return when `tick` next has a stream to tell of."""
+        with self.lock:
+            return self.telling.next_at(now)
+
+    def tick(self, now: float) -> None:
+        """Tell of streams that have been open for a while."""
         with self.lock:
-            self.drop_old(now)
-            untold = [
-                begun.origin
-                for begun in self.begun.values()
-                if not begun.is_told
-                and self.history.has_several(begun.origin.service, now)
-            ]
-            for origin in untold:
-                self.begun[origin.stream] = BegunStream(origin, is_told=True)
-        self.tell(untold)
-
-    def drop_old(self, now: float) -> None:
-        """Drop old records; the caller holds the lock."""
-        self.origins.drop_old(now)
-        kept = self.origins.by_stream
-        self.begun = {
-            stream: begun
-            for stream, begun in self.begun.items()
-            if stream in kept
-        }
-
-    def tell(self, origins: Iterable[StreamOrigin]) -> None:
+            ahead = self.telling.take_due(now)
+            untold = self.telling.take_untold()
+        self.tell(ahead, TellingTime.ahead)
+        if untold:
+            self.metrics.count('trefoilspool_origins_untold_total', untold)
+
+    def tell(self, origins: Sequence[StreamOrigin], when: TellingTime) -> None:
         """Tell the hosts that are to know of streams."""
+        if not origins:
+            return
+        self.metrics.count(
+            f'trefoilspool_origins_told_total{{when="{when.name}"}}',
+            len(origins),
+        )
         by_host: dict[str, list[StreamOrigin]] = {}
         for origin in origins:
             for host in self.owners(origin.stream, TOLD_HOSTS):
