Note a version whose endpoint came and went within a page

A page of the store's log may register an endpoint and delete it, or register it at two versions. Only the endpoints that remain after the page reached the history, so a version that may have begun streams counted as never there.

The directory now keeps the versions of all registrations of a page, those of earlier runs too, and the history takes them as seen until now.

--- a/trefoilspool/directory.py
+++ b/trefoilspool/directory.py
@@ -31,6 +31,11 @@
     return True
 
 
+def service_version(endpoint: EndpointRecord) -> ServiceVersion:
+    """Return the version that an endpoint's streams begin at."""
+    return ServiceVersion(endpoint.service, endpoint.stream_version)
+
+
 class Directory:
     """Registered endpoints by name; safe to use from any thread.
 
@@ -57,6 +62,8 @@
         Endpoints that have left or are leaving.
     versions : VersionHistory
         Versions of the endpoints' software.
+    registered : set of ServiceVersion
+        Versions that have registered since ``versions`` was last updated.
     published : list of EndpointSpec
         The endpoints last reported to ``on_change``.
     """
@@ -76,6 +83,7 @@
         self.expiring: dict[str, float] = {}
         self.departures = Departures()
         self.versions = VersionHistory(clock.now())
+        self.registered: set[ServiceVersion] = set()
         self.configuration: Configuration | None = None
         self.published: list[EndpointSpec] = []
 
@@ -158,6 +166,7 @@
 
     def on_update(self, endpoint: EndpointRecord, offset: int) -> None:
         """Apply a registration, unless it is of an earlier run."""
+        self.registered.add(service_version(endpoint))
         previous = self.endpoints.get(endpoint.name)
         last = previous or self.departures.last(endpoint.name)
         if last is not None:
@@ -317,12 +326,11 @@
     def publish(self) -> None:
         """Report the available endpoints, if they have changed."""
         self.versions.update(
-            (
-                ServiceVersion(endpoint.service, endpoint.stream_version)
-                for endpoint in self.endpoints.values()
-            ),
+            map(service_version, self.endpoints.values()),
             clock.now(),
+            self.registered,
         )
+        self.registered.clear()
         available = self.available_endpoints()
         if available != self.published:
             self.published = available
--- a/trefoilspool/versionhistory.py
+++ b/trefoilspool/versionhistory.py
@@ -65,15 +65,35 @@
         self.started_at = started_at
         self.seen_until: dict[ServiceVersion, float] = {}
 
-    def update(self, present: Iterable[ServiceVersion], now: float) -> None:
-        """Replace the versions that are present."""
+    def update(
+        self,
+        present: Iterable[ServiceVersion],
+        now: float,
+        registered: Iterable[ServiceVersion] = (),
+    ) -> None:
+        """Replace the versions that are present.
+
+        Parameters
+        ----------
+        present : iterable of ServiceVersion
+            The versions that are present.
+        now : float
+            The present time in seconds.
+        registered : iterable of ServiceVersion
+            Versions that have registered since the last update, of which some
+            may be gone.
+        """
         earlier = {
             version: min(until, now)
             for version, until in self.seen_until.items()
             if until >= now - MEMORY_S
         }
         # Other threads read it meanwhile.
-        self.seen_until = earlier | dict.fromkeys(present, math.inf)
+        self.seen_until = {
+            **earlier,
+            **dict.fromkeys(registered, now),
+            **dict.fromkeys(present, math.inf),
+        }
 
     def present(self) -> frozenset[ServiceVersion]:
         """Return the versions that are present."""
