Begin the watch of versions anew after a gap

A host that learns from peers gets the latest record of each endpoint only, and so does one that reads the whole topic, after a trim or from a restored store. Had it not had all records for some seconds before, a version may have begun streams and gone in between; the host still said that it had watched all along.

A replica now tells before a compacted page takes it further. The view of the endpoints then begins the watch anew if over 2 s passed since the host had all records (any record stays longer), or if the store was restored, which may have lost a registration that others have read. Versions already seen stay seen, and a contiguous read of the log leaves no gap. The watch also knows its position in the records, beyond the latest record of the page: earlier ones of its key are not stored any more.

--- a/trefoilspool/endpointview.py
+++ b/trefoilspool/endpointview.py
@@ -13,10 +13,12 @@
 from trefoilspool.slotmessages import EndpointSpec
 from trefoilspool.store import KeyedRecord, KeyedSource
 
-__all__ = ['STALE_S', 'EndpointView', 'EndpointsRead']
+__all__ = ['GAP_S', 'STALE_S', 'EndpointView', 'EndpointsRead']
 
 # Older records are stale: the host then reads the store itself.
 STALE_S = 1.3
+# Any endpoint's record stays in the store for longer.
+GAP_S = 2.0
 
 logger = logbook.Logger('directory')
 
@@ -78,7 +80,9 @@
         self.store_outage_ended_at = outage_ended_at
         self.now = now
         self.directory = Directory(decode, self.outage_ended_at, on_available)
-        self.replica = Replica(self.on_records, self.comparison_value)
+        self.replica = Replica(
+            self.on_records, self.comparison_value, self.on_skip
+        )
         self.era = NO_ERA
         self.restored_at = 0.0
         self.current_at = 0.0
@@ -102,6 +106,24 @@
         self.directory.on_records(records, now, restored=restored)
         self.era = era
 
+    def on_skip(self, position: Position) -> None:
+        """Begin the watch of versions anew if one may have come and gone."""
+        now = self.now()
+        gap_s = now - self.current_at
+        if position.era == self.replica.era and gap_s <= GAP_S:
+            return
+        self.directory.versions.restart(now, position)
+        if self.replica.era == NO_ERA:
+            return
+        logger.info(
+            'versions_watched_anew',
+            extra={
+                'gap_s': round(gap_s, 3),
+                'era': position.era,
+                'offset': position.offset,
+            },
+        )
+
     def comparison_value(self, record: KeyedRecord) -> object:
         """Return the comparison value of a record.
 
@@ -148,5 +170,6 @@
             The peer did not respond.
         """
         own = self.replica.position()
-        self.replica.apply(source.read_from(max(own.offset, 0), 0, own.era))
+        page = source.read_from(max(own.offset, 0), 0, own.era)
+        self.replica.apply(page, is_compacted=True)
         return self.replica.position() >= changed_to
--- a/trefoilspool/replica.py
+++ b/trefoilspool/replica.py
@@ -16,6 +16,10 @@
     return record.content
 
 
+def ignore_skip(position: 'Position') -> None:
+    """Do nothing, as only the latest records count."""
+
+
 class Position(NamedTuple):
     """How far a topic has been read; a later position compares greater.
 
@@ -58,6 +62,10 @@
         Returns the value by which two records of a key are compared. A record
         whose value equals that of its predecessor does not count as a change,
         so it is not sent to peers that have read the predecessor.
+    on_skip : callable
+        Called with the position after a page before the page is stored, if it
+        may lack records that this replica lacks too: only the latest of each
+        key, or those of an era of which the latest is not known.
 
     Attributes
     ----------
@@ -78,9 +86,11 @@
         self,
         on_change: Callable[[tuple[KeyedRecord, ...]], None],
         comparison_value: Callable[[KeyedRecord], object] = record_content,
+        on_skip: Callable[[Position], None] = ignore_skip,
     ) -> None:
         self.on_change = on_change
         self.comparison_value = comparison_value
+        self.on_skip = on_skip
         self.lock = threading.Lock()
         self.records: dict[str, KeyedRecord] = {}
         self.comparison_values: dict[str, object] = {}
@@ -90,17 +100,27 @@
         self.end = -1
         self.changed_end = 0
 
-    def apply(self, page: Page) -> None:
+    def apply(self, page: Page, *, is_compacted: bool = False) -> None:
         """Store the records of a page that are newer than the stored ones.
 
         If ``on_change`` fails, nothing is stored, so that the same records are
         new when they are read again.
+
+        Parameters
+        ----------
+        page : Page
+            The page.
+        is_compacted : bool
+            Whether it has only the latest record of each key, as pages of peers
+            and complete ones have.
         """
         with self.lock:
             if page.era < self.era:
                 return
             if page.era > self.era and self.era != NO_ERA and not page.complete:
                 return
+            if is_compacted or page.complete:
+                self.note_skip(page)
             before = self.state()
             try:
                 self.store_page(page)
@@ -108,6 +128,14 @@
                 self.restore(before)
                 raise
 
+    def note_skip(self, page: Page) -> None:
+        """Call ``on_skip`` if a compacted page goes beyond this replica."""
+        # Earlier records of a key that is listed will not be stored any more.
+        latest = max((record.offset for record in page.records), default=-1)
+        position = Position(page.era, max(page.end, latest + 1))
+        if position > self.position():
+            self.on_skip(position)
+
     def store_page(self, page: Page) -> None:
         """Store what is newer in a page and call ``on_change`` with it."""
         if page.era > self.era:
--- a/trefoilspool/versionhistory.py
+++ b/trefoilspool/versionhistory.py
@@ -4,10 +4,12 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from trefoilspool.replica import NO_ERA, Position
 from trefoilspool.routehistory import RouteServices
 
-__all__ = ['MEMORY_S', 'ServiceVersion', 'VersionHistory']
+__all__ = ['MEMORY_S', 'NOWHERE', 'ServiceVersion', 'VersionHistory']
 
+NOWHERE = Position(NO_ERA, -1)
 # Longer than a stream and the time in which its caller takes it up again.
 MEMORY_S = 60.0
 CLOCK_SLACK_S = 6.0  # by which times of day of two hosts may differ
@@ -56,6 +58,9 @@
 
     Attributes
     ----------
+    began_at : Position
+        Position in the endpoint records at which this host's own watch began;
+        it has seen the versions of all later records.
     seen_until : dict
         Until when each version was present, in seconds; infinite for those
         that are.
@@ -63,6 +68,7 @@
 
     def __init__(self, started_at: float) -> None:
         self.started_at = started_at
+        self.began_at = NOWHERE
         self.seen_until: dict[ServiceVersion, float] = {}
 
     def update(
@@ -95,6 +101,19 @@
             **dict.fromkeys(present, math.inf),
         }
 
+    def restart(self, at: float, position: Position) -> None:
+        """Begin to watch anew; the versions already seen stay so.
+
+        Parameters
+        ----------
+        at : float
+            From when on all versions will be seen, in seconds.
+        position : Position
+            From where on the versions of all records will be seen.
+        """
+        self.started_at = at
+        self.began_at = position
+
     def present(self) -> frozenset[ServiceVersion]:
         """Return the versions that are present."""
         return frozenset(
