Keep adopted versions when endpoints change at the same moment

The task that reads the stored versions and the one that applies endpoint records change the history on threads of their own, and each replaced the table by one made from the table before: what the other had added meanwhile was lost. So a version that had left could be missing beside the adopted claim that all are known.

Changes now hold a lock. The new test of TestStoredVersions failed before: v1 was lost.

--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -1,6 +1,8 @@
 """Versions of endpoints' software: history, records, and the slots of each."""
 
 import math
+import threading
+from collections.abc import Iterator
 
 import pytest
 from test_slotscheduler import ask, endpoint_spec, slot_release
@@ -222,6 +224,23 @@
         assert history.versions('engines', 24, 2) == {'v1', 'v2'}
         assert history.present() == {NEW}
 
+    def test_adopted_versions_survive_an_update_by_another_thread(
+        self,
+    ) -> None:
+        history = VersionHistory(0)
+        adopting = threading.Thread(
+            target=history.adopt, args=(self.watched(), 2)
+        )
+
+        def present() -> Iterator[ServiceVersion]:
+            adopting.start()
+            adopting.join(0.2)
+            yield NEW
+
+        history.update(present(), 2)
+        adopting.join()
+        assert history.versions('engines', 24, 2) == {'v1', 'v2'}
+
     def test_shorter_watch_is_not_adopted(self) -> None:
         history = VersionHistory(0)
         history.adopt(self.watched(since=10), 20)
--- a/trefoilspool/versionhistory.py
+++ b/trefoilspool/versionhistory.py
@@ -1,6 +1,7 @@
 """Which software versions the endpoints of each service have had of late."""
 
 import math
+import threading
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -49,7 +50,7 @@
 class VersionHistory:
     """The versions that are present, and those that were of late.
 
-    Pure: each call passes the time in seconds.
+    Pure: each call passes the time in seconds. Safe to use from any thread.
 
     Parameters
     ----------
@@ -67,6 +68,7 @@
     """
 
     def __init__(self, started_at: float) -> None:
+        self.lock = threading.Lock()  # for changes
         self.started_at = started_at
         self.began_at = NOWHERE
         self.seen_until: dict[ServiceVersion, float] = {}
@@ -89,17 +91,18 @@
             Versions that have registered since the last update, of which some
             may be gone.
         """
-        earlier = {
-            version: min(until, now)
-            for version, until in self.seen_until.items()
-            if until >= now - MEMORY_S
-        }
-        # Other threads read it meanwhile.
-        self.seen_until = {
-            **earlier,
-            **dict.fromkeys(registered, now),
-            **dict.fromkeys(present, math.inf),
-        }
+        with self.lock:
+            earlier = {
+                version: min(until, now)
+                for version, until in self.seen_until.items()
+                if until >= now - MEMORY_S
+            }
+            # Other threads read it meanwhile.
+            self.seen_until = {
+                **earlier,
+                **dict.fromkeys(registered, now),
+                **dict.fromkeys(present, math.inf),
+            }
 
     def restart(self, at: float, position: Position) -> None:
         """Begin to watch anew; the versions already seen stay so.
@@ -111,8 +114,9 @@
         position : Position
             From where on the versions of all records will be seen.
         """
-        self.started_at = at
-        self.began_at = position
+        with self.lock:
+            self.started_at = at
+            self.began_at = position
 
     def present(self) -> frozenset[ServiceVersion]:
         """Return the versions that are present."""
@@ -128,17 +132,18 @@
         What was present there counts until now, and the time of day may have
         jumped meanwhile.
         """
-        if watched.since > self.started_at:
-            return
         earlier = {
             version: min(until + CLOCK_SLACK_S, now)
             for version, until in watched.until.items()
             if until + CLOCK_SLACK_S >= now - MEMORY_S
         }
-        for version, until in self.seen_until.items():
-            earlier[version] = max(until, earlier.get(version, until))
-        self.seen_until = earlier
-        self.started_at = watched.since + CLOCK_SLACK_S
+        with self.lock:
+            if watched.since > self.started_at:
+                return
+            for version, until in self.seen_until.items():
+                earlier[version] = max(until, earlier.get(version, until))
+            self.seen_until = earlier
+            self.started_at = watched.since + CLOCK_SLACK_S
 
     def versions(
         self, service: str, window_s: float, now: float
