Adopt a stored watch of versions only with all records since it

The home host wrote the record only when something had changed, and a host that starts adopted since when all versions are known whatever came between: versions that came and went while no host ran, or while the home host failed to write, counted as never there.

The record now says up to where in the endpoint records it holds, a position taken before the history is read, and the home host writes it again after 8 s at most (the store keeps 20 s of records). A host that starts, once its own records are current, reads on from there to where its own watch began and takes the versions of these records as seen. It adopts since when only if the claim then reaches its own watch; so does a host that reads the record before it writes. Otherwise, and with records of earlier builds, what was seen counts and no more. A host that has been the home host since its last write does not read before the next: reading its own record moved its start of the watch on by 6 s each time.

test_all_hosts_are_killed[passing] failed before (200, the stream of an unknown version went on); its other cases hold. Changed tests: the two of TestStoredVersions name the position that the record and the watch have, and check it as well.

--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -144,6 +144,7 @@
             host.discovery_task.topic,
             host.quarantine_task.topic,
             host.version_task.topic,
+            host.version_task.replay.source,
             host.status_task.topic,
         ):
             topic.connection.close()
--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -59,6 +59,7 @@
     'slotclient',
     'slotevents',
     'slotscheduler',
+    'versionreplay',
     'versionstore',
     'wire/checks',
     '../platform/storecalls',
--- a/tests/test_oddversions.py
+++ b/tests/test_oddversions.py
@@ -18,6 +18,8 @@
     'since': 0,
     'routes': [['r', ['s'], 0]],
     'until': [['s', 'v1', None]],
+    'era': 0,
+    'offset': 5,
 }
 
 
@@ -37,7 +39,7 @@
         document = json.loads(json.dumps(GOOD))
         field = data.draw(st.sampled_from(list(document)))
         odd = data.draw(json_values)
-        if field != 'since' and data.draw(st.booleans()):
+        if field in {'routes', 'until'} and data.draw(st.booleans()):
             row = document[field][0]
             row[data.draw(st.integers(0, len(row) - 1))] = odd
         else:
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -11,6 +11,7 @@
 from trefoilspool.hashring import HashRing
 from trefoilspool.origingossip import ROUTE_SETTLED_S, OriginGossip
 from trefoilspool.peers import HostInfo, PeerRegistry
+from trefoilspool.replica import Position
 from trefoilspool.routehistory import RouteHistory, RouteServices
 from trefoilspool.routing import RepeatPolicy, Route, WeightedService
 from trefoilspool.slotmessages import (
@@ -35,6 +36,7 @@
 )
 from trefoilspool.versionhistory import (
     MEMORY_S,
+    NOWHERE,
     ServiceVersion,
     VersionHistory,
     WatchedVersions,
@@ -199,7 +201,7 @@
     """What hosts that start adopt from the store."""
 
     def watched(self, **changes: object) -> WatchedVersions:
-        made = WatchedVersions(-500, ROUTES, {OLD: math.inf})
+        made = WatchedVersions(-500, ROUTES, {OLD: math.inf}, Position(0, 7))
         return made._replace(**changes)
 
     def test_versions_survive_encoding(self) -> None:
@@ -209,9 +211,11 @@
         assert decoded.until[NEW] == pytest.approx(5, abs=0.01)
         assert decoded.since == pytest.approx(-500, abs=0.01)
         assert decoded.routes['r'].services == {'engines'}
+        assert decoded.position == watched.position
 
     def test_host_that_starts_has_watched_as_long_as_the_others(self) -> None:
         history = VersionHistory(0)
+        history.restart(0, Position(0, 7))
         history.update([OLD], 1)
         history.adopt(self.watched(), 2)
         assert history.has_watched(24, 2)
@@ -241,6 +245,24 @@
         adopting.join()
         assert history.versions('engines', 24, 2) == {'v1', 'v2'}
 
+    @pytest.mark.parametrize(
+        'position', [Position(0, 6), Position(1, 9), NOWHERE]
+    )
+    def test_record_that_does_not_reach_the_own_watch(
+        self, position: Position
+    ) -> None:
+        """What it has seen counts, but there may have been more."""
+        history = VersionHistory(0)
+        history.restart(0, Position(0, 7))
+        history.adopt(self.watched(position=position), 2)
+        assert history.versions('engines', 24, 2) == {'v1'}
+        assert history.started_at == 0
+
+    def test_host_without_endpoint_records_has_not_watched(self) -> None:
+        history = VersionHistory(0)
+        history.adopt(self.watched(position=NOWHERE), 2)
+        assert not history.has_watched(24, 2)
+
     def test_shorter_watch_is_not_adopted(self) -> None:
         history = VersionHistory(0)
         history.adopt(self.watched(since=10), 20)
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -392,7 +392,13 @@
 
     @pytest.mark.parametrize(
         ('changed', 'status'),
-        [('', 200), ('other', 200), ('version', 503), ('route', 503)],
+        [
+            ('', 200),
+            ('other', 200),
+            ('version', 503),
+            ('passing', 503),
+            ('route', 503),
+        ],
     )
     def test_all_hosts_are_killed(
         self, cluster: GatewayCluster, changed: str, status: int
@@ -514,6 +520,9 @@
     if changed == 'version':
         for endpoint in cluster.endpoints:
             cluster.register(endpoint, version='v2', born=2)
+    if changed == 'passing':
+        endpoint = cluster.add_endpoint(version='v2')
+        cluster.store.put('keyed.servers', endpoint.name, b'')
     if changed == 'other':
         routes = configuration()['routeTable']
         assert isinstance(routes, list)
--- a/tests/test_versionstore.py
+++ b/tests/test_versionstore.py
@@ -1,19 +1,39 @@
 """The task that keeps the versions of endpoints' software in the store."""
 
+import json
 import threading
 
 import pytest
+from records import decode_endpoint
+from test_directory import endpoint_content
 
 from trefoilspool import clock
-from trefoilspool.errors import LogOutageError
+from trefoilspool.errors import (
+    LogOutageError,
+    StoreRestoredError,
+    TrimmedError,
+)
 from trefoilspool.origingossip import OriginGossip
 from trefoilspool.peers import HostInfo, PeerRegistry
+from trefoilspool.replica import Position, Replica
 from trefoilspool.routehistory import RouteServices
-from trefoilspool.store import KeyedRecord, KeyedTopic, Page
-from trefoilspool.versionhistory import ServiceVersion
-from trefoilspool.versionstore import RECORD_KEY, VersionStoreTask
+from trefoilspool.store import KeyedRecord, KeyedSource, KeyedTopic, Page
+from trefoilspool.versionhistory import (
+    NOWHERE,
+    ServiceVersion,
+    WatchedVersions,
+)
+from trefoilspool.versionreplay import MAX_READS, VersionReplay
+from trefoilspool.versionstore import (
+    RECORD_KEY,
+    REFRESH_S,
+    VersionStoreTask,
+    decode_versions,
+    encode_versions,
+)
 
 NOW = clock.now() + 500
+BEGAN_AT = Position(0, 3)
 
 
 class OneRecordTopic(KeyedTopic):
@@ -36,14 +56,59 @@
         self.content = content
 
 
-def home_task(topic: KeyedTopic) -> VersionStoreTask:
-    """Return the task of a home host that knows a version and a route."""
+class EndpointLog(KeyedSource):
+    """The store's endpoint records, read ``page_records`` at a time."""
+
+    def __init__(self, *softwares: str, era: int = 0, first: int = 0) -> None:
+        self.records = tuple(
+            KeyedRecord(
+                f'i-{offset}', endpoint_content(version=software), offset
+            )
+            for offset, software in enumerate(softwares)
+        )
+        self.era = era
+        self.first = first
+        self.page_records = 100
+        self.failures = 0
+        self.reads: list[int] = []
+
+    def read_latest(self) -> Page:
+        raise NotImplementedError
+
+    def read_from(self, start: int, wait_s: float, era: int = 0) -> Page:
+        self.reads.append(start)
+        if self.failures:
+            self.failures -= 1
+            raise LogOutageError('the store is away')
+        if era != self.era:
+            raise StoreRestoredError(self.era)
+        if start < self.first or start > len(self.records):
+            raise TrimmedError(self.first)
+        read = self.records[start : start + self.page_records]
+        return Page(read, start + len(read), complete=False, era=era)
+
+
+def home_task(
+    topic: KeyedTopic, log: EndpointLog | None = None
+) -> VersionStoreTask:
+    """Return the task of a home host that knows a version and a route.
+
+    It has watched the endpoint records from ``BEGAN_AT`` on.
+    """
     peers = PeerRegistry(HostInfo('h', '127.0.0.1', 1))
     gossip = OriginGossip(peers, sender=None)  # type: ignore[arg-type]
     gossip.routes.by_route = {'r': RouteServices(frozenset('s'), 0)}
     gossip.history.started_at = NOW - 1
+    gossip.history.began_at = BEGAN_AT
     gossip.history.update([ServiceVersion('s', 'v2')], NOW)
-    task = VersionStoreTask(topic, gossip, peers, threading.Event())
+    task = VersionStoreTask(
+        topic,
+        gossip,
+        peers,
+        VersionReplay(log or EndpointLog(), decode_endpoint),
+        lambda: BEGAN_AT,
+        threading.Event(),
+    )
     task.started_at = NOW - 100
     return task
 
@@ -57,3 +122,154 @@
             task.step(NOW)
         task.step(NOW)
         assert b'v2' in topic.content
+
+
+def stored(position: Position) -> OneRecordTopic:
+    """Return the topic with a record of a host that knew the route and v2."""
+    watched = WatchedVersions(
+        NOW - 400, {}, {ServiceVersion('s', 'v2'): NOW}, position
+    )
+    return OneRecordTopic(encode_versions(watched, clock.now()))
+
+
+def known(task: VersionStoreTask) -> frozenset[str]:
+    return task.gossip.history.versions('s', 60, clock.now())
+
+
+def has_adopted(task: VersionStoreTask) -> bool:
+    """Return whether the record's time was adopted, of 400 s before."""
+    return task.gossip.history.started_at < NOW - 300
+
+
+class TestVersionsSinceTheRecord:
+    """A version came and went after the record was written."""
+
+    def test_records_since_then_are_read(self) -> None:
+        log = EndpointLog('v2', 'v2', 'v3', 'v2')
+        task = home_task(stored(Position(0, 1)), log)
+        task.step(NOW)
+        assert has_adopted(task)
+        assert known(task) == {'v2', 'v3'}
+
+    def test_record_that_reaches_the_own_watch_needs_no_read(self) -> None:
+        log = EndpointLog('v2', 'v2', 'v2', 'v2')
+        task = home_task(stored(BEGAN_AT), log)
+        task.step(NOW)
+        assert has_adopted(task)
+        assert not log.reads
+
+    @pytest.mark.parametrize(
+        ('position', 'log'),
+        [
+            (Position(0, 1), EndpointLog('v2', 'v2', 'v2', first=2)),
+            (Position(0, 1), EndpointLog('v2', 'v2', 'v2', era=1)),
+            (Position(0, 1), EndpointLog('v2', 'v2')),
+            (Position(1, 9), EndpointLog('v2', 'v2', 'v2', era=1)),
+            (NOWHERE, EndpointLog('v2', 'v2', 'v2')),
+        ],
+        ids=['trimmed', 'restored', 'short', 'other_era', 'earlier_build'],
+    )
+    def test_records_that_cannot_be_read(
+        self, position: Position, log: EndpointLog
+    ) -> None:
+        topic = stored(position)
+        task = home_task(topic, log)
+        task.gossip.history.seen_until = {}
+        task.read()
+        assert not has_adopted(task)
+        assert known(task) == {'v2'}
+
+    def test_store_that_is_away_is_asked_again(self) -> None:
+        log = EndpointLog('v2', 'v3', 'v2')
+        log.failures = 1
+        task = home_task(stored(Position(0, 0)), log)
+        task.try_step()
+        assert not task.was_read
+        task.try_step()
+        assert has_adopted(task)
+        assert known(task) == {'v2', 'v3'}
+
+    def test_several_reads(self) -> None:
+        log = EndpointLog('v2', 'v3', 'v4', 'v5')
+        log.page_records = 1
+        task = home_task(stored(Position(0, 0)), log)
+        task.read()
+        assert has_adopted(task)
+        assert known(task) == {'v2', 'v3', 'v4'}
+        assert log.reads == [0, 1, 2]
+
+    def test_reads_are_bounded(self) -> None:
+        log = EndpointLog(*['v2'] * 2 * MAX_READS)
+        log.page_records = 1
+        task = home_task(stored(Position(0, 0)), log)
+        task.gossip.history.began_at = Position(0, 2 * MAX_READS)
+        task.read()
+        assert not has_adopted(task)
+        assert len(log.reads) == MAX_READS
+
+    def test_record_that_cannot_be_decoded(self) -> None:
+        log = EndpointLog('v2', 'v2', 'v2')
+        odd = KeyedRecord('i-1', b'{', 1)
+        log.records = (log.records[0], odd, log.records[2])
+        task = home_task(stored(Position(0, 0)), log)
+        task.read()
+        assert has_adopted(task)
+
+    def test_host_whose_own_records_are_not_current_waits(self) -> None:
+        """Its watch may begin anew with its next read."""
+        task = home_task(stored(BEGAN_AT))
+        task.gossip.is_stale = lambda: True
+        task.step(NOW)
+        assert not task.was_read
+
+
+class TestPosition:
+    """Up to where the record holds."""
+
+    def test_position_is_taken_before_the_versions(self) -> None:
+        topic = OneRecordTopic()
+        task = home_task(topic)
+
+        def watched_to() -> Position:
+            new = ServiceVersion('s', 'v3')
+            task.gossip.history.update([new], clock.now())
+            return Position(0, 8)
+
+        task.watched_to = watched_to
+        task.write(NOW)
+        decoded = decode_versions(topic.content, clock.now())
+        assert decoded.position == Position(0, 8)
+        assert ServiceVersion('s', 'v3') in decoded.until
+
+    def test_records_that_are_being_applied_are_not_counted(self) -> None:
+        positions: list[Position] = []
+
+        def apply_slowly(records: object) -> None:
+            asking = threading.Thread(
+                target=lambda: positions.append(replica.taken_position())
+            )
+            asking.start()
+            asking.join(0.2)
+            assert not positions
+
+        replica = Replica(apply_slowly)
+        replica.apply(Page((KeyedRecord('a', b'{}', 0),), 1, complete=True))
+
+    def test_record_is_written_again_without_news(self) -> None:
+        topic = OneRecordTopic()
+        task = home_task(topic)
+        task.step(NOW)
+        written, topic.content = topic.content, b''
+        task.step(NOW + REFRESH_S - 0.1)
+        assert not topic.content
+        task.watched_to = lambda: Position(0, 9)
+        task.step(NOW + REFRESH_S)
+        assert json.loads(topic.content)['offset'] == 9
+        assert json.loads(written)['offset'] == BEGAN_AT.offset
+
+    def test_own_record_does_not_shorten_the_watch(self) -> None:
+        task = home_task(OneRecordTopic())
+        started_at = task.gossip.history.started_at
+        for number in range(5):
+            task.step(NOW + number * REFRESH_S)
+        assert task.gossip.history.started_at == started_at
--- a/trefoilspool/directory.py
+++ b/trefoilspool/directory.py
@@ -17,7 +17,7 @@
 from trefoilspool.store import KeyedRecord
 from trefoilspool.versionhistory import ServiceVersion, VersionHistory
 
-__all__ = ['Directory']
+__all__ = ['Directory', 'service_version']
 
 # Time after the end of an outage of the store, within which endpoints whose
 # records expired during the outage register again.
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -39,6 +39,7 @@
 from trefoilspool.settingssync import ConfigurationHandlers, SettingsSync
 from trefoilspool.store import KeyedRecord
 from trefoilspool.telemetry import Metrics
+from trefoilspool.versionreplay import VersionReplay
 from trefoilspool.versionstore import VersionStoreTask
 from trefoilspool.watch import WatchTask
 
@@ -148,6 +149,11 @@
             topics.versions,
             self.mesh.origin_gossip,
             self.mesh.peers,
+            # Not the one that waits for endpoint records.
+            VersionReplay(
+                platform.topics().endpoints, platform.decode_endpoint
+            ),
+            self.endpoint_sync.view.replica.taken_position,
             self.stopping,
         )
         self.status_task = StatusTask(
--- a/trefoilspool/peertopics.py
+++ b/trefoilspool/peertopics.py
@@ -12,6 +12,8 @@
     'CONFIGURATION_PATH',
     'ENDPOINTS_PATH',
     'MAX_AHEAD',
+    'MAX_ERA',
+    'MAX_OFFSET',
     'PeerTopic',
     'decode_changes',
     'encode_changes',
--- a/trefoilspool/replica.py
+++ b/trefoilspool/replica.py
@@ -222,6 +222,11 @@
         """Return how far the topic has been read."""
         return Position(self.era, self.end)
 
+    def taken_position(self) -> Position:
+        """Return up to where ``on_change`` has returned for all records."""
+        with self.lock:
+            return self.position()
+
     def changed_to(self) -> Position:
         """Return the position after the latest change."""
         return Position(self.era, self.changed_end)
--- a/trefoilspool/versionhistory.py
+++ b/trefoilspool/versionhistory.py
@@ -40,11 +40,22 @@
         The services of the routes, by the route's name.
     until : dict
         Until when each version was present; infinite for those that are.
+    position : Position
+        Up to where in the endpoint records all versions are known; `NOWHERE`
+        if that is not known.
     """
 
     since: float
     routes: Mapping[str, RouteServices]
     until: dict[ServiceVersion, float]
+    position: Position = NOWHERE
+
+    def reaches(self, position: Position) -> bool:
+        """Return whether all versions are known up to a position."""
+        if self.position == NOWHERE or position == NOWHERE:
+            return False
+        is_same_era = self.position.era == position.era
+        return is_same_era and self.position >= position
 
 
 class VersionHistory:
@@ -130,7 +141,8 @@
         """Adopt what other hosts have seen before.
 
         What was present there counts until now, and the time of day may have
-        jumped meanwhile.
+        jumped meanwhile. Since when all versions are known is adopted only if
+        that holds up to where this host's own watch began.
         """
         earlier = {
             version: min(until + CLOCK_SLACK_S, now)
@@ -143,7 +155,10 @@
             for version, until in self.seen_until.items():
                 earlier[version] = max(until, earlier.get(version, until))
             self.seen_until = earlier
-            self.started_at = watched.since + CLOCK_SLACK_S
+            if watched.reaches(self.began_at):
+                self.started_at = min(
+                    self.started_at, watched.since + CLOCK_SLACK_S
+                )
 
     def versions(
         self, service: str, window_s: float, now: float
--- a/trefoilspool/versionstore.py
+++ b/trefoilspool/versionstore.py
@@ -10,7 +10,7 @@
 import random
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import logbook
@@ -24,13 +24,17 @@
 from trefoilspool.jsonfields import Fields, is_label, parse_object
 from trefoilspool.origingossip import OriginGossip
 from trefoilspool.peers import PeerRegistry
+from trefoilspool.peertopics import MAX_ERA, MAX_OFFSET
+from trefoilspool.replica import Position
 from trefoilspool.routehistory import RouteServices
 from trefoilspool.store import KeyedTopic
 from trefoilspool.versionhistory import (
     CLOCK_SLACK_S,
+    NOWHERE,
     ServiceVersion,
     WatchedVersions,
 )
+from trefoilspool.versionreplay import VersionReplay
 
 __all__ = ['VersionStoreTask', 'decode_versions', 'encode_versions']
 
@@ -39,6 +43,8 @@
 RETRY_S = 2.0
 # Hosts that start together find out first which of them is the home host.
 FIRST_WRITE_S = 3.0
+# The store keeps the endpoint records since the last write for longer.
+REFRESH_S = 8.0
 MAX_ROUTES = 500  # in the record; streams of others are not known after a start
 MS_PER_S = 1000
 MAX_UNIX_MS = 4_102_444_800_000  # the year 2100
@@ -48,7 +54,11 @@
 
 
 class VersionStoreTask:
-    """Reads the record at the start; writes it as home host when it changes.
+    """Reads the record at the start; writes it as home host.
+
+    The record says up to where in the endpoint records it holds. A host that
+    starts reads these on from there, so that it misses no version that came and
+    went while no host ran.
 
     Parameters
     ----------
@@ -58,8 +68,20 @@
         Has the histories of versions and routes.
     peers : PeerRegistry
         Tells whether this is the home host.
+    replay : VersionReplay
+        Reads endpoint records again.
+    watched_to : callable
+        Returns up to where in the endpoint records the history has all
+        versions.
     stopping : threading.Event
         Ends the task.
+
+    Attributes
+    ----------
+    written : bytes
+        What this host has written last, if no other may have written since.
+    written_at : float
+        When it was written, in seconds.
     """
 
     def __init__(
@@ -67,14 +89,20 @@
         topic: KeyedTopic,
         gossip: OriginGossip,
         peers: PeerRegistry,
+        replay: VersionReplay,
+        watched_to: Callable[[], Position],
         stopping: threading.Event,
     ) -> None:
         self.topic = topic
         self.gossip = gossip
         self.peers = peers
+        self.replay = replay
+        self.watched_to = watched_to
         self.stopping = stopping
         self.started_at = clock.now()
         self.was_read = False
+        self.written = b''
+        self.written_at = 0.0
         self.stored: frozenset[ServiceVersion] = frozenset()
         self.stored_routes: dict[str, frozenset[str]] = {}
 
@@ -86,6 +114,7 @@
 
     def on_store_restored(self) -> None:
         """Write the record again: the restored store may lack it."""
+        self.written = b''
         self.stored = frozenset()
 
     def try_step(self) -> float:
@@ -101,23 +130,34 @@
         return CHECK_S
 
     def step(self, now: float) -> None:
-        """Read the record once; write it when the present versions change."""
+        """Read the record once; write it if due."""
         if not self.gossip.routes.by_route:
             return
         if not self.was_read:
+            # The watch may begin anew until the endpoint records are current.
+            if self.gossip.is_stale():
+                return
             self.read()
             self.was_read = True
-        is_settled = now - self.started_at >= FIRST_WRITE_S
-        if is_settled and self.has_news() and self.peers.is_home():
-            # Another host may have been the home host meanwhile.
-            self.read()
+        if not self.peers.is_home():
+            self.written = b''
+        elif now - self.started_at >= FIRST_WRITE_S and self.is_due(now):
+            if not self.written:
+                self.read()
             self.write(now)
 
+    def is_due(self, now: float) -> bool:
+        """Return whether the record is to be written."""
+        is_old = now - self.written_at >= REFRESH_S
+        return bool(self.gossip.history.present()) and (
+            is_old or self.has_news()
+        )
+
     def has_news(self) -> bool:
         """Return whether what is present differs from what was written."""
-        present = self.gossip.history.present()
-        is_new = self.gossip.routes.services() != self.stored_routes
-        return bool(present) and (is_new or present != self.stored)
+        if self.gossip.routes.services() != self.stored_routes:
+            return True
+        return self.gossip.history.present() != self.stored
 
     def read(self) -> None:
         """Read the record and adopt what it has."""
@@ -133,22 +173,48 @@
         except BadRecordError as error:
             logger.warning('versions_unreadable', extra={'error': str(error)})
             return
-        self.gossip.history.adopt(watched, now)
+        history = self.gossip.history
+        if watched.since <= history.started_at:
+            watched = self.replay.extend(watched, history.began_at, now)
+        history.adopt(watched, now)
         self.gossip.routes.adopt(watched.routes)
+        logger.info(
+            'versions_read',
+            extra={
+                'versions': len(watched.until),
+                'era': watched.position.era,
+                'offset': watched.position.offset,
+                'began_at': history.began_at.offset,
+                'watched_s': round(now - history.started_at, 3),
+            },
+        )
 
     def write(self, now: float) -> None:
         """Write what this host knows."""
+        # The history has at least the versions of the records up to there.
+        position = self.watched_to()
         history, routes = self.gossip.history, self.gossip.routes
         present, services = history.present(), routes.services()
         watched = WatchedVersions(
             history.started_at,
             dict(itertools.islice(routes.by_route.items(), MAX_ROUTES)),
             history.seen_until,
+            position,
         )
-        self.topic.put(RECORD_KEY, encode_versions(watched, now))
+        content = encode_versions(watched, now)
+        self.topic.put(RECORD_KEY, content)
+        self.written = content
+        self.written_at = now
         self.stored = present
         self.stored_routes = services
-        logger.info('versions_written', extra={'versions': len(watched.until)})
+        logger.info(
+            'versions_written',
+            extra={
+                'versions': len(watched.until),
+                'era': position.era,
+                'offset': position.offset,
+            },
+        )
 
 
 def encode_versions(watched: WatchedVersions, now: float) -> bytes:
@@ -161,8 +227,10 @@
         # The past before the first day of the year 1970 is all the same.
         return max(0, int((at + offset_s) * MS_PER_S))
 
+    position = {} if watched.position == NOWHERE else watched.position._asdict()
     return json.dumps(
         {
+            **position,
             'since': time_of_day(watched.since),
             'routes': [
                 [name, sorted(route.services), time_of_day(route.since)]
@@ -205,9 +273,24 @@
             ServiceVersion(word(service), word(software)): at(until)
             for service, software, until in rows(fields, 'until')
         },
+        position_of(fields),
     )
 
 
+def position_of(fields: Fields) -> Position:
+    """Return up to where a record holds; `NOWHERE` in those of earlier builds.
+
+    Raises
+    ------
+    BadRecordError
+        The position is malformed.
+    """
+    if fields.source.keys().isdisjoint(Position._fields):
+        return NOWHERE
+    era = fields.integer('era', most=MAX_ERA)
+    return Position(era, fields.integer('offset', most=MAX_OFFSET))
+
+
 def rows(fields: Fields, field: str) -> Iterator[list[Any]]:
     """Yield the rows of a table, each with three values.
 
