Verify an endpoint that was down by reads of its record, not by time

Cause: after a refused connection EndpointLoad.is_verified held again as soon as 3 s were over, whether or not the records had been read meanwhile. While the store was away a host went on with streams at an endpoint that may have been back as another version. 3 s are also less than the 3.6 s after which a record that is not renewed is removed.

Change: RecordConfirmation tells as of when the records are confirmed: it stands still from an outage of the store, or a gap in this host's own knowledge, until a read 4 s (RECORD_LIFETIME_S) after its end. The scheduler gets that time after the records that were read, and an endpoint that was down is verified once it is 4 s after the refusal, or its record is of another run.

test_endpoint_that_was_down_continues_no_stream asserted that time alone verifies (accepted at 5 s without a read); it now asserts that it does not and that a confirmed read does, so it is as strict at both ends.

--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -11,6 +11,7 @@
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.routehistory import RouteHistory, RouteServices
 from trefoilspool.routing import RepeatPolicy, Route, WeightedService
+from trefoilspool.runverification import RECORD_LIFETIME_S
 from trefoilspool.slotmessages import (
     AttemptEnding,
     EndpointSpec,
@@ -124,9 +125,37 @@
         decide(scheduler, 0)
         down = slot_release(0, 'a', AttemptEnding.unreachable)
         scheduler.on_release(down._replace(is_down=True), 1)
-        assert not scheduler.pool.accepting(ask(1, software='v1'), 2)
-        assert scheduler.pool.accepting(ask(1), 2)
-        assert scheduler.pool.accepting(ask(1, software='v1'), 5)
+        assert not scheduler.pool.accepting(ask(1, software='v1'))
+        assert scheduler.pool.accepting(ask(1))
+        scheduler.on_records_confirmed(1 + RECORD_LIFETIME_S)
+        assert scheduler.pool.accepting(ask(1, software='v1'))
+
+    @pytest.mark.parametrize('confirmed_at', [-math.inf, 0, 4.9])
+    def test_time_alone_verifies_no_endpoint_that_was_down(
+        self, confirmed_at: float
+    ) -> None:
+        """The store may have been away ever since, or hold the old record."""
+        scheduler = scheduler_of(spec('a', 'v1'))
+        decide(scheduler, 0)
+        down = slot_release(0, 'a', AttemptEnding.unreachable)
+        scheduler.on_release(down._replace(is_down=True), 1)
+        scheduler.on_records_confirmed(confirmed_at)
+        scheduler.on_ask(ask(1, software='v1', deadline=900), 800)
+        assert isinstance(scheduler.take_decisions()[-1], Refused)
+        scheduler.on_ask(ask(2, deadline=900), 800)
+        begun = scheduler.take_decisions()[-1]
+        assert isinstance(begun, Granted)
+        assert not begun.is_verified
+
+    def test_new_record_of_another_run_is_verified(self) -> None:
+        scheduler = scheduler_of(spec('a', 'v1'))
+        decide(scheduler, 0)
+        down = slot_release(0, 'a', AttemptEnding.unreachable)
+        scheduler.on_release(down._replace(is_down=True), 1)
+        scheduler.on_available_endpoints(
+            [spec('a', 'v1')._replace(started_ms=2)], 2
+        )
+        assert scheduler.pool.accepting(ask(1, software='v1'))
 
     def test_endpoint_that_was_down_begins_streams_of_unknown_version(
         self,
--- a/trefoilspool/endpointload.py
+++ b/trefoilspool/endpointload.py
@@ -7,6 +7,7 @@
 from trefoilspool.departures import EndpointRun
 from trefoilspool.limits.endpointpace import EndpointPace, pace_sign
 from trefoilspool.reliability import Reliability
+from trefoilspool.runverification import is_verified
 from trefoilspool.slotmessages import (
     AttemptEnding,
     EndpointSpec,
@@ -33,9 +34,6 @@
 MAX_SLOWNESS = 50.0
 MIN_EVENTS = 4  # of a stream; fewer give too few gaps to measure the speed
 PREFIX_RETENTION_S = 9.0  # assumed time in the cache after the last use
-# An endpoint registers and renews its record every 1.2 s, and hosts read the
-# records every 1.1 s.
-REREAD_S = 3.0
 MAX_CACHED_PREFIXES = 4096  # above this, the least recently used are dropped
 
 
@@ -105,18 +103,27 @@
         # Requests whose answers the pace already took for signs.
         self.answered: set[SlotKey] = set()
 
-    def accepts(self, ask: SlotRequest, now: float) -> bool:
-        """Return whether a request may go on at the endpoint's version."""
+    def accepts(self, ask: SlotRequest, confirmed_at: float) -> bool:
+        """Return whether a request may go on at the endpoint's version.
+
+        Parameters
+        ----------
+        ask : SlotRequest
+            The request.
+        confirmed_at : float
+            As of when the records are confirmed, in seconds; see
+            `RecordConfirmation`.
+        """
         if ask.software is None:
             return True
-        return ask.allows(self.spec.software) and self.is_verified(now)
+        return ask.allows(self.spec.software) and self.is_verified(confirmed_at)
 
-    def is_verified(self, now: float) -> bool:
+    def is_verified(self, confirmed_at: float) -> bool:
         """Return whether the endpoint's record is of the run that serves.
 
         One that was down may have come back, and its record be read later.
         """
-        return now - self.down_at >= REREAD_S
+        return is_verified(self.down_at, confirmed_at)
 
     @property
     def name(self) -> str:
--- a/trefoilspool/endpointpool.py
+++ b/trefoilspool/endpointpool.py
@@ -1,5 +1,6 @@
 """Endpoints that may get requests, and the choice between them."""
 
+import math
 from collections.abc import Iterable, Sequence
 
 from trefoilspool.endpointload import EndpointLoad
@@ -35,6 +36,9 @@
         the pace of their answers.
     finding_pace : set of str
         Endpoints whose pace was being found at the last look.
+    confirmed_at : float
+        As of when the endpoints' records are confirmed, in seconds; see
+        `RecordConfirmation`.
     by_name : dict
         Endpoints by name.
     by_service : dict
@@ -46,6 +50,7 @@
         self.refusals = refusals
         self.finds_pace = False
         self.finding_pace: set[str] = set()
+        self.confirmed_at = -math.inf
         self.by_name: dict[str, EndpointLoad] = {}
         self.by_service: dict[str, list[EndpointLoad]] = {}
 
@@ -92,7 +97,7 @@
         """Return the number of slots of a service."""
         return sum(endpoint.spec.slots for endpoint in self.of_service(service))
 
-    def accepting(self, ask: SlotRequest, now: float) -> Sequence[EndpointLoad]:
+    def accepting(self, ask: SlotRequest) -> Sequence[EndpointLoad]:
         """Return the endpoints at whose versions a request may run."""
         endpoints = self.of_service(ask.service)
         if ask.version_rule is not None:
@@ -100,15 +105,15 @@
         if ask.software is None:
             return endpoints
         return [
-            endpoint for endpoint in endpoints if endpoint.accepts(ask, now)
+            endpoint
+            for endpoint in endpoints
+            if endpoint.accepts(ask, self.confirmed_at)
         ]
 
-    def slot_share(self, ask: SlotRequest, now: float) -> float:
+    def slot_share(self, ask: SlotRequest) -> float:
         """Return the share of its service's slots that a request may get."""
         total = self.slots(ask.service)
-        usable = sum(
-            endpoint.spec.slots for endpoint in self.accepting(ask, now)
-        )
+        usable = sum(endpoint.spec.slots for endpoint in self.accepting(ask))
         return usable / total if total else 1.0
 
     def admits(self, endpoint: EndpointLoad, now: float) -> bool:
@@ -123,7 +128,7 @@
         """Return whether any endpoint may get a request now."""
         return any(
             endpoint.free_slots > 0 and self.admits(endpoint, now)
-            for endpoint in self.accepting(ask, now)
+            for endpoint in self.accepting(ask)
         )
 
     def has_free_slot(self, service: str, now: float) -> bool:
@@ -149,7 +154,7 @@
             return 0
         runs = [
             endpoint.spec.run
-            for endpoint in self.accepting(ask, now)
+            for endpoint in self.accepting(ask)
             if endpoint.spec.name not in ask.avoid
         ]
         return self.pacer.wait_s(runs, ahead, now)
@@ -202,7 +207,7 @@
         If fewer than ``MIN_WORKING_SHARE`` of a service's endpoints accept
         requests, ejections are ignored, as they would overload the rest.
         """
-        endpoints = self.accepting(ask, now)
+        endpoints = self.accepting(ask)
         working = [
             endpoint
             for endpoint in endpoints
--- a/trefoilspool/endpointsync.py
+++ b/trefoilspool/endpointsync.py
@@ -136,6 +136,7 @@
         an outage seen in this host's own last read has ended.
         """
         self.view.mark_current(at)
+        self.mesh.set_confirmed_at(self.view.confirmation.confirmed_at)
         if not self.mesh.peers.is_preferred_home(READERS):
             self.store_task.on_store_available()
 
--- a/trefoilspool/endpointview.py
+++ b/trefoilspool/endpointview.py
@@ -10,6 +10,7 @@
 from trefoilspool.directory import Directory
 from trefoilspool.peers import HostInfo
 from trefoilspool.replica import NO_ERA, Position, Replica
+from trefoilspool.runverification import RecordConfirmation
 from trefoilspool.slotmessages import EndpointSpec
 from trefoilspool.store import KeyedRecord, KeyedSource
 
@@ -65,6 +66,8 @@
         seconds.
     current_at : float
         When this host last had all records, in seconds.
+    confirmation : RecordConfirmation
+        As of when they tell which runs serve.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         self.era = NO_ERA
         self.restored_at = 0.0
         self.current_at = 0.0
+        self.confirmation = RecordConfirmation()
 
     def outage_ended_at(self) -> float:
         """Return when the last outage of the store ended, in seconds.
@@ -116,6 +120,7 @@
     def mark_current(self, at: float) -> None:
         """Note that this host had all records at a time."""
         self.current_at = max(self.current_at, at)
+        self.confirmation.on_current(at, self.outage_ended_at())
 
     def age_s(self) -> float:
         """Return the seconds since this host last had all records."""
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -197,6 +197,10 @@
         )
         self.call_soon(self.origin_gossip.on_endpoints)
 
+    def set_confirmed_at(self, at: float) -> None:
+        """Set as of when the endpoints' records are confirmed, in seconds."""
+        self.call_soon(lambda now: self.scheduler.on_records_confirmed(at))
+
     def set_configuration(self, configuration: Configuration) -> None:
         """Replace the rate limits by those of a configuration."""
         limits = configuration.workspaces
--- a/trefoilspool/queueing/waitprediction.py
+++ b/trefoilspool/queueing/waitprediction.py
@@ -108,7 +108,7 @@
             return 0
         version = ServiceVersion(ask.service, ask.software)
         waiting = self.waiting.bound.get(version, 0)
-        share = self.pool.slot_share(ask, now)
+        share = self.pool.slot_share(ask)
         if not waiting or not share:
             return 0
         return waiting / share / self.grant_rates.grants_per_s(ask.service, now)
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -155,6 +155,17 @@
         for service in list(self.waiting.queues):
             self.grant_waiting(service, now)
 
+    def on_records_confirmed(self, at: float) -> None:
+        """Note as of when the endpoints' records are confirmed, in seconds.
+
+        What was read until then has been passed on before.
+        """
+        self.pool.confirmed_at = at
+
+    def is_verified(self, endpoint: EndpointLoad) -> bool:
+        """Return whether an endpoint's record is of the run that serves."""
+        return endpoint.is_verified(self.pool.confirmed_at)
+
     def on_ask(self, ask: SlotRequest, now: float) -> None:
         """Grant a slot, queue the request, or refuse it."""
         reservation = self.reservations.get(ask.key)
@@ -165,7 +176,7 @@
                     ask.key,
                     reservation.endpoint,
                     reservation.is_probe,
-                    granted is not None and granted.is_verified(now),
+                    granted is not None and self.is_verified(granted),
                 )
             )
             return
@@ -211,7 +222,8 @@
         # A new home host may not have the endpoints yet; requests then wait.
         endpoints = self.pool.of_service(ask.service)
         if endpoints and all(
-            endpoint.spec.name in ask.avoid or not endpoint.accepts(ask, now)
+            endpoint.spec.name in ask.avoid
+            or not endpoint.accepts(ask, self.pool.confirmed_at)
             for endpoint in endpoints
         ):
             return RefusalReason.no_endpoint
@@ -309,7 +321,7 @@
                 ask.key,
                 endpoint.spec.name,
                 is_probe,
-                endpoint.is_verified(now),
+                self.is_verified(endpoint),
             )
         )
 
