Tell the home host of every connection that an endpoint refuses

Cause: only an attempt that got a slot reported a refused connection. A host whose stream breaks checks its path at once and is refused, but said nothing, and the home host then grants no slot at the endpoint that failed.

Change: EndpointPaths reports each refused connection, whoever asked for it, also those of the end checks, and the slot client sends the home host the release of an unused slot that says so.

Measured: without the change test_stream_that_broke fails (20 s without a sign) and so does TestStoreAway[break_stream] (4 streams go on at the endpoint that came back); with it both pass.

--- a/tests/test_runverification.py
+++ b/tests/test_runverification.py
@@ -4,7 +4,7 @@
 import math
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 from gatewaycluster import GatewayCluster, RunningHost, wait_for
@@ -26,6 +26,7 @@
 # Longer than a record that is not renewed, and a read of the records.
 LONG_S = RECORD_LIFETIME_S + READ_EVERY_S
 STREAMS = 7
+ATTEMPTS = 40
 STREAMING_S = 0.5
 REQUEST_NUMBERS = itertools.count(1)
 
@@ -140,18 +141,50 @@
     return set(crashed.runs) - before
 
 
+def break_stream(
+    cluster: GatewayCluster, hosts: list[RunningHost], down: PlatformEndpoint
+) -> None:
+    """Let an endpoint crash amid a stream; no other request comes."""
+    for _ in range(ATTEMPTS):
+        number = next(REQUEST_NUMBERS)
+        with cluster.open_call(
+            hosts[0], '/chat/1', Request_Id=f'x{number}'
+        ) as response:
+            response.read1(100)
+            if f'x{number}' in down.runs:
+                down.crash()
+                response.read()
+                return
+    raise AssertionError(f'no stream began at {down.name}')
+
+
+class TestSigns:
+    """What tells the home host that an endpoint was down."""
+
+    def test_stream_that_broke(self, cluster: GatewayCluster) -> None:
+        """No request is sent there after it, as the endpoint is avoided."""
+        add_endpoints(cluster, 'v1', 'v1')
+        hosts = add_hosts(cluster, 2)
+        for endpoint in cluster.endpoints:
+            endpoint.behaviour = stream_slowly
+        down = cluster.endpoints[0]
+        break_stream(cluster, hosts, down)
+        wait_for(lambda: was_down(hosts, down.name), 'the refusal')
+
+
 class TestStoreAway:
     """The endpoint that was down is back before the store is."""
 
+    @pytest.mark.parametrize('see', [see_down, break_stream])
     def test_streams_go_on_only_after_the_new_record(
-        self, cluster: GatewayCluster
+        self, cluster: GatewayCluster, see: Callable[..., None]
     ) -> None:
         add_endpoints(cluster, 'v1', 'v1')
         hosts = add_hosts(cluster, 2)
         back, other = cluster.endpoints
         for endpoint in cluster.endpoints:
             endpoint.behaviour = stream_slowly
-        see_down(cluster, hosts, back)
+        see(cluster, hosts, back)
         with cluster.store.failing(503):
             back.listen()
             time.sleep(LONG_S)
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -14,7 +14,6 @@
 from trefoilspool.errors import (
     ConnectFailedError,
     EndpointError,
-    EndpointRefusedConnectionError,
     EndpointReplacedError,
     NoPathError,
     SendFailedError,
@@ -404,16 +403,9 @@
 
 def connect_failure(error: ConnectFailedError) -> AttemptFailure:
     """Return the failure of an attempt that got no connection."""
-    if isinstance(error, NoPathError):
-        return AttemptFailure(
-            AttemptEnding.no_path, False, str(error), is_down=error.is_refused
-        )
-    return AttemptFailure(
-        AttemptEnding.unreachable,
-        False,
-        str(error),
-        is_down=isinstance(error, EndpointRefusedConnectionError),
-    )
+    is_path = isinstance(error, NoPathError)
+    ending = AttemptEnding.no_path if is_path else AttemptEnding.unreachable
+    return AttemptFailure(ending, False, str(error), is_down=error.is_refused)
 
 
 def goes_on(head: ResponseHead) -> bool:
--- a/trefoilspool/errors.py
+++ b/trefoilspool/errors.py
@@ -179,24 +179,26 @@
 
 
 class ConnectFailedError(EndpointError):
-    """No connection was made, so nothing was sent."""
-
-
-class NoPathError(ConnectFailedError):
-    """No path leads to the endpoint, and nothing shows that it is at fault.
+    """No connection was made, so nothing was sent.
 
     Attributes
     ----------
     is_refused : bool
-        Whether the own connection was refused: the endpoint may be down.
+        Whether the connection was refused: the endpoint may be down.
     """
 
     is_refused = False
 
 
+class NoPathError(ConnectFailedError):
+    """No path leads to the endpoint, and nothing shows that it is at fault."""
+
+
 class EndpointRefusedConnectionError(ConnectFailedError):
     """Nothing listens at the endpoint's address."""
 
+    is_refused = True
+
 
 class SendFailedError(EndpointError):
     """The request was sent, in part or whole, but no response was received."""
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -170,6 +170,7 @@
         self.paths.on_relayed = lambda: self.metrics.count(
             'trefoilspool_relayed_total'
         )
+        self.paths.on_refused = self.mesh.client.on_refused
         self.path_checks = PathCheckTask(self.paths, self.directory)
         self.relay = RelayTask(
             options.mesh_port,
--- a/trefoilspool/paths/ways.py
+++ b/trefoilspool/paths/ways.py
@@ -83,6 +83,8 @@
         What is known of the paths.
     on_relayed : callable
         Called when a connection is relayed.
+    on_refused : callable
+        Called when no connection was made to a run, and it refused one.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         self.list_endpoints = list_endpoints
         self.table = PathTable()
         self.on_relayed: Callable[[], None] = lambda: None
+        self.on_refused: Callable[[EndpointRun], None] = lambda _: None
         self.comparison_due = 0.0
 
     def open(
@@ -168,6 +171,8 @@
         if attempt.connection is None:
             error = self.failed(endpoint, failure, attempt)
             self.table.on_failed(endpoint.run, error, clock.now())
+            if error.is_refused:
+                self.on_refused(endpoint.run)
             raise error
         self.table.on_broken(endpoint.run, failure.detail, clock.now())
         self.table.on_relayed(endpoint.run)
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -333,6 +333,17 @@
         if report is not None:
             self.send_report(report)
 
+    def on_refused(self, run: EndpointRun) -> None:
+        """Tell the home host that a run has refused a connection.
+
+        It may have been for a check after an attempt broke, so that no slot
+        is released with it.
+        """
+        home = self.peers.home()
+        if home is not None:
+            notice = unused_release(self.new_key(), run.name)
+            self.send_message(home.address, notice._replace(is_down=True))
+
     def send_report(self, report: CrashReport) -> None:
         """Send a report to the home host; heartbeats repeat it."""
         home = self.peers.home()
