Take an endpoint as down from reports of attempts that ended with it

Cause: a crash report whose end check was refused told the prompt guard only. The endpoint's record still counted as that of the run that serves, and a new home host, which gets the reports again, did not learn that it was down.

Change: such a report sets down_at of the run it names, to the time at which the attempt ended: a repeated report does not make it later, and one on an earlier run says nothing of this one.

--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -5,6 +5,8 @@
 import pytest
 from test_slotscheduler import ask, endpoint_spec, slot_release
 
+from trefoilspool.crashevidence import CrashReport
+from trefoilspool.departures import EndpointRun
 from trefoilspool.errors import BadRecordError
 from trefoilspool.hashring import HashRing
 from trefoilspool.origingossip import ROUTE_SETTLED_S, OriginGossip
@@ -147,6 +149,28 @@
         assert isinstance(begun, Granted)
         assert not begun.is_verified
 
+    def test_end_that_a_check_found_counts_from_when_the_attempt_broke(
+        self,
+    ) -> None:
+        """Heartbeats repeat the report, also to a new home host."""
+        scheduler = scheduler_of(spec('a', 'v1'))
+        report = CrashReport(EndpointRun('a', 1), ('part',), 7, 0.5)
+        scheduler.on_crash_reports('h1', [report], 10.5)
+        assert scheduler.pool.accepting(ask(1, software='v1'))
+        down = report._replace(is_down=True)
+        for now in (10.75, 12.5):
+            repeated = down._replace(age_s=now - 10)
+            scheduler.on_crash_reports('h1', [repeated], now)
+            assert not scheduler.pool.accepting(ask(1, software='v1'))
+        scheduler.on_records_confirmed(10 + RECORD_LIFETIME_S)
+        assert scheduler.pool.accepting(ask(1, software='v1'))
+
+    def test_end_of_an_earlier_run_says_nothing_of_this_one(self) -> None:
+        scheduler = scheduler_of(spec('a', 'v1')._replace(started_ms=2))
+        down = CrashReport(EndpointRun('a', 1), ('part',), 7, 0.5, True)
+        scheduler.on_crash_reports('h1', [down], 10.5)
+        assert scheduler.pool.accepting(ask(1, software='v1'))
+
     def test_new_record_of_another_run_is_verified(self) -> None:
         scheduler = scheduler_of(spec('a', 'v1'))
         decide(scheduler, 0)
--- a/trefoilspool/endpointload.py
+++ b/trefoilspool/endpointload.py
@@ -85,7 +85,8 @@
         When each prompt prefix that is assumed to be in the endpoint's cache
         expires, in seconds.
     down_at : float
-        When it last refused a connection, in seconds.
+        When it was last known to be down, in seconds: it refused a connection
+        then, or an attempt ended and it refused one after it.
     pace : EndpointPace
         Number of requests that it gets before others are preferred.
     """
@@ -244,7 +245,7 @@
         """
         self.answered.discard(release.key)
         if release.is_down:
-            self.down_at = now
+            self.on_down(now)
             self.pace.restart()
         state = self.reliability.state
         failed = release.ending in FAILURE_ENDINGS
@@ -259,6 +260,10 @@
         if release.ending is AttemptEnding.completed:
             self.update_slowness(release)
 
+    def on_down(self, at: float) -> None:
+        """Note that it was down at a time, in seconds."""
+        self.down_at = max(self.down_at, at)
+
     def on_answer(
         self, key: SlotKey, predicted_s: float, first_byte_s: float
     ) -> None:
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -208,6 +208,9 @@
         """Take an entry host's reports of attempts that ended endpoints."""
         for report in reports:
             self.guard.on_report(entry, report, now)
+            endpoint = self.pool.by_name.get(report.run.name)
+            if report.is_down and endpoint and endpoint.spec.run == report.run:
+                endpoint.on_down(now - report.age_s)
 
     def try_admit(self, ask: SlotRequest, now: float) -> RefusalReason | None:
         """Charge a new request to its workspace, or return why it is refused.
