--- a/trefoilspool/endpointsync.py
+++ b/trefoilspool/endpointsync.py
@@ -132,6 +132,7 @@
         """
         asked_at = self.store_task.read_began_at
         self.view.mark_read(asked_at)
+        self.mesh.set_confirmed_at(self.view.confirmation.confirmed_at)
         is_early = asked_at - self.announced_at < MIN_ANNOUNCE_S
         if is_early or not self.store_task.is_due:
             return
@@ -171,6 +172,7 @@
         an outage seen in this host's own last read has ended.
         """
         self.view.mark_current(asked_at)
+        self.mesh.set_confirmed_at(self.view.confirmation.confirmed_at)
         if not self.mesh.peers.is_preferred_home(READERS):
             self.store_task.on_store_available()
 
--- a/trefoilspool/endpointview.py
+++ b/trefoilspool/endpointview.py
@@ -11,6 +11,7 @@
 from trefoilspool.directory import Directory
 from trefoilspool.peers import HostInfo
 from trefoilspool.replica import NO_ERA, Position, Replica
+from trefoilspool.runverification import RecordConfirmation
 from trefoilspool.slotmessages import EndpointSpec
 from trefoilspool.store import KeyedRecord, KeyedSource
 
@@ -81,6 +82,8 @@
         in seconds.
     read_ended : Condition
         Notified when ``read_at`` has changed.
+    confirmation : RecordConfirmation
+        As of when they tell which runs serve.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         self.current_at = 0.0
         self.read_at = 0.0
         self.read_ended = threading.Condition()
+        self.confirmation = RecordConfirmation()
 
     def outage_ended_at(self) -> float:
         """Return when the last outage of the store ended, in seconds.
@@ -154,6 +158,7 @@
     def mark_current(self, asked_at: float) -> None:
         """Note that a source had all records when it was asked, or later."""
         self.current_at = max(self.current_at, asked_at)
+        self.confirmation.on_current(asked_at, self.outage_ended_at())
 
     def mark_read(self, asked_at: float) -> None:
         """Note that this host has read the store, asked at a time."""
