Pass on since when a datagram may have waited

Cause: heartbeats, digests, limits and reports of roll-outs could be counted from when they arrived at the earliest, but the mesh task did not tell that time. Change: each step passes on when the socket was last found empty, if that is longer ago than any wait for a datagram. Result: test_step_tells_since_when_a_datagram_may_have_waited failed before; it and the other tests of mesh, stream origins, record ages, verification, version gaps, roll-outs' protocol and logs pass.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -301,6 +301,20 @@
         mesh.on_datagram(body, '127.0.9.2', 104, 100)
         assert 'h2' not in mesh.peers.heard_since(103)
 
+    def test_step_tells_since_when_a_datagram_may_have_waited(
+        self,
+        mesh: MeshTask,
+        sent: Sent,
+        wake: Callable[[float, bytes], None],
+    ) -> None:
+        body = wire.encode(hello_of(host_info(2)))
+        mesh.socket.emptied_at = 100
+        wake(104, body)
+        assert 'h2' not in mesh.peers.heard_since(103)
+        mesh.socket.emptied_at = 104
+        wake(104.1, body)
+        assert 'h2' in mesh.peers.heard_since(103)
+
     def test_digest_that_waited_is_no_contact(
         self, mesh: MeshTask, sent: Sent
     ) -> None:
--- a/trefoilspool/endpointsync.py
+++ b/trefoilspool/endpointsync.py
@@ -131,8 +131,8 @@
         A read that was not due is of use to this host only.
         """
         asked_at = self.store_task.read_began_at
+        self.mark_current(asked_at)
         self.view.mark_read(asked_at)
-        self.mesh.set_confirmed_at(self.view.confirmation.confirmed_at)
         is_early = asked_at - self.announced_at < MIN_ANNOUNCE_S
         if is_early or not self.store_task.is_due:
             return
@@ -166,7 +166,7 @@
         return self.view.await_read(since, CONFIRM_TIMEOUT_S)
 
     def mark_current(self, asked_at: float) -> None:
-        """Record since when a peer has had all records that this host has.
+        """Record since when a source has had all records that this host has.
 
         If other hosts read the store for this host, the store is available, so
         an outage seen in this host's own last read has ended.
--- a/trefoilspool/endpointview.py
+++ b/trefoilspool/endpointview.py
@@ -162,7 +162,6 @@
 
     def mark_read(self, asked_at: float) -> None:
         """Note that this host has read the store, asked at a time."""
-        self.mark_current(asked_at)
         with self.read_ended:
             self.read_at = max(self.read_at, asked_at)
             self.read_ended.notify_all()
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -14,7 +14,7 @@
 
 import logbook
 
-from trefoilspool import clock, meshdatagrams
+from trefoilspool import clock, meshdatagrams, stalls
 from trefoilspool.broadcasts import Broadcasts
 from trefoilspool.datagramsocket import DatagramSocket
 from trefoilspool.endpointlimits import EndpointLimits
@@ -232,7 +232,8 @@
         now = clock.now()
         self.home_service.on_step(now)
         if body:
-            self.on_datagram(body, origin, now)
+            heard_at = stalls.heard_at(self.socket.emptied_at, now)
+            self.on_datagram(body, origin, now, heard_at)
         if self.callbacks:
             self.run_callbacks(now)
         if now - self.ticked_at >= TICK_S:
