Let no begun stream go on where this host has seen the endpoint down

Cause: only the home host's scheduler knew of a refused connection. A home host that had not heard of it, and the host's own choice while no home host answers, went on with streams at an endpoint that may be back as another version, and took streams that it began for those of its recorded version.

Change: the host keeps the runs that refused its connections (DownRuns) until their records are confirmed. It asks for no slot there for a begun stream, checks once more before it sends one, and records what begins there as of unknown version.

--- a/tests/test_runverification.py
+++ b/tests/test_runverification.py
@@ -12,12 +12,16 @@
 from test_streamversions import (
     add_endpoints,
     add_hosts,
+    cut_new,
     stream_slowly,
     was_down,
 )
 
+from trefoilspool.departures import EndpointRun
+from trefoilspool.reliability import Reliability
 from trefoilspool.runverification import (
     RECORD_LIFETIME_S,
+    DownRuns,
     RecordConfirmation,
     is_verified,
 )
@@ -25,7 +29,8 @@
 READ_EVERY_S = 1.1
 # Longer than a record that is not renewed, and a read of the records.
 LONG_S = RECORD_LIFETIME_S + READ_EVERY_S
-STREAMS = 7
+MANY = 7
+FEW = 4  # as many as one endpoint has slots
 ATTEMPTS = 40
 STREAMING_S = 0.5
 REQUEST_NUMBERS = itertools.count(1)
@@ -87,6 +92,31 @@
         assert not is_verified(19, confirmation.confirmed_at)
 
 
+class TestDownRuns:
+    first = EndpointRun('i-1', 1)
+
+    def test_run_is_verified_once_its_record_is_confirmed(self) -> None:
+        down = DownRuns()
+        down.on_down(self.first, 10)
+        down.on_confirmed(10)
+        assert not down.is_verified(self.first)
+        down.on_confirmed(10 + RECORD_LIFETIME_S)
+        assert down.is_verified(self.first)
+        assert not down.down_at
+
+    def test_later_run_is_verified(self) -> None:
+        down = DownRuns()
+        down.on_down(self.first, 10)
+        assert down.is_verified(EndpointRun('i-1', 2))
+
+    def test_late_news_does_not_make_it_earlier(self) -> None:
+        down = DownRuns()
+        down.on_down(self.first, 10)
+        down.on_down(self.first, 5)
+        down.on_confirmed(5 + RECORD_LIFETIME_S)
+        assert not down.is_verified(self.first)
+
+
 @pytest.fixture
 def cluster() -> Iterator[GatewayCluster]:
     made = GatewayCluster()
@@ -95,9 +125,9 @@
 
 
 def begin_streams(
-    cluster: GatewayCluster, hosts: list[RunningHost]
+    cluster: GatewayCluster, hosts: list[RunningHost], count: int = MANY
 ) -> list[threading.Thread]:
-    """Begin more streams at once than one endpoint has slots."""
+    """Begin streams at once; more than one endpoint has slots, if many."""
 
     def call(number: int) -> None:
         cluster.call(
@@ -106,7 +136,7 @@
 
     calls = [
         threading.Thread(target=call, args=(next(REQUEST_NUMBERS),))
-        for _ in range(STREAMS)
+        for _ in range(count)
     ]
     for thread in calls:
         thread.start()
@@ -129,11 +159,14 @@
 
 
 def crash_amid_streams(
-    cluster: GatewayCluster, hosts: list[RunningHost], crashed: PlatformEndpoint
+    cluster: GatewayCluster,
+    hosts: list[RunningHost],
+    crashed: PlatformEndpoint,
+    count: int = MANY,
 ) -> set[str]:
     """Return the streams that ran at an endpoint when it crashed."""
     before = set(crashed.runs)
-    calls = begin_streams(cluster, hosts)
+    calls = begin_streams(cluster, hosts, count)
     wait_for(lambda: set(crashed.runs) - before, 'a stream')
     time.sleep(STREAMING_S)
     crashed.crash()
@@ -195,7 +228,7 @@
             cluster.register(endpoint, version='v1', born=2)
         for running in hosts:
             wait_for_run(running, 2)
-        begun = crash_amid_streams(cluster, hosts, other)
+        begun = crash_amid_streams(cluster, hosts, other, FEW)
         assert begun.intersection(back.runs)
 
 
@@ -207,3 +240,65 @@
         ),
         'the new records',
     )
+
+
+def forget_down(hosts: list[RunningHost]) -> None:
+    """Make the home host as one that has not heard of any refusal."""
+    for running in hosts:
+        scheduler = running.host.mesh.scheduler
+        for load in scheduler.available_endpoints.values():
+            load.down_at = -math.inf
+            load.reliability = Reliability()
+
+
+def silence_home(hosts: list[RunningHost]) -> None:
+    """Let no home host answer, so that hosts choose endpoints themselves."""
+    for running in hosts:
+        client = running.host.mesh.client
+        client.request_from_home = lambda *_: None  # type: ignore[method-assign]
+
+
+class TestEntryHost:
+    """The host that was refused knows more than its home host."""
+
+    @pytest.fixture(params=[forget_down, silence_home])
+    def hosts(
+        self, cluster: GatewayCluster, request: pytest.FixtureRequest
+    ) -> Iterator[list[RunningHost]]:
+        """Yield hosts of which the first saw an endpoint down that is back."""
+        add_endpoints(cluster, 'v1', 'v1')
+        hosts = add_hosts(cluster, 2)
+        back = cluster.endpoints[0]
+        for endpoint in cluster.endpoints:
+            endpoint.behaviour = stream_slowly
+        break_stream(cluster, hosts, back)
+        with cluster.store.failing(503):
+            wait_for(lambda: was_down(hosts, back.name), 'the refusal')
+            request.param(hosts)
+            back.listen()
+            yield hosts
+
+    def test_nothing_goes_on_there(
+        self, cluster: GatewayCluster, hosts: list[RunningHost]
+    ) -> None:
+        crash_amid_streams(cluster, hosts[:1], cluster.endpoints[1], FEW)
+        assert not has_mixed(cluster)
+
+    def test_nothing_goes_on_from_there(
+        self, cluster: GatewayCluster, hosts: list[RunningHost]
+    ) -> None:
+        back = cluster.endpoints[0]
+        back.behaviour = cut_new
+        before = len(back.runs)
+        end_streams(begin_streams(cluster, hosts[:1]))
+        assert len(back.runs) > before
+        assert not has_mixed(cluster)
+
+
+def has_mixed(cluster: GatewayCluster) -> bool:
+    """Return whether a stream went on at the endpoint that came back.
+
+    Streams that broke when it was down may have gone on elsewhere.
+    """
+    back, other = cluster.endpoints
+    return bool(set(back.runs[1:]).intersection(other.runs))
--- a/trefoilspool/endpointattempts.py
+++ b/trefoilspool/endpointattempts.py
@@ -30,6 +30,7 @@
 )
 from trefoilspool.routedrequests import AttemptFailure, Slot, StartedResponse
 from trefoilspool.routing import RepeatPolicy
+from trefoilspool.runverification import DownRuns
 from trefoilspool.slotmessages import AttemptEnding
 from trefoilspool.streamorigins import UNKNOWN
 from trefoilspool.watch import Unwatch, Watch, WatchTask
@@ -96,6 +97,8 @@
         Aborts attempts whose caller disconnected or whose deadline passed.
     quarantine : Quarantine
         Prompt parts that get no endpoint.
+    down_runs : DownRuns
+        Runs that this host has found to be down.
     """
 
     def __init__(
@@ -106,6 +109,7 @@
         endpoint_client: EndpointClient,
         watch: WatchTask,
         quarantine: Quarantine,
+        down_runs: DownRuns,
     ) -> None:
         self.progress = progress
         self.request = progress.request
@@ -114,6 +118,7 @@
         self.endpoint_client = endpoint_client
         self.watch = watch
         self.quarantine = quarantine
+        self.down_runs = down_runs
 
     def attempt(
         self, slot: Slot, on_silence: SilentAttemptHandler
@@ -169,11 +174,14 @@
     def version_obstacle(self, endpoint: EndpointRecord) -> str:
         """Return why a stream cannot go on at an endpoint, if it cannot.
 
-        The home host may know an earlier run of the endpoint.
+        The home host may know an earlier run of the endpoint, or not know that
+        it was down.
         """
         required = self.progress.software
         if required is None:
             return ''
+        if not self.down_runs.is_verified(endpoint.run):
+            return f'{endpoint.name} may be back at another version'
         if required != UNKNOWN and required == endpoint.stream_version:
             return ''
         return (
--- a/trefoilspool/runverification.py
+++ b/trefoilspool/runverification.py
@@ -5,8 +5,16 @@
 """
 
 import math
+import threading
 
-__all__ = ['RECORD_LIFETIME_S', 'RecordConfirmation', 'is_verified']
+from trefoilspool.departures import EndpointRun
+
+__all__ = [
+    'RECORD_LIFETIME_S',
+    'DownRuns',
+    'RecordConfirmation',
+    'is_verified',
+]
 
 # A record that is not renewed is removed after three periods of 1.2 s.
 RECORD_LIFETIME_S = 4.0
@@ -72,3 +80,43 @@
         See `RecordConfirmation`.
     """
     return confirmed_at >= down_at + RECORD_LIFETIME_S
+
+
+class DownRuns:
+    """Runs that were down, until their records are confirmed.
+
+    Usable from any thread.
+
+    Attributes
+    ----------
+    down_at : dict
+        When each was last known to be down, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.down_at: dict[EndpointRun, float] = {}
+
+    def on_down(self, run: EndpointRun, at: float) -> None:
+        """Note that a run was down at a time, in seconds."""
+        with self.lock:
+            self.down_at[run] = max(at, self.down_at.get(run, at))
+
+    def on_confirmed(self, confirmed_at: float) -> None:
+        """Forget the runs whose records are confirmed.
+
+        Parameters
+        ----------
+        confirmed_at : float
+            See `RecordConfirmation`.
+        """
+        with self.lock:
+            self.down_at = {
+                run: at
+                for run, at in self.down_at.items()
+                if not is_verified(at, confirmed_at)
+            }
+
+    def is_verified(self, run: EndpointRun) -> bool:
+        """Return whether a run's record is of the run that serves."""
+        return run not in self.down_at
--- a/trefoilspool/serving.py
+++ b/trefoilspool/serving.py
@@ -98,6 +98,7 @@
             parts.endpoint_client,
             parts.watch,
             parts.slot_client.quarantine,
+            parts.slot_client.down_runs,
         )
         self.replacer = Replacer(
             self.progress, self.slots, self.attempts, self.record_failure
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -108,7 +108,7 @@
         started = clock.now()
         barred = self.barred_endpoints(started)
         slot_request = self.slot_request(
-            (*self.progress.avoid, *avoid, *barred), started
+            (*self.progress.avoid, *avoid, *barred, *self.unverified()), started
         )
         self.progress.slot_number = slot_request.key.number
         decision = self.decide(slot_request, barred, is_unneeded)
@@ -142,6 +142,7 @@
             decision.is_probe,
             self.slot_client.software(decision.endpoint)
             if decision.is_verified
+            and self.slot_client.is_verified(decision.endpoint)
             else UNKNOWN,
         )
         self.held[slot.key] = slot
@@ -219,6 +220,18 @@
             **self.quiet_periods.quiet(names, now),
         }
 
+    def unverified(self) -> list[str]:
+        """Return the endpoints at which a begun stream may not go on.
+
+        They may run another version than their records name.
+        """
+        if self.progress.software is None:
+            return []
+        names = self.directory.names(self.request.service)
+        return [
+            name for name in names if not self.slot_client.is_verified(name)
+        ]
+
     def refusal_problem(self, decision: Refused) -> Problem:
         """Return the problem of a request that was refused a slot."""
         if self.request.client_disconnected():
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -21,6 +21,7 @@
 from trefoilspool.quarantine import Quarantine
 from trefoilspool.rollouts.evidence import GROUPS, OTHERS, UsedEndpoint
 from trefoilspool.rollouts.gate import RolloutGate
+from trefoilspool.runverification import DownRuns
 from trefoilspool.servedreports import ServedLog, ServedReport
 from trefoilspool.slotmessages import (
     SERVED_STREAMING_S,
@@ -117,6 +118,8 @@
         Chooses endpoints while no home host replies.
     on_broken_start : callable
         Called with each crashed attempt, to check its endpoint.
+    down_runs : DownRuns
+        Runs that this host has found to be down.
     rollouts : RolloutGate
         The roll-outs that this host knows.
     """
@@ -139,6 +142,7 @@
         self.crash_reports = CrashReports()
         self.on_broken_start: Callable[[BrokenStart], None] = lambda _: None
         self.served_log = ServedLog(clock.now())
+        self.down_runs = DownRuns()
         self.rollouts = RolloutGate()
         self.lock = threading.Lock()
         self.attempt_numbers = itertools.count(
@@ -172,6 +176,13 @@
         spec = self.choice.available_endpoints.get(endpoint)
         return spec.software if spec else ''
 
+    def is_verified(self, endpoint: str) -> bool:
+        """Return whether an endpoint's record is of the run that serves.
+
+        This host may have found it to be down when the home host has not.
+        """
+        return self.down_runs.is_verified(self.run(endpoint))
+
     def acquire(
         self, ask: SlotRequest, client_disconnected: Callable[[], bool]
     ) -> SlotDecision:
@@ -334,11 +345,12 @@
             self.send_report(report)
 
     def on_refused(self, run: EndpointRun) -> None:
-        """Tell the home host that a run has refused a connection.
+        """Note, and tell the home host, that a run has refused a connection.
 
         It may have been for a check after an attempt broke, so that no slot
         is released with it.
         """
+        self.down_runs.on_down(run, clock.now())
         home = self.peers.home()
         if home is not None:
             notice = unused_release(self.new_key(), run.name)
