Count ends and served requests that are reported from their arrival

Cause: their ages counted from when the report is handled. After a stall an end counted as later than requests with the part that were served meanwhile, which spoke for blaming the part.

Change: on_crash_reports and on_served of the home service take heard_at.

Measured: test_end_and_served_request_count_from_the_arrival failed before (103.5 in place of 99.5); test_mesh, test_promptguard, test_odddatagrams, test_servedreports pass.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from trefoilspool.crashevidence import CrashReport
 from trefoilspool.departures import EndpointRun
 from trefoilspool.endpointlimits import LimitReport
 from trefoilspool.helloschedule import STARTUP_S
@@ -11,6 +12,7 @@
 from trefoilspool.mesh import TICK_S, MeshTask
 from trefoilspool.peers import HostInfo
 from trefoilspool.routing import Workspace
+from trefoilspool.servedreports import ServedPart, ServedReport
 from trefoilspool.slotmessages import HeldSlot, SlotKey, SlotRequest
 from trefoilspool.wire import endpointreports
 from trefoilspool.wire import mesh as wire
@@ -336,3 +338,17 @@
         assert mesh.limits.per_s(run) == 2
         mesh.on_datagram(body, '127.0.9.2', 104.1, 104.1)
         assert mesh.limits.per_s(run) == 10
+
+    def test_end_and_served_request_count_from_the_arrival(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        """A part may have been served after its end was reported."""
+        report = CrashReport(EndpointRun('e', 1), ('p',), 7, 0.5)
+        served = ServedReport((ServedPart('q', 0.5),), 9)
+        datagram = hello_of(host_info(2))
+        datagram.crashes = [endpointreports.crash_report_to_wire(report)]
+        datagram.served = endpointreports.served_to_wire(served)
+        mesh.on_datagram(wire.encode(datagram), '127.0.9.2', 104, 100)
+        evidence = mesh.scheduler.guard.evidence
+        assert evidence.attempts['h2', 7].ended_at == 99.5
+        assert evidence.history.served.last_at('q') == 99.5
--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -140,23 +140,49 @@
             self.scheduler.rate_limits.on_level(workspace, tokens, now)
 
     def on_crash_reports(
-        self, sender: HostInfo, reports: list[Any], now: float
+        self, sender: HostInfo, reports: list[Any], now: float, heard_at: float
     ) -> None:
-        """Pass an entry host's crash reports to the slot scheduler."""
+        """Pass an entry host's crash reports to the slot scheduler.
+
+        Parameters
+        ----------
+        sender : HostInfo
+            The entry host.
+        reports : list
+            Structs of the reports, with their ages at ``heard_at``.
+        now : float
+            The present time in seconds.
+        heard_at : float
+            When they arrived at the earliest, in seconds.
+        """
         self.scheduler.on_crash_reports(
             sender.name,
             list(
                 checks.readable(endpointreports.crash_report_from_wire, reports)
             ),
-            now,
+            heard_at,
         )
 
-    def on_served(self, sender: HostInfo, struct: Any, now: float) -> None:
-        """Pass what an entry host saw served to the slot scheduler."""
+    def on_served(
+        self, sender: HostInfo, struct: Any, now: float, heard_at: float
+    ) -> None:
+        """Pass what an entry host saw served to the slot scheduler.
+
+        Parameters
+        ----------
+        sender : HostInfo
+            The entry host.
+        struct : object
+            Struct of what it saw served, with ages at ``heard_at``.
+        now : float
+            The present time in seconds.
+        heard_at : float
+            When it arrived at the earliest, in seconds.
+        """
         for report in checks.readable(
             endpointreports.served_from_wire, [struct]
         ):
-            self.scheduler.guard.on_served_report(sender.name, report, now)
+            self.scheduler.guard.on_served_report(sender.name, report, heard_at)
 
     def send_decisions(self) -> None:
         """Log the scheduler's events; send its decisions to entry hosts."""
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -45,7 +45,9 @@
 TICK_S = 0.02
 # Their handlers also get the time from which the datagram counts, which is before
 # the present time if it has waited.
-DATED_FIELDS = frozenset(('digest', 'limits', 'roll', 'rollout_reports'))
+DATED_FIELDS = frozenset(
+    ('crashes', 'digest', 'limits', 'roll', 'rollout_reports', 'served')
+)
 
 logger = logbook.Logger('mesh')
 
