Take a host's own pause for no silence of the home host

Cause: a wait for the home host's reply that ended late counted as one without a reply. A host that woke suspected a sound home host, and its requests were granted by another one, with limits of its own, or by itself.

Measured: test_own_pause_is_no_silence_of_the_home_host failed before (granted alone); test_peers passes.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 
 import pytest
 
@@ -199,6 +200,9 @@
     return made._replace(**changes)
 
 
+WaitScript = Callable[..., None]
+
+
 def never_disconnected() -> bool:
     return False
 
@@ -238,6 +242,36 @@
         assert time.monotonic() - started < LOCAL_DECISION_BOUND_S
         assert peers.home() != first
 
+    @pytest.fixture
+    def wait_as(self, monkeypatch: pytest.MonkeyPatch) -> WaitScript:
+        """Return a function that sets how long waits last and what they get."""
+
+        def set_script(*waits: tuple[float, object]) -> None:
+            left = list(waits)
+            times = [100.0]
+
+            def next_decision(inbox: object, timeout_s: float) -> object:
+                waited_s, decision = left.pop(0)
+                times.append(times[-1] + waited_s)
+                return decision
+
+            monkeypatch.setattr(
+                'trefoilspool.slotclient.next_decision', next_decision
+            )
+            monkeypatch.setattr('trefoilspool.clock.now', lambda: times[-1])
+
+        return set_script
+
+    def test_own_pause_is_no_silence_of_the_home_host(
+        self, client: SlotClient, peers: PeerRegistry, wait_as: WaitScript
+    ) -> None:
+        first = peers.home()
+        request = slot_request(client)
+        granted = Granted(request.key, 'a')
+        wait_as((0.03, None), (3, None), (0.01, granted))
+        assert client.acquire(request, never_disconnected) == granted
+        assert peers.home() == first
+
     def test_queued_request_waits_for_grant(
         self, client: SlotClient, sender: FakeSender
     ) -> None:
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -36,6 +36,7 @@
     SlotRequest,
     has_streamed,
 )
+from trefoilspool.stalls import MIN_STALL_S
 
 __all__ = ['SlotClient']
 
@@ -252,12 +253,15 @@
         timeouts = 0
         self.send_message(address, ask)
         while timeouts < resend.max_timeouts:
+            resume_by = clock.now() + resend.interval_s + MIN_STALL_S
             decision = next_decision(inbox, resend.interval_s)
+            stood_still = clock.now() >= resume_by
             if client_disconnected():
                 self.send_message(address, unused_release(ask.key))
                 return Refused(ask.key, RefusalReason.hopeless, RETRY_AFTER_S)
             if decision is None:
-                timeouts += 1
+                # Only silence since this host went on tells of the home host.
+                timeouts = 0 if stood_still else timeouts + 1
                 self.send_message(address, ask)
             elif isinstance(decision, Queued):
                 resend = QUEUED_RESEND
