Give back a slot that was granted before a pause of this host

Cause: a grant that waited while the entry host stood still was used, though the home host takes slots back 1.2 s after the last report and grants them to others.

Change: such a slot is released as unused, and the request asked anew. A second copy of the same grant that is handled after it is still used, as before.

Measured: test_slot_that_was_granted_before_a_pause_is_given_back failed before (the late slot was used); test_peers and test_mesh pass.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -272,6 +272,20 @@
         assert client.acquire(request, never_disconnected) == granted
         assert peers.home() == first
 
+    def test_slot_that_was_granted_before_a_pause_is_given_back(
+        self, client: SlotClient, sender: FakeSender, wait_as: WaitScript
+    ) -> None:
+        """The home host takes slots back of which it hears no more."""
+        request = slot_request(client)
+        late = Granted(request.key, 'a')
+        fresh = Granted(request.key, 'b')
+        wait_as((3, late), (0.01, fresh))
+        assert client.acquire(request, never_disconnected) == fresh
+        released, asked = [message for _, message in sender.sent][1:]
+        assert isinstance(released, SlotRelease)
+        assert released.ending is AttemptEnding.unused
+        assert asked == request
+
     def test_queued_request_waits_for_grant(
         self, client: SlotClient, sender: FakeSender
     ) -> None:
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -259,6 +259,12 @@
             if client_disconnected():
                 self.send_message(address, unused_release(ask.key))
                 return Refused(ask.key, RefusalReason.hopeless, RETRY_AFTER_S)
+            if stood_still and isinstance(decision, Granted):
+                # The slot may have been taken back and granted again.
+                self.send_message(
+                    address, unused_release(ask.key, decision.endpoint)
+                )
+                decision = None
             if decision is None:
                 # Only silence since this host went on tells of the home host.
                 timeouts = 0 if stood_still else timeouts + 1
