Believe a restored record only if it was read to stand

Cause: a restored record of a removed endpoint is believed if no deletion was read for 6 s, by the host's clock. A host that stood still, or is cut off from the store, reads none, so an endpoint that has left got requests again.

Change: the 6 s must be over at the time until which this host had all records.

--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -330,6 +330,23 @@
         directory.tick(1e6 + RESTORED_RECORD_S)
         assert directory.get(endpoint.name)
 
+    def test_record_that_nobody_has_read_since_is_not_believed(
+        self, cluster: GatewayCluster
+    ) -> None:
+        """The host stood still, or is cut off from the store."""
+        endpoint = cluster.add_endpoint()
+        directory = cluster.add_host().host.directory
+        directory.on_deletion(endpoint.name, 1e6)
+        restored = [
+            KeyedRecord(endpoint.name, dump(endpoint.record('engines')), 0)
+        ]
+        directory.on_records(restored, 1e6, restored=True)
+        late = 1e6 + 2 * RESTORED_RECORD_S
+        directory.tick(late, 1e6 + RESTORED_RECORD_S - 0.1)
+        assert directory.get(endpoint.name) is None
+        directory.tick(late + 1, late)
+        assert directory.get(endpoint.name)
+
     def test_later_run_is_not_held_back(self, cluster: GatewayCluster) -> None:
         endpoint = cluster.add_endpoint()
         directory = cluster.add_host().host.directory
--- a/trefoilspool/departures.py
+++ b/trefoilspool/departures.py
@@ -158,9 +158,17 @@
         """Drop a registration that was held back: its record was deleted."""
         self.held_back.pop(name, None)
 
-    def due(self, now: float) -> list[HeldBackRecord]:
-        """Return the held back registrations that are to be applied."""
-        return [held for held in self.held_back.values() if now >= held.until]
+    def due(self, current_at: float) -> list[HeldBackRecord]:
+        """Return the held back registrations that are to be applied.
+
+        Parameters
+        ----------
+        current_at : float
+            Until when their records are known to stand, in monotonic seconds.
+        """
+        return [
+            held for held in self.held_back.values() if current_at >= held.until
+        ]
 
     def forget_old(self, now: float, registered: frozenset[str]) -> None:
         """Forget what is older than the retention.
--- a/trefoilspool/directory.py
+++ b/trefoilspool/directory.py
@@ -258,13 +258,23 @@
             self.departures.on_removed(endpoint, now)
             logger.info('endpoint_dropped', extra={'endpoint': name})
 
-    def tick(self, now: float) -> None:
-        """Apply what is due: removals, and records that were held back."""
+    def tick(self, now: float, current_at: float | None = None) -> None:
+        """Apply what is due: removals, and records that were held back.
+
+        Parameters
+        ----------
+        now : float
+            The present time in monotonic seconds.
+        current_at : float, optional
+            When this host last had all records; by default now. Only until
+            then it is known that a record still stands.
+        """
+        current_at = now if current_at is None else current_at
         with self.lock:
             for name, remove_at in list(self.expiring.items()):
                 if now >= remove_at:
                     self.remove(name, now)
-            for held in self.departures.due(now):
+            for held in self.departures.due(current_at):
                 self.departures.drop_held_back(held.endpoint.name)
                 self.on_update(held.endpoint, held.offset)
             self.departures.forget_old(now, frozenset(self.endpoints))
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -238,7 +238,7 @@
         """Close idle connections, and drop or end what is due, periodically."""
         while not self.stopping.wait(CLEANUP_INTERVAL_S):
             self.endpoint_client.pool.close_expired()
-            self.directory.tick(clock.now())
+            self.directory.tick(clock.now(), self.endpoint_sync.view.current_at)
             self.settings_sync.end_overdue_wait(clock.now())
             self.quiet_periods.forget_ended(clock.now())
 
