Release no unasked part while a home host hears not all others

Cause: a quarantine is lifted if nobody asks for its part at the home host for 60 s. A home host that is cut off hears only its own requests; what it lifted has a higher revision, and so was lifted everywhere once the hosts met again.

Change: the 60 s count from when it last heard not all known hosts. A host without any other lifts none for want of requests; probes still do.

Measured: test_part_is_released_only_if_all_hosts_are_heard failed before for hosts that are not heard (lifted after 60 s); test_mesh and test_promptguard pass.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -11,6 +11,7 @@
 from trefoilspool.hostlists import HOST_LIST_S, MIN_HOST_LIST_S
 from trefoilspool.mesh import TICK_S, MeshTask
 from trefoilspool.peers import HostInfo
+from trefoilspool.promptguard import UNASKED_S
 from trefoilspool.routing import Workspace
 from trefoilspool.servedreports import ServedPart, ServedReport
 from trefoilspool.slotmessages import HeldSlot, SlotKey, SlotRequest
@@ -352,3 +353,22 @@
         evidence = mesh.scheduler.guard.evidence
         assert evidence.attempts['h2', 7].ended_at == 99.5
         assert evidence.history.served.last_at('q') == 99.5
+
+
+class TestQuarantine:
+    """A home host that hears no other knows not what the others ask for."""
+
+    @pytest.mark.parametrize('heard', (False, True))
+    def test_part_is_released_only_if_all_hosts_are_heard(
+        self, mesh: MeshTask, sent: Sent, heard: bool
+    ) -> None:
+        guard = mesh.scheduler.guard
+        guard.quarantine.add('bad', 100)
+        run_timers(mesh, 100, 1)
+        for second in range(int(UNASKED_S) + 10):
+            now = 101 + second
+            guard.note_ask(now)
+            if heard:
+                run_timers(mesh, now, 2 * STEP_S)
+            mesh.tick(now + 0.9)
+        assert bool(guard.quarantine.active_parts) is not heard
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -360,6 +360,9 @@
         is_starting = self.hello_schedule.is_starting(now)
         share = self.peers.heard_share() if is_starting else 1.0
         self.scheduler.rate_limits.on_share(share, now)
+        guard = self.scheduler.guard
+        if guard.quarantine.active_parts and self.home_contact.is_cut_off(now):
+            guard.on_unheard(now)
         self.scheduler.tick(now)
         self.rollout_gossip.tick(now)
         home = self.peers.home()
--- a/trefoilspool/promptguard.py
+++ b/trefoilspool/promptguard.py
@@ -85,7 +85,8 @@
     asked_at : dict
         When a quarantined part was last asked for, in seconds.
     home_since, last_ask_at : float
-        Since when requests have come to this host, and when the last came.
+        Since when the requests of all hosts have come to this one, and when the
+        last came.
     """
 
     def __init__(self, quarantine: Quarantine) -> None:
@@ -170,6 +171,13 @@
             self.evidence.history.known_since = now
         self.last_ask_at = now
 
+    def on_unheard(self, now: float) -> None:
+        """Note that requests may go to a home host that this one cannot hear.
+
+        Then it cannot know which parts nobody asks for.
+        """
+        self.home_since = now
+
     def on_granted(
         self, key: SlotKey, reservation: Reservation, now: float
     ) -> None:
