--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -45,7 +45,9 @@
 TICK_S = 0.02
 # Their handlers also get the time from which the datagram counts, which is before
 # the present time if it has waited.
-DATED_FIELDS = frozenset(('digest', 'limits', 'roll', 'rollout_reports'))
+DATED_FIELDS = frozenset(
+    ('crashes', 'digest', 'limits', 'roll', 'rollout_reports', 'served')
+)
 
 logger = logbook.Logger('mesh')
 
@@ -374,6 +376,9 @@
         is_starting = self.hello_schedule.is_starting(now)
         share = self.peers.heard_share() if is_starting else 1.0
         self.scheduler.rate_limits.on_share(share, now)
+        guard = self.scheduler.guard
+        if guard.quarantine.active_parts and self.home_contact.is_cut_off(now):
+            guard.on_unheard(now)
         self.scheduler.tick(now)
         self.rollout_gossip.tick(now)
         self.origin_gossip.tick(now)
