Adopt the services of routes only with all configurations since

The stored record also says since when each route has had its services, and a host that starts adopted that if its own configuration had the same services. A route that another configuration had sent elsewhere for a while, with no home host to write it, counted as never changed, so a stream begun at the one service could go on at the other.

The record says up to where in the settings it holds; a host reads the configurations since then and drops the routes that had other services. Without these records, or with a record of an earlier build, it adopts none. What the two topics share is LogReplay.

test_all_hosts_are_killed[passing route] failed before (200); its other cases hold. The decoder's test now names the three fields that must be there: positions may be missing in records of earlier builds, and malformed ones have a test of their own.

--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -144,7 +144,8 @@
             host.discovery_task.topic,
             host.quarantine_task.topic,
             host.version_task.topic,
-            host.version_task.replay.source,
+            host.version_task.endpoint_replay.source,
+            host.version_task.route_replay.source,
             host.status_task.topic,
         ):
             topic.connection.close()
--- a/tests/test_oddversions.py
+++ b/tests/test_oddversions.py
@@ -18,9 +18,10 @@
     'since': 0,
     'routes': [['r', ['s'], 0]],
     'until': [['s', 'v1', None]],
-    'era': 0,
-    'offset': 5,
+    'position': {'era': 0, 'offset': 5},
+    'routes_position': {'era': 0, 'offset': 5},
 }
+REQUIRED = ('since', 'routes', 'until')
 
 
 class TestDecoder:
@@ -39,7 +40,9 @@
         document = json.loads(json.dumps(GOOD))
         field = data.draw(st.sampled_from(list(document)))
         odd = data.draw(json_values)
-        if field in {'routes', 'until'} and data.draw(st.booleans()):
+        if field.endswith('position') and data.draw(st.booleans()):
+            document[field][data.draw(st.sampled_from(('era', 'offset')))] = odd
+        elif field in {'routes', 'until'} and data.draw(st.booleans()):
             row = document[field][0]
             row[data.draw(st.integers(0, len(row) - 1))] = odd
         else:
@@ -55,7 +58,26 @@
             assert until <= NOW or until == math.inf
             version.software.encode()
 
-    @pytest.mark.parametrize('field', GOOD)
+    @pytest.mark.parametrize('field', ['position', 'routes_position'])
+    @pytest.mark.parametrize(
+        'position',
+        [
+            {},
+            [0, 5],
+            {'era': 0},
+            {'offset': 5},
+            {'era': -1, 'offset': -1},
+            {'era': 0, 'offset': 1e16},
+            {'era': True, 'offset': 5},
+            {'era': 0, 'offset': 1.5},
+        ],
+    )
+    def test_odd_position(self, field: str, position: object) -> None:
+        document = json.dumps({**GOOD, field: position})
+        with pytest.raises(BadRecordError):
+            decode_versions(document.encode(), NOW)
+
+    @pytest.mark.parametrize('field', REQUIRED)
     def test_record_without_a_field_has_nothing(self, field: str) -> None:
         document = {name: GOOD[name] for name in GOOD if name != field}
         with pytest.raises(BadRecordError):
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -398,6 +398,7 @@
             ('version', 503),
             ('passing', 503),
             ('route', 503),
+            ('passing route', 503),
         ],
     )
     def test_all_hosts_are_killed(
@@ -528,7 +529,7 @@
         assert isinstance(routes, list)
         added = {**chat_route(), 'name': 'r-more', 'pathPrefix': '/more/'}
         cluster.configure(2, routeTable=[*routes, added])
-    if changed == 'route':
+    if changed in {'route', 'passing route'}:
         services = [
             {'name': name, 'healthPath': '/h'} for name in ('engines', 'new')
         ]
@@ -542,6 +543,8 @@
             'i-9',
             cluster.endpoints[0].record('new', version='v1'),
         )
+    if changed == 'passing route':
+        cluster.configure(3)
 
 
 def chat_route(**changes: object) -> dict[str, object]:
--- a/tests/test_versionstore.py
+++ b/tests/test_versionstore.py
@@ -4,7 +4,8 @@
 import threading
 
 import pytest
-from records import decode_endpoint
+from gatewaycluster import configuration, route
+from records import decode_configuration, decode_endpoint
 from test_directory import endpoint_content
 
 from trefoilspool import clock
@@ -23,7 +24,7 @@
     ServiceVersion,
     WatchedVersions,
 )
-from trefoilspool.versionreplay import MAX_READS, VersionReplay
+from trefoilspool.versionreplay import MAX_READS, RouteReplay, VersionReplay
 from trefoilspool.versionstore import (
     RECORD_KEY,
     REFRESH_S,
@@ -105,8 +106,8 @@
         topic,
         gossip,
         peers,
-        VersionReplay(log or EndpointLog(), decode_endpoint),
-        lambda: BEGAN_AT,
+        VersionReplay(log or EndpointLog(), lambda: BEGAN_AT, decode_endpoint),
+        RouteReplay(EndpointLog(), lambda: NOWHERE, decode_configuration),
         threading.Event(),
     )
     task.started_at = NOW - 100
@@ -235,7 +236,7 @@
             task.gossip.history.update([new], clock.now())
             return Position(0, 8)
 
-        task.watched_to = watched_to
+        task.endpoint_replay.taken_to = watched_to
         task.write(NOW)
         decoded = decode_versions(topic.content, clock.now())
         assert decoded.position == Position(0, 8)
@@ -262,10 +263,11 @@
         written, topic.content = topic.content, b''
         task.step(NOW + REFRESH_S - 0.1)
         assert not topic.content
-        task.watched_to = lambda: Position(0, 9)
+        task.endpoint_replay.taken_to = lambda: Position(0, 9)
         task.step(NOW + REFRESH_S)
-        assert json.loads(topic.content)['offset'] == 9
-        assert json.loads(written)['offset'] == BEGAN_AT.offset
+        later, earlier = map(json.loads, (topic.content, written))
+        assert later['position'] == {'era': 0, 'offset': 9}
+        assert earlier['position'] == BEGAN_AT._asdict()
 
     def test_own_record_does_not_shorten_the_watch(self) -> None:
         task = home_task(OneRecordTopic())
@@ -273,3 +275,70 @@
         for number in range(5):
             task.step(NOW + number * REFRESH_S)
         assert task.gossip.history.started_at == started_at
+
+
+class ConfigurationLog(EndpointLog):
+    """The store's configurations, of one route each."""
+
+    def __init__(self, *backends: str) -> None:
+        super().__init__()
+        self.records = tuple(
+            KeyedRecord('config', self.content(backend), offset)
+            for offset, backend in enumerate(backends)
+        )
+
+    def content(self, backend: str) -> bytes:
+        routes = [route('chat', 'streaming', backend=backend)]
+        backends = [
+            {'name': name, 'healthPath': '/h'} for name in ('engines', 'new')
+        ]
+        source = configuration(routeTable=routes, backends=backends)
+        return json.dumps(source).encode()
+
+
+class TestRoutesSinceTheRecord:
+    """A route had another service after the record was written."""
+
+    def since(self, position: Position, *backends: str) -> float:
+        """Return since when a host that starts knows the route's service."""
+        watched = WatchedVersions(
+            NOW - 400,
+            {'r-chat': RouteServices(frozenset(('engines',)), NOW - 400)},
+            {},
+            BEGAN_AT,
+            position,
+        )
+        topic = OneRecordTopic(encode_versions(watched, clock.now()))
+        task = home_task(topic)
+        task.gossip.routes.by_route = {
+            'r-chat': RouteServices(frozenset(('engines',)), NOW)
+        }
+        task.gossip.routes.first_at = NOW
+        task.route_replay = RouteReplay(
+            ConfigurationLog(*backends),
+            lambda: Position(0, 3),
+            decode_configuration,
+        )
+        task.read()
+        return task.gossip.routes.by_route['r-chat'].since
+
+    def test_service_that_was_replaced_for_a_while(self) -> None:
+        assert self.since(Position(0, 1), 'engines', 'new', 'engines') == NOW
+
+    def test_service_that_stayed(self) -> None:
+        log = ('new', 'engines', 'engines')
+        assert self.since(Position(0, 1), *log) < NOW - 300
+
+    def test_configurations_that_were_all_known(self) -> None:
+        assert self.since(Position(0, 3)) < NOW - 300
+
+    @pytest.mark.parametrize(
+        'position', [NOWHERE, Position(1, 9), Position(0, 1)]
+    )
+    def test_configurations_that_cannot_be_read(
+        self, position: Position
+    ) -> None:
+        assert self.since(position, 'engines') == NOW
+
+    def test_configuration_that_cannot_be_decoded(self) -> None:
+        assert self.since(Position(0, 1), 'engines', '', 'engines') == NOW
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -37,9 +37,9 @@
 from trefoilspool.serving import RequestServer
 from trefoilspool.servingparts import EndpointKnowledge
 from trefoilspool.settingssync import ConfigurationHandlers, SettingsSync
-from trefoilspool.store import KeyedRecord
+from trefoilspool.store import KeyedRecord, KeyedTopic
 from trefoilspool.telemetry import Metrics
-from trefoilspool.versionreplay import VersionReplay
+from trefoilspool.versionreplay import RouteReplay, VersionReplay
 from trefoilspool.versionstore import VersionStoreTask
 from trefoilspool.watch import WatchTask
 
@@ -145,17 +145,7 @@
         self.mesh.origin_gossip.history = self.directory.versions
         self.mesh.origin_gossip.is_stale = self.endpoint_sync.view.is_stale
         self.mesh.origin_gossip.records_age_s = self.endpoint_sync.view.age_s
-        self.version_task = VersionStoreTask(
-            topics.versions,
-            self.mesh.origin_gossip,
-            self.mesh.peers,
-            # Not the one that waits for endpoint records.
-            VersionReplay(
-                platform.topics().endpoints, platform.decode_endpoint
-            ),
-            self.endpoint_sync.view.replica.taken_position,
-            self.stopping,
-        )
+        self.version_task = self.make_version_task(topics.versions)
         self.status_task = StatusTask(
             topics.statuses,
             platform,
@@ -214,6 +204,27 @@
             self.metrics,
         )
 
+    def make_version_task(self, topic: KeyedTopic) -> VersionStoreTask:
+        """Return the task that keeps the versions in the store."""
+        # The tasks that wait for records have connections of their own.
+        topics = self.platform.topics()
+        return VersionStoreTask(
+            topic,
+            self.mesh.origin_gossip,
+            self.mesh.peers,
+            VersionReplay(
+                topics.endpoints,
+                self.endpoint_sync.view.replica.taken_position,
+                self.platform.decode_endpoint,
+            ),
+            RouteReplay(
+                topics.settings,
+                self.settings_sync.replica.taken_position,
+                lambda content: self.platform.decode_configuration(content),
+            ),
+            self.stopping,
+        )
+
     def start(self) -> None:
         """Start the tasks."""
         for task_loop in self.task_loops():
--- a/trefoilspool/settingssync.py
+++ b/trefoilspool/settingssync.py
@@ -24,7 +24,7 @@
 from trefoilspool.routing import Configuration
 from trefoilspool.store import KeyedRecord, KeyedSource
 
-__all__ = ['ConfigurationHandlers', 'SettingsSync']
+__all__ = ['CONFIGURATION_KEY', 'ConfigurationHandlers', 'SettingsSync']
 
 # A read waits this long for the next record. The others hear of a version from
 # those that wait shortly, which soon notice if their read is not answered.
--- a/trefoilspool/versionhistory.py
+++ b/trefoilspool/versionhistory.py
@@ -8,7 +8,14 @@
 from trefoilspool.replica import NO_ERA, Position
 from trefoilspool.routehistory import RouteServices
 
-__all__ = ['MEMORY_S', 'NOWHERE', 'ServiceVersion', 'VersionHistory']
+__all__ = [
+    'MEMORY_S',
+    'NOWHERE',
+    'ServiceVersion',
+    'VersionHistory',
+    'WatchedVersions',
+    'reaches',
+]
 
 NOWHERE = Position(NO_ERA, -1)
 # Longer than a stream and the time in which its caller takes it up again.
@@ -29,6 +36,12 @@
     software: str
 
 
+def reaches(position: Position, other: Position) -> bool:
+    """Return whether a known position is not before another of its era."""
+    is_same_era = position.era == other.era
+    return position != NOWHERE and is_same_era and position >= other
+
+
 class WatchedVersions(NamedTuple):
     """What hosts have seen of versions; times in seconds.
 
@@ -43,19 +56,15 @@
     position : Position
         Up to where in the endpoint records all versions are known; `NOWHERE`
         if that is not known.
+    routes_position : Position
+        Up to where in the settings the services of the routes are known.
     """
 
     since: float
     routes: Mapping[str, RouteServices]
     until: dict[ServiceVersion, float]
     position: Position = NOWHERE
-
-    def reaches(self, position: Position) -> bool:
-        """Return whether all versions are known up to a position."""
-        if self.position == NOWHERE or position == NOWHERE:
-            return False
-        is_same_era = self.position.era == position.era
-        return is_same_era and self.position >= position
+    routes_position: Position = NOWHERE
 
 
 class VersionHistory:
@@ -155,7 +164,7 @@
             for version, until in self.seen_until.items():
                 earlier[version] = max(until, earlier.get(version, until))
             self.seen_until = earlier
-            if watched.reaches(self.began_at):
+            if reaches(watched.position, self.began_at):
                 self.started_at = min(
                     self.started_at, watched.since + CLOCK_SLACK_S
                 )
--- a/trefoilspool/versionreplay.py
+++ b/trefoilspool/versionreplay.py
@@ -1,5 +1,6 @@
-"""The versions of endpoints' software in the records since a stored claim."""
+"""What the store's records say of versions and routes since a stored claim."""
 
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterator
 
 import logbook
@@ -12,35 +13,35 @@
     TrimmedError,
 )
 from trefoilspool.replica import Position
+from trefoilspool.routehistory import RouteHistory
+from trefoilspool.routing import Configuration
+from trefoilspool.settingssync import CONFIGURATION_KEY
 from trefoilspool.store import KeyedRecord, KeyedSource, Page
 from trefoilspool.versionhistory import WatchedVersions
 
-__all__ = ['VersionReplay']
+__all__ = ['LogReplay', 'RouteReplay', 'VersionReplay']
 
 MAX_READS = 8
 
 logger = logbook.Logger('directory')
 
 
-class VersionReplay:
-    """Extends a stored claim by the endpoint records that came after it.
+class LogReplay(ABC):
+    """Extends a stored claim by the records of a topic that came after it.
 
     Parameters
     ----------
     source : KeyedSource
-        The endpoint records in the store; not used by other threads.
-    decode : callable
-        Decodes a record's key and content; raises ``BadRecordError`` if the
-        content is malformed.
+        The topic in the store; not used by other threads.
+    taken_to : callable
+        Returns up to where this host has taken the topic's records.
     """
 
     def __init__(
-        self,
-        source: KeyedSource,
-        decode: Callable[[str, bytes], EndpointRecord],
+        self, source: KeyedSource, taken_to: Callable[[], Position]
     ) -> None:
         self.source = source
-        self.decode = decode
+        self.taken_to = taken_to
 
     def extend(
         self, watched: WatchedVersions, until: Position, now: float
@@ -55,23 +56,24 @@
         until : Position
             How far the claim is to hold.
         now : float
-            The present time in seconds, until when the versions of these
-            records count as present.
+            The present time in seconds.
 
         Raises
         ------
         LogOutageError
             The store did not respond.
         """
+        position = self.held_to(watched)
         try:
-            for page in self.pages(watched.position, until):
+            for page in self.pages(position, until):
                 watched = self.with_page(watched, page, now)
         except (TrimmedError, StoreRestoredError) as error:
             logger.info(
                 'versions_not_replayed',
                 extra={
-                    'era': watched.position.era,
-                    'offset': watched.position.offset,
+                    'of': type(self).__name__,
+                    'era': position.era,
+                    'offset': position.offset,
                     'error': str(error),
                 },
             )
@@ -89,6 +91,44 @@
                 return
             start = page.end
 
+    @abstractmethod
+    def held_to(self, watched: WatchedVersions) -> Position:
+        """Return up to where in the topic a claim holds."""
+
+    @abstractmethod
+    def with_page(
+        self, watched: WatchedVersions, page: Page, now: float
+    ) -> WatchedVersions:
+        """Return a claim that holds up to the end of a page."""
+
+
+class VersionReplay(LogReplay):
+    """Adds the versions of the endpoint records.
+
+    They count as present until now.
+
+    Parameters
+    ----------
+    source, taken_to : KeyedSource, callable
+        See `LogReplay`.
+    decode : callable
+        Decodes a record's key and content; raises ``BadRecordError`` if the
+        content is malformed.
+    """
+
+    def __init__(
+        self,
+        source: KeyedSource,
+        taken_to: Callable[[], Position],
+        decode: Callable[[str, bytes], EndpointRecord],
+    ) -> None:
+        super().__init__(source, taken_to)
+        self.decode = decode
+
+    def held_to(self, watched: WatchedVersions) -> Position:
+        """Return up to where in the endpoint records a claim holds."""
+        return watched.position
+
     def with_page(
         self, watched: WatchedVersions, page: Page, now: float
     ) -> WatchedVersions:
@@ -121,3 +161,60 @@
                     'error': str(error),
                 },
             )
+
+
+class RouteReplay(LogReplay):
+    """Drops the routes that have had other services meanwhile.
+
+    Parameters
+    ----------
+    source, taken_to : KeyedSource, callable
+        See `LogReplay`.
+    decode : callable
+        Decodes the content of the configuration's record; raises
+        ``BadRecordError`` if it is invalid.
+    """
+
+    def __init__(
+        self,
+        source: KeyedSource,
+        taken_to: Callable[[], Position],
+        decode: Callable[[bytes], Configuration],
+    ) -> None:
+        super().__init__(source, taken_to)
+        self.decode = decode
+
+    def held_to(self, watched: WatchedVersions) -> Position:
+        """Return up to where in the settings a claim holds."""
+        return watched.routes_position
+
+    def with_page(
+        self, watched: WatchedVersions, page: Page, now: float
+    ) -> WatchedVersions:
+        """Return a claim that holds up to the end of a page."""
+        routes = dict(watched.routes)
+        for record in page.records:
+            if record.key == CONFIGURATION_KEY and record.content:
+                services = self.services(record)
+                routes = {
+                    name: known
+                    for name, known in routes.items()
+                    if services.get(name) == known.services
+                }
+        return watched._replace(
+            routes=routes, routes_position=Position(page.era, page.end)
+        )
+
+    def services(self, record: KeyedRecord) -> dict[str, frozenset[str]]:
+        """Return the services of each route; none if they cannot be decoded."""
+        history = RouteHistory()
+        try:
+            configuration = self.decode(record.content)
+        except BadRecordError as error:
+            logger.warning(
+                'configuration_unreadable',
+                extra={'source': 'versions', 'error': str(error)},
+            )
+            return {}
+        history.update(configuration.routes.routes.values(), 0)
+        return history.services()
--- a/trefoilspool/versionstore.py
+++ b/trefoilspool/versionstore.py
@@ -10,7 +10,7 @@
 import random
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 import logbook
@@ -33,8 +33,9 @@
     NOWHERE,
     ServiceVersion,
     WatchedVersions,
+    reaches,
 )
-from trefoilspool.versionreplay import VersionReplay
+from trefoilspool.versionreplay import RouteReplay, VersionReplay
 
 __all__ = ['VersionStoreTask', 'decode_versions', 'encode_versions']
 
@@ -68,11 +69,10 @@
         Has the histories of versions and routes.
     peers : PeerRegistry
         Tells whether this is the home host.
-    replay : VersionReplay
+    endpoint_replay : VersionReplay
         Reads endpoint records again.
-    watched_to : callable
-        Returns up to where in the endpoint records the history has all
-        versions.
+    route_replay : RouteReplay
+        Reads configurations again.
     stopping : threading.Event
         Ends the task.
 
@@ -89,15 +89,15 @@
         topic: KeyedTopic,
         gossip: OriginGossip,
         peers: PeerRegistry,
-        replay: VersionReplay,
-        watched_to: Callable[[], Position],
+        endpoint_replay: VersionReplay,
+        route_replay: RouteReplay,
         stopping: threading.Event,
     ) -> None:
         self.topic = topic
         self.gossip = gossip
         self.peers = peers
-        self.replay = replay
-        self.watched_to = watched_to
+        self.endpoint_replay = endpoint_replay
+        self.route_replay = route_replay
         self.stopping = stopping
         self.started_at = clock.now()
         self.was_read = False
@@ -175,9 +175,11 @@
             return
         history = self.gossip.history
         if watched.since <= history.started_at:
-            watched = self.replay.extend(watched, history.began_at, now)
+            watched = self.endpoint_replay.extend(
+                watched, history.began_at, now
+            )
         history.adopt(watched, now)
-        self.gossip.routes.adopt(watched.routes)
+        self.adopt_routes(watched, now)
         logger.info(
             'versions_read',
             extra={
@@ -189,10 +191,18 @@
             },
         )
 
+    def adopt_routes(self, watched: WatchedVersions, now: float) -> None:
+        """Adopt since when routes have had their services, if still true."""
+        until = self.route_replay.taken_to()
+        watched = self.route_replay.extend(watched, until, now)
+        if reaches(watched.routes_position, until):
+            self.gossip.routes.adopt(watched.routes)
+
     def write(self, now: float) -> None:
         """Write what this host knows."""
-        # The history has at least the versions of the records up to there.
-        position = self.watched_to()
+        # The histories have at least what the records up to there have.
+        position = self.endpoint_replay.taken_to()
+        routes_position = self.route_replay.taken_to()
         history, routes = self.gossip.history, self.gossip.routes
         present, services = history.present(), routes.services()
         watched = WatchedVersions(
@@ -200,6 +210,7 @@
             dict(itertools.islice(routes.by_route.items(), MAX_ROUTES)),
             history.seen_until,
             position,
+            routes_position,
         )
         content = encode_versions(watched, now)
         self.topic.put(RECORD_KEY, content)
@@ -227,10 +238,10 @@
         # The past before the first day of the year 1970 is all the same.
         return max(0, int((at + offset_s) * MS_PER_S))
 
-    position = {} if watched.position == NOWHERE else watched.position._asdict()
     return json.dumps(
         {
-            **position,
+            'position': position_to_json(watched.position),
+            'routes_position': position_to_json(watched.routes_position),
             'since': time_of_day(watched.since),
             'routes': [
                 [name, sorted(route.services), time_of_day(route.since)]
@@ -273,11 +284,17 @@
             ServiceVersion(word(service), word(software)): at(until)
             for service, software, until in rows(fields, 'until')
         },
-        position_of(fields),
+        position_of(fields, 'position'),
+        position_of(fields, 'routes_position'),
     )
 
 
-def position_of(fields: Fields) -> Position:
+def position_to_json(position: Position) -> dict[str, int] | None:
+    """Return a position as a JSON object; None for `NOWHERE`."""
+    return None if position == NOWHERE else position._asdict()
+
+
+def position_of(fields: Fields, field: str) -> Position:
     """Return up to where a record holds; `NOWHERE` in those of earlier builds.
 
     Raises
@@ -285,10 +302,13 @@
     BadRecordError
         The position is malformed.
     """
-    if fields.source.keys().isdisjoint(Position._fields):
+    if fields.source.get(field) is None:
         return NOWHERE
-    era = fields.integer('era', most=MAX_ERA)
-    return Position(era, fields.integer('offset', most=MAX_OFFSET))
+    position = Fields(f'{RECORD_KEY}.{field}', fields.source[field])
+    return Position(
+        position.integer('era', most=MAX_ERA),
+        position.integer('offset', most=MAX_OFFSET),
+    )
 
 
 def rows(fields: Fields, field: str) -> Iterator[list[Any]]:
