Keep a new configuration's routes when stored ones are adopted meanwhile

The task that reads the stored record and those that apply configurations replace the table of routes on threads of their own: an adoption that was under way put the routes of before back, with the earlier service and its old time, until the next configuration.

Changes now hold a lock. The new test of TestStoredVersions failed before.

--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -197,6 +197,19 @@
     )
 
 
+class InterruptedRoutes(dict[str, RouteServices]):
+    """Stored routes during whose use another thread does something."""
+
+    def __init__(self, other: threading.Thread) -> None:
+        super().__init__(ROUTES)
+        self.other = other
+
+    def get(self, key: str, default: object = None) -> RouteServices:
+        self.other.start()
+        self.other.join(0.2)
+        return self[key]
+
+
 class TestStoredVersions:
     """What hosts that start adopt from the store."""
 
@@ -284,6 +297,18 @@
         routes.adopt(ROUTES)
         assert routes.only_service('r', 24, 1) == 'engines'
 
+    def test_configuration_that_another_thread_applies_meanwhile(
+        self,
+    ) -> None:
+        routes = RouteHistory()
+        routes.update([route('engines')], 0)
+        changing = threading.Thread(
+            target=routes.update, args=([route('others')], 5)
+        )
+        routes.adopt(InterruptedRoutes(changing))
+        changing.join()
+        assert routes.services() == {'r': {'others'}}
+
     def test_route_that_changed_after_the_start(self) -> None:
         routes = RouteHistory()
         routes.update([route('others')], 0)
--- a/trefoilspool/routehistory.py
+++ b/trefoilspool/routehistory.py
@@ -1,5 +1,6 @@
 """Since when each route has sent its requests to the same service."""
 
+import threading
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -18,7 +19,7 @@
 class RouteHistory:
     """The services of the routes in force.
 
-    Pure: each call passes the time in seconds.
+    Pure: each call passes the time in seconds. Safe to use from any thread.
 
     Attributes
     ----------
@@ -29,19 +30,21 @@
     """
 
     def __init__(self) -> None:
+        self.lock = threading.Lock()  # for changes
         self.by_route: dict[str, RouteServices] = {}
         self.first_at = 0.0
 
     def update(self, routes: Iterable[Route], now: float) -> None:
         """Replace the routes; what is unchanged keeps its time."""
-        if not self.by_route:
-            self.first_at = now
-        # Other threads read it meanwhile.
-        self.by_route = {
-            route.name: self.services_of(route, now)
-            for route in routes
-            if route.streams
-        }
+        with self.lock:
+            if not self.by_route:
+                self.first_at = now
+            # Other threads read it meanwhile.
+            self.by_route = {
+                route.name: self.services_of(route, now)
+                for route in routes
+                if route.streams
+            }
 
     def adopt(self, earlier: Mapping[str, RouteServices]) -> None:
         """Adopt since when routes had their services before this host started.
@@ -51,10 +54,11 @@
         earlier : mapping
             The services of routes; others may have come meanwhile.
         """
-        self.by_route = {
-            name: self.earliest(known, earlier.get(name))
-            for name, known in self.by_route.items()
-        }
+        with self.lock:
+            self.by_route = {
+                name: self.earliest(known, earlier.get(name))
+                for name, known in self.by_route.items()
+            }
 
     def earliest(
         self, known: RouteServices, earlier: RouteServices | None
