Begin no stream under the version of an endpoint's earlier run

Cause: the host that relays a stream records its beginning by its own record of the endpoint. One that is out of step has the record of an earlier run of an endpoint that is back under its name, and told others a version that had not begun the stream. Change: a grant tells which run the home host means (Verdict.started_ms); if this host's record is of another run, the stream's version is unknown. Result: test_stream_is_not_taken_for_one_of_the_earlier_version failed with the comparison taken out (v1 was recorded), and passes; tests of verification, datagrams, older bytes, slot scheduler, peers and mesh pass.

--- a/tests/test_runverification.py
+++ b/tests/test_runverification.py
@@ -17,6 +17,7 @@
     was_down,
 )
 
+from trefoilspool import clock
 from trefoilspool.departures import EndpointRun
 from trefoilspool.reliability import Reliability
 from trefoilspool.runverification import (
@@ -25,6 +26,7 @@
     RecordConfirmation,
     is_verified,
 )
+from trefoilspool.streamorigins import UNKNOWN, stream_key
 
 READ_EVERY_S = 1.1
 # Longer than a record that is not renewed, and a read of the records.
@@ -302,3 +304,31 @@
     """
     back, other = cluster.endpoints
     return bool(set(back.runs[1:]).intersection(other.runs))
+
+
+class TestOlderRecord:
+    """An entry host out of step has the record of an endpoint's earlier run."""
+
+    def test_stream_is_not_taken_for_one_of_the_earlier_version(
+        self, cluster: GatewayCluster
+    ) -> None:
+        add_endpoints(cluster, 'v1')
+        hosts = add_hosts(cluster, 2)
+        entry = next(
+            made for made in hosts if not made.host.mesh.peers.is_home()
+        )
+        home = next(made for made in hosts if made is not entry)
+        entry.host.endpoint_sync.view.replica.apply = len
+        endpoint = cluster.endpoints[0]
+        cluster.register(endpoint, version='v2', born=2)
+        wait_for(
+            lambda: home.host.mesh.client.software(endpoint.name) == 'v2',
+            'the record of the second run',
+        )
+        assert entry.host.mesh.client.software(endpoint.name) == 'v1'
+        endpoint.behaviour = stream_slowly
+        cluster.call(entry, '/chat/1', Request_Id='a')
+        gossip = entry.host.mesh.origin_gossip
+        found = gossip.origins.find(stream_key('acme', 'a'), clock.now())
+        assert found is not None
+        assert found.software == UNKNOWN
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -140,14 +140,26 @@
             now,
             self.slot_client.run(decision.endpoint).started_ms,
             decision.is_probe,
-            self.slot_client.software(decision.endpoint)
-            if decision.is_verified
-            and self.slot_client.is_verified(decision.endpoint)
-            else UNKNOWN,
+            self.known_software(decision),
         )
         self.held[slot.key] = slot
         return slot
 
+    def known_software(self, granted: Granted) -> str:
+        """Return the version that a granted endpoint runs, if this is certain.
+
+        Either of the two hosts may not have read that it has started again.
+        """
+        run = self.slot_client.run(granted.endpoint)
+        is_certain = (
+            granted.is_verified
+            and granted.names(run)
+            and self.slot_client.is_verified(granted.endpoint)
+        )
+        if not is_certain:
+            return UNKNOWN
+        return self.slot_client.software(granted.endpoint)
+
     def slot_request(self, avoid: tuple[str, ...], now: float) -> SlotRequest:
         """Return the slot request of the next attempt."""
         request = self.request
--- a/trefoilspool/slotmessages.py
+++ b/trefoilspool/slotmessages.py
@@ -248,12 +248,20 @@
     is_verified : bool
         Whether the endpoint is known to run the software that its record names:
         one that has just been down may have come back with another.
+    started_ms : int or None
+        Unix milliseconds of the start of the endpoint's run; None if it is not
+        told.
     """
 
     key: SlotKey
     endpoint: str
     is_probe: bool = False
     is_verified: bool = True
+    started_ms: int | None = None
+
+    def names(self, run: EndpointRun) -> bool:
+        """Return whether the grant is for a run, as far as it tells."""
+        return self.started_ms is None or self.started_ms == run.started_ms
 
 
 class Queued(NamedTuple):
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -180,6 +180,7 @@
                     reservation.endpoint,
                     reservation.is_probe,
                     granted is not None and self.is_verified(granted),
+                    reservation.run.started_ms,
                 )
             )
             return
@@ -328,6 +329,7 @@
                 endpoint.spec.name,
                 is_probe,
                 self.is_verified(endpoint),
+                endpoint.spec.started_ms,
             )
         )
 
--- a/trefoilspool/wire/gen/mesh/ttypes.py
+++ b/trefoilspool/wire/gen/mesh/ttypes.py
@@ -637,11 +637,12 @@
      - probe
      - quarantined
      - unverified
+     - started_ms
 
     """
 
 
-    def __init__(self, request=None, kind=None, endpoint=None, reason=None, retry_after_ms=None, probe=None, quarantined=None, unverified=None,):
+    def __init__(self, request=None, kind=None, endpoint=None, reason=None, retry_after_ms=None, probe=None, quarantined=None, unverified=None, started_ms=None,):
         self.request = request
         self.kind = kind
         self.endpoint = endpoint
@@ -650,6 +651,7 @@
         self.probe = probe
         self.quarantined = quarantined
         self.unverified = unverified
+        self.started_ms = started_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -700,6 +702,11 @@
                     self.unverified = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -742,6 +749,10 @@
             oprot.writeFieldBegin('unverified', TType.BOOL, 8)
             oprot.writeBool(self.unverified)
             oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 9)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2721,6 +2732,7 @@
     (6, TType.BOOL, 'probe', None, None, ),  # 6
     (7, TType.BOOL, 'quarantined', None, None, ),  # 7
     (8, TType.BOOL, 'unverified', None, None, ),  # 8
+    (9, TType.I64, 'started_ms', None, None, ),  # 9
 )
 all_structs.append(End)
 End.thrift_spec = (
--- a/trefoilspool/wire/mesh.py
+++ b/trefoilspool/wire/mesh.py
@@ -266,6 +266,7 @@
             decision.endpoint,
             probe=decision.is_probe or None,
             unverified=not decision.is_verified or None,
+            started_ms=decision.started_ms,
         )
     if isinstance(decision, slotmessages.Refused):
         return ttypes.Verdict(
@@ -297,6 +298,7 @@
             checks.label(wire.endpoint),
             bool(wire.probe),
             not wire.unverified,
+            None if wire.started_ms is None else checks.count(wire.started_ms),
         )
     if wire.kind == REFUSED:
         return slotmessages.Refused(
--- a/trefoilspool/wire/mesh.thrift
+++ b/trefoilspool/wire/mesh.thrift
@@ -56,6 +56,7 @@
   6: optional bool probe    // the grant tests a quarantined part
   7: optional bool quarantined // the reason; builds before read field 4
   8: optional bool unverified  // the endpoint may have another version by now
+  9: optional i64 started_ms   // start of the endpoint's run, Unix time
 }
 struct End {
   1: i64 request
