--- a/tests/test_slotscheduler.py
+++ b/tests/test_slotscheduler.py
@@ -91,7 +91,7 @@
         assert isinstance(granted, Granted)
         scheduler.on_release(slot_release(0, granted.endpoint), 0.1)
         assert scheduler.take_decisions() == [
-            Granted(SlotKey('h1', 4), granted.endpoint),
+            Granted(SlotKey('h1', 4), granted.endpoint, started_ms=1),
         ]
 
     def test_higher_priority_goes_first(self, scheduler: SlotScheduler) -> None:
@@ -129,7 +129,7 @@
         scheduler.on_ask(ask(1, avoid=('a',)), 0)
         scheduler.on_ask(ask(2, avoid=('a', 'b')), 0)
         first, second = scheduler.take_decisions()
-        assert first == Granted(SlotKey('h1', 1), 'b')
+        assert first == Granted(SlotKey('h1', 1), 'b', started_ms=1)
         assert isinstance(second, Refused)
         assert second.reason is RefusalReason.no_endpoint
 
@@ -138,7 +138,9 @@
         scheduler.on_ask(ask(1), 0)
         assert decision_types(scheduler) == [Queued]
         scheduler.on_available_endpoints([endpoint_spec('a')], 0.1)
-        assert scheduler.take_decisions() == [Granted(SlotKey('h1', 1), 'a')]
+        assert scheduler.take_decisions() == [
+            Granted(SlotKey('h1', 1), 'a', started_ms=1)
+        ]
 
     def test_removed_endpoint_gets_no_requests(
         self, scheduler: SlotScheduler
@@ -161,7 +163,9 @@
             scheduler.on_ask(ask(number), 0)
         assert {grant.endpoint for grant in scheduler.take_decisions()} == {'b'}  # type: ignore[union-attr]
         scheduler.on_ask(ask(12, arrived_at=5), 5)
-        assert scheduler.take_decisions() == [Granted(SlotKey('h1', 12), 'a')]
+        assert scheduler.take_decisions() == [
+            Granted(SlotKey('h1', 12), 'a', started_ms=1)
+        ]
 
     def test_service_that_fails_as_a_whole_is_still_used(
         self, scheduler: SlotScheduler
@@ -238,7 +242,7 @@
             for decision in scheduler.take_decisions()
         }
         assert isinstance(decisions[5], Queued)
-        assert decisions[6] == Granted(SlotKey('h1', 6), 'a')
+        assert decisions[6] == Granted(SlotKey('h1', 6), 'a', started_ms=1)
 
     def test_near_deadline_shortens_the_queue_timeout(
         self, scheduler: SlotScheduler
