Check whether an endpoint has ended after every attempt that broke

An endpoint that crashes amid streams and closes its connections before its port passes the check that is made at once, and nobody is refused after it. If the check could not tell, or was not made for want of room, the record still counted as that of the run that serves.

Change: every broken attempt has its endpoint checked; a run of which nothing can be told counts as down at this host, until its record is confirmed. Other hosts may reach it and are not told. A stream that an endpoint that lives has cut costs one connection.

Tests: BrokenStart is now SuspectedEnd, a rename only.

--- a/tests/test_endchecks.py
+++ b/tests/test_endchecks.py
@@ -14,9 +14,9 @@
 from trefoilspool.endchecks import (
     DELAY_S,
     MAX_PENDING,
-    BrokenStart,
     CheckResult,
     EndCheckTask,
+    SuspectedEnd,
 )
 from trefoilspool.paths.dialer import Dialer
 from trefoilspool.paths.relayclient import RelayClient
@@ -68,7 +68,7 @@
         self, task: EndCheckTask, ended: list[int]
     ) -> None:
         for number in range(3):
-            task.handle(BrokenStart(EndpointRun('i-1', 7), number))
+            task.handle(SuspectedEnd(EndpointRun('i-1', 7), number))
         task.tick()
         assert not ended
         assert 0 < task.pause_s() <= DELAY_S
@@ -84,9 +84,31 @@
         assert task.check(EndpointRun('i-1', 8)) is CheckResult.unknown
         assert task.check(EndpointRun('i-2', 7)) is CheckResult.unknown
 
+    def test_run_that_cannot_be_reached_is_unknown(
+        self, task: EndCheckTask, ended: list[int]
+    ) -> None:
+        unknown: list[EndpointRun] = []
+        task.on_unknown = unknown.append
+        task.handle(SuspectedEnd(EndpointRun('i-2', 7), 1))
+        task.handle(SuspectedEnd(EndpointRun('i-1', 7), 2))
+        time.sleep(DELAY_S)
+        task.tick()
+        task.tick()
+        assert unknown == [EndpointRun('i-2', 7)]
+        assert ended == [2]
+
+    def test_run_that_is_not_checked_is_unknown(
+        self, task: EndCheckTask
+    ) -> None:
+        unknown: list[EndpointRun] = []
+        task.on_unknown = unknown.append
+        for number in range(MAX_PENDING + 1):
+            task.handle(SuspectedEnd(EndpointRun(f'i-{number}', 7), number))
+        assert unknown == [EndpointRun(f'i-{MAX_PENDING}', 7)]
+
     def test_pending_checks_are_bounded(self, task: EndCheckTask) -> None:
         for number in range(MAX_PENDING + 9):
-            task.handle(BrokenStart(EndpointRun(f'i-{number}', 7), number))
+            task.handle(SuspectedEnd(EndpointRun(f'i-{number}', 7), number))
         assert len(task.pending) == MAX_PENDING
 
 
--- a/tests/test_runverification.py
+++ b/tests/test_runverification.py
@@ -1,7 +1,9 @@
 """Streams go on at no endpoint that may be back as another run."""
 
+import contextlib
 import itertools
 import math
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -18,6 +20,7 @@
 )
 
 from trefoilspool.departures import EndpointRun
+from trefoilspool.endchecks import DELAY_S
 from trefoilspool.reliability import Reliability
 from trefoilspool.runverification import (
     RECORD_LIFETIME_S,
@@ -175,7 +178,10 @@
 
 
 def break_stream(
-    cluster: GatewayCluster, hosts: list[RunningHost], down: PlatformEndpoint
+    cluster: GatewayCluster,
+    hosts: list[RunningHost],
+    down: PlatformEndpoint,
+    crash: Callable[[PlatformEndpoint], None] = PlatformEndpoint.crash,
 ) -> None:
     """Let an endpoint crash amid a stream; no other request comes."""
     for _ in range(ATTEMPTS):
@@ -185,23 +191,36 @@
         ) as response:
             response.read1(100)
             if f'x{number}' in down.runs:
-                down.crash()
+                time.sleep(STREAMING_S)
+                crash(down)
                 response.read()
                 return
     raise AssertionError(f'no stream began at {down.name}')
 
 
+def crash_slowly(down: PlatformEndpoint) -> None:
+    """Let an endpoint close its connections before its port."""
+    for sock in list(down.open_sockets):
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+    time.sleep(DELAY_S / 2)
+    down.crash()
+
+
 class TestSigns:
     """What tells the home host that an endpoint was down."""
 
-    def test_stream_that_broke(self, cluster: GatewayCluster) -> None:
+    @pytest.mark.parametrize('crash', [PlatformEndpoint.crash, crash_slowly])
+    def test_stream_that_broke(
+        self, cluster: GatewayCluster, crash: Callable[..., None]
+    ) -> None:
         """No request is sent there after it, as the endpoint is avoided."""
         add_endpoints(cluster, 'v1', 'v1')
         hosts = add_hosts(cluster, 2)
         for endpoint in cluster.endpoints:
             endpoint.behaviour = stream_slowly
         down = cluster.endpoints[0]
-        break_stream(cluster, hosts, down)
+        break_stream(cluster, hosts, down, crash)
         wait_for(lambda: was_down(hosts, down.name), 'the refusal')
 
 
--- a/trefoilspool/endchecks.py
+++ b/trefoilspool/endchecks.py
@@ -1,4 +1,4 @@
-"""Checks whether endpoints ended whose attempts broke at their start."""
+"""Checks whether endpoints ended under attempts that broke."""
 
 from collections.abc import Callable, Mapping
 from enum import Enum, auto
@@ -15,7 +15,7 @@
 from trefoilspool.paths.ways import EndpointPaths
 from trefoilspool.task import Task
 
-__all__ = ['BrokenStart', 'EndCheckTask']
+__all__ = ['SuspectedEnd', 'EndCheckTask']
 
 # By then a process that ends has closed its port; one that is started again
 # has hardly opened it.
@@ -27,8 +27,8 @@
 logger = logbook.Logger('endchecks')
 
 
-class BrokenStart(NamedTuple):
-    """Message: an attempt broke before more than the start of a response.
+class SuspectedEnd(NamedTuple):
+    """Message: an attempt broke, at its start or amid a stream.
 
     Attributes
     ----------
@@ -72,6 +72,8 @@
 
     Attributes
     ----------
+    on_unknown : callable
+        Called with a run of which it cannot be told whether it has ended.
     pending : dict
         The checks to make, by run; oldest first.
     """
@@ -86,15 +88,17 @@
         self.endpoints = endpoints
         self.on_ended = on_ended
         self.paths = paths
+        self.on_unknown: Callable[[EndpointRun], None] = lambda _: None
         self.pending: dict[EndpointRun, PendingCheck] = {}
 
     def handle(self, message: object) -> None:
         """Note an attempt; one check is made for all at a run."""
-        if not isinstance(message, BrokenStart):
+        if not isinstance(message, SuspectedEnd):
             return
         run, number = message
         if run not in self.pending and len(self.pending) >= MAX_PENDING:
             logger.info('end_not_checked', extra={'endpoint': run.name})
+            self.on_unknown(run)
             return
         check = PendingCheck(clock.now() + DELAY_S, [])
         self.pending.setdefault(run, check).numbers.append(number)
@@ -118,6 +122,8 @@
         if result is CheckResult.refuses:
             for number in numbers:
                 self.on_ended(number)
+        elif result is CheckResult.unknown:
+            self.on_unknown(run)
 
     def check(self, run: EndpointRun) -> CheckResult:
         """Connect to the endpoint of a run."""
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -184,7 +184,8 @@
             self.mesh.client.on_endpoint_down,
             self.paths,
         )
-        self.mesh.client.on_broken_start = self.end_checks.post
+        self.end_checks.on_unknown = self.mesh.client.on_end_unknown
+        self.mesh.client.on_suspected_end = self.end_checks.post
         self.quiet_periods = QuietPeriods()
         self.endpoint_signs = EndpointSigns(
             self.directory, self.quiet_periods, self.mesh, self.metrics
--- a/trefoilspool/slotacquisition.py
+++ b/trefoilspool/slotacquisition.py
@@ -288,8 +288,10 @@
         if self.held.pop(slot.key, None) is None:
             return
         now = clock.now()
-        if ending is AttemptEnding.broken and times.has_hardly_begun(now):
-            self.report_crash(slot, now)
+        if ending is AttemptEnding.broken:
+            if times.has_hardly_begun(now):
+                self.report_crash(slot, now)
+            self.slot_client.check_end(slot.run, slot.key.number)
         self.slot_client.rollouts.on_end(
             self.request.service,
             self.request.route.name,
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -14,7 +14,7 @@
 from trefoilspool.crashevidence import CrashReport
 from trefoilspool.crashreports import CrashReports
 from trefoilspool.departures import EndpointRun
-from trefoilspool.endchecks import BrokenStart
+from trefoilspool.endchecks import SuspectedEnd
 from trefoilspool.endpointlimits import EndpointLimits
 from trefoilspool.localchoice import RETRY_AFTER_S, LocalChoice
 from trefoilspool.peers import PeerRegistry
@@ -116,8 +116,8 @@
     ----------
     choice : LocalChoice
         Chooses endpoints while no home host replies.
-    on_broken_start : callable
-        Called with each crashed attempt, to check its endpoint.
+    on_suspected_end : callable
+        Called with each attempt that broke, to check its endpoint.
     down_runs : DownRuns
         Runs that this host has found to be down.
     rollouts : RolloutGate
@@ -140,7 +140,7 @@
             peers, self.quarantine, limits or EndpointLimits()
         )
         self.crash_reports = CrashReports()
-        self.on_broken_start: Callable[[BrokenStart], None] = lambda _: None
+        self.on_suspected_end: Callable[[SuspectedEnd], None] = lambda _: None
         self.served_log = ServedLog(clock.now())
         self.down_runs = DownRuns()
         self.rollouts = RolloutGate()
@@ -336,7 +336,10 @@
     ) -> None:
         """Report an attempt that ended with its endpoint to the home host."""
         self.send_report(self.crash_reports.add(run, parts, number, now))
-        self.on_broken_start(BrokenStart(run, number))
+
+    def check_end(self, run: EndpointRun, number: int) -> None:
+        """Have it checked whether a run has ended under an attempt."""
+        self.on_suspected_end(SuspectedEnd(run, number))
 
     def on_endpoint_down(self, number: int) -> None:
         """Report that the endpoint of a crashed attempt is down."""
@@ -344,6 +347,13 @@
         if report is not None:
             self.send_report(report)
 
+    def on_end_unknown(self, run: EndpointRun) -> None:
+        """Note that a run, under which an attempt broke, cannot be reached.
+
+        Other hosts may reach it, so they are not told.
+        """
+        self.down_runs.on_down(run, clock.now())
+
     def on_refused(self, run: EndpointRun) -> None:
         """Note, and tell the home host, that a run has refused a connection.
 
