Keep the slots of hosts whose reports are handled late

Cause: dated reports from when they may have arrived, also for the loss of an entry host. A home host with so much to do that its buffer is never found empty would have taken all hosts for lost 1.2 s later, though it handles their reports.

Change: the loss counts from when a report was handled, as before; only the share of the limits of endpoints counts from its arrival (last_heard).

Measured: test_host_whose_reports_are_handled_late_is_not_lost failed before (0 of 1 slot kept); test_mesh, test_slotscheduler, test_endpointpacer pass.

--- a/tests/test_slotscheduler.py
+++ b/tests/test_slotscheduler.py
@@ -446,6 +446,15 @@
         scheduler.tick(woke_at + HOLD_TIMEOUT_S + 0.1)
         assert not len(scheduler.reservations)
 
+    def test_host_whose_reports_are_handled_late_is_not_lost(
+        self, scheduler: SlotScheduler
+    ) -> None:
+        """A home host with too much to do hears all, but late."""
+        held = HeldSlot(SlotKey('h2', 1), SERVICE, 'a', 100, 10, 0)
+        scheduler.on_held_slots('h2', [held], 10, 10 - 2 * HOLD_TIMEOUT_S)
+        scheduler.tick(10.1)
+        assert len(scheduler.reservations) == 1
+
     def test_limit_is_not_earned_meanwhile(
         self, scheduler: SlotScheduler
     ) -> None:
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -351,7 +351,7 @@
         self.limits.tick(now)
         if self.limits.by_run:
             limit_share = self.home_contact.home_share(
-                self.scheduler.last_reports.values(), now
+                self.scheduler.last_heard.values(), now
             )
             self.scheduler.pacer.share = limit_share
             self.scheduler.refusals.share = limit_share
--- a/trefoilspool/slotscheduler.py
+++ b/trefoilspool/slotscheduler.py
@@ -80,7 +80,9 @@
     reservations : Reservations
         Granted slots that have not been released.
     last_reports : dict
-        When each entry host last reported its held slots.
+        When the last report of each entry host's held slots was handled.
+    last_heard : dict
+        When it arrived at the earliest, by entry host.
     listening_since : float
         Since when the silence of an entry host would be noticed, in seconds.
     rate_limits : RateLimits
@@ -110,6 +112,7 @@
         self.waiting = WaitingRequests()
         self.reservations = Reservations(self.pool, self.guard)
         self.last_reports: dict[str, float] = {}
+        self.last_heard: dict[str, float] = {}
         self.listening_since = 0.0
         self.rate_limits = RateLimits()
         self.grant_rates = GrantRates()
@@ -407,8 +410,9 @@
             Slots granted shortly before are not on it.
         """
         heard_at = now if heard_at is None else heard_at
-        self.last_reports[entry] = max(
-            heard_at, self.last_reports.get(entry, heard_at)
+        self.last_reports[entry] = now
+        self.last_heard[entry] = max(
+            heard_at, self.last_heard.get(entry, heard_at)
         )
         self.guard.on_entries(self.last_reports)
         held_keys = set()
@@ -498,6 +502,7 @@
     def remove_entry(self, entry: str, now: float) -> None:
         """Drop the slots and waiting requests of a lost entry host."""
         self.last_reports.pop(entry, None)
+        self.last_heard.pop(entry, None)
         self.guard.on_entries(self.last_reports)
         for waiting in self.waiting.all():
             if waiting.ask.key.entry == entry:
