Take datagrams for old only after a stall

Cause: stalls.heard_at gave the time at which the buffer was last empty whenever that was 0.6 s ago. A busy host may not find it empty for long, and would have taken all it hears for old.

Change: only datagrams handled in the 2 s after a wake, before the buffer was found empty, count from then.

--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -5,7 +5,7 @@
 import logbook
 import pytest
 
-from trefoilspool.stalls import LONGEST_STEP_S, StallWatch, heard_at
+from trefoilspool.stalls import DRAIN_S, LONGEST_STEP_S, StallWatch, heard_at
 
 
 class TestStallWatch:
@@ -44,3 +44,15 @@
         """The buffer was empty when the wait for the datagram began."""
         now = 10 + LONGEST_STEP_S / 2
         assert heard_at(10, now) == now
+
+    def test_datagram_of_a_busy_host_that_did_not_stand_still(self) -> None:
+        """Its buffer is never empty, but nothing waits there for long."""
+        assert heard_at(10, 20, woke_at=9) == 20
+
+    def test_datagram_after_a_wake(self) -> None:
+        assert heard_at(10, 13, woke_at=13) == 10
+        assert heard_at(10, 13 + DRAIN_S / 2, woke_at=13) == 10
+
+    def test_datagram_long_after_a_wake(self) -> None:
+        """What waited has been handled, though the host is busy."""
+        assert heard_at(10, 13 + DRAIN_S, woke_at=13) == 13 + DRAIN_S
--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -1,5 +1,6 @@
 """The home host's service to entry hosts: slots for their requests."""
 
+import math
 from collections import Counter
 from typing import Any
 
@@ -46,6 +47,8 @@
     ----------
     stepped_at : float
         When the mesh task's last step began, in seconds.
+    woke_at : float
+        When this host last went on after it stood still, in seconds.
     """
 
     def __init__(
@@ -65,12 +68,14 @@
         self.sender = sender
         self.heartbeat_counts: Counter[str] = Counter()
         self.stepped_at = clock.now()
+        self.woke_at = -math.inf
 
     def on_step(self, now: float) -> None:
         """Note when a step begins, and whether this host stood still before."""
         before = self.stepped_at
         self.stepped_at = now
         if now - before >= LONGEST_STEP_S:
+            self.woke_at = now
             self.scheduler.on_stood_still(before, now)
 
     def on_asks(self, sender: HostInfo, asks: list[Any], now: float) -> None:
--- a/trefoilspool/stalls.py
+++ b/trefoilspool/stalls.py
@@ -1,5 +1,7 @@
 """Notices that a loop, and so probably its process, has stood still."""
 
+import math
+
 import logbook
 
 __all__ = ['LONGEST_STEP_S', 'MIN_STALL_S', 'StallWatch', 'heard_at']
@@ -10,6 +12,8 @@
 # buffer empty, or made its next step, for longer was held up. With the longest
 # heartbeat period, below HOLD_TIMEOUT_S.
 LONGEST_STEP_S = 0.6
+# In this time after a stall what waited in the buffer has been handled.
+DRAIN_S = 2.0
 
 logger = logbook.Logger('mesh')
 
@@ -45,11 +49,12 @@
             logger.warning('stood_still', extra={'for_s': round(stalled_s, 3)})
 
 
-def heard_at(emptied_at: float, now: float) -> float:
+def heard_at(emptied_at: float, now: float, woke_at: float = math.inf) -> float:
     """Return from when a datagram counts that is handled now, in seconds.
 
-    While the loop keeps up, datagrams have just arrived. After a stall they may
-    have waited since the buffer was last empty.
+    After a stall it may have waited since the buffer was last empty. Otherwise it
+    has arrived just now: a busy host may never find its buffer empty, though
+    nothing waits there for long.
 
     Parameters
     ----------
@@ -57,5 +62,12 @@
         When the buffer was last found empty, in seconds.
     now : float
         The present time in seconds.
+    woke_at : float, optional
+        When this host last woke from a stall, in seconds; by default it may
+        have been at any time.
     """
-    return now if now - emptied_at < LONGEST_STEP_S else emptied_at
+    may_have_waited = (
+        emptied_at < woke_at and now - emptied_at >= LONGEST_STEP_S
+    )
+    is_drained = now - woke_at >= DRAIN_S
+    return emptied_at if may_have_waited and not is_drained else now
