Count the time left of a waiting slot request from its arrival

Cause: a request for a slot that waited while the home host stood still had its deadline, and the time by which its first byte is due, later by the pause.

Change: on_asks takes heard_at.

Measured: test_deadline_of_a_request_that_waited_is_no_later failed before (113 in place of 109); test_mesh, test_odddatagrams, test_docs pass. The request of an existing test of test_mesh became a constant, with the same values.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -71,6 +71,26 @@
         mesh.tick(now)
 
 
+ASK = SlotRequest(
+    SlotKey('h2', 1),
+    's',
+    'w',
+    1,
+    10,
+    10,
+    1,
+    9,
+    0,
+    (),
+    1,
+    (),
+    True,
+    0,
+    'z1',
+    True,
+)
+
+
 def hello_of(host: HostInfo) -> ttypes.Datagram:
     return ttypes.Datagram(wire.host_info_to_wire(host), hello=False)
 
@@ -188,25 +208,7 @@
     def test_host_with_queued_requests_wakes_each_tick(
         self, mesh: MeshTask
     ) -> None:
-        ask = SlotRequest(
-            SlotKey('h2', 1),
-            's',
-            'w',
-            1,
-            10,
-            10,
-            1,
-            9,
-            0,
-            (),
-            1,
-            (),
-            True,
-            0,
-            'z1',
-            True,
-        )
-        mesh.scheduler.on_ask(ask, 0)
+        mesh.scheduler.on_ask(ASK, 0)
         mesh.heartbeat_at = 0
         mesh.hello_schedule.next_at = 1
         assert mesh.pause_s(0) == TICK_S
@@ -340,6 +342,15 @@
         mesh.on_datagram(body, '127.0.9.2', 104.1, 104.1)
         assert mesh.limits.per_s(run) == 10
 
+    def test_deadline_of_a_request_that_waited_is_no_later(
+        self, mesh: MeshTask, sent: Sent
+    ) -> None:
+        datagram = hello_of(host_info(2))
+        datagram.asks = [wire.ask_to_wire(ASK, 0)]
+        mesh.on_datagram(wire.encode(datagram), '127.0.9.2', 104, 100)
+        waiting = list(mesh.scheduler.waiting.all())
+        assert [each.ask.deadline for each in waiting] == [100 + ASK.deadline]
+
     def test_end_and_served_request_count_from_the_arrival(
         self, mesh: MeshTask, sent: Sent
     ) -> None:
--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -78,11 +78,25 @@
             self.woke_at = now
             self.scheduler.on_stood_still(before, now)
 
-    def on_asks(self, sender: HostInfo, asks: list[Any], now: float) -> None:
-        """Pass slot requests to the slot scheduler."""
+    def on_asks(
+        self, sender: HostInfo, asks: list[Any], now: float, heard_at: float
+    ) -> None:
+        """Pass slot requests to the slot scheduler.
+
+        Parameters
+        ----------
+        sender : HostInfo
+            The entry host.
+        asks : list
+            Structs of the requests, with their times left at ``heard_at``.
+        now : float
+            The present time in seconds.
+        heard_at : float
+            When they arrived at the earliest, in seconds.
+        """
 
         def convert(ask: Any) -> SlotRequest:
-            return wire.ask_from_wire(ask, sender.name, now)
+            return wire.ask_from_wire(ask, sender.name, heard_at)
 
         for ask in checks.readable(convert, asks):
             self.scheduler.on_ask(ask, now)
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -46,7 +46,15 @@
 # Their handlers also get the time from which the datagram counts, which is before
 # the present time if it has waited.
 DATED_FIELDS = frozenset(
-    ('crashes', 'digest', 'limits', 'roll', 'rollout_reports', 'served')
+    (
+        'asks',
+        'crashes',
+        'digest',
+        'limits',
+        'roll',
+        'rollout_reports',
+        'served',
+    )
 )
 
 logger = logbook.Logger('mesh')
