--- a/trefoilspool/homeservice.py
+++ b/trefoilspool/homeservice.py
@@ -1,5 +1,6 @@
 """The home host's service to entry hosts: slots for their requests."""
 
+import math
 from collections import Counter
 from typing import Any
 
@@ -46,6 +47,8 @@
     ----------
     stepped_at : float
         When the mesh task's last step began, in seconds.
+    woke_at : float
+        When this host last went on after it stood still, in seconds.
     """
 
     def __init__(
@@ -65,19 +68,35 @@
         self.sender = sender
         self.heartbeat_counts: Counter[str] = Counter()
         self.stepped_at = clock.now()
+        self.woke_at = -math.inf
 
     def on_step(self, now: float) -> None:
         """Note when a step begins, and whether this host stood still before."""
         before = self.stepped_at
         self.stepped_at = now
         if now - before >= LONGEST_STEP_S:
+            self.woke_at = now
             self.scheduler.on_stood_still(before, now)
 
-    def on_asks(self, sender: HostInfo, asks: list[Any], now: float) -> None:
-        """Pass slot requests to the slot scheduler."""
+    def on_asks(
+        self, sender: HostInfo, asks: list[Any], now: float, heard_at: float
+    ) -> None:
+        """Pass slot requests to the slot scheduler.
+
+        Parameters
+        ----------
+        sender : HostInfo
+            The entry host.
+        asks : list
+            Structs of the requests, with their times left at ``heard_at``.
+        now : float
+            The present time in seconds.
+        heard_at : float
+            When they arrived at the earliest, in seconds.
+        """
 
         def convert(ask: Any) -> SlotRequest:
-            return wire.ask_from_wire(ask, sender.name, now)
+            return wire.ask_from_wire(ask, sender.name, heard_at)
 
         for ask in checks.readable(convert, asks):
             self.scheduler.on_ask(ask, now)
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -46,7 +46,15 @@
 # Their handlers also get the time from which the datagram counts, which is before
 # the present time if it has waited.
 DATED_FIELDS = frozenset(
-    ('crashes', 'digest', 'limits', 'roll', 'rollout_reports', 'served')
+    (
+        'asks',
+        'crashes',
+        'digest',
+        'limits',
+        'roll',
+        'rollout_reports',
+        'served',
+    )
 )
 
 logger = logbook.Logger('mesh')
@@ -367,7 +375,7 @@
         self.limits.tick(now)
         if self.limits.by_run:
             limit_share = self.home_contact.home_share(
-                self.scheduler.last_reports.values(), now
+                self.scheduler.last_heard.values(), now
             )
             self.scheduler.pacer.share = limit_share
             self.scheduler.refusals.share = limit_share
