Pass on when a host last woke from a stall

Cause: the mesh task did not tell it, so a busy host that never finds its buffer empty took what it hears for old. Change: the step passes it on with the time at which the buffer was last empty. The test of the step begins with a step before the stall.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -314,6 +314,7 @@
     ) -> None:
         body = wire.encode(hello_of(host_info(2)))
         mesh.socket.emptied_at = 100
+        wake(100, b'')
         wake(104, body)
         assert 'h2' not in mesh.peers.heard_since(103)
         mesh.socket.emptied_at = 104
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -243,7 +243,9 @@
         now = clock.now()
         self.home_service.on_step(now)
         if body:
-            heard_at = stalls.heard_at(self.socket.emptied_at, now)
+            heard_at = stalls.heard_at(
+                self.socket.emptied_at, now, self.home_service.woke_at
+            )
             self.on_datagram(body, origin, now, heard_at)
         if self.callbacks:
             self.run_callbacks(now)
