Watch the services of routes anew after a gap in the configurations

A host keeps since when a route has had its services as long as each configuration that it applies has the same. Where it got only the latest one (from another host, by a read of the whole settings after a trim or a restore, after a record that it could not read), another may have sent the route elsewhere for a while, and streams may have begun there.

Such a configuration, if newer than the one in force, now makes the watch of all routes begin anew. Those read from the log one after the other do not.

--- a/tests/test_versiongaps.py
+++ b/tests/test_versiongaps.py
@@ -1,13 +1,19 @@
 """Versions of endpoints' software that came and went between two reads."""
 
+import json
 import time
 from collections.abc import Iterator
 
 import pytest
-from gatewaycluster import GatewayCluster, wait_for
+from gatewaycluster import GatewayCluster, configuration, wait_for
 from records import decode_endpoint
 from test_directory import endpoint_content
-from test_streamversions import add_endpoints, add_hosts, take_up
+from test_streamversions import (
+    add_endpoints,
+    add_hosts,
+    change_beside,
+    take_up,
+)
 
 from trefoilspool import clock
 from trefoilspool.endpointview import GAP_S, EndpointView
@@ -224,3 +230,55 @@
             cluster.register(cluster.endpoints[0], version='v1', born=number)
             time.sleep(0.1)
         assert [watch.began_at for watch in watches] == began_at
+
+    @pytest.mark.parametrize('is_trimmed', [False, True])
+    def test_route_that_went_elsewhere_during_an_outage(
+        self, cluster: GatewayCluster, *, is_trimmed: bool
+    ) -> None:
+        """A stream of the other service must not go on at this one."""
+        add_endpoints(cluster, 'v1', 'v1')
+        running = add_hosts(cluster, 1)[0]
+        running.run_for_long()
+        with cluster.store.failing(503):
+            time.sleep(0.3)
+            change_beside(cluster, 'passing route')
+            if is_trimmed:
+                cluster.store.trim('keyed.op')
+        wait_for(
+            lambda: running.host.gateway.version == 3, 'the version in force'
+        )
+        assert take_up(cluster, running, '').status == 503
+
+    @pytest.mark.parametrize('way', ['other host', 'after an unreadable one'])
+    def test_routes_of_a_configuration_that_need_not_be_the_next(
+        self, cluster: GatewayCluster, way: str
+    ) -> None:
+        """Others may have come between it and the one before."""
+        add_endpoints(cluster, 'v1', 'v1')
+        running = add_hosts(cluster, 1)[0]
+        running.run_for_long()
+        routes = running.host.mesh.origin_gossip.routes
+        assert routes.only_service('r-chat', 24, clock.now())
+        sync = running.host.settings_sync
+        content = json.dumps(configuration(2)).encode()
+        if way == 'other host':
+            sync.try_configuration(content, 'h2')
+        else:
+            sync.on_records((KeyedRecord('config', b'{', 1),))
+            sync.on_records((KeyedRecord('config', content, 2),))
+        assert running.host.gateway.version == 2
+        assert not routes.only_service('r-chat', 24, clock.now())
+
+    def test_routes_of_configurations_in_turn(
+        self, cluster: GatewayCluster
+    ) -> None:
+        add_endpoints(cluster, 'v1', 'v1')
+        running = add_hosts(cluster, 1)[0]
+        running.run_for_long()
+        for version in (2, 3):
+            cluster.configure(version)
+        wait_for(
+            lambda: running.host.gateway.version == 3, 'the version in force'
+        )
+        routes = running.host.mesh.origin_gossip.routes
+        assert routes.only_service('r-chat', 24, clock.now())
--- a/trefoilspool/gatewayhost.py
+++ b/trefoilspool/gatewayhost.py
@@ -119,6 +119,7 @@
             topics.settings,
             lambda content: platform.decode_configuration(content),
             ConfigurationHandlers(
+                self.on_configuration_gap,
                 self.put_in_force,
                 self.on_version,
                 self.on_settings_restored,
@@ -300,6 +301,13 @@
             if order is not None:
                 self.mesh.client.rollouts.on_order(order, clock.now())
 
+    def on_configuration_gap(self) -> None:
+        """Watch the services of the routes anew."""
+        self.mesh.origin_gossip.routes.restart(clock.now())
+        logger.info(
+            'routes_watched_anew', extra={'version': self.gateway.version}
+        )
+
     def put_in_force(self, configuration: Configuration) -> None:
         """Put a configuration in force in all parts of this host.
 
--- a/trefoilspool/routehistory.py
+++ b/trefoilspool/routehistory.py
@@ -46,6 +46,18 @@
                 if route.streams
             }
 
+    def restart(self, now: float) -> None:
+        """Forget since when the routes have had their services.
+
+        Another configuration may have been in force in between.
+        """
+        with self.lock:
+            self.first_at = now
+            self.by_route = {
+                name: known._replace(since=now)
+                for name, known in self.by_route.items()
+            }
+
     def adopt(self, earlier: Mapping[str, RouteServices]) -> None:
         """Adopt since when routes had their services before this host started.
 
--- a/trefoilspool/settingssync.py
+++ b/trefoilspool/settingssync.py
@@ -15,7 +15,7 @@
 from trefoilspool.peerchoice import PeerChoice
 from trefoilspool.peers import HostInfo, PeerRegistry
 from trefoilspool.peertopics import CONFIGURATION_PATH, peer_page
-from trefoilspool.replica import Replica
+from trefoilspool.replica import Position, Replica
 from trefoilspool.replication import (
     PeerFetchTask,
     PollInterval,
@@ -46,6 +46,9 @@
 
     Attributes
     ----------
+    on_gap : callable
+        Called before a configuration that is newer than the one in force, if
+        others may have come in between.
     put_in_force : callable
         Called with each configuration that is newer than the one in force.
     on_version : callable
@@ -56,6 +59,7 @@
         Called with the new records of other keys and the store's era.
     """
 
+    on_gap: Callable[[], None]
     put_in_force: Callable[[Configuration], None]
     on_version: Callable[[], None]
     on_restored: Callable[[], None]
@@ -90,6 +94,8 @@
         Version in force; 0 if there is none.
     content : bytes
         Content of its record, for peers.
+    has_skipped : bool
+        Whether the read that is being applied may lack earlier records.
     store_task : StoreReplicationTask
         Reads the store.
     peer_task : PeerFetchTask
@@ -118,7 +124,8 @@
         self.has_unused_record = False
         self.reread_s = FIRST_REREAD_S
         self.peer_choice = PeerChoice()
-        self.replica = Replica(self.on_records)
+        self.has_skipped = False
+        self.replica = Replica(self.on_records, on_skip=self.on_skip)
         self.store_task = StoreReplicationTask(
             'settings',
             topic,
@@ -189,8 +196,13 @@
         if others:
             self.handlers.on_others(others, self.replica.era)
 
+    def on_skip(self, position: Position) -> None:
+        """Note that the next configuration need not be the next version."""
+        self.has_skipped = True
+
     def on_read(self) -> None:
         """Have the record read again if it could not be used."""
+        self.has_skipped = False
         if not self.has_unused_record:
             self.reread_s = FIRST_REREAD_S
             return
@@ -235,12 +247,18 @@
         with self.lock:
             if configuration.version <= self.version:
                 return
+            if self.version and self.may_lack_one(source):
+                self.handlers.on_gap()
             self.handlers.put_in_force(configuration)
             self.version = configuration.version
             self.content = content
         self.log_version(configuration, source)
         self.handlers.on_version()
 
+    def may_lack_one(self, source: str) -> bool:
+        """Return whether others may have come before a new configuration."""
+        return source != STORE or self.has_skipped or self.has_unused_record
+
     def log_version(self, configuration: Configuration, source: str) -> None:
         """Log a version that comes into force."""
         logger.info(
