Read the stored versions only once the settings have been read

A host that starts with a configuration of another host has no position in the settings yet: it adopted no route's time, and its first read of the settings would have undone what it had. It now waits for that read, as it does for the endpoint records. test_host_that_has_not_read_the_settings_waits failed before.

--- a/trefoilspool/versionstore.py
+++ b/trefoilspool/versionstore.py
@@ -134,8 +134,8 @@
         if not self.gossip.routes.by_route:
             return
         if not self.was_read:
-            # The watch may begin anew until the endpoint records are current.
-            if self.gossip.is_stale():
+            # A watch may begin anew with the first read of the store.
+            if self.gossip.is_stale() or self.lacks_settings():
                 return
             self.read()
             self.was_read = True
@@ -146,6 +146,10 @@
                 self.read()
             self.write(now)
 
+    def lacks_settings(self) -> bool:
+        """Return whether this host has not read the settings yet."""
+        return self.route_replay.taken_to() == NOWHERE
+
     def is_due(self, now: float) -> bool:
         """Return whether the record is to be written."""
         is_old = now - self.written_at >= REFRESH_S
