Keep to what the home host last told of an endpoint, in the own choice

Cause: while no home host answers, a host chose endpoints without regard to whether their records are verified; the home host had told it so with each grant there.

Change: the own choice remembers the endpoints that the home host last called unverified, until their records are confirmed or a later grant takes it back.

--- a/tests/test_runverification.py
+++ b/tests/test_runverification.py
@@ -11,6 +11,7 @@
 import pytest
 from gatewaycluster import GatewayCluster, RunningHost, wait_for
 from platformendpoint import PlatformEndpoint
+from test_slotscheduler import ask, endpoint_spec
 from test_streamversions import (
     add_endpoints,
     add_hosts,
@@ -21,6 +22,10 @@
 
 from trefoilspool.departures import EndpointRun
 from trefoilspool.endchecks import DELAY_S
+from trefoilspool.endpointlimits import EndpointLimits
+from trefoilspool.localchoice import LocalChoice
+from trefoilspool.peers import HostInfo, PeerRegistry
+from trefoilspool.quarantine import Quarantine
 from trefoilspool.reliability import Reliability
 from trefoilspool.runverification import (
     RECORD_LIFETIME_S,
@@ -28,6 +33,7 @@
     RecordConfirmation,
     is_verified,
 )
+from trefoilspool.slotmessages import Granted, Refused, SlotKey
 
 READ_EVERY_S = 1.1
 # Longer than a record that is not renewed, and a read of the records.
@@ -120,6 +126,42 @@
         assert not down.is_verified(self.first)
 
 
+class TestOwnChoice:
+    """What the home host last told holds while none answers."""
+
+    @pytest.fixture
+    def choice(self) -> LocalChoice:
+        """Return a choice that the home host told of an endpoint."""
+        made = LocalChoice(
+            PeerRegistry(HostInfo('h1', '127.0.0.1', 1)),
+            Quarantine(),
+            EndpointLimits(),
+        )
+        made.on_available_endpoints([endpoint_spec('i-1', software='v1')])
+        told = Granted(SlotKey('h1', 1), 'i-1', is_verified=False)
+        made.on_home_grant(told, 10)
+        return made
+
+    def test_begun_stream(self, choice: LocalChoice) -> None:
+        bound = ask(2, software='v1')
+        assert isinstance(choice.choose(bound, {}, 11), Refused)
+        choice.down_runs.on_confirmed(10 + RECORD_LIFETIME_S)
+        assert isinstance(choice.choose(bound, {}, 15), Granted)
+
+    def test_new_stream_begins_at_an_unknown_version(
+        self, choice: LocalChoice
+    ) -> None:
+        granted = choice.choose(ask(2), {}, 11)
+        assert isinstance(granted, Granted)
+        assert not granted.is_verified
+
+    def test_home_host_takes_it_back(self, choice: LocalChoice) -> None:
+        choice.on_home_grant(Granted(SlotKey('h1', 3), 'i-1'), 12)
+        granted = choice.choose(ask(2, software='v1'), {}, 13)
+        assert isinstance(granted, Granted)
+        assert granted.is_verified
+
+
 @pytest.fixture
 def cluster() -> Iterator[GatewayCluster]:
     made = GatewayCluster()
--- a/trefoilspool/localchoice.py
+++ b/trefoilspool/localchoice.py
@@ -16,6 +16,7 @@
 from trefoilspool.ratelimits import RetryWindow, TokenBucket
 from trefoilspool.rollouts.rules import candidate_groups, usable
 from trefoilspool.routing import Workspace
+from trefoilspool.runverification import DownRuns
 from trefoilspool.slotmessages import (
     EndpointSpec,
     Granted,
@@ -58,6 +59,8 @@
         workspace, as the home host last told.
     ejected : frozenset of str
         Endpoints that get no requests.
+    down_runs : DownRuns
+        Runs that the home host last called unverified in a grant.
     workspaces : mapping
         Workspaces by name.
     """
@@ -79,6 +82,7 @@
         self.loads: Mapping[str, int] = {}
         self.ejected: frozenset[str] = frozenset()
         self.levels: Mapping[str, int] = {}
+        self.down_runs = DownRuns()
         self.workspaces: Mapping[str, Workspace] = {}
         self.buckets: dict[str, TokenBucket] = {}
         self.retry_windows: defaultdict[str, RetryWindow] = defaultdict(
@@ -128,6 +132,24 @@
         self.ejected = ejected
         self.levels = levels
 
+    def on_home_grant(self, grant: Granted, now: float) -> None:
+        """Note whether the home host has verified an endpoint's record."""
+        endpoint = self.available_endpoints.get(grant.endpoint)
+        if endpoint is None:
+            return
+        if grant.is_verified:
+            self.down_runs.forget(endpoint.run)
+        else:
+            self.down_runs.on_down(endpoint.run, now)
+
+    def may_run(self, ask: SlotRequest, endpoint: EndpointSpec) -> bool:
+        """Return whether a request may run at an endpoint's version."""
+        if ask.software is None:
+            return True
+        return ask.allows(endpoint.software) and self.down_runs.is_verified(
+            endpoint.run
+        )
+
     def choose(
         self, ask: SlotRequest, own: Mapping[str, int], now: float
     ) -> SlotDecision:
@@ -152,7 +174,7 @@
             if endpoint.service == ask.service
             and endpoint.name not in ask.avoid
             and endpoint.name not in self.ejected
-            and ask.allows(endpoint.software)
+            and self.may_run(ask, endpoint)
         ]
         candidates = self.by_version(ask, candidates)
         if not candidates:
@@ -167,7 +189,11 @@
             'placed_alone',
             extra={'endpoint': chosen.name, 'number': ask.key.number},
         )
-        return Granted(ask.key, chosen.name)
+        return Granted(
+            ask.key,
+            chosen.name,
+            is_verified=self.down_runs.is_verified(chosen.run),
+        )
 
     def by_version(
         self, ask: SlotRequest, candidates: list[EndpointSpec]
--- a/trefoilspool/mesh.py
+++ b/trefoilspool/mesh.py
@@ -200,6 +200,7 @@
     def set_confirmed_at(self, at: float) -> None:
         """Set as of when the endpoints' records are confirmed, in seconds."""
         self.client.down_runs.on_confirmed(at)
+        self.client.choice.down_runs.on_confirmed(at)
         self.call_soon(lambda now: self.scheduler.on_records_confirmed(at))
 
     def set_configuration(self, configuration: Configuration) -> None:
--- a/trefoilspool/runverification.py
+++ b/trefoilspool/runverification.py
@@ -102,6 +102,11 @@
         with self.lock:
             self.down_at[run] = max(at, self.down_at.get(run, at))
 
+    def forget(self, run: EndpointRun) -> None:
+        """Note that a run serves."""
+        with self.lock:
+            self.down_at.pop(run, None)
+
     def on_confirmed(self, confirmed_at: float) -> None:
         """Forget the runs whose records are confirmed.
 
--- a/trefoilspool/slotclient.py
+++ b/trefoilspool/slotclient.py
@@ -230,6 +230,8 @@
                 home.address, ask, inbox, client_disconnected
             )
             if decision is not None:
+                if isinstance(decision, Granted):
+                    self.choice.on_home_grant(decision, clock.now())
                 return decision
             self.peers.on_timeout(home.name, clock.now())
             logger.info(
