Confirm records by reads to the end of the log only

Cause: the end that the store tells with a read was dropped, so that an answer that was cut, or that holds 4 MB of more, counted as all records of that moment: it confirmed that there was one version, and was announced to other hosts. Change: a page says whether the source has more.

--- a/trefoilspool/endpointsync.py
+++ b/trefoilspool/endpointsync.py
@@ -128,8 +128,11 @@
     def on_read(self) -> None:
         """Note that this host has read the store; announce it to peers.
 
-        A read that was not due is of use to this host only.
+        A read that was not due is of use to this host only, and one of a part
+        of the records tells nothing of the others.
         """
+        if self.store_task.has_more:
+            return
         asked_at = self.store_task.read_began_at
         self.mark_current(asked_at)
         self.view.mark_read(asked_at)
--- a/trefoilspool/replication.py
+++ b/trefoilspool/replication.py
@@ -111,6 +111,8 @@
         Set if a read is wanted before the next one is due.
     is_due : bool
         Whether the last read was due, rather than only wanted.
+    has_more : bool
+        Whether the store had further records than the last read returned.
     """
 
     def __init__(
@@ -143,6 +145,7 @@
         self.is_interrupted = False
         self.wanted = threading.Event()
         self.is_due = True
+        self.has_more = False
 
     def interrupt(self) -> None:
         """End a read that waits and read again; usable from any thread."""
@@ -231,6 +234,9 @@
         self.on_store_available()
         self.apply(page)
         self.needs_full_read = False
+        self.has_more = page.has_more
+        if page.has_more and page.records:
+            self.read_soon()
         self.on_read()
 
     def apply(self, page: Page) -> None:
--- a/trefoilspool/store.py
+++ b/trefoilspool/store.py
@@ -33,12 +33,15 @@
     era : int
         Number of times that the store has been restored from a backup, which
         takes offsets back. Offsets are comparable only within an era.
+    has_more : bool
+        Whether the source had further records after ``end``.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
     complete: bool
     era: int = 0
+    has_more: bool = False
 
 
 class KeyedSource(ABC):
