Count no listing of an earlier era as a read

Cause: the replica ignores a page of an earlier era, a late answer, but the read counted as ended, confirmed the records and ended the need of a whole read. Change: such a read fails as one from the log does. Result: test_counts_as_no_read[1-1] failed before (2 reads for 1), passes.

--- a/trefoilspool/replication.py
+++ b/trefoilspool/replication.py
@@ -232,6 +232,8 @@
             )
         self.last_read = StoreRead(is_whole, clock.now() - self.read_began_at)
         self.on_store_available()
+        if page.era < self.replica.era:
+            raise StoreRestoredError(page.era)
         self.apply(page)
         self.needs_full_read = False
         self.has_more = page.has_more
