--- a/trefoilspool/origingossip.py
+++ b/trefoilspool/origingossip.py
@@ -32,7 +32,7 @@
     StreamOrigins,
 )
 from trefoilspool.telemetry import Metrics
-from trefoilspool.versionhistory import VersionHistory
+from trefoilspool.versionhistory import MEMORY_S, VersionHistory
 from trefoilspool.wire import mesh as wire
 from trefoilspool.wire.gen.mesh import ttypes
 from trefoilspool.wire.origins import (
@@ -253,7 +253,9 @@
         if recorded is not None:
             return recorded
         service = self.routes.present_service(query.route)
-        versions = self.history.versions(service, query.window_s, now)
+        # Endpoints serve on after their records have gone, and hosts that have
+        # not heard of it begin streams there.
+        versions = self.history.versions(service, MEMORY_S, now)
         if len(versions) > 1:
             return StreamOrigin(
                 query.stream, service, UNKNOWN, OriginSource.several
