Conclude no version for streams that outlast the memory of versions

Cause: versions are forgotten after MEMORY_S; with a timeout of over 30 s a stream may be taken up later, and one version was taken for the only one. Change: no claim is made for longer than MEMORY_S.

--- a/trefoilspool/origingossip.py
+++ b/trefoilspool/origingossip.py
@@ -270,6 +270,8 @@
 
     def source_of_one(self, query: OriginQuery, now: float) -> OriginSource:
         """Return what it means that this host knows one version only."""
+        if query.window_s > MEMORY_S:
+            return UNWATCHED
         has_watched = self.history.has_watched(
             query.window_s, now
         ) and self.routes.only_service(query.route, query.window_s, now)
