Hear hosts that saw a route change before a stream goes on

Cause: a host that knew of another service of the stream's route answered that it had not watched, which vetoes nothing, so a host that had missed the change went on by itself. And a host asked for its versions before it asked whether it had watched, so that what it adopted in between could make the two disagree. Change: such a host answers that there were several; the watch is asked for first.

--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -608,6 +608,17 @@
         gossip.confirm = confirm
         assert gossip.find(self.query).source is OriginSource.several
 
+    def test_host_that_saw_the_route_change_is_heard(self) -> None:
+        """The host that takes the stream up has missed the change."""
+        wire = Wire(2)
+        self.set_versions(wire, OLD)
+        now = clock.now()
+        routes = wire.gossips['a1'].routes
+        routes.update([route('others')], now - 5)
+        routes.update([route('engines')], now - 4)
+        found = wire.gossips['a0'].find(self.query)
+        assert found.version == UNKNOWN_VERSION
+
     def test_record_needs_no_store(self) -> None:
         wire = Wire(9)
         self.set_versions(wire, OLD, NEW)
--- a/trefoilspool/origingossip.py
+++ b/trefoilspool/origingossip.py
@@ -252,11 +252,15 @@
             recorded = self.origins.find(query.stream, now)
         if recorded is not None:
             return recorded
+        # Asked first: what others have seen may be adopted meanwhile.
+        source = self.source_of_one(query, now)
         service = self.routes.present_service(query.route)
         # Endpoints serve on after their records have gone, and hosts that have
         # not heard of it begin streams there.
         versions = self.history.versions(service, MEMORY_S, now)
-        if len(versions) > 1:
+        if len(versions) > 1 or self.routes.has_changed(
+            query.route, query.window_s, now
+        ):
             return StreamOrigin(
                 query.stream, service, UNKNOWN, OriginSource.several
             )
@@ -264,7 +268,7 @@
             query.stream,
             service,
             next(iter(versions), UNKNOWN),
-            self.source_of_one(query, now) if versions else UNWATCHED,
+            source if versions else UNWATCHED,
             self.records_age_s(),
         )
 
--- a/trefoilspool/routehistory.py
+++ b/trefoilspool/routehistory.py
@@ -107,6 +107,15 @@
         known = self.by_route.get(route)
         return known.only if known else ''
 
+    def has_changed(self, route: str, window_s: float, now: float) -> bool:
+        """Return whether a route is known to have changed within a time."""
+        known = self.by_route.get(route)
+        return (
+            known is not None
+            and known.since > self.first_at
+            and now - known.since < window_s
+        )
+
     def only_service(self, route: str, window_s: float, now: float) -> str:
         """Return a route's service if it has had no other within a time.
 
