Let the soak miss that versions join

The soak had all versions from the start, stopped hosts for 2.5 s at most while all else went on, and cut hosts off from the store or from endpoints, never from each other. So no host of it could call an old version the only one.

Seeds from 1100 on begin with one version. Others join while some hosts stand still, are cut off from the others or the store, one way or both, or wake into a cut; such series overlap. Callers begin streams elsewhere, keep the connection until they have some events or the host is killed, and take the streams up at the hosts that missed the version. Plans and fault tables of seeds 1 to 1099 are the same as before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -21,7 +21,9 @@
 from soakcallers import Caller, KeptCaller, ResumingCaller
 from soakchecks import all_violations
 from soakfaults import (
+    CALM_FAULTS,
     FIRST_SEED_WITH_LIMITS,
+    FIRST_SEED_WITH_MISSES,
     FIRST_SEED_WITH_OUTAGES,
     FIRST_SEED_WITH_SERIES,
     FIRST_SEED_WITH_VERSIONS,
@@ -30,6 +32,7 @@
     fault_table,
     inject_fault,
 )
+from soakmisses import miss_versions
 from soakrollouts import check_rollouts
 from soakstreams import StreamShares, check_streams, stream_shares
 from soakworld import SoakHost, World, WorldShape
@@ -51,9 +54,14 @@
 CRASH_SHARE = 0.5  # share of these seeds with a part that crashes endpoints
 CRASH_START_S = 3.0
 SLOT_ORDERS = {False: 'due', True: 'shortest'}
+SECONDS_BY_LATENESS = {False: 0.0, True: 20.0}
+CALM_SHARE = 0.7  # share of these seeds in which no host restarts
 SECONDS_BY_CRASHES = {False: SECONDS, True: 18.0}
 
 
+MainFault = Callable[[World, random.Random, float], None]
+
+
 class Result(NamedTuple):
     """The result of a seed; ``statuses`` counts the responses by status."""
 
@@ -71,6 +79,7 @@
     callers: int
     crashes: bool
     seconds: float
+    calm: bool = False
 
 
 def plan_of(seed: int, seconds: float, hosts: int) -> Plan:
@@ -86,6 +95,8 @@
     if seed >= FIRST_SEED_WITH_VERSIONS:
         versions = rng.choice(VERSION_COUNTS)
         crashes = crashes and rng.random() < CRASH_SHARE
+    late = seed >= FIRST_SEED_WITH_MISSES
+    crashes = crashes and not late
     return Plan(
         WorldShape(
             hosts,
@@ -93,10 +104,12 @@
             varied=True,
             versions=versions,
             slot_order=SLOT_ORDERS[seed >= FIRST_SEED_WITH_OUTAGES],
+            late=late,
         ),
         CALLER_COUNT * 2 + hosts // 4,
         crashes,
-        seconds or SECONDS_BY_CRASHES[crashes],
+        seconds or max(SECONDS_BY_CRASHES[crashes], SECONDS_BY_LATENESS[late]),
+        late and rng.random() < CALM_SHARE,
     )
 
 
@@ -129,12 +142,13 @@
         futures = [pool.submit(caller.run, until) for caller in callers]
         planned_only = rng.random() < PLANNED_ONLY_SHARE
         table = fault_table(seed, planned_only=planned_only or plan.crashes)
-        if plan.crashes:
-            crash = crash_of(seed)
-            faults.append(crash.__name__)
+        if plan.calm:
+            table = CALM_FAULTS
+        for main_fault in main_faults(plan, seed):
+            faults.append(main_fault.__name__)
             time.sleep(CRASH_START_S)
             futures.append(
-                pool.submit(crash, world, random.Random(seed), until)
+                pool.submit(main_fault, world, random.Random(seed), until)
             )
         while time.monotonic() < until:
             name = rng.choice(tuple(table))
@@ -167,7 +181,14 @@
     return [KeptCaller if shape.varied else Caller]
 
 
-def crash_of(seed: int) -> Callable[[World, random.Random, float], None]:
+def main_faults(plan: Plan, seed: int) -> list[MainFault]:
+    """Return what goes on beside the other faults until the end, if any."""
+    if plan.shape.late:
+        return [miss_versions]
+    return [crash_of(seed)] if plan.crashes else []
+
+
+def crash_of(seed: int) -> MainFault:
     """Return what crashes endpoints: a prompt part, or one request."""
     if seed >= FIRST_SEED_WITH_LIMITS and seed % 2:
         return crash_by_request
--- a/tests/soakcallers.py
+++ b/tests/soakcallers.py
@@ -326,4 +326,23 @@
         return response.status, False, body
 
 
-__all__ = ['Caller', 'KeptCaller', 'ResumingCaller']
+class StreamCaller(ResumingCaller):
+    """Begins streams at chosen hosts, and takes them up at others."""
+
+    def begin(self, host: SoakHost, wanted_events: int = 1) -> SentRequest:
+        """Read a stream up to an event, then end the connection."""
+        self.connect_to(host)
+        self.wanted_events = wanted_events
+        return self.send('chat', 'chat')
+
+    def take_up(self, host: SoakHost, begun: SentRequest) -> SentRequest:
+        """Take up a stream, of which two events are wanted."""
+        self.connect_to(host)
+        self.wanted_events = 2
+        next_event = begun.body.count(EVENT_END)
+        return self.send(
+            'chat', 'chat', cut=CutStream(begun.stream, next_event)
+        )
+
+
+__all__ = ['Caller', 'KeptCaller', 'ResumingCaller', 'StreamCaller']
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -400,6 +400,7 @@
 }
 
 
+FIRST_SEED_WITH_MISSES = 1100  # beside the other faults; see soakmisses
 FIRST_SEED_WITH_OUTAGES = 1000
 OUTAGE_FAULTS: Mapping[str, Fault] = {
     **ROLLOUT_FAULTS,
@@ -408,6 +409,18 @@
 }
 
 
+# Beside misses, whose hosts are to know for long of one version only.
+CALM_FAULTS: Mapping[str, Fault] = {
+    'hup': hup,
+    'leave': leave,
+    'configure': configure,
+    'fall_silent': fall_silent,
+    'say_leaving': say_leaving,
+    'name_limit': name_limit,
+    'order_rollout': order_rollout,
+}
+
+
 # Faults besides the newest ones, by the first seed that has them; latest first.
 ADDED_FAULTS = (
     (FIRST_SEED_WITH_OUTAGES, OUTAGE_FAULTS),
--- a/tests/soakstreams.py
+++ b/tests/soakstreams.py
@@ -116,7 +116,9 @@
 
 def is_in_touch(ledger: Ledger, sent: SentRequest) -> bool:
     """Return whether a request was sent whole to a host without a fault."""
-    own = {f'{fault} {sent.host}' for fault in ('kill', 'term', 'pause')}
+    own = {
+        f'{fault} {sent.host}' for fault in ('kill', 'term', 'pause', 'parted')
+    }
     excuses = {*own, 'kill_all', 'reset', f'link {sent.host}'}
     return bool(sent.whole_at) and ledger.is_clear(
         excuses, sent.started, sent.ended
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -33,7 +33,8 @@
 
     ``varied`` endpoints also answer without a length and may crash. With
     several ``versions`` callers also take up streams that were cut.
-    ``slot_order`` is the hosts' setting.
+    ``slot_order`` is the hosts' setting. With ``late`` ones, endpoints have the
+    first version only until others join.
     """
 
     hosts: int = HOST_COUNT
@@ -41,6 +42,7 @@
     varied: bool = False
     versions: int = 1
     slot_order: str = 'due'
+    late: bool = False
 
 
 DEFAULT_SHAPE = WorldShape()
@@ -145,6 +147,7 @@
         self.store.wakes_at_restore = shape.versions == 1
         self.endpoint_numbers = itertools.count(1)
         self.endpoint_turns = itertools.count()
+        self.serving_versions = 1 if shape.late else shape.versions
         self.all_endpoints: list[SoakEndpoint] = []
         self.versions = itertools.count(1)
         self.version = 0
@@ -188,6 +191,13 @@
     def add_endpoint(self) -> SoakEndpoint:
         return self.start_endpoint(f'i-{next(self.endpoint_numbers)}')
 
+    def next_version(self) -> str:
+        """Let the next version serve, if there is one; return the newest."""
+        self.serving_versions = min(
+            self.serving_versions + 1, self.shape.versions
+        )
+        return VERSIONS[self.serving_versions - 1]
+
     def join(self, version: str) -> SoakEndpoint:
         """Start an endpoint of a version beside those that serve."""
         endpoint = self.start_endpoint(
@@ -202,7 +212,7 @@
         self, key: str, born: int = 1, version: str = ''
     ) -> SoakEndpoint:
         """Start an endpoint; without a version it has the next one in turn."""
-        turn = next(self.endpoint_turns) % self.shape.versions
+        turn = next(self.endpoint_turns) % self.serving_versions
         endpoint = SoakEndpoint(
             key,
             self.ledger,
--- a/tests/test_outofstep.py
+++ b/tests/test_outofstep.py
@@ -15,7 +15,7 @@
 from gatewaycluster import WAIT_S, GatewayCluster, RunningHost, wait_for
 from platformendpoint import PlatformEndpoint, ServedRequest
 from soak import START_TIMEOUT_S, wait_ready
-from soakcallers import CutStream, ResumingCaller
+from soakcallers import StreamCaller
 from soakledger import VERSIONS, SentRequest
 from soakproxy import Mode
 from soakstreams import HTTP_OK, streams, versions_of, whole_events
@@ -52,24 +52,6 @@
 TAKE_UPS_AT_ONCE = 100
 
 
-class StreamCaller(ResumingCaller):
-    """Begins a stream at one host, takes it up at another."""
-
-    def begin(self, host: SoakHost) -> SentRequest:
-        """Read the first events of a stream, then end the connection."""
-        self.connect_to(host)
-        self.wanted_events = 1
-        return self.send('chat', 'chat')
-
-    def take_up(self, host: SoakHost, begun: SentRequest) -> SentRequest:
-        """Take up a stream of another caller, which has gone."""
-        self.connect_to(host)
-        next_event = len(whole_events(begun))
-        return self.send(
-            'chat', 'chat', cut=CutStream(begun.stream, next_event)
-        )
-
-
 class OutOfStep:
     """A world in which some hosts miss that a second version joins."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,7 @@
 CRASHING_S = 18
 LIMITS_SEED = 305  # endpoints name limits beside planned work
 VERSIONS_SEED = 701
+MISSES_SEED = 1121  # five hosts, none of which restarts by itself
 CRASHING_REQUEST_SEED = 309  # one request crashes endpoints
 
 # Seeds that once violated a guarantee, with the cause.
@@ -322,6 +323,11 @@
         assert not result.violations
         assert result.shares.taken_up
 
+    def test_versions_that_hosts_miss(self, tmp_path: pathlib.Path) -> None:
+        result = soak(MISSES_SEED, 0, tmp_path)
+        assert not result.violations
+        assert 'miss_versions' in result.faults
+
     @pytest.mark.parametrize('seed', REGRESSIONS)
     def test_regression_seed(self, seed: int, tmp_path: pathlib.Path) -> None:
         assert not soak(seed, SOAK_S * 2, tmp_path).violations
