--- a/tests/test_outofstepreview.py
+++ b/tests/test_outofstepreview.py
@@ -27,6 +27,7 @@
 LONG_AGO_S = -1000.0
 RENEWALS = 60
 RELEASE_S = 0.3
+RESTARTED_STREAMS = 12
 READ_HEAD = struct.Struct('>QQ')
 RECORD_HEAD = struct.Struct('>I')
 
@@ -200,3 +201,28 @@
         releaser.start()
         assert cluster.take_up(cluster.lonely, stream) in {'', 'v2'}
         releaser.join()
+
+
+class TestRestartedEndpoint:
+    """An endpoint is back under its id and address at another version."""
+
+    def test_host_with_old_records(
+        self, cluster: LonelyCluster, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        cluster.start(2)
+        cluster.part(monkeypatch)
+        cut_store(cluster.lonely)
+        again = cluster.endpoints[0]
+        again.crash()
+        again.listen()
+        cluster.joined.add(again.name)
+        cluster.register(again, version='v2', born=2)
+        for number in range(RESTARTED_STREAMS):
+            stream = f'restarted-{number}'
+            with cluster.open_call(
+                cluster.lonely, '/chat/1', Request_Id=stream
+            ) as response:
+                response.read1(100)
+            begun = cluster.version_of(stream)
+            taken_up = cluster.take_up(cluster.lonely, stream)
+            assert taken_up in {'', begun}
