Bound the reads of all hosts for streams that are taken up

Cause: each host reads the store up to 20 times a second for streams without a record; 195 hosts could make 3,900 reads a second, which uses up the store's rate and shows as an outage. Change: the pause between such reads grows with the number of hosts, so that all together make at most 1,000 a second. Result: test_rate_of_the_fleet_is_bounded (new; with the fixed pause it fails for 195 and 670 hosts by its arithmetic); tests of record ages pass.

--- a/tests/test_recordages.py
+++ b/tests/test_recordages.py
@@ -15,7 +15,11 @@
 from trefoilspool.endpointview import STALE_S, EndpointsRead
 from trefoilspool.peers import HostInfo
 from trefoilspool.replica import Position, Replica
-from trefoilspool.replication import PollInterval, StoreReplicationTask
+from trefoilspool.replication import (
+    MIN_PAUSE_S,
+    PollInterval,
+    StoreReplicationTask,
+)
 from trefoilspool.store import KeyedSource, Page
 
 PEER = HostInfo('h2', '10.0.0.2', 1)
@@ -181,6 +185,24 @@
         assert sync.view.is_stale()
 
 
+class TestReadsOfAllHosts:
+    @pytest.mark.parametrize('hosts', [1, 13, 195, 670])
+    def test_rate_of_the_fleet_is_bounded(
+        self, cluster: GatewayCluster, hosts: int
+    ) -> None:
+        """A storm of streams taken up must not use up the store's rate."""
+        running = cluster.add_host()
+        peers = running.host.mesh.peers
+        others = [
+            HostInfo(f'p{number}', f'10.0.0.{number}', 1)
+            for number in range(1, hosts)
+        ]
+        peers.on_reported(others, clock.now())
+        pause_s = running.host.endpoint_sync.min_pause_s()
+        assert hosts / pause_s <= 1000
+        assert pause_s >= MIN_PAUSE_S
+
+
 class TestAnnouncement:
     """Peers hear of the usual reads, not of those between them."""
 
--- a/trefoilspool/endpointsync.py
+++ b/trefoilspool/endpointsync.py
@@ -13,6 +13,7 @@
 from trefoilspool.peers import HostInfo
 from trefoilspool.peertopics import ENDPOINTS_PATH, PeerTopic
 from trefoilspool.replication import (
+    MIN_PAUSE_S,
     PeerFetchTask,
     PollInterval,
     StoreReplicationTask,
@@ -28,6 +29,8 @@
 READERS = 3
 FETCH_SPREAD_S = 0.3
 MIN_ANNOUNCE_S = 1.0
+# Reads a second by all hosts for streams taken up; the store bounds all reads.
+MAX_WANTED_PER_S = 1000.0
 # The store answers in some milliseconds; a caller waits meanwhile.
 CONFIRM_TIMEOUT_S = 0.4
 
@@ -91,6 +94,7 @@
             self.should_read,
             on_read=self.on_read,
         )
+        self.store_task.min_pause_s = self.min_pause_s
         self.peer_task = PeerFetchTask(
             'endpoints',
             self.find_newer,
@@ -105,6 +109,13 @@
             return clock.now()
         return self.store_task.outage_ended_at
 
+    def min_pause_s(self) -> float:
+        """Return the seconds between reads that streams taken up ask for.
+
+        All hosts together stay below ``MAX_WANTED_PER_S``.
+        """
+        return max(MIN_PAUSE_S, self.mesh.peers.count() / MAX_WANTED_PER_S)
+
     def should_read(self) -> bool:
         """Return whether this host reads the store.
 
--- a/trefoilspool/replication.py
+++ b/trefoilspool/replication.py
@@ -18,7 +18,12 @@
 from trefoilspool.replica import NO_ERA, Replica
 from trefoilspool.store import KeyedSource, Page
 
-__all__ = ['PeerFetchTask', 'PollInterval', 'StoreReplicationTask']
+__all__ = [
+    'MIN_PAUSE_S',
+    'PeerFetchTask',
+    'PollInterval',
+    'StoreReplicationTask',
+]
 
 RETRY_S = 0.3
 PEER_POLL_S = 0.2
@@ -68,6 +73,11 @@
     return math.inf
 
 
+def least_pause() -> float:
+    """Return ``MIN_PAUSE_S``."""
+    return MIN_PAUSE_S
+
+
 def no_op() -> None:
     """Do nothing."""
 
@@ -107,6 +117,8 @@
         When all records are read again, in seconds.
     max_wait_s : callable
         Returns how long the next read may wait for a record, in seconds.
+    min_pause_s : callable
+        Returns the seconds between reads of which some are wanted soon.
     wanted : Event
         Set if a read is wanted before the next one is due.
     is_due : bool
@@ -143,6 +155,7 @@
         self.reread_at = math.inf
         self.max_wait_s: Callable[[], float] = no_limit
         self.is_interrupted = False
+        self.min_pause_s: Callable[[], float] = least_pause
         self.wanted = threading.Event()
         self.is_due = True
         self.has_more = False
@@ -176,8 +189,9 @@
         if self.outage_began_at is not None:
             self.stopping.wait(pause_s)
             return
-        self.stopping.wait(min(pause_s, MIN_PAUSE_S))
-        self.wanted.wait(max(0, pause_s - MIN_PAUSE_S))
+        least_s = min(pause_s, self.min_pause_s())
+        self.stopping.wait(least_s)
+        self.wanted.wait(pause_s - least_s)
 
     def try_read(self) -> float:
         """Read once; return the seconds until the next read."""
