Watch routes anew for a peer's configuration only while the store is away

Cause: since a host watched all routes anew for each configuration that it had from a peer, as others may have come between. Change: only while the store is away is a peer's configuration one that may have skipped others. The test of the other host's configuration has the store away now, and a new one holds that a peer's configuration in calm changes nothing; it failed before.

--- a/trefoilspool/settingssync.py
+++ b/trefoilspool/settingssync.py
@@ -256,8 +256,14 @@
         self.handlers.on_version()
 
     def may_lack_one(self, source: str) -> bool:
-        """Return whether others may have come before a new configuration."""
-        return source != STORE or self.has_skipped or self.has_unused_record
+        """Return whether others may have come before a new configuration.
+
+        A peer has only its newest one. It usually is the next, too: a peer is
+        faster than the store by a moment, unless the store is away.
+        """
+        is_away = self.store_task.outage_began_at is not None
+        is_latest_only = source != STORE and is_away
+        return is_latest_only or self.has_skipped or self.has_unused_record
 
     def log_version(self, configuration: Configuration, source: str) -> None:
         """Log a version that comes into force."""
