Take no reset during an upload for the end of a body

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written; they got the part, or a stream cut after an event, as whole.

Cause: the system tells of a reset once. A send that fails with it takes the error, and later reads return what had arrived and then an end in order. EndpointClient.write_request swallowed that error and read on, so the end of a body without a length could not be told from an end in order. The look whether bytes have come (has_bytes) can take the error as well.

Change: whoever swallows an error of a connection notes it there, and a body that only the end of the connection ends is cut if the connection was reset. A broken pipe is no such error: Linux gives it for a reset only after the other side has ended in order, so the whole answer has come.

Not yet for relayed connections.

--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -192,6 +192,8 @@
 class GatewayCluster:
     """A store, endpoints and hosts; closed with ``close``."""
 
+    endpoint_class = PlatformEndpoint
+
     def __init__(self) -> None:
         # Each cluster has its own loopback addresses, so that the hosts of
         # concurrent tests do not exchange datagrams.
@@ -211,7 +213,7 @@
         self.store.put('keyed.op', 'config', configuration(version, **changes))
 
     def add_endpoint(self, **changes: object) -> PlatformEndpoint:
-        endpoint = PlatformEndpoint(f'i-{len(self.endpoints) + 1}')
+        endpoint = self.endpoint_class(f'i-{len(self.endpoints) + 1}')
         self.endpoints.append(endpoint)
         self.register(endpoint, **changes)
         return endpoint
--- a/tests/platformendpoint.py
+++ b/tests/platformendpoint.py
@@ -143,12 +143,16 @@
 
     def listen(self) -> None:
         """Accept connections, after a crash on the port of before."""
-        self.listener = socket.create_server((self.host, self.port))
+        self.listener = self.create_listener()
         self.port = self.listener.getsockname()[1]
         threading.Thread(
             target=self.accept, args=(self.listener,), daemon=True
         ).start()
 
+    def create_listener(self) -> socket.socket:
+        """Return a listener at the endpoint's address."""
+        return socket.create_server((self.host, self.port))
+
     def crash(self) -> None:
         """Close the listener and all connections."""
         for sock in (self.listener, *list(self.open_sockets)):
--- a/trefoilspool/connections.py
+++ b/trefoilspool/connections.py
@@ -53,6 +53,9 @@
         The endpoint's run to which it was opened.
     is_aborted : bool
         Whether this host has ended it, so that its end is no end of a body.
+    is_reset : bool
+        Whether the endpoint has reset it, so that its end is no end of a body
+        although reads no longer tell of the reset.
     tcp_socket : socket, RelayedSocket or None
         The socket, also while ``http.client`` has dropped its own reference.
     """
@@ -63,6 +66,7 @@
         self.idle_limit_s = MAX_IDLE_S
         self.carried: set[str] = set()
         self.is_aborted = False
+        self.is_reset = False
         self.run = EndpointRun('', 0)
         self.tcp_socket: socket.socket | RelayedSocket | None = None
 
@@ -107,9 +111,22 @@
             return bool(
                 self.tcp_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
             )
-        except OSError:
-            # Nothing has arrived, or the connection was reset.
+        except BlockingIOError:
             return False
+        except OSError as error:
+            self.note_failure(error)
+            return False
+
+    def note_failure(self, error: OSError) -> None:
+        """Remember an error of the connection, after which it is read on.
+
+        The system tells of a reset once: later reads return what had arrived
+        and then an end. A broken pipe says that the endpoint had ended its side
+        in order before it reset the connection (Linux: ``tcp_reset``), and a
+        relay tells of an end in order by itself.
+        """
+        if not self.is_relayed and not isinstance(error, BrokenPipeError):
+            self.is_reset = True
 
     def wait_readable(self, timeout_s: float) -> bool:
         """Return whether bytes or the end of the connection arrive in time."""
--- a/trefoilspool/endpointresponse.py
+++ b/trefoilspool/endpointresponse.py
@@ -167,6 +167,8 @@
         # that of the body.
         if length is None and self.connection.is_aborted:
             return 'this host ended the connection'
+        if self.is_unsized and self.connection.is_reset:
+            return 'the connection was reset'
         return ''
 
     def read_chunks(self) -> Iterator[bytes]:
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -219,7 +219,8 @@
         """Write the request.
 
         An endpoint that responds early may close its side before the whole body
-        is sent; its response is still read.
+        is sent; its response is still read, but for a body that only the end of
+        a connection which was reset would end.
         """
         request = outbound.caller_request
         headers = self.dialect.request_headers(outbound)
@@ -230,9 +231,10 @@
                 request.body or None,
                 headers,
             )
-        except (BrokenPipeError, ConnectionResetError):
+        except (BrokenPipeError, ConnectionResetError) as error:
             if not request.body or connection.sock is None:
                 raise
+            connection.note_failure(error)
 
 
 def skip_stray_response(
