Pass no reset of an endpoint on as an end in order

Callers saw: the same as before on a connection that another host relays: a part of a body without a length as a whole one.

Cause: a tunnel that could not write to the endpoint swallowed the error, of whatever kind, and read on. The end that reads return after a reset was passed on in the frame that means an end in order, so the near host could not know.

Change: the tunnel remembers a failed write. What had arrived is still passed on, then the connection to the near host ends without that frame, which the near host takes for a cut, as it does when a relay ends. After a broken pipe the endpoint's end was in order and is passed on as such.

--- a/tests/earlyendpoint.py
+++ b/tests/earlyendpoint.py
@@ -31,6 +31,7 @@
 
 def close_unread(served: ServedRequest) -> None:
     """Close the connection with bytes unread, which resets it."""
+    served.sock.recv(1, socket.MSG_PEEK)
     served.close()
 
 
--- a/tests/test_earlyresets.py
+++ b/tests/test_earlyresets.py
@@ -16,6 +16,7 @@
 from gatewaycluster import CallerResponse, GatewayCluster
 from headers import PlatformDialect
 from platformendpoint import ServedRequest
+from test_relays import RelayWorld
 
 from trefoilspool import clock
 from trefoilspool.connections import ConnectionPool, EndpointConnection
@@ -57,11 +58,23 @@
     endpoint_class = EarlyEndpoint
 
 
-@pytest.fixture
-def cluster() -> Iterator[GatewayCluster]:
-    made = EarlyWorld()
-    made.add_endpoint()
-    made.wait_for_endpoints(made.add_host(), 1)
+class EarlyRelayWorld(RelayWorld):
+    endpoint_class = EarlyEndpoint
+
+
+@pytest.fixture(params=['own connection', 'relayed'])
+def cluster(request: pytest.FixtureRequest) -> Iterator[GatewayCluster]:
+    """Yield a cluster whose first host has one endpoint.
+
+    The host may have to ask another one to relay its connections.
+    """
+    if request.param == 'relayed':
+        made: GatewayCluster = EarlyRelayWorld()
+        made.start()
+    else:
+        made = EarlyWorld()
+        made.add_endpoint()
+        made.wait_for_endpoints(made.add_host(), 1)
     yield made
     made.close()
 
--- a/trefoilspool/paths/tunnel.py
+++ b/trefoilspool/paths/tunnel.py
@@ -33,7 +33,9 @@
         What has been received and not been sent on. What goes to the host that
         asked is in frames; see `relayedsocket`.
     far_has_ended : bool
-        Whether the endpoint has closed its side.
+        Whether nothing more comes from the endpoint.
+    far_is_reset : bool
+        Whether its connection failed, so that its end is not one in order.
     far_is_writable : bool
         Whether the endpoint still takes bytes.
     is_closed : bool
@@ -49,6 +51,7 @@
         self.to_near = bytearray()
         self.to_far = bytearray()
         self.far_has_ended = False
+        self.far_is_reset = False
         self.far_is_writable = True
         self.is_closed = False
 
@@ -101,19 +104,25 @@
             self.to_far += received
 
     def read_far(self) -> None:
-        """Read from the endpoint."""
+        """Read from the endpoint.
+
+        Only an end in order is passed on as one. After a reset that a write has
+        met, reads return what had arrived and then an end.
+        """
         received = self.far.recv(READ_BYTES)
         if received:
             self.to_near += FRAME_HEAD.pack(len(received)) + received
             return
-        self.to_near += END_FRAME
         self.far_has_ended = True
+        if not self.far_is_reset:
+            self.to_near += END_FRAME
 
     def write_far(self) -> None:
         """Write to the endpoint.
 
         One that has responded early may take no more; its response is still
-        read.
+        read. A broken pipe says that it had ended its side in order before it
+        reset the connection.
         """
         if not self.to_far:
             return
@@ -121,14 +130,18 @@
             del self.to_far[: self.far.send(self.to_far)]
         except BlockingIOError:
             return
-        except OSError:
+        except OSError as error:
+            self.far_is_reset = not isinstance(error, BrokenPipeError)
             self.far_is_writable = False
             self.to_far.clear()
 
     def write_near(self) -> None:
-        """Write to the host that asked."""
+        """Write to the host that asked; end its connection after a reset."""
         if self.to_near:
             del self.to_near[: self.near.send(self.to_near)]
+        if self.far_has_ended and self.far_is_reset and not self.to_near:
+            # Unlike a reset, it drops nothing that is still on its way.
+            self.near.shutdown(socket.SHUT_WR)
 
     def close(self) -> None:
         """Close both connections with a reset."""
