Drop tunnels whose endpoint has ended without an error of the task

Seen while the tests of early resets ran, no caller saw it: the relay's task logged relay_failed with a ValueError, and one that was being stopped then left its listener and other tunnels open.

Cause: once the endpoint has ended, its connection is not registered for events. Asking the selector for a closed connection that it doesn't know is an error.

Change: such a connection counts as not registered.

--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -182,6 +182,24 @@
         assert seen.complete
         assert numbers(seen.body) == [0]
 
+    # The task failed when it dropped a tunnel whose endpoint had ended before.
+    def test_tunnel_whose_endpoint_has_ended_is_dropped(
+        self, world: RelayWorld, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        failures: list[str] = []
+        monkeypatch.setattr(relaytask.logger, 'exception', failures.append)
+
+        def respond(served: ServedRequest) -> None:
+            served.start_unsized()
+            served.sock.sendall(b'id: 0\ndata: x\n\n')
+            served.close()
+
+        world.endpoint.behaviour = respond
+        assert world.call(world.cut_off, '/talk/1').complete
+        wait_for(lambda: not world.relay.tunnels, 'no tunnel')
+        world.call(world.cut_off, '/talk/1')
+        assert not failures
+
     def test_early_response_to_a_long_body(self, world: RelayWorld) -> None:
         world.endpoint.responds_before_body = True
         body = b'x' * 3_000_000
--- a/trefoilspool/paths/relaytask.py
+++ b/trefoilspool/paths/relaytask.py
@@ -271,7 +271,7 @@
 
     def set_interest(self, sock: socket.socket, interest: int) -> None:
         """Wait for other events on a connection than before."""
-        is_registered = sock in self.selector.get_map()
+        is_registered = self.is_registered(sock)
         if not interest:
             if is_registered:
                 self.selector.unregister(sock)
@@ -280,11 +280,19 @@
         elif self.selector.get_key(sock).events != interest:
             self.selector.modify(sock, interest)
 
+    def is_registered(self, sock: socket.socket) -> bool:
+        """Return whether events of a connection are waited for."""
+        try:
+            return sock in self.selector.get_map()
+        except ValueError:
+            # It is closed, and was not registered any more.
+            return False
+
     def forget(self, tunnel: Tunnel) -> None:
         """Drop a tunnel that has been closed."""
         for sock in (tunnel.near, tunnel.far):
             self.tunnels.pop(sock, None)
-            if sock in self.selector.get_map():
+            if self.is_registered(sock):
                 self.selector.unregister(sock)
 
     def close_expired(self, now: float) -> None:
