Hold the lines of heads to the grammar before they are parsed

Callers saw: answers whose status line is none (0200, +200, 2_00, two blanks, control bytes, HTTP/1.x, HTTP/0.9, text before HTTP) as 200 with their body; heads with a malformed line as 200 without that line, or, without a length, with a body that began with the rest of the head. Status 000 was refused already.

Cause: the standard library reads more than HTTP allows. int() takes signs and underscores, str.split other bytes than blanks; the parser of mail heads takes "From " for an envelope, ends the head at what it does not know and splits lines at a carriage return; interim heads are skipped unread. check_head looked at what the parser had made of the bytes, so what it had let go was not there any more.

Change: trefoilspool/framing/grammar.py holds each raw line of each head to RFC 9112 before the library sees it: a small table of what the next line may be. It replaces the check of parsed names, values, defects and of the end within the head, and covers all readers of BoundedResponse: endpoints, directly and relayed, early and late, strays, interim heads, the store, peers. Lines that end with a line feed alone, folds, bytes beyond ASCII and a missing reason are let through as before: the standard lets a recipient do so, and their meaning is plain.

A property test holds the library's parser to what well-formed lines say.

--- a/trefoilspool/boundedconnection.py
+++ b/trefoilspool/boundedconnection.py
@@ -1,12 +1,12 @@
-"""HTTP connections whose responses are bounded and whose heads are checked."""
+"""HTTP connections whose responses are bounded and checked."""
 
 import http.client
 import io
-import re
 import socket
 from collections.abc import Iterator
 
 from trefoilspool import clock
+from trefoilspool.framing.strictresponse import StrictConnection, StrictResponse
 from trefoilspool.readpace import PieceBudget, ReadPace
 from trefoilspool.responsebounds import (
     MAX_BODY_BYTES,
@@ -15,11 +15,6 @@
     ReceiveLimits,
     ResponseBoundError,
 )
-from trefoilspool.responseheads import (
-    ResponseFormatError,
-    check_head,
-    is_interim,
-)
 from trefoilspool.tcptimeouts import bound_silence
 
 __all__ = [
@@ -30,15 +25,11 @@
     'skip_bytes',
 ]
 
-HEXADECIMAL = 16
-MAX_LINE_BYTES = 1024  # of a chunk's size, with its extensions
-# With extensions, which are ignored.
-CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\n]*)?\r?\n')
 # Whole transfer of a page after the wait for its first byte.
 TRANSFER_TIMEOUT_S = 30.0
 
 
-class BoundedResponse(http.client.HTTPResponse):
+class BoundedResponse(StrictResponse):
     """A response that is read within limits.
 
     Parameters
@@ -59,43 +50,8 @@
             method=method,
         )
 
-    def begin(self) -> None:
-        """Read and check the head; skip those of interim responses.
-
-        Raises
-        ------
-        ResponseFormatError
-            When the head is malformed or cut.
-        """
-        super().begin()
-        while is_interim(self.status):
-            self.headers = None  # type: ignore[assignment]
-            super().begin()
-        # The end of the stream is not read before the body, unless the head
-        # lacks its end.
-        if self.fp.raw.at_end:  # type: ignore[attr-defined]
-            raise ResponseFormatError('the connection ended within the head')
-        check_head(self)
-
-    def _read_next_chunk_size(self) -> int:
-        """Return the size of the next chunk.
-
-        The standard library takes a cut line for a whole one and a negative
-        number for a size.
-
-        Raises
-        ------
-        ResponseFormatError
-            When the line is cut, too long or has no size.
-        """
-        line = self.fp.readline(MAX_LINE_BYTES)
-        match = CHUNK_SIZE.fullmatch(line)
-        if match is None:
-            raise ResponseFormatError('a chunk has no size')
-        return int(match.group(1), HEXADECIMAL)
-
-
-class BoundedConnection(http.client.HTTPConnection):
+
+class BoundedConnection(StrictConnection):
     """An HTTP connection whose responses are bounded.
 
     Attributes
--- /dev/null
+++ b/trefoilspool/framing/__init__.py
@@ -0,0 +1,1 @@
+"""Where the parts of HTTP responses begin and end."""
--- a/trefoilspool/responsebounds.py
+++ b/trefoilspool/responsebounds.py
@@ -129,18 +129,12 @@
         The socket. If it is non-blocking, it stays so.
     limits : ReceiveLimits
         The limits, which may change between reads.
-
-    Attributes
-    ----------
-    at_end : bool
-        Whether the end of the stream has been read.
     """
 
     def __init__(self, sock: socket.socket, limits: ReceiveLimits) -> None:
         super().__init__()
         self.sock = sock
         self.limits = limits
-        self.at_end = False
         # The socket stays open as long as a file of it.
         self.file = sock.makefile('rb', buffering=0)
 
@@ -164,7 +158,6 @@
             count = self.receive(buffer, size)
         except BlockingIOError:
             return None
-        self.at_end = not count
         limits.bytes_left -= count
         limits.received_at = clock.now()
         return count
