Hold the lines of chunks and trailers to the grammar

Callers saw: bodies in chunks as whole whose chunks did not end where their size said, whose last chunk was followed by other bytes than a trailer, or whose sizes had malformed extensions; chunks under the head of HTTP/1.0, which has none.

Cause: the standard library skips the two bytes at the end of a chunk and all lines of a trailer unread, up to a blank line or the end of the connection. Our expression of a size let any byte pass in an extension, and a line feed alone as its end.

Change: StrictResponse reads the end of a chunk, and holds sizes, extensions and trailers to RFC 9112, sections 7.1 and 6.1. Blanks after a size still pass, as some servers pad it. A connection may still end within the trailer: the body is whole once its last chunk has come (section 8, test_cutheads::TestTrailers).

--- a/tests/test_responsegrammar.py
+++ b/tests/test_responsegrammar.py
@@ -13,7 +13,9 @@
 from trefoilspool.framing.grammar import HeadLines
 
 BODY = b'done'
+EVENT = b'ok\n\n'  # as long as the body
 LENGTH = 'Content-Length: 4'
+CHUNKED = 'Transfer-Encoding: chunked'
 OK = 'HTTP/1.1 200 OK'
 ODD_STATUS_LINES = (
     'HTTP/1.1 000 Odd',
@@ -101,6 +103,41 @@
     'X: a\r Content-Length: 2',
     'X: a\rContent-Length: 2',
 )
+ODD_CHUNKS = {
+    'bytes in place of the end': b'4\r\ndoneXX0\r\n\r\n',
+    'no end': b'4\r\ndone0\r\n\r\n',
+    'line feed as the end': b'4\r\ndone\n0\r\n\r\n',
+    'more than its size': b'3\r\ndone\r\n0\r\n\r\n',
+    'less than its size': b'5\r\ndone\r\n0\r\n\r\n',
+    'line feed after the size': b'4\ndone\r\n0\r\n\r\n',
+    'carriage return after the size': b'4\r\r\ndone\r\n0\r\n\r\n',
+    'prefix of the size': b'0x4\r\ndone\r\n0\r\n\r\n',
+    'sign of the size': b'+4\r\ndone\r\n0\r\n\r\n',
+    'blank before the size': b' 4\r\ndone\r\n0\r\n\r\n',
+    'no size': b'\r\ndone\r\n0\r\n\r\n',
+    'text after the size': b'4 x\r\ndone\r\n0\r\n\r\n',
+    'control byte in an extension': b'4;a=\0\r\ndone\r\n0\r\n\r\n',
+    'extension without a name': b'4;=a\r\ndone\r\n0\r\n\r\n',
+    'quote that is not closed': b'4;a="b\r\ndone\r\n0\r\n\r\n',
+    'bytes after the last chunk': b'4\r\ndone\r\n0\r\nodd\r\n\r\n',
+    'name of a trailer': b'4\r\ndone\r\n0\r\nX Y: a\r\n\r\n',
+    'control byte in a trailer': b'4\r\ndone\r\n0\r\nX: \0\r\n\r\n',
+    'control bytes after the last chunk': b'4\r\ndone\r\n0\r\n\0\1',
+    'response after the last chunk': (
+        b'4\r\ndone\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n'
+    ),
+    'no last chunk': b'4\r\ndone\r\n',
+    'cut after a chunk': b'4\r\ndone',
+}
+PLAIN_CHUNKS = {
+    'one': b'4\r\ndone\r\n0\r\n\r\n',
+    'two': b'1\r\nd\r\n3\r\none\r\n0\r\n\r\n',
+    'zeros': b'0004\r\ndone\r\n000\r\n\r\n',
+    'blanks after the size': b'4  \r\ndone\r\n0\r\n\r\n',
+    'extensions': b'4;a;b=c ; d = "e\x5c"; f"\r\ndone\r\n0;z\r\n\r\n',
+    'trailers': b'4\r\ndone\r\n0\r\nX: a\r\nY:\r\n\r\n',
+    'folded trailer': b'4\r\ndone\r\n0\r\nX: a\r\n b\r\n\r\n',
+}
 PATHS = ('/look/1', '/book/1')
 
 
@@ -267,3 +304,22 @@
             (name, text.strip(' \t')) for name, text in fields
         ]
         assert not seen.defects
+
+
+class TestChunks:
+    # MIXED: the bytes at the end of a chunk, and of the last one, were skipped.
+    @pytest.mark.parametrize('path', ['/look/1', '/book/1', '/talk/1'])
+    @pytest.mark.parametrize('kind', ODD_CHUNKS)
+    def test_odd(self, cluster: GatewayCluster, path: str, kind: str) -> None:
+        body = ODD_CHUNKS[kind].replace(b'done', EVENT)
+        seen = ask(cluster, path, head(OK, CHUNKED), body)
+        assert not (seen.status == 200 and seen.complete)
+
+    @pytest.mark.parametrize('kind', PLAIN_CHUNKS)
+    def test_plain(self, cluster: GatewayCluster, kind: str) -> None:
+        seen = ask(cluster, '/book/1', head(OK, CHUNKED), PLAIN_CHUNKS[kind])
+        assert (seen.status, seen.body) == (200, BODY)
+
+    def test_chunks_of_old_version(self, cluster: GatewayCluster) -> None:
+        lines = head('HTTP/1.0 200 OK', CHUNKED)
+        assert ask(cluster, '/book/1', lines, PLAIN_CHUNKS['one']).status == 502
--- a/trefoilspool/framing/grammar.py
+++ b/trefoilspool/framing/grammar.py
@@ -6,8 +6,8 @@
 
 Notes
 -----
-Source: RFC 9112, sections 2.2 (lines), 4 (status line) and 5 (field lines);
-RFC 9110, section 5.6.2 (tokens).
+Source: RFC 9112, sections 2.2 (lines), 4 (status line), 5 (field lines) and 7.1
+(chunks); RFC 9110, section 5.6 (tokens and quoted strings).
 """
 
 import io
@@ -16,16 +16,33 @@
 from trefoilspool.responseheads import ResponseFormatError
 
 __all__ = [
+    'BLANK_LINES',
+    'CHUNK_LINE',
+    'CUT_FIELD_LINE',
+    'FIRST_FIELD',
+    'ExpectedLine',
     'HeadLines',
 ]
 
 TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 TEXT = rb'[\t\x20-\x7e\x80-\xff]*'
-# A line feed alone may end a line.
+QUOTED_TEXT = (
+    rb'(?:[\t\x20\x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*'
+)
+# A line feed alone may end the lines of a head, but not those of chunks.
 LINE_END = rb'\r?\n'
 BLANK_LINES = frozenset((b'\r\n', b'\n'))
 FIELD = rb'%b:%b' % (TOKEN, TEXT)
 FOLD = rb'[\x20\t]%b' % TEXT  # goes on with the field of the line before
+EXTENSION = rb'[\x20\t]*;[\x20\t]*%b(?:[\x20\t]*=[\x20\t]*(?:%b|"%b"))?' % (
+    TOKEN,
+    TOKEN,
+    QUOTED_TEXT,
+)
+# Blanks after the size are no part of the grammar, but some servers pad it.
+CHUNK_LINE = re.compile(rb'([0-9A-Fa-f]{1,15})(?:%b)*[\x20\t]*\r\n' % EXTENSION)
+# The beginning of a field line, or of a blank one.
+CUT_FIELD_LINE = re.compile(rb'(?:%b(?::%b)?)?\r?' % (TOKEN, TEXT))
 
 
 class ExpectedLine:
--- a/trefoilspool/responseheads.py
+++ b/trefoilspool/responseheads.py
@@ -7,6 +7,7 @@
 __all__ = ['ResponseFormatError', 'check_head', 'is_interim']
 
 FIRST_FINAL_STATUS = 200
+OLD_VERSION = 10  # HTTP/1.0, as the standard library numbers it
 FOLD = re.compile(r'\r?\n[ \t]+')  # goes on a header's line on the next one
 LENGTH = re.compile('[0-9]{1,18}')
 
@@ -34,20 +35,24 @@
     if response.status < FIRST_FINAL_STATUS:
         raise ResponseFormatError(f'status {response.status}')
     headers = response.headers.items()
-    check_framing([(pair[0].lower(), pair[1].lower()) for pair in headers])
+    check_framing(
+        response.version,
+        [(pair[0].lower(), pair[1].lower()) for pair in headers],
+    )
 
 
-def check_framing(headers: list[tuple[str, str]]) -> None:
+def check_framing(version: int, headers: list[tuple[str, str]]) -> None:
     """Check the headers that say where the body ends.
 
     Raises
     ------
     ResponseFormatError
-        When they are malformed or contradict each other.
+        When they are malformed or contradict each other or the version.
     """
     lengths = {text for name, text in headers if name == 'content-length'}
     codings = [text for name, text in headers if name == 'transfer-encoding']
-    if codings and (lengths or codings != ['chunked']):
+    is_old = version == OLD_VERSION
+    if codings and (is_old or lengths or codings != ['chunked']):
         raise ResponseFormatError(f'length {lengths}, coding {codings}')
     if len(lengths) > 1 or not all(map(LENGTH.fullmatch, lengths)):
         raise ResponseFormatError(f'length {lengths}')
