Read all answers by the grammar, also those of the product's own interface

What came of it: a host of the product's own interface passed answers of another host with a malformed status line, head or chunk on to callers, read endpoints' bodies, tokens and load reports from such answers, and took an append to the log as acknowledged by one. The commands that ask hosts read them, too.

Cause: these five modules used the standard library's connections as they are, so the check of heads, and now that of lines, was not on their way.

Change: they use StrictConnection.

--- a/trefoilspool/client.py
+++ b/trefoilspool/client.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
+from trefoilspool.framing.strictresponse import StrictConnection
+
 __all__ = ['CallResult', 'KindCall', 'call_kind', 'post']
 
 TIMEOUT_S = 120.0
@@ -54,7 +56,7 @@
     headers: Mapping[str, str],
 ) -> tuple[http.client.HTTPConnection, http.client.HTTPResponse]:
     """Send a request and return the connection with its open response."""
-    connection = http.client.HTTPConnection(*address, timeout=TIMEOUT_S)
+    connection = StrictConnection(*address, timeout=TIMEOUT_S)
     connection.request(
         'POST',
         path,
--- a/trefoilspool/endpoints/http.py
+++ b/trefoilspool/endpoints/http.py
@@ -22,6 +22,7 @@
     SendFailedError,
     StreamCutError,
 )
+from trefoilspool.framing.strictresponse import StrictConnection
 
 __all__ = ['HttpEndpoint', 'HttpEndpointStream']
 
@@ -125,7 +126,7 @@
 
     def connect(self, timeout_s: float) -> http.client.HTTPConnection:
         """Return a new connection with a read timeout of ``timeout_s``."""
-        connection = http.client.HTTPConnection(
+        connection = StrictConnection(
             self.host,
             self.port,
             timeout=CONNECT_TIMEOUT_S,
--- a/trefoilspool/explaining/askhost.py
+++ b/trefoilspool/explaining/askhost.py
@@ -6,6 +6,7 @@
 from urllib.parse import urlencode
 
 from trefoilspool.errors import HostUnreachableError, OptionError
+from trefoilspool.framing.strictresponse import StrictConnection
 
 __all__ = ['ask_host']
 
@@ -33,7 +34,7 @@
     host, _, port = address.rpartition(':')
     if not port.isdecimal():
         raise OptionError('address', address, 'IP:PORT')
-    connection = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
+    connection = StrictConnection(host, int(port), timeout=TIMEOUT_S)
     try:
         connection.request('GET', f'/explain?{urlencode(question)}')
         response = connection.getresponse()
--- a/trefoilspool/forward.py
+++ b/trefoilspool/forward.py
@@ -4,6 +4,7 @@
 import time
 
 from trefoilspool.filter import FinalResponse, Job, Response
+from trefoilspool.framing.strictresponse import StrictConnection
 from trefoilspool.platform import HostEntry
 from trefoilspool.problems import MayHaveRunError
 
@@ -30,7 +31,7 @@
 
     def forward(self, job: Job, host: HostEntry) -> FinalResponse:
         """Return the response of the host that issued the ticket."""
-        connection = http.client.HTTPConnection(
+        connection = StrictConnection(
             host.address,
             host.http_port,
             timeout=CONNECT_TIMEOUT_S,
--- a/trefoilspool/platforms/http.py
+++ b/trefoilspool/platforms/http.py
@@ -15,6 +15,7 @@
     MalformedAnswerError,
     TrimmedError,
 )
+from trefoilspool.framing.strictresponse import StrictConnection
 from trefoilspool.jsonfields import Fields, parse_object
 from trefoilspool.platform import (
     EndpointEntry,
@@ -72,7 +73,7 @@
         The request may have been sent, but no complete response was read.
     """
     parts = urlsplit(url)
-    connection = http.client.HTTPConnection(
+    connection = StrictConnection(
         parts.hostname or '',
         parts.port,
         timeout=timeout,
