Pass no part of a token on when a stream is cut within its line

What came of it: an endpoint of the product's own interface that ended within a line of its stream made a token of the part; the stream then went on elsewhere after that token, so the caller missed the rest of it.

Cause: readline returns the last line without its end when the connection ends, and HttpEndpointStream took only an empty line for a cut.

Change: a line without its end is a cut.

--- a/tests/test_answerreaders.py
+++ b/tests/test_answerreaders.py
@@ -24,6 +24,7 @@
     EndpointError,
     HostUnreachableError,
     LogError,
+    StreamCutError,
 )
 from trefoilspool.events import VictimClass
 from trefoilspool.explaining.askhost import ask_host
@@ -325,3 +326,17 @@
             if 'http.client.HTTPConnection(' in path.read_text()
         ]
         assert not lenient
+
+
+class TestEvents:
+    # A token that was cut was passed on, and the stream went on after it.
+    def test_cut_line_is_no_token(self, source: AnswerSource) -> None:
+        source.answer = (
+            b'HTTP/1.1 200 OK\r\n\r\nid: 0\ndata: one\n\nid: 1\ndata: t'
+        )
+        stream = HttpEndpoint(source.url).open(ATTEMPT, 2, lambda _: None)
+        tokens = stream.tokens()
+        assert next(tokens).payload == 'one'
+        with pytest.raises(StreamCutError):
+            next(tokens)
+        stream.close()
--- a/trefoilspool/endpoints/http.py
+++ b/trefoilspool/endpoints/http.py
@@ -90,7 +90,8 @@
             raise StreamCutError(
                 f'event stream was cut off: {error!r}'
             ) from error
-        if not raw:
+        # A line that is cut may hold a part of a token.
+        if not raw.endswith(b'\n'):
             raise StreamCutError('event stream ended before its last event')
         return raw.decode().rstrip('\r\n')
 
