Take no end by this host for the end of an endpoint's body

What came of it: on the product's own interface a service that had sent a part of a body without a length at a request's deadline got its caller a 200 with the part.

Cause: the watch task shuts the connection down at the deadline, and the blocked read returns what had arrived as if the endpoint had ended in order. The gateway's connections remember that (is_aborted); HttpEndpoint's did not.

Change: they do, and such a body is cut if only the end of the connection ends it.

Result: tests/test_answerreaders.py, TestAbort: failed before, passes now; with a length, and after a whole body, it passed before. test_cuts, test_answers and test_path pass.

--- a/tests/test_answerreaders.py
+++ b/tests/test_answerreaders.py
@@ -39,6 +39,7 @@
 RECEIVE_BUFFER_BYTES = 8192
 UPLOAD = 'u' * 4_000_000
 RESET_PAUSE_S = 0.2
+LONG_PAUSE_S = 1.0
 EVENTS = b'id: 0\ndata: one\n\nid: 1\ndata: two\n\ndata: [DONE]\n\n'
 
 
@@ -52,11 +53,14 @@
     resets : bool
         Whether it is sent before a request's body has been read, and the
         connection then reset.
+    pause_s : float
+        Seconds before the connection is closed.
     """
 
     def __init__(self) -> None:
         self.answer = b''
         self.resets = False
+        self.pause_s = 0.0
         self.listener = socket.socket()
         self.listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
@@ -95,8 +99,8 @@
         while left > 0 and not self.resets:
             left -= len(sock.recv(65_536))
         sock.sendall(self.answer)
+        time.sleep(self.pause_s)
         if self.resets:
-            time.sleep(RESET_PAUSE_S)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
     def close(self) -> None:
@@ -313,6 +317,7 @@
         reader = READERS[name].with_unended_body()
         source.answer = PLAIN['end of the connection'](reader)
         source.resets = True
+        source.pause_s = RESET_PAUSE_S
         with pytest.raises(reader.errors):
             reader.read(source)
 
@@ -328,6 +333,31 @@
         assert not lenient
 
 
+class TestAbort:
+    # At the deadline of a request the part of a body passed as a whole one.
+    @pytest.mark.parametrize('length', [b'', b'Content-Length: 9\r\n'])
+    def test_end_by_this_host_is_no_end_of_a_body(
+        self, source: AnswerSource, length: bytes
+    ) -> None:
+        source.answer = b'HTTP/1.1 200 OK\r\n%b\r\npart' % length
+        source.pause_s = LONG_PAUSE_S
+        aborts: list[Callable[[], None]] = []
+        stream = HttpEndpoint(source.url).open(ATTEMPT, 2, aborts.append)
+        threading.Timer(RESET_PAUSE_S, aborts[0]).start()
+        with pytest.raises(StreamCutError):
+            stream.body()
+        stream.close()
+
+    def test_whole_body_is_taken_after_it(self, source: AnswerSource) -> None:
+        source.answer = plain(READERS['body of an endpoint'])
+        aborts: list[Callable[[], None]] = []
+        stream = HttpEndpoint(source.url).open(ATTEMPT, 2, aborts.append)
+        time.sleep(RESET_PAUSE_S)
+        aborts[0]()
+        assert stream.body() == b'done'
+        stream.close()
+
+
 class TestEvents:
     # A token that was cut was passed on, and the stream went on after it.
     def test_cut_line_is_no_token(self, source: AnswerSource) -> None:
--- a/trefoilspool/endpoints/http.py
+++ b/trefoilspool/endpoints/http.py
@@ -31,12 +31,38 @@
 DONE = '[DONE]'  # data of the last event of a stream
 
 
+class AbortableConnection(StrictConnection):
+    """A connection that another thread may end.
+
+    Attributes
+    ----------
+    is_aborted : bool
+        Whether this host has ended it, so that its end is no end of a body.
+    """
+
+    def __init__(self, address: str, port: int | None) -> None:
+        super().__init__(address, port, timeout=CONNECT_TIMEOUT_S)
+        self.is_aborted = False
+
+    def abort(self, sock: socket.socket) -> None:
+        """Shut down the socket, which ends a blocked read.
+
+        Parameters
+        ----------
+        sock : socket
+            The connection's socket, which ``http.client`` may have dropped.
+        """
+        self.is_aborted = True
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+
+
 class HttpEndpointStream(EndpointStream):
     """A response on a connection that carries no other request."""
 
     def __init__(
         self,
-        connection: http.client.HTTPConnection,
+        connection: AbortableConnection,
         response: http.client.HTTPResponse,
     ) -> None:
         self.connection = connection
@@ -54,12 +80,17 @@
 
     def body(self) -> bytes:
         """Return the whole body."""
+        # Only the end of the connection ends such a body.
+        is_unsized = self.response.length is None and not self.response.chunked
         try:
-            return self.response.read()
+            received = self.response.read()
         except (OSError, http.client.HTTPException) as error:
             raise StreamCutError(
                 f'response body was cut off: {error!r}'
             ) from error
+        if is_unsized and self.connection.is_aborted:
+            raise StreamCutError('this host ended the connection')
+        return received
 
     def tokens(self) -> Iterator[Token]:
         """Yield the events up to the last one.
@@ -107,12 +138,6 @@
     return int(text) if text.isdecimal() else 0
 
 
-def abort(connection: socket.socket) -> None:
-    """Shut down a connection, which ends a blocked read."""
-    with contextlib.suppress(OSError):
-        connection.shutdown(socket.SHUT_RDWR)
-
-
 class HttpEndpoint(Endpoint):
     """An endpoint at a base URL.
 
@@ -125,13 +150,9 @@
         self.host = parts.hostname or ''
         self.port = parts.port
 
-    def connect(self, timeout_s: float) -> http.client.HTTPConnection:
+    def connect(self, timeout_s: float) -> AbortableConnection:
         """Return a new connection with a read timeout of ``timeout_s``."""
-        connection = StrictConnection(
-            self.host,
-            self.port,
-            timeout=CONNECT_TIMEOUT_S,
-        )
+        connection = AbortableConnection(self.host, self.port)
         try:
             connection.connect()
         except OSError as error:
@@ -149,7 +170,7 @@
     ) -> HttpEndpointStream:
         """Send a request; see the base class for errors."""
         connection = self.connect(timeout_s)
-        connected(functools.partial(abort, connection.sock))
+        connected(functools.partial(connection.abort, connection.sock))
         headers = {
             **request.headers,
             'X-Attempt': request.attempt,
