Log requests that endpoints don't take whole

Cause: an error while a request is written was swallowed without a line, at the host and at a relay, though it decides whether a body without a length is whole.

--- a/tests/test_gatewaylogs.py
+++ b/tests/test_gatewaylogs.py
@@ -69,6 +69,7 @@
     'paths/relayclient',
     'paths/relaytask',
     'paths/table',
+    'paths/tunnel',
     'paths/ways',
     'intake/keeper',
     'rollouts/gate',
--- a/trefoilspool/exchange.py
+++ b/trefoilspool/exchange.py
@@ -235,6 +235,14 @@
             if not request.body or connection.sock is None:
                 raise
             connection.note_failure(error)
+            logger.info(
+                'request_not_taken_whole',
+                extra={
+                    'request': request.request_id,
+                    'endpoint': outbound.endpoint,
+                    'error': repr(error),
+                },
+            )
 
 
 def skip_stray_response(
--- a/trefoilspool/paths/tunnel.py
+++ b/trefoilspool/paths/tunnel.py
@@ -5,6 +5,8 @@
 import struct
 from collections.abc import Mapping
 
+import logbook
+
 from trefoilspool.paths.relayedsocket import END_FRAME, FRAME_HEAD
 
 __all__ = ['Tunnel', 'close_with_reset']
@@ -14,6 +16,8 @@
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 NO_EVENTS = 0
 
+logger = logbook.Logger('paths')
+
 
 class Tunnel:
     """Moves bytes between a host and an endpoint; owned by one thread.
@@ -134,6 +138,9 @@
             self.far_is_reset = not isinstance(error, BrokenPipeError)
             self.far_is_writable = False
             self.to_far.clear()
+            logger.info(
+                'relayed_request_not_taken_whole', extra={'error': repr(error)}
+            )
 
     def write_near(self) -> None:
         """Write to the host that asked; end its connection after a reset."""
