Show broken answers on all ways to endpoints, and that checks are linear

Cause: the tests of lines and chunks sent answers to one host's own connection.

Change: four broken answers also over a relay, after a stray answer and before a request's body is read; heads, sizes and trailers of responses join the inputs whose steps and bytes are held to grow no faster than the input.

--- a/tests/test_inputgrowth.py
+++ b/tests/test_inputgrowth.py
@@ -20,6 +20,7 @@
 
 import trefoilspool
 from trefoilspool.eventstream import split_events
+from trefoilspool.framing.strictresponse import StrictResponse
 from trefoilspool.gatewayapp import sendable_headers
 from trefoilspool.readpace import SMALL_BYTES, PieceBudget, ReadPace
 from trefoilspool.requestparser import StrictParser
@@ -195,6 +196,22 @@
     return parser
 
 
+class SentBytes:
+    """What ``http.client`` needs of a socket on which bytes have arrived."""
+
+    def __init__(self, sent: bytes) -> None:
+        self.sent = sent
+
+    def makefile(self, mode: str) -> io.BufferedReader:
+        return io.BufferedReader(io.BytesIO(self.sent))  # type: ignore[arg-type]
+
+
+def read_response(sent: bytes) -> bytes:
+    response = StrictResponse(SentBytes(sent))  # type: ignore[arg-type]
+    response.begin()
+    return response.read()
+
+
 class TestGrowth:
     # LOST: the ids of a prompt's parts grew with the square of their number.
     @pytest.mark.parametrize('header', NAMES)
@@ -244,6 +261,26 @@
 
         check_growth(work)
 
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(
+        st.sampled_from(
+            (
+                'HTTP/1.1 200 {}\r\n\r\n',
+                'HTTP/1.1 200 OK\r\n{}: x\r\n\r\n',
+                'HTTP/1.1 200 OK\r\nX: {}\r\n\r\n',
+                'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a{}',
+                'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n{}',
+            )
+        ),
+        units,
+    )
+    def test_response(self, form: str, unit: str) -> None:
+        def work(count: int) -> Callable[[], object]:
+            sent = form.format(unit * count).encode('latin-1')
+            return tolerant(lambda: read_response(sent))
+
+        check_growth(work)
+
     @settings(max_examples=40, deadline=None, derandomize=True)
     @given(st.binary(min_size=1, max_size=6), st.integers(1, 99))
     def test_events(self, unit: bytes, size: int) -> None:
--- a/tests/test_responsegrammar.py
+++ b/tests/test_responsegrammar.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from platformendpoint import SERVER_STAMP, ServedRequest
+from test_relays import RelayWorld
 
 from trefoilspool.framing.grammar import HeadLines
 
@@ -287,6 +288,49 @@
 texts = st.from_regex(r'[\t\x20-\x7e\x80-\xff]{0,12}', fullmatch=True)
 
 
+BROKEN = {
+    'status line': (head('HTTP/1.1 2_00 OK', LENGTH), BODY),
+    'first line': (placed('first', 'From x: a', (LENGTH,)), BODY),
+    'last line': (placed('last', 'X: a\rY: b', ()), BODY),
+    'end of a chunk': (head(OK, CHUNKED), b'4\r\ndoneXX0\r\n\r\n'),
+}
+
+
+@pytest.fixture(scope='module')
+def relayed() -> Iterator[GatewayCluster]:
+    made = RelayWorld()
+    made.start()
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize('kind', BROKEN)
+class TestWays:
+    """All answers of endpoints are read in one place."""
+
+    def test_relayed(self, relayed: GatewayCluster, kind: str) -> None:
+        lines, body = BROKEN[kind]
+        assert ask(relayed, '/book/1', lines, body).status == 502
+
+    def test_after_a_stray_answer(
+        self, cluster: GatewayCluster, kind: str
+    ) -> None:
+        lines, body = BROKEN[kind]
+        stray = [OK, 'Request-Id: other', 'Content-Length: 0', '']
+        assert ask(cluster, '/book/1', stray + lines, body).status == 502
+
+    def test_before_the_body_is_read(
+        self, cluster: GatewayCluster, kind: str
+    ) -> None:
+        lines, body = BROKEN[kind]
+        endpoint = cluster.endpoints[0]
+        endpoint.responds_before_body = True
+        try:
+            assert ask(cluster, '/book/1', lines, body).status == 502
+        finally:
+            endpoint.responds_before_body = False
+
+
 class TestParser:
     """The library makes of well-formed lines what they say."""
 
