--- a/tests/test_responsegrammar.py
+++ b/tests/test_responsegrammar.py
@@ -331,6 +331,14 @@
             endpoint.responds_before_body = False
 
 
+class TestStrayAnswer:
+    def test_without_a_length_nothing_follows_it(
+        self, cluster: GatewayCluster
+    ) -> None:
+        lines = [OK, 'Request-Id: other', '', *head(OK, LENGTH)]
+        assert ask(cluster, '/book/1', lines, BODY).status == 502
+
+
 class TestParser:
     """The library makes of well-formed lines what they say."""
 
