--- a/trefoilspool/framing/strictresponse.py
+++ b/trefoilspool/framing/strictresponse.py
@@ -28,6 +28,7 @@
     """A response that is malformed unless it keeps to the grammar."""
 
     fp: io.BufferedReader
+    chunk_left: int | None  # 0 at the end of a chunk, None between chunks
 
     def begin(self) -> None:
         """Read and check the head; skip those of interim responses.
@@ -62,7 +63,7 @@
             end = self._safe_read(len(CHUNK_END))  # type: ignore[attr-defined]
             if end != CHUNK_END:
                 raise ResponseFormatError(f'{end!r} at the end of a chunk')
-            self.chunk_left: int | None = None
+            self.chunk_left = None
         return super()._get_chunk_left()  # type: ignore[misc,no-any-return]
 
     def _read_next_chunk_size(self) -> int:
