Tell an end in order from a reset over a relay in the tests, too

Cause: a mutation that took a broken pipe for a reset in the tunnel passed, as the relay had read the end before the reset came; so did one that counted failed writes to a relay.

Change: an endpoint that ends its side and resets at once, and a test of a relayed connection. The product is as it was.

--- a/tests/earlyendpoint.py
+++ b/tests/earlyendpoint.py
@@ -42,6 +42,12 @@
     served.reset()
 
 
+def end_and_reset(served: ServedRequest) -> None:
+    """End the answer in order, and reset the connection at once."""
+    served.sock.shutdown(socket.SHUT_WR)
+    served.reset()
+
+
 class EarlyAnswer(NamedTuple):
     """What is sent as soon as a request's head has come, and how it ends.
 
--- a/tests/test_earlyresets.py
+++ b/tests/test_earlyresets.py
@@ -9,6 +9,7 @@
     EarlyAnswer,
     EarlyEndpoint,
     close_unread,
+    end_and_reset,
     end_in_order,
     reset_at_once,
     reset_later,
@@ -22,6 +23,7 @@
 from trefoilspool.connections import ConnectionPool, EndpointConnection
 from trefoilspool.endpointresponse import EndpointResponse
 from trefoilspool.errors import StreamCutError
+from trefoilspool.paths.relayedsocket import RelayedSocket
 from trefoilspool.readwait import ReadWait, give_up
 
 UPLOAD = b'u' * 4_000_000
@@ -51,6 +53,7 @@
         close_unread,
     ),
     'end in order': EarlyAnswer((), PART, end_in_order),
+    'end and reset together': EarlyAnswer((), PART, end_and_reset),
 }
 
 
@@ -131,6 +134,16 @@
                 assert not list(chunks)
 
 
+class TestRelayed:
+    def test_only_the_relay_tells_of_an_end(self) -> None:
+        connection = EndpointConnection('127.0.0.1', 1)
+        near, relay = socket.socketpair()
+        with near, relay:
+            connection.tcp_socket = RelayedSocket(near)
+            connection.note_failure(ConnectionResetError())
+            assert not connection.is_reset
+
+
 def open_response(
     listener: socket.socket, *, is_reset: bool
 ) -> EndpointResponse:
