End the answer source of the tests when its reader ends early

Cause: reading the diff: it would have asked a closed connection for more bytes without end.

Change: that is an error of the test. Nothing else changes.

--- a/tests/test_answerreaders.py
+++ b/tests/test_answerreaders.py
@@ -91,19 +91,24 @@
         """Answer a request; no file of the socket keeps it open."""
         received = b''
         while b'\r\n\r\n' not in received:
-            received += sock.recv(1024)
+            piece = sock.recv(1024)
+            assert piece, 'the reader ended within the head of its request'
+            received += piece
         head, _, body = received.partition(b'\r\n\r\n')
         request = read_request(io.BytesIO(b'%b\r\n\r\n' % head))
         assert request is not None
         left = int(request.headers.get('content-length', 0)) - len(body)
         while left > 0 and not self.resets:
-            left -= len(sock.recv(65_536))
+            piece = sock.recv(65_536)
+            assert piece, 'the reader ended within its request'
+            left -= len(piece)
         sock.sendall(self.answer)
         time.sleep(self.pause_s)
         if self.resets:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
     def close(self) -> None:
+        # A mere close would leave it open while the thread waits on it.
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
