--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 PYTHONPYCACHEPREFIX=target/review-2 python3 -m compileall -q \
-    review/stand-ins-2 review/6 tests/platformstore.py tests/platformendpoint.py
+    review/stand-ins-2 review/6 review/7 tests/platformstore.py tests/platformendpoint.py
