--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -167,7 +167,7 @@
         variables = {}
         for name, text in deployment.role['env'].items():
             for field, value in fields.items():
-                text = text.replace('{{%s}}' % field, str(value))
+                text = text.replace('{{' + field + '}}', str(value))
             if '{{' not in text:
                 variables[name] = text
         # The metrics port of the deploy file may be taken on this machine.
@@ -264,7 +264,9 @@
 
     def seeds(self) -> list[str]:
         """Return the addresses that the settings name."""
-        return [f'{host.address}:{self.control_port}' for host in self.hosts[:3]]
+        return [
+            f'{host.address}:{self.control_port}' for host in self.hosts[:3]
+        ]
 
     def start(self) -> bool:
         """Start all hosts; return whether they became ready."""
--- a/review/stand-ins-2/memorycase.py
+++ b/review/stand-ins-2/memorycase.py
@@ -65,6 +65,7 @@
         self.prefill = threading.Lock()
         self.batch = threading.Semaphore(SLOTS)
         self.places = threading.Semaphore(SLOTS + QUEUE)
+        self.run_count = 0
 
     def serve(self, served: ServedRequest) -> None:
         if not self.places.acquire(blocking=False):
@@ -78,6 +79,7 @@
 
     def run(self, served: ServedRequest) -> None:
         headers = served.request.headers
+        self.run_count += 1
         if 'token-counts' not in headers:
             time.sleep(LOOK_S)
             served.respond()
@@ -100,6 +102,7 @@
         self.free_at = time.monotonic()
 
     def send(self, sock: socket.socket, content: bytes) -> None:
+        """Send bytes on a channel."""
         for at in range(0, len(content), PIECE_BYTES):
             piece = content[at : at + PIECE_BYTES]
             with self.lock:
@@ -239,7 +242,12 @@
         callers = [OrdinaryCaller(host) for host in deployment.hosts]
         time.sleep(1)
         for host in deployment.hosts[: CROWDED_HOSTS * has_trouble]:
-            command = [sys.executable, str(script), host.address, str(host.port)]
+            command = [
+                sys.executable,
+                str(script),
+                host.address,
+                str(host.port),
+            ]
             crowds.append(subprocess.Popen(command))
             record.write('crowd', to=host.name)
         wait_until(lambda: is_broken(machines), RUN_S)
@@ -253,6 +261,7 @@
                 most_mb=round(machine.most_mb, 1),
                 ordinary=dict(caller.outcomes),
             )
+        record.write('run', requests=sum(item.run_count for item in engines))
         broken = is_broken(machines)
         record.write('verdict', broken=broken)
         return BROKEN if broken else HELD
